Add the design and the packages that every other one builds on

Cause: the modules can only be written side by side once the state, the messages and the shared types are fixed. Conclusion: formatting, vet, staticcheck and the tests pass.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: test lint generate demo build fuzz measure
+
+# The test command; .ci/run calls it.
+test:
+	go test -race -count=1 ./...
+
+lint:
+	test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -d $$(git ls-files '*.go'); exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# For maintainers: writes the generated code again.
+generate:
+	go run ./cmd/generate
+
+build:
+	go build -o bin/ ./cmd/magnoliaferry ./cmd/measure
+
+demo:
+	go run ./cmd/magnoliaferry demo
+
+measure:
+	go run ./cmd/measure
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,160 @@
+package clock
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Millis is a duration, or a point in time since an arbitrary start, in milliseconds.
+type Millis int64
+
+// Common durations.
+const (
+	Second Millis = 1000
+	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
+	Day    Millis = 24 * Hour
+)
+
+// Duration converts m for libraries that take a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// FromDuration converts a time.Duration, rounded down to whole milliseconds.
+func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Clock is the system's monotonic clock or a fake clock; use System or NewFake to get one.
+type Clock struct {
+	origin time.Time // of the system clock
+	fake   bool
+
+	mu     sync.Mutex
+	now    Millis
+	seq    int64
+	timers []*timer
+}
+
+type timer struct {
+	due  Millis
+	seq  int64 // keeps timers that are due together in the order of their creation
+	fire func()
+}
+
+var system = &Clock{origin: time.Now()}
+
+// System returns the monotonic clock of the process.
+func System() *Clock { return system }
+
+// NewFake returns a clock that stands at start and moves only through Advance.
+func NewFake(start Millis) *Clock { return &Clock{fake: true, now: start} }
+
+// Now returns the current time in milliseconds; only differences between two values of one clock have a meaning.
+func (c *Clock) Now() Millis {
+	if !c.fake {
+		return FromDuration(time.Since(c.origin))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// AfterFunc calls f in its own goroutine (or inside Advance for a fake clock) after d; stop reports whether it
+// prevented the call.
+func (c *Clock) AfterFunc(d Millis, f func()) (stop func() bool) {
+	if !c.fake {
+		return time.AfterFunc(d.Duration(), f).Stop
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	t := &timer{due: c.now + d, seq: c.seq, fire: f}
+	c.timers = append(c.timers, t)
+	return func() bool { return c.remove(t) }
+}
+
+// After returns a channel that receives the time once, after d.
+func (c *Clock) After(d Millis) <-chan Millis {
+	ch := make(chan Millis, 1)
+	c.AfterFunc(d, func() { ch <- c.Now() })
+	return ch
+}
+
+// Sleep waits for d or until the context ends, and then returns the context's error.
+func (c *Clock) Sleep(ctx context.Context, d Millis) error {
+	done := make(chan struct{})
+	stop := c.AfterFunc(d, func() { close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		stop()
+		return ctx.Err()
+	}
+}
+
+// WithTimeout derives a context that ends after d on this clock.
+func (c *Clock) WithTimeout(ctx context.Context, d Millis) (context.Context, context.CancelFunc) {
+	if !c.fake {
+		return context.WithTimeout(ctx, d.Duration())
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := c.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() { stop(); cancel(context.Canceled) }
+}
+
+// Advance moves a fake clock forward by d and runs every timer that comes due, in order; it panics on the system
+// clock.
+func (c *Clock) Advance(d Millis) {
+	if !c.fake {
+		panic("clock: Advance called on the system clock")
+	}
+	c.mu.Lock()
+	end := c.now + d
+	c.mu.Unlock()
+	for {
+		t := c.nextDue(end)
+		if t == nil {
+			return
+		}
+		t.fire()
+	}
+}
+
+// Waiters returns the number of timers of a fake clock that are not yet due.
+func (c *Clock) Waiters() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.timers)
+}
+
+// nextDue removes and returns the first timer due by end and sets the time to when it is due; without one it sets
+// the time to end.
+func (c *Clock) nextDue(end Millis) *timer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sort.Slice(c.timers, func(i, j int) bool {
+		a, b := c.timers[i], c.timers[j]
+		return a.due < b.due || (a.due == b.due && a.seq < b.seq)
+	})
+	if len(c.timers) == 0 || c.timers[0].due > end {
+		c.now = max(c.now, end)
+		return nil
+	}
+	t := c.timers[0]
+	c.timers = c.timers[1:]
+	c.now = max(c.now, t.due)
+	return t
+}
+
+func (c *Clock) remove(t *timer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, o := range c.timers {
+		if o == t {
+			c.timers = append(c.timers[:i], c.timers[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/config/types.go
@@ -0,0 +1,294 @@
+package config
+
+import "magnoliaferry/clock"
+
+// Urgency orders requests and jobs.
+type Urgency string
+
+// The urgency classes.
+const (
+	Urgent Urgency = "urgent"
+	Normal Urgency = "normal"
+	Batch  Urgency = "batch"
+)
+
+// Fields holds the values of a Configuration while it is built or decoded; slices are sorted by name.
+type Fields struct {
+	Name     string
+	Weights  Weights
+	Zones    []ZoneFields
+	Pools    []PoolFields
+	Services []ServiceFields
+	Teams    []TeamFields
+	Jobs     []JobFields
+}
+
+// Weights says how much a user minds each measure, in percent that sum to 100.
+type Weights struct {
+	RollOutTime int
+	Protection  int
+	BufferCost  int
+	Moves       int
+}
+
+// ZoneFields declares one availability zone.
+type ZoneFields struct {
+	Name   string
+	Region string
+}
+
+// Failures declares the simultaneous failures that a pool must survive without falling below its capacity.
+type Failures struct {
+	Racks   int
+	Zones   int
+	Workers int
+}
+
+// PoolFields declares one pool of instances.
+type PoolFields struct {
+	Name              string
+	Contact           string // operator contact that answers for the pool
+	Instances         int    // workers that the pool holds
+	Capacity          int    // workers that must serve at any time
+	MaxUnavailable    int    // availability budget: workers that may be out at once, planned or failed
+	Spare             bool   // lends its workers to other pools
+	Slots             int    // requests at once for each worker
+	Connections       int    // connections for each worker
+	Cores             int    // of each worker
+	MemoryMB          int    // of each worker
+	RackSize          int    // workers in a rack
+	MaxInFlight       int    // requests at once in the whole pool; 0 for no limit besides slots
+	QueueLength       int    // requests that may wait at one entry instance
+	QueueWait         clock.Millis
+	MaintenancePeriod clock.Millis // every instance is maintained once per period
+	Survive           Failures
+}
+
+// ServiceFields declares one service, reached by callers under /<name>/.
+type ServiceFields struct {
+	Name              string
+	Pool              string
+	Deadline          clock.Millis // for requests that bring none
+	MaxDeadline       clock.Millis
+	Urgency           Urgency  // for requests that bring none
+	IdempotentMethods []string // replaces the default of GET, HEAD, OPTIONS, PUT and DELETE
+}
+
+// TeamFields declares one team and its quotas.
+type TeamFields struct {
+	Name        string
+	Contact     string
+	Callers     []string // names of callers that belong to the team
+	MaxInFlight int      // requests at once over all entry instances; 0 for no limit
+	Cores       int      // for jobs at once
+	MemoryMB    int      // for jobs at once
+}
+
+// JobFields declares one job.
+type JobFields struct {
+	Name         string
+	Team         string
+	Pool         string
+	Urgency      Urgency
+	RunOnce      bool // never started a second time
+	Cores        int
+	MemoryMB     int
+	Accelerators int
+	RunTime      clock.Millis // declared, often far off
+	Attempts     int          // starts before the job is parked
+	Command      []string
+}
+
+// Configuration is one frozen declaration of a user's fleet.
+type Configuration struct {
+	f        Fields
+	pools    map[string]Pool
+	services map[string]Service
+	teams    map[string]Team
+	callers  map[string]string // caller to team
+	jobs     map[string]Job
+}
+
+// New freezes the fields; Check reports what is wrong with them.
+func New(f Fields) *Configuration {
+	c := &Configuration{f: f, pools: map[string]Pool{}, services: map[string]Service{}, teams: map[string]Team{},
+		callers: map[string]string{}, jobs: map[string]Job{}}
+	for _, p := range f.Pools {
+		c.pools[p.Name] = Pool{p}
+	}
+	for _, s := range f.Services {
+		c.services[s.Name] = Service{s}
+	}
+	for _, t := range f.Teams {
+		c.teams[t.Name] = Team{t}
+		for _, caller := range t.Callers {
+			c.callers[caller] = t.Name
+		}
+	}
+	for _, j := range f.Jobs {
+		c.jobs[j.Name] = Job{j}
+	}
+	return c
+}
+
+// Fields returns the values, which must not be changed.
+func (c *Configuration) Fields() Fields { return c.f }
+
+// Name returns the name of the user's fleet.
+func (c *Configuration) Name() string { return c.f.Name }
+
+// Weights returns how much the user minds each measure.
+func (c *Configuration) Weights() Weights { return c.f.Weights }
+
+// Pools returns all pools by name.
+func (c *Configuration) Pools() []Pool {
+	return wrap(c.f.Pools, func(f PoolFields) Pool { return Pool{f} })
+}
+
+// Services returns all services by name.
+func (c *Configuration) Services() []Service {
+	return wrap(c.f.Services, func(f ServiceFields) Service { return Service{f} })
+}
+
+// Teams returns all teams by name.
+func (c *Configuration) Teams() []Team {
+	return wrap(c.f.Teams, func(f TeamFields) Team { return Team{f} })
+}
+
+// Jobs returns all jobs by name.
+func (c *Configuration) Jobs() []Job { return wrap(c.f.Jobs, func(f JobFields) Job { return Job{f} }) }
+
+// Zones returns the availability zones by name.
+func (c *Configuration) Zones() []ZoneFields { return c.f.Zones }
+
+// Pool returns the pool of that name.
+func (c *Configuration) Pool(name string) (Pool, bool) { p, ok := c.pools[name]; return p, ok }
+
+// Service returns the service of that name.
+func (c *Configuration) Service(name string) (Service, bool) { s, ok := c.services[name]; return s, ok }
+
+// Team returns the team of that name.
+func (c *Configuration) Team(name string) (Team, bool) { t, ok := c.teams[name]; return t, ok }
+
+// Job returns the job of that name.
+func (c *Configuration) Job(name string) (Job, bool) { j, ok := c.jobs[name]; return j, ok }
+
+// TeamOf returns the team of a caller; callers outside every team have none.
+func (c *Configuration) TeamOf(caller string) (Team, bool) { return c.Team(c.callers[caller]) }
+
+// Pool is one pool of instances.
+type Pool struct{ f PoolFields }
+
+// Fields returns a copy of the values.
+func (p Pool) Fields() PoolFields { return p.f }
+
+// Name returns the name of the pool.
+func (p Pool) Name() string { return p.f.Name }
+
+// Contact returns the operator contact that answers for the pool.
+func (p Pool) Contact() string { return p.f.Contact }
+
+// Instances returns how many workers the pool holds.
+func (p Pool) Instances() int { return p.f.Instances }
+
+// Capacity returns how many workers must serve at any time.
+func (p Pool) Capacity() int { return p.f.Capacity }
+
+// MaxUnavailable returns how many workers may be out at once, planned or failed.
+func (p Pool) MaxUnavailable() int { return p.f.MaxUnavailable }
+
+// Spare reports whether the pool lends its workers to others.
+func (p Pool) Spare() bool { return p.f.Spare }
+
+// Slots returns how many requests one worker runs at once.
+func (p Pool) Slots() int { return p.f.Slots }
+
+// Connections returns how many connections one worker accepts.
+func (p Pool) Connections() int { return p.f.Connections }
+
+// MaxInFlight returns the limit of requests at once in the whole pool, or 0.
+func (p Pool) MaxInFlight() int { return p.f.MaxInFlight }
+
+// QueueLength returns how many requests may wait at one entry instance.
+func (p Pool) QueueLength() int { return p.f.QueueLength }
+
+// QueueWait returns how long a request may wait at most, in milliseconds.
+func (p Pool) QueueWait() clock.Millis { return p.f.QueueWait }
+
+// MaintenancePeriod returns the period in which every instance is maintained once, in milliseconds.
+func (p Pool) MaintenancePeriod() clock.Millis { return p.f.MaintenancePeriod }
+
+// Survive returns the declared failures.
+func (p Pool) Survive() Failures { return p.f.Survive }
+
+// Service is one service that callers reach.
+type Service struct{ f ServiceFields }
+
+// Fields returns a copy of the values.
+func (s Service) Fields() ServiceFields { return s.f }
+
+// Name returns the name of the service.
+func (s Service) Name() string { return s.f.Name }
+
+// Pool returns the name of the pool that runs the service.
+func (s Service) Pool() string { return s.f.Pool }
+
+// Deadline returns the deadline for requests that bring none, in milliseconds.
+func (s Service) Deadline() clock.Millis { return s.f.Deadline }
+
+// MaxDeadline returns the longest deadline that a request may bring, in milliseconds.
+func (s Service) MaxDeadline() clock.Millis { return s.f.MaxDeadline }
+
+// Urgency returns the urgency for requests that bring none.
+func (s Service) Urgency() Urgency { return s.f.Urgency }
+
+// Idempotent reports whether requests with the HTTP method may run more than once.
+func (s Service) Idempotent(method string) bool {
+	methods := s.f.IdempotentMethods
+	if methods == nil {
+		methods = defaultIdempotentMethods
+	}
+	for _, m := range methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+var defaultIdempotentMethods = []string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}
+
+// Team is one team with quotas.
+type Team struct{ f TeamFields }
+
+// Fields returns a copy of the values.
+func (t Team) Fields() TeamFields { return t.f }
+
+// Name returns the name of the team.
+func (t Team) Name() string { return t.f.Name }
+
+// MaxInFlight returns the quota of requests at once over all entry instances, or 0.
+func (t Team) MaxInFlight() int { return t.f.MaxInFlight }
+
+// Cores returns the quota of cores for jobs at once.
+func (t Team) Cores() int { return t.f.Cores }
+
+// MemoryMB returns the quota of memory for jobs at once.
+func (t Team) MemoryMB() int { return t.f.MemoryMB }
+
+// Job is one declared job.
+type Job struct{ f JobFields }
+
+// Fields returns a copy of the values.
+func (j Job) Fields() JobFields { return j.f }
+
+// Name returns the name of the job.
+func (j Job) Name() string { return j.f.Name }
+
+func wrap[F, T any](fields []F, freeze func(F) T) []T {
+	frozen := make([]T, len(fields))
+	for i, f := range fields {
+		frozen[i] = freeze(f)
+	}
+	return frozen
+}
--- /dev/null
+++ b/diag/diag.go
@@ -0,0 +1,104 @@
+package diag
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Code is the number of a kind of diagnostic; docs/diagnostics.md lists them.
+type Code int
+
+// Diagnostic is one fault of an input and the place where it stands.
+type Diagnostic struct {
+	code Code
+	file string
+	line int
+	path string
+	text string
+}
+
+// New returns a diagnostic; line counts from 1 (0: unknown) and path is a JSON pointer such as "/pools/2/capacity".
+func New(code Code, file string, line int, path, text string) Diagnostic {
+	return Diagnostic{code: code, file: file, line: line, path: path, text: text}
+}
+
+// Code returns the number of the kind of diagnostic.
+func (d Diagnostic) Code() Code { return d.code }
+
+// File returns the name of the input.
+func (d Diagnostic) File() string { return d.file }
+
+// Line returns the line in the input, from 1, or 0 where it is unknown.
+func (d Diagnostic) Line() int { return d.line }
+
+// Path returns the JSON pointer to the faulty value.
+func (d Diagnostic) Path() string { return d.path }
+
+// Text returns the explanation.
+func (d Diagnostic) Text() string { return d.text }
+
+// String formats the diagnostic as compilers do, for example "a.json:3: MF1004 /pools/0/name: is used twice".
+func (d Diagnostic) String() string {
+	return fmt.Sprintf("%s:%d: MF%d %s: %s", d.file, d.line, d.code, d.path, d.text)
+}
+
+// MarshalJSON writes the diagnostic as one object with kebab-case names.
+func (d Diagnostic) MarshalJSON() ([]byte, error) {
+	return json.Marshal(struct {
+		Code Code   `json:"code"`
+		File string `json:"file"`
+		Line int    `json:"line"`
+		Path string `json:"path"`
+		Text string `json:"text"`
+	}{d.code, d.file, d.line, d.path, d.text})
+}
+
+// List is a collection of diagnostics; the zero value is empty and ready to use.
+type List struct{ all []Diagnostic }
+
+// Add appends a diagnostic.
+func (l *List) Add(d Diagnostic) { l.all = append(l.all, d) }
+
+// Merge appends every diagnostic of another list.
+func (l *List) Merge(o List) { l.all = append(l.all, o.all...) }
+
+// Len returns the number of diagnostics.
+func (l List) Len() int { return len(l.all) }
+
+// All returns the diagnostics sorted by file, line, path and code.
+func (l List) All() []Diagnostic {
+	sorted := append([]Diagnostic(nil), l.all...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if a.file != b.file {
+			return a.file < b.file
+		}
+		if a.line != b.line {
+			return a.line < b.line
+		}
+		if a.path != b.path {
+			return a.path < b.path
+		}
+		return a.code < b.code
+	})
+	return sorted
+}
+
+// Error returns all diagnostics, one a line, so that a list can be used as an error.
+func (l List) Error() string {
+	lines := make([]string, 0, len(l.all))
+	for _, d := range l.All() {
+		lines = append(lines, d.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error, or nil when it is empty.
+func (l List) Err() error {
+	if len(l.all) == 0 {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,68 @@
+package event
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sort"
+	"sync"
+)
+
+// Event is a numbered kind of log record; packages declare theirs with New.
+type Event struct {
+	number int
+	name   string
+	level  slog.Level
+	text   string
+}
+
+var (
+	registryMu sync.Mutex
+	registry   = map[int]*Event{}
+)
+
+// New declares an event; it panics when the number is taken.
+func New(number int, name string, level slog.Level, text string) *Event {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if _, taken := registry[number]; taken {
+		panic(fmt.Sprintf("event: number %d is declared twice", number))
+	}
+	e := &Event{number: number, name: name, level: level, text: text}
+	registry[number] = e
+	return e
+}
+
+// All returns every declared event by number.
+func All() []*Event {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	all := make([]*Event, 0, len(registry))
+	for _, e := range registry {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].number < all[j].number })
+	return all
+}
+
+// Number returns the event's number.
+func (e *Event) Number() int { return e.number }
+
+// Name returns the event's name in kebab case.
+func (e *Event) Name() string { return e.name }
+
+// Level returns the level at which the event is logged.
+func (e *Event) Level() slog.Level { return e.level }
+
+// Text returns the message of the event.
+func (e *Event) Text() string { return e.text }
+
+// Log writes the event with its number, its name and the given attributes; a nil logger drops it.
+func (e *Event) Log(ctx context.Context, logger *slog.Logger, attributes ...slog.Attr) {
+	if logger == nil || !logger.Enabled(ctx, e.level) {
+		return
+	}
+	all := make([]slog.Attr, 0, len(attributes)+2)
+	all = append(all, slog.Int("event", e.number), slog.String("name", e.name))
+	logger.LogAttrs(ctx, e.level, e.text, append(all, attributes...)...)
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,103 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"sync"
+)
+
+// Registry holds plug-ins of one kind by name; plug-ins register themselves from an init function.
+type Registry[T any] struct {
+	mu      sync.RWMutex
+	plugins map[string]T
+}
+
+// Register adds a plug-in and panics when the name is taken, because two plug-ins of one name are a build fault.
+func (r *Registry[T]) Register(name string, plugin T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plugins == nil {
+		r.plugins = make(map[string]T)
+	}
+	if _, taken := r.plugins[name]; taken {
+		panic(fmt.Sprintf("kernel: plug-in %q is registered twice", name))
+	}
+	r.plugins[name] = plugin
+}
+
+// Lookup returns the plug-in of that name.
+func (r *Registry[T]) Lookup(name string) (T, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	plugin, ok := r.plugins[name]
+	return plugin, ok
+}
+
+// Names returns the names of all plug-ins in alphabetical order.
+func (r *Registry[T]) Names() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	names := make([]string, 0, len(r.plugins))
+	for name := range r.plugins {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Module is a part of a process that runs until its context ends.
+type Module interface {
+	Name() string
+	Run(ctx context.Context) error
+}
+
+// Kernel runs modules together.
+type Kernel struct {
+	// Modules start in this order and stop in reverse order, so that a module can rely on those before it.
+	Modules []Module
+}
+
+// Run starts every module and returns when all have stopped; the first module that fails, or the end of the
+// context, stops the others one by one in reverse order.
+func (k *Kernel) Run(ctx context.Context) error {
+	type end struct {
+		index int
+		err   error
+	}
+	ends := make(chan end, len(k.Modules))
+	cancels := make([]context.CancelFunc, len(k.Modules))
+	stopped := make([]chan struct{}, len(k.Modules))
+	for i, m := range k.Modules {
+		moduleContext, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		cancels[i] = cancel
+		stopped[i] = make(chan struct{})
+		go func() {
+			err := m.Run(moduleContext)
+			if err != nil && !errors.Is(err, context.Canceled) {
+				err = fmt.Errorf("module %s: %w", m.Name(), err)
+			} else {
+				err = nil
+			}
+			close(stopped[i])
+			ends <- end{i, err}
+		}()
+	}
+	var errs []error
+	remaining := len(k.Modules)
+	select {
+	case <-ctx.Done():
+	case e := <-ends:
+		remaining--
+		errs = append(errs, e.err)
+	}
+	for i := len(k.Modules) - 1; i >= 0; i-- {
+		cancels[i]()
+		<-stopped[i]
+	}
+	for ; remaining > 0; remaining-- {
+		errs = append(errs, (<-ends).err)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,57 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+)
+
+type module struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (m module) Name() string                  { return m.name }
+func (m module) Run(ctx context.Context) error { return m.run(ctx) }
+
+// Guards against a module that stops while one that relies on it still runs.
+func TestModulesStopInReverseOrder(t *testing.T) {
+	order := make(chan string, 3)
+	wait := func(name string) Module {
+		return module{name, func(ctx context.Context) error { <-ctx.Done(); order <- name; return ctx.Err() }}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	k := Kernel{Modules: []Module{wait("a"), wait("b"), wait("c")}}
+	if err := k.Run(ctx); err != nil {
+		t.Errorf("Run got %v, want nil", err)
+	}
+	if got, want := <-order+<-order+<-order, "cba"; got != want {
+		t.Errorf("stop order got %s, want %s", got, want)
+	}
+}
+
+// Guards against a process that goes on with one of its modules dead.
+func TestFailureStopsTheOthers(t *testing.T) {
+	k := Kernel{Modules: []Module{
+		module{"waits", func(ctx context.Context) error { <-ctx.Done(); return nil }},
+		module{"fails", func(context.Context) error { return errors.New("port is taken") }},
+	}}
+	err := k.Run(context.Background())
+	if err == nil || !strings.Contains(err.Error(), "module fails: port is taken") {
+		t.Errorf("Run got %v, want the failure of module fails", err)
+	}
+}
+
+// Guards against one plug-in silently replacing another.
+func TestRegisterTwicePanics(t *testing.T) {
+	var r Registry[int]
+	r.Register("one", 1)
+	defer func() {
+		if recover() == nil {
+			t.Errorf("second Register got no panic, want one")
+		}
+	}()
+	r.Register("one", 2)
+}
--- /dev/null
+++ b/memory/memory.go
@@ -0,0 +1,371 @@
+package memory
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/platform"
+)
+
+// Steps at which the fault driver is asked.
+const (
+	StepRead        = "table.read"
+	StepScan        = "table.scan"
+	StepCommit      = "table.commit"
+	StepObjectPut   = "object.put"
+	StepObjectGet   = "object.get"
+	StepList        = "instances.list"
+	StepTaskStart   = "task.start"
+	StepTaskControl = "task.control"
+	StepTaskUsage   = "task.usage"
+	StepDrain       = "maintenance.drain"
+	StepReboot      = "maintenance.reboot"
+	StepStatus      = "maintenance.status"
+)
+
+// Store is the state of one platform in memory; View gives each process its access.
+type Store struct {
+	Clock  *clock.Clock
+	Faults *fault.Driver // may be nil
+	// RebootTime is how long a reboot takes.
+	RebootTime clock.Millis
+	// InFlight returns the number of requests that an instance still runs; a drain ends at 0. May be nil.
+	InFlight func(instance string) int
+
+	mu           sync.Mutex
+	rows         map[string]platform.Row
+	version      int64
+	objects      map[string][]byte
+	instances    map[string]platform.Instance
+	tasks        map[string]*task
+	starts       map[string]int // how often each task id really started
+	maintenance  map[string]*maintenance
+	reads        int64
+	transactions int64
+}
+
+type task struct {
+	fields  platform.TaskFields
+	state   platform.TaskState
+	percent int
+	reason  string
+	started clock.Millis
+}
+
+type maintenance struct {
+	status platform.MaintenanceStatus
+	until  clock.Millis
+}
+
+// New returns an empty platform.
+func New(c *clock.Clock, faults *fault.Driver) *Store {
+	return &Store{Clock: c, Faults: faults, RebootTime: 30 * clock.Second, rows: map[string]platform.Row{},
+		objects: map[string][]byte{}, instances: map[string]platform.Instance{}, tasks: map[string]*task{},
+		starts: map[string]int{}, maintenance: map[string]*maintenance{}}
+}
+
+// View returns the access of a process in a zone, so that a partition of the zone cuts it off.
+func (s *Store) View(zone string) platform.Platform { return view{s, zone} }
+
+// SetInstance adds or replaces an instance of the list.
+func (s *Store) SetInstance(i platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances[i.ID()] = i
+}
+
+// RemoveInstance drops an instance from the list.
+func (s *Store) RemoveInstance(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.instances, id)
+}
+
+// SetTaskState ends a task as the platform would see it.
+func (s *Store) SetTaskState(id string, state platform.TaskState, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.tasks[id]; ok {
+		t.state, t.reason = state, reason
+	}
+}
+
+// Starts returns how often the task with that id really started, which tests of run-once jobs count.
+func (s *Store) Starts(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[id]
+}
+
+// Counts returns the number of rows read and of transactions committed so far.
+func (s *Store) Counts() (reads, transactions int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.transactions
+}
+
+type view struct {
+	store *Store
+	zone  string
+}
+
+func (v view) Table() platform.Table             { return v }
+func (v view) Objects() platform.ObjectStore     { return objects(v) }
+func (v view) Instances() platform.Instances     { return v }
+func (v view) Tasks() platform.Tasks             { return tasks(v) }
+func (v view) Maintenance() platform.Maintenance { return maintainer(v) }
+
+// step injects the fault of a step around the work and returns the error that the caller sees.
+func (v view) step(ctx context.Context, name string, work func() error) error {
+	injection := v.store.Faults.At(name, v.zone)
+	switch injection.Kind() {
+	case fault.Down:
+		return platform.ErrUnavailable.New("%s: the platform is down", name)
+	case fault.Slow:
+		if err := v.store.Clock.Sleep(ctx, injection.Delay()); err != nil {
+			return platform.ErrUnavailable.Wrap(err, "%s: the platform is slow", name)
+		}
+	case fault.LoseRequest:
+		return platform.ErrUnknownOutcome.New("%s: no answer", name)
+	}
+	if err := ctx.Err(); err != nil {
+		return platform.ErrUnavailable.Wrap(err, "%s", name)
+	}
+	v.store.mu.Lock()
+	err := work()
+	v.store.mu.Unlock()
+	if injection.Kind() == fault.LoseAnswer {
+		return platform.ErrUnknownOutcome.New("%s: no answer", name)
+	}
+	return err
+}
+
+// Read implements platform.Table.
+func (v view) Read(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+	err = v.step(ctx, StepRead, func() error {
+		v.store.reads += int64(len(keys))
+		for _, key := range keys {
+			row, ok := v.store.rows[key]
+			if !ok {
+				row = platform.NewRow(key, nil, 0, "")
+			}
+			rows = append(rows, row)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Table.
+func (v view) Scan(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
+	err = v.step(ctx, StepScan, func() error {
+		for key, row := range v.store.rows {
+			if strings.HasPrefix(key, prefix) && key > after {
+				rows = append(rows, row)
+			}
+		}
+		sort.Slice(rows, func(i, j int) bool { return rows[i].Key() < rows[j].Key() })
+		rows = rows[:min(limit, len(rows))]
+		v.store.reads += int64(len(rows))
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (v view) Commit(ctx context.Context, tx platform.Transaction) error {
+	return v.step(ctx, StepCommit, func() error { return v.store.commit(tx) })
+}
+
+func (s *Store) commit(tx platform.Transaction) error {
+	for _, w := range tx.Writes() {
+		if found := s.rows[w.Key()].Version(); w.IfVersion() != platform.AnyVersion && found != w.IfVersion() {
+			return platform.ErrConflict.New("row %q has version %d, not %d", w.Key(), found, w.IfVersion())
+		}
+	}
+	s.transactions++
+	s.version++
+	for _, w := range tx.Writes() {
+		switch w.Kind() {
+		case platform.KindPut:
+			value := append([]byte(nil), w.Value()...)
+			s.rows[w.Key()] = platform.NewRow(w.Key(), value, s.version, tx.Operation())
+		case platform.KindDelete:
+			delete(s.rows, w.Key())
+		}
+	}
+	return nil
+}
+
+// List implements platform.Instances.
+func (v view) List(ctx context.Context, zone string) (list []platform.Instance, err error) {
+	err = v.step(ctx, StepList, func() error {
+		for _, i := range v.store.instances {
+			if zone == "" || i.Zone() == zone {
+				list = append(list, i)
+			}
+		}
+		sort.Slice(list, func(i, j int) bool { return list[i].ID() < list[j].ID() })
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+type objects view
+
+// Put implements platform.ObjectStore.
+func (o objects) Put(ctx context.Context, name string, body []byte) error {
+	return view(o).step(ctx, StepObjectPut, func() error {
+		o.store.objects[name] = append([]byte(nil), body...)
+		return nil
+	})
+}
+
+// Get implements platform.ObjectStore.
+func (o objects) Get(ctx context.Context, name string) (body []byte, err error) {
+	err = view(o).step(ctx, StepObjectGet, func() error {
+		found, ok := o.store.objects[name]
+		if !ok {
+			return platform.ErrNotFound.New("object %q does not exist", name)
+		}
+		body = append([]byte(nil), found...)
+		return nil
+	})
+	return body, err
+}
+
+type tasks view
+
+// Start implements platform.Tasks.
+func (t tasks) Start(ctx context.Context, request platform.TaskRequest) error {
+	return view(t).step(ctx, StepTaskStart, func() error {
+		if _, known := t.store.tasks[request.ID()]; known {
+			return nil
+		}
+		if _, listed := t.store.instances[request.Instance()]; !listed {
+			return platform.ErrNotFound.New("instance %q does not exist", request.Instance())
+		}
+		t.store.tasks[request.ID()] = &task{fields: request.Fields(), state: platform.TaskRunning, percent: 100,
+			started: t.store.Clock.Now()}
+		t.store.starts[request.ID()]++
+		return nil
+	})
+}
+
+// Checkpoint implements platform.Tasks.
+func (t tasks) Checkpoint(ctx context.Context, id string) error {
+	return t.control(ctx, id, func(found *task) {
+		if found.state == platform.TaskRunning {
+			found.state = platform.TaskCheckpointed
+		}
+	})
+}
+
+// Throttle implements platform.Tasks.
+func (t tasks) Throttle(ctx context.Context, id string, percent int) error {
+	return t.control(ctx, id, func(found *task) { found.percent = percent })
+}
+
+// Stop implements platform.Tasks.
+func (t tasks) Stop(ctx context.Context, id string) error {
+	return t.control(ctx, id, func(found *task) {
+		if found.state == platform.TaskRunning {
+			found.state = platform.TaskStopped
+		}
+	})
+}
+
+func (t tasks) control(ctx context.Context, id string, change func(*task)) error {
+	return view(t).step(ctx, StepTaskControl, func() error {
+		if found, ok := t.store.tasks[id]; ok {
+			change(found)
+		}
+		return nil
+	})
+}
+
+// Usage implements platform.Tasks.
+func (t tasks) Usage(ctx context.Context, instance string) (usage []platform.TaskUsage, err error) {
+	err = view(t).step(ctx, StepTaskUsage, func() error {
+		for _, found := range t.store.tasks {
+			if found.fields.Instance != instance {
+				continue
+			}
+			usage = append(usage, platform.NewTaskUsage(platform.UsageFields{
+				ID: found.fields.ID, Job: found.fields.Job, State: found.state, CoresPct: 100 * found.fields.Cores,
+				MemoryMB: found.fields.MemoryMB, RunTime: t.store.Clock.Now() - found.started,
+				Percent: found.percent, Reason: found.reason}))
+		}
+		sort.Slice(usage, func(i, j int) bool { return usage[i].ID() < usage[j].ID() })
+		return nil
+	})
+	return usage, err
+}
+
+type maintainer view
+
+// Drain implements platform.Maintenance.
+func (m maintainer) Drain(ctx context.Context, instance string) error {
+	return view(m).step(ctx, StepDrain, func() error {
+		return m.store.begin(instance, platform.StatusDraining, 0)
+	})
+}
+
+// Reboot implements platform.Maintenance.
+func (m maintainer) Reboot(ctx context.Context, instance string) error {
+	return view(m).step(ctx, StepReboot, func() error {
+		return m.store.begin(instance, platform.StatusRebooting, m.store.Clock.Now()+m.store.RebootTime)
+	})
+}
+
+// Status implements platform.Maintenance.
+func (m maintainer) Status(ctx context.Context, instance string) (status platform.MaintenanceStatus, err error) {
+	err = view(m).step(ctx, StepStatus, func() error {
+		status, err = m.store.status(instance)
+		return err
+	})
+	return status, err
+}
+
+func (s *Store) begin(instance string, status platform.MaintenanceStatus, until clock.Millis) error {
+	if _, listed := s.instances[instance]; !listed {
+		return platform.ErrNotFound.New("instance %q does not exist", instance)
+	}
+	current := s.maintenance[instance]
+	if current != nil && current.status == status {
+		return nil // a repeated order does not start over
+	}
+	s.maintenance[instance] = &maintenance{status: status, until: until}
+	return nil
+}
+
+func (s *Store) status(instance string) (platform.MaintenanceStatus, error) {
+	if _, listed := s.instances[instance]; !listed {
+		return "", platform.ErrNotFound.New("instance %q does not exist", instance)
+	}
+	current := s.maintenance[instance]
+	if current == nil {
+		return platform.StatusServing, nil
+	}
+	switch {
+	case current.status == platform.StatusDraining && (s.InFlight == nil || s.InFlight(instance) == 0):
+		current.status = platform.StatusDrained
+	case current.status == platform.StatusRebooting && s.Clock.Now() >= current.until:
+		delete(s.maintenance, instance)
+		return platform.StatusServing, nil
+	}
+	return current.status, nil
+}
--- /dev/null
+++ b/memory/plugin.go
@@ -0,0 +1,32 @@
+package memory
+
+import (
+	"sync"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/platform"
+)
+
+var (
+	sharedMu sync.Mutex
+	shared   = map[string]*Store{}
+)
+
+// Shared returns the platform with that name in this process, so that several entry instances in one process use the
+// same one.
+func Shared(name string) *Store {
+	sharedMu.Lock()
+	defer sharedMu.Unlock()
+	s, ok := shared[name]
+	if !ok {
+		s = New(clock.System(), nil)
+		shared[name] = s
+	}
+	return s
+}
+
+func init() {
+	platform.Plugins.Register("memory", func(address, zone string) (platform.Platform, error) {
+		return Shared(address).View(zone), nil
+	})
+}
