--- /dev/null
+++ b/certs/certs.go
@@ -0,0 +1,127 @@
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+)
+
+var (
+	eventReloaded     = event.New(1010, "certificate-reloaded", slog.LevelInfo, "read the certificate files again")
+	eventReloadFailed = event.New(1011, "certificate-reload-failed", slog.LevelError,
+		"the changed certificate files cannot be used; the earlier ones stay in use")
+)
+
+// checkInterval bounds how often the files are looked at, because every handshake asks.
+const checkInterval = clock.Second
+
+// Source reads a certificate, its key and the authorities that sign the other side's certificates.
+type Source struct {
+	CertificateFile string // PEM
+	KeyFile         string // PEM
+	AuthoritiesFile string // PEM; empty where the other side shows no certificate
+	Clock           *clock.Clock
+	Logger          *slog.Logger // may be nil
+
+	mu        sync.Mutex
+	checked   clock.Millis
+	changed   [3]time.Time
+	current   *tls.Certificate
+	authority *x509.CertPool
+}
+
+// Load reads the files for the first time and fails when they cannot be used.
+func (s *Source) Load() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checked = s.Clock.Now()
+	s.changed = s.modified()
+	return s.read()
+}
+
+// Server returns a configuration for a server; with required set, every client must show a certificate that the
+// authorities have signed.
+func (s *Source) Server(required bool) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		certificate, authorities := s.refresh()
+		c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*certificate}}
+		if required {
+			c.ClientAuth = tls.RequireAndVerifyClientCert
+			c.ClientCAs = authorities
+		}
+		return c, nil
+	}}
+}
+
+// Client returns a configuration for a client that shows its certificate when asked; a change of the authorities
+// needs a new configuration.
+func (s *Source) Client() *tls.Config {
+	_, authorities := s.refresh()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    authorities,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _ := s.refresh()
+			return certificate, nil
+		},
+	}
+}
+
+// refresh reads the files again if they have changed; when the new ones cannot be used the earlier ones stay.
+func (s *Source) refresh() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if now < s.checked+checkInterval {
+		return s.current, s.authority
+	}
+	s.checked = now
+	changed := s.modified()
+	if changed == s.changed {
+		return s.current, s.authority
+	}
+	s.changed = changed
+	if err := s.read(); err != nil {
+		eventReloadFailed.Log(context.Background(), s.Logger, slog.String("file", s.CertificateFile),
+			slog.String("error", err.Error()))
+	} else {
+		eventReloaded.Log(context.Background(), s.Logger, slog.String("file", s.CertificateFile))
+	}
+	return s.current, s.authority
+}
+
+func (s *Source) read() error {
+	certificate, err := tls.LoadX509KeyPair(s.CertificateFile, s.KeyFile)
+	if err != nil {
+		return err
+	}
+	authorities := x509.NewCertPool()
+	if s.AuthoritiesFile != "" {
+		pem, err := os.ReadFile(s.AuthoritiesFile)
+		if err != nil {
+			return err
+		}
+		if !authorities.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("file %q holds no certificate", s.AuthoritiesFile)
+		}
+	}
+	s.current, s.authority = &certificate, authorities
+	return nil
+}
+
+func (s *Source) modified() (times [3]time.Time) {
+	for i, name := range []string{s.CertificateFile, s.KeyFile, s.AuthoritiesFile} {
+		if info, err := os.Stat(name); err == nil {
+			times[i] = info.ModTime()
+		}
+	}
+	return times
+}
