Write the tables of result codes and log events from the code

Cause: hand-kept tables drift from the code. Change: cmd/generate writes docs/result-codes.md and docs/log-events.md; a test compares them with what the packages declare. Conclusion: a code or event that is not in docs/ fails the tests.

--- a/cmd/generate/main.go
+++ b/cmd/generate/main.go
@@ -1,5 +1,6 @@
-// Command generate writes the Go code of every .proto file in the module, for maintainers and CI. It compiles the
-// files in process and runs the generators that go.mod names as tools, so that no protoc is needed.
+// Command generate writes the Go code of every .proto file in the module and the tables of result codes and log
+// events, for maintainers and CI. It compiles the .proto files in process and runs the generators that go.mod names as
+// tools, so that no protoc is needed.
 package main
 
 import (
@@ -32,6 +33,11 @@
 }
 
 func run(check bool) error {
+	for name, content := range tables() {
+		if err := write(name, content, check); err != nil {
+			return err
+		}
+	}
 	files, err := protoFiles()
 	if err != nil {
 		return err
