Add the configuration format, the operator API and the first commands

Cause: operators have no way to declare, check or submit a configuration. Change: strict decoding with numbered diagnostics, canonical encoding, differences and deltas; the library that prints configurations; the operator HTTP API and client with conditional submission; check, diff, submit and current; two example declarations with their printed form.

--- /dev/null
+++ b/command/connection.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"magnoliaferry/config"
+	"magnoliaferry/operator"
+)
+
+// Connection tells how to reach an entry instance as an operator.
+type Connection struct {
+	Server      string // "https://<ip>:<port>"
+	Certificate string // PEM files
+	Key         string
+	Authority   string
+	HTTP        *http.Client // used instead of the files when it is set
+}
+
+func (c *Connection) flags(command *kingpin.CmdClause) {
+	flag := func(name, help, variable string, value *string) {
+		command.Flag(name, help).Envar("MAGNOLIAFERRY_" + variable).StringVar(value)
+	}
+	flag("server", "Address of an entry instance, such as https://192.0.2.1:7443.", "SERVER", &c.Server)
+	flag("certificate", "Client certificate of the operator (PEM file).", "CERTIFICATE", &c.Certificate)
+	flag("key", "Key of the certificate (PEM file).", "KEY", &c.Key)
+	flag("authority", "Authority that signed the server's certificate (PEM file).", "AUTHORITY", &c.Authority)
+}
+
+func (c Connection) client() (*operator.Client, error) {
+	if c.Server == "" {
+		return nil, usageError{fmt.Errorf("no server is given; use --server or MAGNOLIAFERRY_SERVER")}
+	}
+	if c.HTTP != nil {
+		return &operator.Client{Address: c.Server, HTTP: c.HTTP}, nil
+	}
+	h, err := operator.NewHTTPClient(c.Certificate, c.Key, c.Authority)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return &operator.Client{Address: c.Server, HTTP: h}, nil
+}
+
+// readFile reads a configuration; it stops one byte after the bound, so that Decode still reports the size.
+func readFile(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	defer f.Close()
+	body, err := io.ReadAll(io.LimitReader(f, config.MaxBody+1))
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return body, nil
+}
+
+func decodeFile(name string) (*config.Configuration, error) {
+	body, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	c, faults := config.Decode(name, body)
+	return c, faults.Err()
+}
--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,164 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Kind tells what happened to a section or to one of its fields.
+type Kind string
+
+// The kinds of changes.
+const (
+	Added   Kind = "added"
+	Removed Kind = "removed"
+	Changed Kind = "changed"
+)
+
+// ChangeFields holds the values of a Change while it is built or decoded.
+type ChangeFields struct {
+	Kind    Kind            `json:"kind"`
+	Section string          `json:"section"`         // such as "pool/citation" or "weights"
+	Field   string          `json:"field,omitempty"` // such as "capacity"; empty for a whole section
+	Old     json.RawMessage `json:"old,omitempty"`
+	New     json.RawMessage `json:"new,omitempty"`
+}
+
+// Change is one difference between two configurations.
+type Change struct{ f ChangeFields }
+
+// Kind returns what happened.
+func (c Change) Kind() Kind { return c.f.Kind }
+
+// Section returns the section, such as "pool/citation".
+func (c Change) Section() string { return c.f.Section }
+
+// Field returns the field in the section, or "" when the whole section was added or removed.
+func (c Change) Field() string { return c.f.Field }
+
+// Old returns the JSON value before, or nil.
+func (c Change) Old() json.RawMessage { return c.f.Old }
+
+// New returns the JSON value after, or nil.
+func (c Change) New() json.RawMessage { return c.f.New }
+
+// String formats the change for people, for example "pool/citation capacity: 9 -> 10".
+func (c Change) String() string {
+	switch {
+	case c.f.Field == "" && c.f.Kind == Added:
+		return "+ " + c.f.Section
+	case c.f.Field == "":
+		return "- " + c.f.Section
+	}
+	return fmt.Sprintf("~ %s %s: %s -> %s", c.f.Section, c.f.Field, orNone(c.f.Old), orNone(c.f.New))
+}
+
+// MarshalJSON writes the fields in kebab case.
+func (c Change) MarshalJSON() ([]byte, error) { return json.Marshal(c.f) }
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (c *Change) UnmarshalJSON(body []byte) error { return json.Unmarshal(body, &c.f) }
+
+func orNone(value json.RawMessage) string {
+	if value == nil {
+		return "(none)"
+	}
+	return string(value)
+}
+
+// Diff lists what turns one configuration into the other, by section and field; from may be nil.
+func Diff(from, to *Configuration) []Change {
+	var changes []Change
+	before, after := named(from), named(to)
+	for _, section := range union(before, after) {
+		old, existed := before[section]
+		now, exists := after[section]
+		switch {
+		case !existed:
+			changes = append(changes, Change{ChangeFields{Kind: Added, Section: section, New: now}})
+		case !exists:
+			changes = append(changes, Change{ChangeFields{Kind: Removed, Section: section, Old: old}})
+		case !bytes.Equal(old, now):
+			changes = append(changes, fieldChanges(section, old, now)...)
+		}
+	}
+	return changes
+}
+
+func fieldChanges(section string, old, now json.RawMessage) []Change {
+	var before, after map[string]json.RawMessage
+	if json.Unmarshal(old, &before) != nil || json.Unmarshal(now, &after) != nil { // "name" is a string
+		return []Change{{ChangeFields{Kind: Changed, Section: section, Field: section, Old: old, New: now}}}
+	}
+	var changes []Change
+	for _, field := range union(before, after) {
+		if bytes.Equal(before[field], after[field]) {
+			continue
+		}
+		changes = append(changes, Change{ChangeFields{Kind: Changed, Section: section, Field: field,
+			Old: before[field], New: after[field]}})
+	}
+	return changes
+}
+
+func union(a, b map[string]json.RawMessage) []string {
+	all := maps.Clone(a)
+	if all == nil {
+		all = map[string]json.RawMessage{}
+	}
+	maps.Copy(all, b)
+	return slices.Sorted(maps.Keys(all))
+}
+
+// named splits a configuration into its sections: "name", "weights", "zone/a", "pool/x", "service/y", "team/z", "job/j".
+func named(c *Configuration) map[string]json.RawMessage {
+	if c == nil {
+		return nil
+	}
+	w := toWire(c.f)
+	all := map[string]json.RawMessage{"name": marshal(w.Name), "weights": marshal(w.Weights)}
+	for _, z := range w.Zones {
+		all["zone/"+z.Name] = marshal(z)
+	}
+	for _, p := range w.Pools {
+		all["pool/"+p.Name] = marshal(p)
+	}
+	for _, s := range w.Services {
+		all["service/"+s.Name] = marshal(s)
+	}
+	for _, t := range w.Teams {
+		all["team/"+t.Name] = marshal(t)
+	}
+	for _, j := range w.Jobs {
+		all["job/"+j.Name] = marshal(j)
+	}
+	return all
+}
+
+// joined is the inverse of named; it returns nil for a section that named does not produce.
+func joined(all map[string]json.RawMessage) ([]byte, error) {
+	lists := map[string][]json.RawMessage{"zone": {}, "pool": {}, "service": {}, "team": {}, "job": {}}
+	for _, section := range slices.Sorted(maps.Keys(all)) {
+		kind, _, isNamed := strings.Cut(section, "/")
+		if !isNamed {
+			continue
+		}
+		if _, known := lists[kind]; !known {
+			return nil, ErrDelta.New("section %q is of no known kind", section)
+		}
+		lists[kind] = append(lists[kind], all[section])
+	}
+	return json.Marshal(struct {
+		Name     json.RawMessage   `json:"name,omitempty"`
+		Weights  json.RawMessage   `json:"weights,omitempty"`
+		Zones    []json.RawMessage `json:"zones"`
+		Pools    []json.RawMessage `json:"pools"`
+		Services []json.RawMessage `json:"services"`
+		Teams    []json.RawMessage `json:"teams"`
+		Jobs     []json.RawMessage `json:"jobs"`
+	}{all["name"], all["weights"], lists["zone"], lists["pool"], lists["service"], lists["team"], lists["job"]})
+}
--- /dev/null
+++ b/config/encode.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"magnoliaferry/clock"
+)
+
+// The defaults of fields that a configuration may leave out.
+const (
+	DefaultSlots                          = 8
+	DefaultConnections                    = 64
+	DefaultRackSize                       = 4
+	DefaultQueueLength                    = 200
+	DefaultQueueWait         clock.Millis = 2 * clock.Second
+	DefaultMaintenancePeriod clock.Millis = 28 * clock.Day
+	DefaultDeadline          clock.Millis = 10 * clock.Second
+	DefaultMaxDeadline       clock.Millis = 30 * clock.Second
+	DefaultRunTime           clock.Millis = clock.Hour
+	DefaultAttempts                       = 5
+)
+
+type documentWire struct {
+	Name     string        `json:"name"`
+	Weights  weightsWire   `json:"weights"`
+	Zones    []zoneWire    `json:"zones"`
+	Pools    []poolWire    `json:"pools"`
+	Services []serviceWire `json:"services"`
+	Teams    []teamWire    `json:"teams"`
+	Jobs     []jobWire     `json:"jobs"`
+}
+
+type weightsWire struct {
+	RollOutTime int `json:"roll-out-time"`
+	Protection  int `json:"protection"`
+	BufferCost  int `json:"buffer-cost"`
+	Moves       int `json:"moves"`
+}
+
+type zoneWire struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type failuresWire struct {
+	Racks   int `json:"racks,omitempty"`
+	Zones   int `json:"zones,omitempty"`
+	Workers int `json:"workers,omitempty"`
+}
+
+type poolWire struct {
+	Name              string       `json:"name"`
+	Contact           string       `json:"contact"`
+	Instances         int          `json:"instances"`
+	Capacity          int          `json:"capacity"`
+	MaxUnavailable    int          `json:"max-unavailable"`
+	Spare             bool         `json:"spare,omitempty"`
+	Slots             int          `json:"slots"`
+	Connections       int          `json:"connections"`
+	Cores             int          `json:"cores"`
+	MemoryMB          size         `json:"memory"`
+	RackSize          int          `json:"rack-size"`
+	MaxInFlight       int          `json:"max-in-flight,omitempty"`
+	QueueLength       int          `json:"queue-length"`
+	QueueWait         duration     `json:"queue-wait"`
+	MaintenancePeriod duration     `json:"maintenance-period"`
+	Survive           failuresWire `json:"survive"`
+}
+
+type serviceWire struct {
+	Name        string   `json:"name"`
+	Pool        string   `json:"pool"`
+	Deadline    duration `json:"deadline"`
+	MaxDeadline duration `json:"max-deadline"`
+	Urgency     Urgency  `json:"urgency"`
+	// IdempotentMethods is a pointer because an empty list (no method is idempotent) differs from none (the default).
+	IdempotentMethods *[]string `json:"idempotent-methods,omitempty"`
+}
+
+type teamWire struct {
+	Name        string   `json:"name"`
+	Contact     string   `json:"contact"`
+	Callers     []string `json:"callers,omitempty"`
+	MaxInFlight int      `json:"max-in-flight,omitempty"`
+	Cores       int      `json:"cores,omitempty"`
+	MemoryMB    size     `json:"memory,omitempty"`
+}
+
+type jobWire struct {
+	Name         string   `json:"name"`
+	Team         string   `json:"team"`
+	Pool         string   `json:"pool"`
+	Urgency      Urgency  `json:"urgency"`
+	RunOnce      bool     `json:"run-once,omitempty"`
+	Cores        int      `json:"cores"`
+	MemoryMB     size     `json:"memory"`
+	Accelerators int      `json:"accelerators,omitempty"`
+	RunTime      duration `json:"run-time"`
+	Attempts     int      `json:"attempts"`
+	Command      []string `json:"command"`
+}
+
+// Encode returns the canonical body: indented JSON in which every default is written out and every list of named
+// sections, callers and methods is sorted, so that equal configurations have equal bytes.
+func Encode(c *Configuration) []byte {
+	body := marshal(toWire(c.f))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, body, "", "  "); err != nil {
+		panic("config: " + err.Error()) // the input comes from json.Marshal
+	}
+	indented.WriteByte('\n')
+	return indented.Bytes()
+}
+
+// Digest returns the SHA-256 of the canonical body in lower-case hexadecimal, 64 characters.
+func Digest(c *Configuration) string {
+	sum := sha256.Sum256(Encode(c))
+	return hex.EncodeToString(sum[:])
+}
+
+// marshal writes compact JSON; the wire types hold nothing that encoding/json cannot write.
+func marshal(v any) []byte {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(v); err != nil {
+		panic("config: " + err.Error())
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+}
+
+func toWire(f Fields) documentWire {
+	return documentWire{
+		Name:     f.Name,
+		Weights:  weightsWire(f.Weights),
+		Zones:    sections(f.Zones, zoneToWire, func(z zoneWire) string { return z.Name }),
+		Pools:    sections(f.Pools, poolToWire, func(p poolWire) string { return p.Name }),
+		Services: sections(f.Services, serviceToWire, func(s serviceWire) string { return s.Name }),
+		Teams:    sections(f.Teams, teamToWire, func(t teamWire) string { return t.Name }),
+		Jobs:     sections(f.Jobs, jobToWire, func(j jobWire) string { return j.Name }),
+	}
+}
+
+func sections[F, W any](fields []F, convert func(F) W, name func(W) string) []W {
+	converted := make([]W, len(fields))
+	for i, f := range fields {
+		converted[i] = convert(f)
+	}
+	slices.SortStableFunc(converted, func(a, b W) int { return cmp.Compare(name(a), name(b)) })
+	return converted
+}
+
+func zoneToWire(z ZoneFields) zoneWire { return zoneWire(z) }
+
+func poolToWire(p PoolFields) poolWire {
+	return poolWire{Name: p.Name, Contact: p.Contact, Instances: p.Instances, Capacity: p.Capacity,
+		MaxUnavailable: p.MaxUnavailable, Spare: p.Spare, Slots: p.Slots, Connections: p.Connections, Cores: p.Cores,
+		MemoryMB: size(p.MemoryMB), RackSize: p.RackSize, MaxInFlight: p.MaxInFlight, QueueLength: p.QueueLength,
+		QueueWait: duration(p.QueueWait), MaintenancePeriod: duration(p.MaintenancePeriod),
+		Survive: failuresWire(p.Survive)}
+}
+
+func serviceToWire(s ServiceFields) serviceWire {
+	w := serviceWire{Name: s.Name, Pool: s.Pool, Deadline: duration(s.Deadline), MaxDeadline: duration(s.MaxDeadline),
+		Urgency: s.Urgency}
+	if s.IdempotentMethods != nil {
+		methods := slices.Sorted(slices.Values(s.IdempotentMethods))
+		if methods == nil {
+			methods = []string{}
+		}
+		w.IdempotentMethods = &methods
+	}
+	return w
+}
+
+func teamToWire(t TeamFields) teamWire {
+	return teamWire{Name: t.Name, Contact: t.Contact, Callers: slices.Sorted(slices.Values(t.Callers)),
+		MaxInFlight: t.MaxInFlight, Cores: t.Cores, MemoryMB: size(t.MemoryMB)}
+}
+
+func jobToWire(j JobFields) jobWire {
+	return jobWire{Name: j.Name, Team: j.Team, Pool: j.Pool, Urgency: j.Urgency, RunOnce: j.RunOnce, Cores: j.Cores,
+		MemoryMB: size(j.MemoryMB), Accelerators: j.Accelerators, RunTime: duration(j.RunTime), Attempts: j.Attempts,
+		Command: j.Command}
+}
+
+func (w documentWire) fields() Fields {
+	f := Fields{Name: w.Name, Weights: Weights(w.Weights)}
+	for _, z := range w.Zones {
+		f.Zones = append(f.Zones, ZoneFields(z))
+	}
+	for _, p := range w.Pools {
+		f.Pools = append(f.Pools, PoolFields{Name: p.Name, Contact: p.Contact, Instances: p.Instances,
+			Capacity: p.Capacity, MaxUnavailable: p.MaxUnavailable, Spare: p.Spare, Slots: p.Slots,
+			Connections: p.Connections, Cores: p.Cores, MemoryMB: int(p.MemoryMB), RackSize: p.RackSize,
+			MaxInFlight: p.MaxInFlight, QueueLength: p.QueueLength, QueueWait: clock.Millis(p.QueueWait),
+			MaintenancePeriod: clock.Millis(p.MaintenancePeriod), Survive: Failures(p.Survive)})
+	}
+	for _, s := range w.Services {
+		service := ServiceFields{Name: s.Name, Pool: s.Pool, Deadline: clock.Millis(s.Deadline),
+			MaxDeadline: clock.Millis(s.MaxDeadline), Urgency: s.Urgency}
+		if s.IdempotentMethods != nil {
+			service.IdempotentMethods = *s.IdempotentMethods
+		}
+		f.Services = append(f.Services, service)
+	}
+	for _, t := range w.Teams {
+		f.Teams = append(f.Teams, TeamFields{Name: t.Name, Contact: t.Contact, Callers: t.Callers,
+			MaxInFlight: t.MaxInFlight, Cores: t.Cores, MemoryMB: int(t.MemoryMB)})
+	}
+	for _, j := range w.Jobs {
+		f.Jobs = append(f.Jobs, JobFields{Name: j.Name, Team: j.Team, Pool: j.Pool, Urgency: j.Urgency,
+			RunOnce: j.RunOnce, Cores: j.Cores, MemoryMB: int(j.MemoryMB), Accelerators: j.Accelerators,
+			RunTime: clock.Millis(j.RunTime), Attempts: j.Attempts, Command: j.Command})
+	}
+	return f
+}
+
+// UnmarshalJSON fills the defaults of fields that the section leaves out.
+func (p *poolWire) UnmarshalJSON(body []byte) error {
+	type plain poolWire
+	w := plain{Slots: DefaultSlots, Connections: DefaultConnections, RackSize: DefaultRackSize,
+		QueueLength: DefaultQueueLength, QueueWait: duration(DefaultQueueWait),
+		MaintenancePeriod: duration(DefaultMaintenancePeriod)}
+	err := json.Unmarshal(body, &w)
+	*p = poolWire(w)
+	return err
+}
+
+// UnmarshalJSON fills the defaults of fields that the section leaves out.
+func (s *serviceWire) UnmarshalJSON(body []byte) error {
+	type plain serviceWire
+	w := plain{Deadline: duration(DefaultDeadline), MaxDeadline: duration(DefaultMaxDeadline), Urgency: Normal}
+	err := json.Unmarshal(body, &w)
+	*s = serviceWire(w)
+	return err
+}
+
+// UnmarshalJSON fills the defaults of fields that the section leaves out; a run-once job has one attempt.
+func (j *jobWire) UnmarshalJSON(body []byte) error {
+	type plain jobWire
+	w := plain{Urgency: Normal, RunTime: duration(DefaultRunTime)}
+	err := json.Unmarshal(body, &w)
+	if w.Attempts == 0 {
+		w.Attempts = DefaultAttempts
+		if w.RunOnce {
+			w.Attempts = 1
+		}
+	}
+	*j = jobWire(w)
+	return err
+}
--- /dev/null
+++ b/config/units.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"magnoliaferry/clock"
+)
+
+type unit struct {
+	name   string
+	factor int64
+}
+
+// The units from large to small; the canonical form of a value uses the largest one that divides it.
+var (
+	durationUnits = []unit{{"d", int64(clock.Day)}, {"h", int64(clock.Hour)}, {"m", int64(clock.Minute)},
+		{"s", int64(clock.Second)}, {"ms", 1}}
+	sizeUnits = []unit{{"TB", 1024 * 1024}, {"GB", 1024}, {"MB", 1}}
+)
+
+// duration is written with its unit, for example "500ms" or "28d".
+type duration clock.Millis
+
+// MarshalText implements encoding.TextMarshaler.
+func (d duration) MarshalText() ([]byte, error) { return formatUnit(int64(d), durationUnits), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *duration) UnmarshalText(text []byte) error {
+	n, err := parseUnit(string(text), durationUnits)
+	*d = duration(n)
+	return err
+}
+
+// size is an amount of memory in megabytes, written with its unit, for example "32GB".
+type size int
+
+// MarshalText implements encoding.TextMarshaler.
+func (s size) MarshalText() ([]byte, error) { return formatUnit(int64(s), sizeUnits), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *size) UnmarshalText(text []byte) error {
+	n, err := parseUnit(string(text), sizeUnits)
+	*s = size(n)
+	return err
+}
+
+func formatUnit(n int64, units []unit) []byte {
+	for _, u := range units {
+		if n != 0 && n%u.factor == 0 {
+			return []byte(strconv.FormatInt(n/u.factor, 10) + u.name)
+		}
+	}
+	return []byte("0" + units[len(units)-1].name)
+}
+
+func parseUnit(text string, units []unit) (int64, error) {
+	digits := strings.TrimRight(text, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+	n, err := strconv.ParseInt(digits, 10, 32)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a whole number with a unit", text)
+	}
+	for _, u := range units {
+		if u.name == text[len(digits):] {
+			return n * u.factor, nil
+		}
+	}
+	return 0, fmt.Errorf("%q has an unknown unit", text)
+}
--- /dev/null
+++ b/operator/fleet.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"context"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+)
+
+// Reporter tells how the fleet is doing.
+type Reporter interface {
+	Report(ctx context.Context) (StatusFields, error)
+}
+
+// Drainer takes an instance out of service; force stops waiting for requests in flight.
+type Drainer interface {
+	DrainInstance(ctx context.Context, operator, instance string, force bool) error
+}
+
+// Waves starts and steers the maintenance wave of a pool.
+type Waves interface {
+	StartWave(ctx context.Context, operator, pool string) error
+	PauseWave(ctx context.Context, operator, pool string) error
+	ResumeWave(ctx context.Context, operator, pool string) error
+	StopWave(ctx context.Context, operator, pool string) error
+}
+
+// Jobs shows and cancels jobs.
+type Jobs interface {
+	ListJobs(ctx context.Context) ([]JobFields, error)
+	ShowJob(ctx context.Context, name string) (JobFields, error)
+	CancelJob(ctx context.Context, operator, name string) error
+}
+
+// StatusFields is the JSON form of the state of a fleet.
+type StatusFields struct {
+	Version int64        `json:"version"` // configuration in force in the process that answers
+	Digest  string       `json:"digest"`
+	Pools   []PoolStatus `json:"pools"`
+}
+
+// PoolStatus is the JSON form of the state of a pool; all counts are workers.
+type PoolStatus struct {
+	Name           string `json:"name"`
+	Contact        string `json:"contact"`
+	Instances      int    `json:"instances"` // declared
+	Serving        int    `json:"serving"`
+	Capacity       int    `json:"capacity"`
+	Planned        int    `json:"planned"` // out by planned steps
+	Failed         int    `json:"failed"`
+	MaxUnavailable int    `json:"max-unavailable"`
+	Buffer         int    `json:"buffer"` // spare workers that the declared failures require
+	BufferReason   string `json:"buffer-reason"`
+	Wave           string `json:"wave,omitempty"`    // state of the maintenance wave
+	Waits          string `json:"waits,omitempty"`   // why planned work waits
+	Lends          int    `json:"lends,omitempty"`   // workers lent to other pools
+	Borrows        int    `json:"borrows,omitempty"` // workers borrowed from other pools
+}
+
+// JobFields is the JSON form of the state of a job.
+type JobFields struct {
+	Name     string         `json:"name"`
+	Team     string         `json:"team"`
+	Pool     string         `json:"pool"`
+	State    string         `json:"state"` // queued, starting, running, checkpointed, succeeded, parked or cancelled
+	Urgency  config.Urgency `json:"urgency"`
+	RunOnce  bool           `json:"run-once"`
+	Attempts int            `json:"attempts"`
+	Instance string         `json:"instance,omitempty"`
+	Waited   clock.Millis   `json:"waited-ms"`
+	Reason   string         `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/operator/store.go
@@ -0,0 +1,288 @@
+package operator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/platform"
+)
+
+// Table is the part of platform.Table that submissions need.
+type Table interface {
+	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
+	Commit(ctx context.Context, tx platform.Transaction) error
+}
+
+// Objects is the part of platform.ObjectStore that submissions need.
+type Objects interface {
+	Put(ctx context.Context, name string, body []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+const (
+	// storeTimeout bounds one call's work on the platform; clients wait 30 s.
+	storeTimeout = 10 * clock.Second
+	// settleTries bounds how often the row is read to learn what became of a lost answer, with settlePause between.
+	settleTries = 5
+	settlePause = clock.Second / 2
+	objectTries = 3
+	retryAfter  = 5 * clock.Second
+)
+
+// VersionFields is the JSON form of a Version.
+type VersionFields struct {
+	Version   int64  `json:"version"`
+	Digest    string `json:"digest"`
+	Previous  string `json:"previous-digest"`
+	Operation string `json:"operation"`
+	Operator  string `json:"operator"`
+	Unchanged bool   `json:"unchanged,omitempty"` // the submitted body was in force already
+}
+
+// Version identifies a stored configuration; the zero value says that there is none.
+type Version struct{ f VersionFields }
+
+// Fields returns a copy of the values.
+func (v Version) Fields() VersionFields { return v.f }
+
+// Number returns the number of the version, counted from 1, or 0 when there is no configuration.
+func (v Version) Number() int64 { return v.f.Version }
+
+// Digest returns the digest of the canonical body.
+func (v Version) Digest() string { return v.f.Digest }
+
+// Operation returns the operation id of the submission.
+func (v Version) Operation() string { return v.f.Operation }
+
+// Operator returns who submitted it.
+func (v Version) Operator() string { return v.f.Operator }
+
+// Unchanged reports that a submitted body was in force already, so that no new version was made.
+func (v Version) Unchanged() bool { return v.f.Unchanged }
+
+func versionOf(s config.Stored) Version {
+	return Version{VersionFields{Version: s.Version(), Digest: s.Digest(), Previous: s.Previous(),
+		Operation: s.Operation(), Operator: s.Operator()}}
+}
+
+// Submission asks for a new version.
+type Submission struct {
+	Operation     string // unique id; a repeat after a lost answer uses the same one
+	Operator      string // verified identity
+	Seen          int64  // version that the operator saw; 0 for none
+	Repeat        bool   // an earlier call under this operation may have taken effect
+	Configuration *config.Configuration
+}
+
+// Store keeps configurations in the platform. The body goes to the object store before the row that names it is
+// written, so that no process sees a row without a body.
+type Store struct {
+	Clock   *clock.Clock
+	Table   Table
+	Objects Objects
+
+	mu     sync.Mutex
+	cached *config.Configuration // the body last read or written
+	digest string
+}
+
+// row is the row config/current as it was read.
+type row struct {
+	version int64         // of the table row; the condition of a write
+	stored  config.Stored // zero when the row does not exist
+}
+
+// Current returns the version in force and its configuration; a Problem when there is none or it cannot be read.
+func (s *Store) Current(ctx context.Context) (Version, *config.Configuration, *Problem) {
+	ctx, cancel := s.Clock.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	r, p := s.read(ctx)
+	if p != nil {
+		return Version{}, nil, p
+	}
+	if r.stored.Version() == 0 {
+		return Version{}, nil, refuse(CodeNoConfiguration, nil, "the row %s does not exist", config.CurrentKey)
+	}
+	c, p := s.body(ctx, r.stored.Digest())
+	return versionOf(r.stored), c, p
+}
+
+// Submit stores a new version on the condition that the version which the operator saw is in force. A Problem with the
+// outcome not-run is certain.
+func (s *Store) Submit(ctx context.Context, sub Submission) (Version, *Problem) {
+	// The operator may hang up at any moment; the write and its settlement go on.
+	ctx, cancel := s.Clock.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	r, p := s.read(ctx)
+	if p != nil {
+		return Version{}, s.doubt(sub, p)
+	}
+	digest := config.Digest(sub.Configuration)
+	if v, p, decided := decide(sub, digest, r.stored); decided {
+		return v, s.explain(ctx, sub, r, p)
+	}
+	var base *config.Configuration
+	if sub.Seen > 0 {
+		if base, p = s.body(ctx, r.stored.Digest()); p != nil {
+			return Version{}, s.doubt(sub, p)
+		}
+	}
+	if r.stored.Digest() == digest {
+		v := versionOf(r.stored)
+		v.f.Unchanged = true
+		return v, nil
+	}
+	if p := s.putBody(ctx, digest, sub.Configuration); p != nil {
+		return Version{}, s.doubt(sub, p)
+	}
+	next := config.NewStored(config.StoredFields{Version: sub.Seen + 1, Digest: digest, Previous: r.stored.Digest(),
+		Operation: sub.Operation, Operator: sub.Operator, Delta: config.NewDelta(base, sub.Configuration)})
+	return s.commit(ctx, sub, r, next)
+}
+
+// decide tells what a row says about a submission: applied, certainly not applied, or not decided yet.
+func decide(sub Submission, digest string, in config.Stored) (v Version, p *Problem, decided bool) {
+	figures := map[string]int64{"seen-version": sub.Seen, "current-version": in.Version()}
+	switch {
+	case in.Operation() == sub.Operation && in.Digest() != digest:
+		return Version{}, refuse(CodeOperationReused, figures, "operation %s stored digest %s", sub.Operation,
+			in.Digest()), true
+	case in.Operation() == sub.Operation:
+		return versionOf(in), nil, true
+	case in.Version() == sub.Seen:
+		return Version{}, nil, false
+	case sub.Repeat && in.Version() > sub.Seen+1:
+		// The version after the one seen is no longer in the row, so its operation cannot be compared.
+		return Version{}, refuse(CodeOutcomeUnknown, figures,
+			"version %d was seen, version %d is in force, and version %d may be this submission", sub.Seen,
+			in.Version(), sub.Seen+1), true
+	}
+	// The row went from the seen version to the next one under another operation, and it does so only once.
+	return Version{}, refuse(CodeVersionConflict, figures, "version %d was seen and version %d by %q is in force",
+		sub.Seen, in.Version(), in.Operator()), true
+}
+
+// commit writes the row and settles a lost answer.
+func (s *Store) commit(ctx context.Context, sub Submission, r row, next config.Stored) (Version, *Problem) {
+	tx := platform.NewTransaction(sub.Operation, platform.Put(config.CurrentKey, next.Encode(), r.version))
+	err := s.Table.Commit(ctx, tx)
+	switch {
+	case err == nil:
+		s.keep(next.Digest(), sub.Configuration)
+		return versionOf(next), nil
+	case errorx.IsOfType(err, platform.ErrUnavailable):
+		return Version{}, s.doubt(sub, unavailable(CodeTableUnavailable, err))
+	}
+	// Every other answer is settled by the row. After a conflict the row has moved on; after anything else, also an
+	// error of an unknown kind, the write may have taken effect now or later.
+	sub.Repeat = sub.Repeat || !errorx.IsOfType(err, platform.ErrConflict)
+	for try := range settleTries {
+		if try > 0 && s.Clock.Sleep(ctx, settlePause) != nil {
+			break
+		}
+		now, p := s.read(ctx)
+		if p != nil {
+			continue
+		}
+		if v, p, decided := decide(sub, next.Digest(), now.stored); decided {
+			return v, s.explain(ctx, sub, now, p)
+		}
+		if now.version != r.version {
+			break // the row was written by something that does not count versions
+		}
+		if err = s.Table.Commit(ctx, tx); err == nil {
+			s.keep(next.Digest(), sub.Configuration)
+			return versionOf(next), nil
+		}
+		sub.Repeat = sub.Repeat || !errorx.IsOfType(err, platform.ErrConflict)
+	}
+	return Version{}, refuse(CodeOutcomeUnknown, map[string]int64{"seen-version": sub.Seen, "tries": settleTries},
+		"the table gave no certain answer: %v", err).later(retryAfter).forOperation(sub.Operation)
+}
+
+// explain adds to a conflict what is in force and how the body differs from it.
+func (s *Store) explain(ctx context.Context, sub Submission, r row, p *Problem) *Problem {
+	if p == nil {
+		return nil
+	}
+	p = p.forOperation(sub.Operation)
+	current := versionOf(r.stored).f
+	p.f.Current = &current
+	if c, failed := s.body(ctx, r.stored.Digest()); failed == nil {
+		p.f.Changes = config.Diff(c, sub.Configuration)
+	}
+	return p
+}
+
+// doubt turns a certain refusal of a repeat into an unknown outcome, because the earlier call may have taken effect.
+func (s *Store) doubt(sub Submission, p *Problem) *Problem {
+	if sub.Repeat && p.f.Outcome != CodeOutcomeUnknown.Outcome() {
+		p = refuse(CodeOutcomeUnknown, p.f.Figures, "this repeat was refused: %s", p.Error()).later(retryAfter)
+	}
+	return p.forOperation(sub.Operation)
+}
+
+func (s *Store) read(ctx context.Context) (row, *Problem) {
+	rows, err := s.Table.Read(ctx, config.CurrentKey)
+	if err != nil || len(rows) != 1 {
+		return row{}, unavailable(CodeTableUnavailable, err)
+	}
+	if rows[0].Version() == 0 {
+		return row{}, nil
+	}
+	stored, err := config.DecodeStored(rows[0].Value())
+	if err != nil {
+		return row{}, refuse(CodeStateDamaged, nil, "%v", err)
+	}
+	return row{rows[0].Version(), stored}, nil
+}
+
+// body returns the configuration with a digest; "" gives nil.
+func (s *Store) body(ctx context.Context, digest string) (*config.Configuration, *Problem) {
+	if digest == "" {
+		return nil, nil
+	}
+	s.mu.Lock()
+	cached, held := s.cached, s.digest == digest
+	s.mu.Unlock()
+	if held {
+		return cached, nil
+	}
+	body, err := s.Objects.Get(ctx, config.ObjectName(digest))
+	if errorx.IsOfType(err, platform.ErrNotFound) {
+		return nil, refuse(CodeStateDamaged, nil, "%v", err)
+	}
+	if err != nil {
+		return nil, unavailable(CodeObjectsUnavailable, err)
+	}
+	c, faults := config.Decode(config.ObjectName(digest), body)
+	if err := faults.Err(); err != nil {
+		return nil, refuse(CodeStateDamaged, nil, "%v", err)
+	}
+	if got := config.Digest(c); got != digest {
+		return nil, refuse(CodeStateDamaged, nil, "the object of digest %s has digest %s", digest, got)
+	}
+	s.keep(digest, c)
+	return c, nil
+}
+
+// putBody writes the body. It is repeated after any failure, because the same name always holds the same bytes.
+func (s *Store) putBody(ctx context.Context, digest string, c *config.Configuration) *Problem {
+	var err error
+	for range objectTries {
+		if err = s.Objects.Put(ctx, config.ObjectName(digest), config.Encode(c)); err == nil {
+			return nil
+		}
+	}
+	return unavailable(CodeObjectsUnavailable, err)
+}
+
+func (s *Store) keep(digest string, c *config.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.digest, s.cached = digest, c
+}
