Add a first request path from caller to worker

Cause: no request can pass through an entry instance yet. Change: packages trace, routing, worker and caller. A request is parsed, admitted through a small Queue interface, claimed where needed, sent on a connection that notes every byte written, and the whole answer comes back, with a span for each hop, numbered events and expvar counters.

--- /dev/null
+++ b/caller/body.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/result"
+)
+
+// body is a request body: in memory as a whole, or its beginning in memory and the rest still to be read.
+type body struct {
+	held   buffer
+	source io.ReadCloser
+	length int64
+	limit  int64
+	whole  bool
+	used   bool // a streamed body was read from, so that no second attempt can send it
+	failed bool
+}
+
+var errTooLarge = errors.New("caller: the request body is too large")
+
+func (b *body) init(memory *memoryBudget, source io.ReadCloser, length, limit int64) {
+	b.held = buffer{budget: memory, fresh: true}
+	b.source = source
+	b.length = length
+	b.limit = limit
+	b.whole = length == 0
+}
+
+// read takes the body into memory as far as it fits.
+func (b *body) read() *result.Refusal {
+	whole, err := b.held.fill(b.source, b.length)
+	if err != nil {
+		b.failed = true
+		return result.Refuse(CodeBodyIncomplete, err.Error(), clock.Second)
+	}
+	if b.whole = whole; whole {
+		if int64(len(b.held.data)) > b.limit {
+			return result.Refuse(CodeBodyTooLarge, "the body may have at most "+strconv.FormatInt(b.limit, 10)+" bytes", 0)
+		}
+		b.length = int64(len(b.held.data))
+	}
+	return nil
+}
+
+// repeatable reports whether the body can be sent once more.
+func (b *body) repeatable() bool { return b.whole || !b.used }
+
+// partly reports whether a part of the body is still unread.
+func (b *body) partly() bool { return b.failed || !b.whole }
+
+// reader returns the body for one attempt; nil for none.
+func (b *body) reader() io.ReadCloser {
+	if b.whole {
+		if len(b.held.data) == 0 {
+			return nil
+		}
+		return io.NopCloser(bytes.NewReader(b.held.data))
+	}
+	return &stream{body: b, begin: bytes.NewReader(b.held.data), left: b.limit}
+}
+
+func (b *body) free() { b.held.free() }
+
+// stream reads what was buffered and then the rest, up to the limit.
+type stream struct {
+	body  *body
+	begin *bytes.Reader
+	left  int64
+}
+
+// Read fails once the body exceeds the limit.
+func (s *stream) Read(p []byte) (int, error) {
+	s.body.used = true
+	if s.begin.Len() > 0 {
+		n, err := s.begin.Read(p)
+		s.left -= int64(n)
+		return n, err
+	}
+	n, err := s.body.source.Read(p)
+	if s.left -= int64(n); s.left < 0 {
+		return n, errTooLarge
+	}
+	return n, err
+}
+
+// Close leaves the caller's body open, which belongs to the server.
+func (s *stream) Close() error { return nil }
--- /dev/null
+++ b/caller/buffer.go
@@ -0,0 +1,107 @@
+package caller
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// maxBuffered is the largest body that is held in memory as a whole.
+	maxBuffered = 1 << 20
+	// firstBuffer is what a body of unknown length gets at first.
+	firstBuffer = 4 << 10
+	// maxPooled keeps a few large bodies from staying in memory for good.
+	maxPooled = 64 << 10
+	// copySize is the buffer of a streamed body.
+	copySize = 32 << 10
+)
+
+// memoryBudget bounds the bytes of all buffered bodies together.
+type memoryBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func (m *memoryBudget) reserve(n int64) bool {
+	if m.used.Add(n) > m.limit {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (m *memoryBudget) release(n int64) { m.used.Add(-n) }
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, firstBuffer); return &b }}
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copySize); return &b }}
+
+// buffer holds one body, or the beginning of one that is too large.
+type buffer struct {
+	budget   *memoryBudget
+	fresh    bool // memory that the transport may still read after the exchange must not be used again
+	reserved int64
+	pooled   *[]byte
+	data     []byte
+}
+
+// fill reads a body of the given length (-1: unknown) and reports whether all of it fitted in; otherwise the rest is
+// still in src. Bodies that are too large, or for which the budget has no room, do not fit.
+func (b *buffer) fill(src io.Reader, length int64) (whole bool, err error) {
+	if length == 0 {
+		return true, nil
+	}
+	size := int64(firstBuffer)
+	if length > 0 {
+		if length > maxBuffered {
+			return false, nil
+		}
+		size = length + 1 // room for the read that meets the end
+	}
+	if !b.budget.reserve(size) {
+		return false, nil
+	}
+	b.reserved = size
+	if !b.fresh {
+		b.pooled = buffers.Get().(*[]byte)
+		b.data = (*b.pooled)[:0]
+	}
+	if int64(cap(b.data)) < size {
+		b.data = make([]byte, 0, size)
+	}
+	for {
+		if int64(len(b.data)) >= b.reserved {
+			more := min(b.reserved, maxBuffered-b.reserved)
+			if more <= 0 || !b.budget.reserve(more) {
+				return false, nil
+			}
+			b.reserved += more
+		}
+		if len(b.data) == cap(b.data) {
+			b.data = append(make([]byte, 0, b.reserved), b.data...)
+		}
+		n, err := src.Read(b.data[len(b.data):min(int64(cap(b.data)), b.reserved)])
+		b.data = b.data[:len(b.data)+n]
+		if err == io.EOF {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+}
+
+// free gives the memory back; data must not be used afterwards.
+func (b *buffer) free() {
+	if b.pooled != nil {
+		if cap(b.data) <= maxPooled {
+			*b.pooled = b.data[:0]
+		}
+		buffers.Put(b.pooled)
+	}
+	if b.reserved > 0 {
+		b.budget.release(b.reserved)
+	}
+	*b = buffer{budget: b.budget, fresh: b.fresh}
+}
--- /dev/null
+++ b/caller/dispatch.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/result"
+	"magnoliaferry/routing"
+	"magnoliaferry/trace"
+	"magnoliaferry/worker"
+)
+
+// dispatch sends the request to a worker, and to another one where that cannot run it twice, and answers the caller.
+func (r *request) dispatch(ctx context.Context, permit *Permit, idempotent bool) {
+	h := r.handler
+	defer func() {
+		permit.Release()
+		r.wake(permit)
+	}()
+	r.setStage(&stageDispatch)
+	r.route.budget.Request()
+	header := r.in.Header
+	removeHop(header)
+	delete(header, "Expect") // the server has answered it
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // keeps the transport from adding its own
+	}
+	for attempt := 1; ; attempt++ {
+		failure := r.attempt(ctx, permit.grant, header)
+		if failure == nil {
+			return
+		}
+		code := failure.Code()
+		failed := permit.Worker()
+		if attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
+			r.body.repeatable() && r.route.budget.Retry() {
+			if next, ok := h.Router.Acquire(r.route.pool.Name(), r.due, failed); ok {
+				permit.grant = next
+				header = header.Clone() // the transport may still read the old one
+				h.counters.retries.Add(1)
+				EventRetry.Log(ctx, h.Logger, slog.String("request", r.id), slog.String("failed", failed.ID()),
+					slog.String("next", next.Worker().ID()), slog.String("reason", code.Name()))
+				continue
+			}
+		}
+		r.fail(ctx, failure)
+		return
+	}
+}
+
+// fail records and reports a request that got no whole answer.
+func (r *request) fail(ctx context.Context, failure *worker.Failure) {
+	code := failure.Code()
+	if context.Cause(ctx) == errCut {
+		switch code.Outcome() {
+		case result.NotRun:
+			code = CodeStopping
+		case result.Unknown:
+			code = CodeCut
+		}
+	}
+	if r.claimed {
+		switch code.Outcome() {
+		case result.NotRun:
+			r.handler.Claims.Abandon(r.demand.caller, r.demand.key)
+		case result.Ran:
+			r.handler.Claims.Finish(r.demand.caller, r.demand.key, Recorded{status: code.Status()})
+		}
+	}
+	after := clock.Millis(0)
+	if code.Outcome() == result.NotRun {
+		after = clock.Second
+	}
+	r.refuse(result.Refuse(code, failure.Error(), after))
+}
+
+// attempt sends the request to one worker. Without a failure the caller has been answered.
+func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header) *worker.Failure {
+	h := r.handler
+	w := grant.Worker()
+	ctx, span := h.Tracer.Start(ctx, trace.HopDispatch)
+	defer span.End()
+	span.SetText("worker", w.ID())
+	h.Tracer.Send(ctx, header)
+	started := h.Clock.Now()
+	header[worker.HeaderDeadline] = []string{strconv.FormatInt(int64(max(r.due-started, 1)), 10)}
+
+	out := r.in.WithContext(ctx)
+	out.URL = &url.URL{Scheme: "http", Host: w.Address(), Path: r.in.URL.Path, RawPath: r.in.URL.RawPath, RawQuery: r.in.URL.RawQuery}
+	out.Header = header
+	out.Body = r.body.reader()
+	out.ContentLength = r.body.length
+	out.TransferEncoding, out.Trailer, out.Close, out.RequestURI = nil, nil, false, ""
+	answer, failure := h.Client.Target(w).Do(out, r.id, r.body.whole)
+	if failure == nil {
+		failure = r.deliver(answer, grant, started)
+	}
+	if failure != nil {
+		span.Fail(failure.Code().Name())
+		if failure.Leaving() {
+			h.Router.MarkLeaving(w)
+		}
+		outcome := routing.Neutral
+		if failure.Blames() {
+			outcome = routing.Failed
+		}
+		grant.Release(outcome, 0)
+	}
+	return failure
+}
+
+// deliver gives the answer to the caller: from memory when it fits in there, and otherwise as it arrives. A failure is
+// returned only while nothing was written to the caller.
+func (r *request) deliver(answer *worker.Answer, grant *routing.Grant, started clock.Millis) *worker.Failure {
+	h := r.handler
+	if answer.Leaving() {
+		h.Router.MarkLeaving(grant.Worker())
+	}
+	r.setStage(&stageAnswer)
+	held := buffer{budget: &h.memory}
+	defer held.free()
+	length := answer.Length()
+	if r.in.Method == http.MethodHead {
+		length = 0 // announces the length of a body that is not there
+	}
+	whole, err := held.fill(answer, length)
+	if err != nil {
+		var failure *worker.Failure
+		errors.As(err, &failure)
+		return failure
+	}
+	outcome := routing.Answered
+	if status := answer.Status(); status >= 500 && status != http.StatusNotImplemented {
+		outcome = routing.Failed
+	}
+	header := r.writer.Header()
+	copyAnswer(header, answer.Header())
+	if whole {
+		answer.Close()
+		grant.Release(outcome, h.Clock.Now()-started) // a slow caller keeps no slot
+	}
+	r.record(answer, header, held.data, whole)
+	r.mark(header, CodeAnswered)
+	trailers := len(answer.Trailer()) > 0
+	if whole && !trailers && answer.Length() < 0 && r.in.Method != http.MethodHead {
+		header["Content-Length"] = []string{strconv.Itoa(len(held.data))}
+	}
+	r.writer.WriteHeader(answer.Status())
+	if len(held.data) > 0 {
+		_, err = r.writer.Write(held.data)
+	}
+	if !whole {
+		r.stream(answer, grant, started, outcome, err)
+	}
+	if trailers {
+		for name, values := range answer.Trailer() {
+			header[http.TrailerPrefix+name] = values
+		}
+	}
+	h.counters.answers.Add(1)
+	r.span.SetNumber("result", CodeAnswered.Number())
+	r.span.SetNumber("status", answer.Status())
+	if h.Logger != nil && h.Logger.Enabled(r.in.Context(), EventRequest.Level()) {
+		EventRequest.Log(r.in.Context(), h.Logger, slog.String("request", r.id), slog.String("service", r.route.service.Name()),
+			slog.String("worker", grant.Worker().ID()), slog.Int("status", answer.Status()),
+			slog.Int64("millis", int64(h.Clock.Now()-r.started)))
+	}
+	return nil
+}
+
+// record keeps the answer with the claim.
+func (r *request) record(answer *worker.Answer, header http.Header, data []byte, whole bool) {
+	if !r.claimed {
+		return
+	}
+	recorded := Recorded{status: answer.Status()}
+	if whole && len(data) <= maxRecorded {
+		recorded.kept = true
+		recorded.header = header.Clone()
+		recorded.body = append([]byte(nil), data...)
+	}
+	r.handler.Claims.Finish(r.demand.caller, r.demand.key, recorded)
+}
+
+// stream passes on the rest of a large answer. When that ends early, the caller's connection is aborted, so that the
+// answer cannot look complete.
+func (r *request) stream(answer *worker.Answer, grant *routing.Grant, started clock.Millis, outcome routing.Outcome, err error) {
+	pooled := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(pooled)
+	defer answer.Close()
+	for err == nil {
+		n, readErr := answer.Read(*pooled)
+		if n > 0 {
+			_, err = r.writer.Write((*pooled)[:n])
+		}
+		if readErr == io.EOF && err == nil {
+			grant.Release(outcome, r.handler.Clock.Now()-started)
+			return
+		}
+		if readErr != nil && err == nil {
+			err = readErr
+		}
+	}
+	var failure *worker.Failure
+	if errors.As(err, &failure) && failure.Blames() {
+		grant.Release(routing.Failed, 0)
+	}
+	r.handler.counters.aborted.Add(1)
+	EventAborted.Log(r.in.Context(), r.handler.Logger, slog.String("request", r.id), slog.String("error", err.Error()))
+	r.span.Fail("aborted")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/caller/harness_test.go
@@ -0,0 +1,210 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+	"magnoliaferry/routing"
+	"magnoliaferry/worker"
+)
+
+// slotAccount is an account with a fixed number of slots.
+type slotAccount struct {
+	mu   sync.Mutex
+	free int
+}
+
+func (a *slotAccount) TryAcquire(clock.Millis) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.free == 0 {
+		return false
+	}
+	a.free--
+	return true
+}
+func (a *slotAccount) Release()  { a.mu.Lock(); a.free++; a.mu.Unlock() }
+func (a *slotAccount) Free() int { a.mu.Lock(); defer a.mu.Unlock(); return a.free }
+
+// directQueue admits at once when a permit is free; otherwise a ticket waits until the test calls Wake.
+type directQueue struct {
+	h      *Handler
+	pool   string
+	refuse *result.Refusal
+	woken  chan struct{}
+}
+
+type directTicket struct {
+	q *directQueue
+	d Demand
+}
+
+func (q *directQueue) Enter(d Demand) (Ticket, *result.Refusal) {
+	if q.refuse != nil {
+		return nil, q.refuse
+	}
+	return &directTicket{q, d}, nil
+}
+
+func (q *directQueue) Wake() {
+	select {
+	case q.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (t *directTicket) Wait(ctx context.Context) (*Permit, *result.Refusal) {
+	for {
+		if p, ok := t.q.h.Acquire(t.q.pool, t.d.Team(), t.d.Deadline()); ok {
+			return p, nil
+		}
+		select {
+		case <-t.q.woken:
+		case <-ctx.Done():
+			return nil, result.Refuse(CodeTooLate, "waited until the deadline", clock.Second)
+		}
+	}
+}
+
+func (t *directTicket) Leave() {}
+
+// memoryClaims is a claim store in memory.
+type memoryClaims struct {
+	mu        sync.Mutex
+	decisions map[string]Decision
+	abandoned map[string]int
+	err       error
+	block     chan struct{} // Claim waits for it when set
+}
+
+func (c *memoryClaims) Claim(ctx context.Context, caller, key string, _ clock.Millis) (Decision, error) {
+	if c.block != nil {
+		select {
+		case <-c.block:
+		case <-ctx.Done():
+			return Decision{}, ctx.Err()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return Decision{}, c.err
+	}
+	if d, ok := c.decisions[caller+"/"+key]; ok {
+		return d, nil
+	}
+	c.decisions[caller+"/"+key] = NewDecision(Claimed, Recorded{})
+	return NewDecision(Granted, Recorded{}), nil
+}
+
+func (c *memoryClaims) Finish(caller, key string, answer Recorded) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decisions[caller+"/"+key] = NewDecision(Done, answer)
+}
+
+func (c *memoryClaims) Abandon(caller, key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.decisions, caller+"/"+key)
+	c.abandoned[caller+"/"+key]++
+}
+
+// bench is one entry instance with workers and callers on loopback.
+type bench struct {
+	t       testing.TB
+	clock   *clock.Clock
+	handler *Handler
+	claims  *memoryClaims
+	queue   *directQueue
+	entry   *httptest.Server
+}
+
+func testConfiguration(capacity int) *config.Configuration {
+	return config.New(config.Fields{
+		Pools:    []config.PoolFields{{Name: "pool", Contact: "ops@example.org", Capacity: capacity, Slots: 8}},
+		Services: []config.ServiceFields{{Name: "svc", Pool: "pool", Deadline: 10000, MaxDeadline: 30000}},
+		Teams:    []config.TeamFields{{Name: "team", Callers: []string{"alice"}}},
+	})
+}
+
+// newBench starts an entry instance in front of workers with the given addresses, of which none is ejected.
+func newBench(t testing.TB, addresses ...string) *bench {
+	b := &bench{t: t, clock: clock.NewFake(1000),
+		claims: &memoryClaims{decisions: map[string]Decision{}, abandoned: map[string]int{}}}
+	configuration := testConfiguration(len(addresses))
+	router := &routing.Router{Clock: b.clock, Seed: 1}
+	client := &worker.Client{Clock: b.clock}
+	router.Probe = client.Probe
+	b.handler = &Handler{Clock: b.clock, Instance: "entry-1", Configuration: func() *config.Configuration { return configuration },
+		Claims: b.claims, Router: router, Client: client}
+	b.queue = &directQueue{h: b.handler, pool: "pool", woken: make(chan struct{}, 1)}
+	b.handler.Queue = func(string) Queue { return b.queue }
+	var states []routing.WorkerState
+	for i, address := range addresses {
+		states = append(states, routing.NewWorkerState("w"+string(rune('0'+i)), address, "a", &slotAccount{free: 8}, false))
+	}
+	router.Update([]routing.PoolState{routing.NewPoolState("pool", "round-robin", len(addresses), states...)})
+	b.entry = httptest.NewServer(b.handler)
+	t.Cleanup(b.entry.Close)
+	t.Cleanup(client.Close)
+	return b
+}
+
+// address returns the host and port of a test server.
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func newWorker(t testing.TB, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return address(s)
+}
+
+// reply is what a caller received.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error // of the whole exchange
+	refusal struct {
+		Code    int    `json:"code"`
+		Name    string `json:"name"`
+		Outcome string `json:"outcome"`
+		Contact string `json:"contact"`
+	}
+}
+
+func (b *bench) do(method, path, body string, headers ...string) reply {
+	b.t.Helper()
+	request, err := http.NewRequest(method, b.entry.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return b.send(request)
+}
+
+func (b *bench) send(request *http.Request) reply {
+	response, err := b.entry.Client().Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	r := reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	if response.Header.Get(HeaderResult) != "2000" {
+		_ = json.Unmarshal(data, &r.refusal)
+	}
+	return r
+}
--- /dev/null
+++ b/routing/grant.go
@@ -0,0 +1,194 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+)
+
+// Outcome says what a request showed about its worker.
+type Outcome int
+
+// The outcomes. Neutral is for requests that say nothing about the worker, such as those whose caller went away.
+const (
+	Neutral Outcome = iota
+	Answered
+	Failed
+)
+
+// Grant is a slot on a worker for one request.
+type Grant struct {
+	router   *Router
+	worker   *Worker
+	trial    bool
+	released atomic.Bool
+}
+
+// Worker returns the worker that runs the request.
+func (g *Grant) Worker() *Worker { return g.worker }
+
+// Release gives the slot back and records what the request showed; a second call has no effect.
+func (g *Grant) Release(outcome Outcome, latency clock.Millis) {
+	if g.released.Swap(true) {
+		return
+	}
+	w := g.worker
+	w.inFlight.Add(-1)
+	w.account.Release()
+	switch outcome {
+	case Answered:
+		w.observeLatency(latency)
+		if w.failures.Load() != 0 {
+			w.failures.Store(0)
+			g.router.recover(w, g.trial)
+		}
+	case Failed:
+		if w.failures.Add(1) >= failuresToEject {
+			g.router.fail(w, g.trial)
+		}
+	case Neutral:
+		if g.trial && w.ejected.Load() {
+			w.trial.Store(true)
+		}
+	}
+}
+
+// MarkLeaving stops new work for a worker that said in an answer that it is leaving.
+func (r *Router) MarkLeaving(w *Worker) {
+	if w.leaving.Swap(true) {
+		return
+	}
+	r.log(EventLeaving, w)
+	if r.Probe != nil {
+		r.Clock.AfterFunc(lastProbe, func() { go r.recheckLeaving(w) })
+	}
+}
+
+// recheckLeaving returns a worker that restarted before the list ever showed it as leaving: a new connection answers,
+// and the answer no longer says that the worker is leaving.
+func (r *Router) recheckLeaving(w *Worker) {
+	leaving, err := r.Probe(context.Background(), w)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.workers[w.id] != w || w.listedLeaving || !w.leaving.Load() {
+		return
+	}
+	if err == nil && !leaving {
+		w.leaving.Store(false)
+		return
+	}
+	r.Clock.AfterFunc(lastProbe, func() { go r.recheckLeaving(w) })
+}
+
+// fail ejects a worker, unless the pool would fall below its capacity or the fault is the pool's.
+func (r *Router) fail(w *Worker, trial bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.snapshot.Load()
+	p := s.homes[w]
+	if p == nil {
+		return
+	}
+	if w.ejected.Load() {
+		if trial {
+			w.backoff = min(2*w.backoff, lastProbe)
+			r.schedule(w)
+		}
+		return
+	}
+	present, failing, ejected := 0, 0, 0
+	for _, o := range p.workers {
+		if o.leaving.Load() {
+			continue
+		}
+		present++
+		if o.failures.Load() >= failuresToEject {
+			failing++
+		}
+		if o.ejected.Load() {
+			ejected++
+		}
+	}
+	if 2*failing > present && present > 1 {
+		if !p.failing.Swap(true) {
+			EventPoolFailing.Log(context.Background(), r.Logger, slog.String("pool", p.name), slog.Int("workers", present))
+		}
+		for _, o := range p.workers {
+			r.restore(o)
+		}
+		return
+	}
+	if present-ejected-1 < p.capacity || present == 1 {
+		return
+	}
+	w.ejected.Store(true)
+	w.backoff = firstProbe
+	r.schedule(w)
+	r.log(EventEjected, w)
+}
+
+// recover ends the ejection of a worker that answered its trial request and the failure of its pool.
+func (r *Router) recover(w *Worker, trial bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if trial && w.ejected.Load() {
+		r.restore(w)
+		r.log(EventReturned, w)
+	}
+	p := r.snapshot.Load().homes[w]
+	if p == nil || !p.failing.Load() {
+		return
+	}
+	failing := 0
+	for _, o := range p.workers {
+		if o.failures.Load() >= failuresToEject {
+			failing++
+		}
+	}
+	if 2*failing <= len(p.workers) {
+		p.failing.Store(false)
+		EventPoolWorks.Log(context.Background(), r.Logger, slog.String("pool", p.name))
+	}
+}
+
+func (r *Router) restore(w *Worker) {
+	w.trial.Store(false)
+	w.ejected.Store(false)
+	if w.stopTimer != nil {
+		w.stopTimer()
+		w.stopTimer = nil
+	}
+}
+
+// schedule allows a trial request after the backoff; with a Probe the worker must first answer that.
+func (r *Router) schedule(w *Worker) {
+	w.stopTimer = r.Clock.AfterFunc(w.backoff, func() {
+		if r.Probe == nil {
+			w.trial.Store(true)
+			return
+		}
+		go r.probe(w)
+	})
+}
+
+func (r *Router) probe(w *Worker) {
+	_, err := r.Probe(context.Background(), w)
+	if err == nil {
+		w.trial.Store(true)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w.ejected.Load() && r.workers[w.id] == w {
+		w.backoff = min(2*w.backoff, lastProbe)
+		r.schedule(w)
+	}
+}
+
+func (r *Router) log(e interface {
+	Log(context.Context, *slog.Logger, ...slog.Attr)
+}, w *Worker) {
+	e.Log(context.Background(), r.Logger, slog.String("worker", w.id), slog.String("zone", w.zone))
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,173 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"magnoliaferry/kernel"
+)
+
+// Policy chooses a worker of a pool; Pick is called by many goroutines at once and must not lock. It returns nil when
+// it finds none; the router checks that the worker has a free slot and asks again.
+type Policy interface {
+	Pick(p *Pool) *Worker
+}
+
+// Policies holds the constructors of the policies by name; each pool gets an instance of its own.
+var Policies kernel.Registry[func() Policy]
+
+func init() {
+	Policies.Register("round-robin", func() Policy { return &roundRobin{} })
+	Policies.Register("random", func() Policy { return random{} })
+	Policies.Register("two-choices", func() Policy { return twoChoices{} })
+	Policies.Register("least-used", func() Policy { return &leastUsed{} })
+	Policies.Register("least-used-distance", func() Policy { return &leastUsed{byDistance: true} })
+	Policies.Register("weighted", func() Policy { return weighted{} })
+}
+
+func newPolicy(name string) Policy {
+	constructor, ok := Policies.Lookup(name)
+	if !ok {
+		constructor, _ = Policies.Lookup(defaultPolicy)
+	}
+	return constructor()
+}
+
+// roundRobin takes the workers in turn.
+type roundRobin struct{ cursor atomic.Uint64 }
+
+func (r *roundRobin) Pick(p *Pool) *Worker {
+	n := uint64(len(p.workers))
+	start := r.cursor.Add(1) - 1
+	for i := range n {
+		if w := p.workers[(start+i)%n]; w.usable() {
+			return w
+		}
+	}
+	return nil
+}
+
+// random takes any worker with the same probability.
+type random struct{}
+
+func (random) Pick(p *Pool) *Worker { return randomUsable(p) }
+
+// randomUsable draws a worker; where it meets one that is out, the next ones in order take its share.
+func randomUsable(p *Pool) *Worker {
+	n := len(p.workers)
+	start := p.Random(n)
+	for i := range n {
+		if w := p.workers[(start+i)%n]; w.usable() {
+			return w
+		}
+	}
+	return nil
+}
+
+// twoChoices draws two workers and takes the one with fewer requests (Mitzenmacher, 2001).
+type twoChoices struct{}
+
+func (twoChoices) Pick(p *Pool) *Worker {
+	a, b := randomUsable(p), randomUsable(p)
+	if a != nil && b.InFlight() < a.InFlight() {
+		return b
+	}
+	return a
+}
+
+// leastUsed takes the worker with the fewest requests; equal ones take turns. With byDistance the nearest of these is
+// taken, where distances that round to the same step are equal.
+type leastUsed struct {
+	byDistance bool
+	cursor     atomic.Uint64
+}
+
+func (l *leastUsed) Pick(p *Pool) *Worker {
+	var best *Worker
+	var bestUsed, bestDistance, ties int64
+	// The first pass counts the equal workers, the second finds the one whose turn it is.
+	for pass := range 2 {
+		turn := int64(0)
+		if pass == 1 {
+			if ties <= 1 {
+				return best
+			}
+			turn = int64((l.cursor.Add(1) - 1) % uint64(ties))
+		}
+		seen := int64(0)
+		for _, w := range p.workers {
+			if !w.usable() {
+				continue
+			}
+			used, far := w.inFlight.Load(), int64(0)
+			if l.byDistance {
+				far = int64(distance(w.RTT()))
+			}
+			if pass == 1 {
+				// Loads move between the passes; a worker that is better by now belongs to the equals too.
+				if used < bestUsed || (used == bestUsed && far <= bestDistance) {
+					if seen == turn {
+						return w
+					}
+					seen++
+				}
+				continue
+			}
+			switch {
+			case best == nil || used < bestUsed || (used == bestUsed && far < bestDistance):
+				best, bestUsed, bestDistance, ties = w, used, far, 1
+			case used == bestUsed && far == bestDistance:
+				ties++
+			}
+		}
+	}
+	return best
+}
+
+// distanceStep is how far apart two workers must be to count as near and far.
+const distanceStep = time.Millisecond
+
+// distance is half the round-trip time, rounded to steps: step x round((RTT/2)/step).
+func distance(rtt time.Duration) time.Duration {
+	return distanceStep * time.Duration(math.Round(float64(rtt/2)/float64(distanceStep)))
+}
+
+// weighted draws weightedChoices workers and takes the one with the lowest expected time to an answer.
+type weighted struct{}
+
+// weightedChoices is small because each choice costs one random number and one score, whatever the size of the pool.
+const weightedChoices = 3
+
+func (weighted) Pick(p *Pool) *Worker {
+	best := randomUsable(p)
+	if best == nil {
+		return nil
+	}
+	lowest := score(best)
+	for range min(weightedChoices, len(p.workers)) - 1 {
+		w := randomUsable(p)
+		if w == nil || w == best {
+			continue
+		}
+		if s := score(w); s < lowest {
+			best, lowest = w, s
+		}
+	}
+	return best
+}
+
+// score estimates in milliseconds how long a new request takes on w; lower is better. It is the product of
+//   - load: the requests there with this one, per slot held, so that a worker with a larger share gets more,
+//   - time: recent latency plus distance; a worker without answers yet has no latency and is tried early,
+//   - failures: one failure doubles the score, two triple it, so that a failing worker loses work before ejection.
+//
+// For example a worker with 1 of 4 slots in use, 20 ms and no failure has 2/4 x 20 = 10 and comes before one with
+// 0 of 2 slots in use and 40 ms, which has 1/2 x 40 = 20.
+func score(w *Worker) float64 {
+	used := w.InFlight()
+	held := used + max(w.account.Free(), 0)
+	load := float64(used+1) / float64(max(held, 1))
+	expected := w.Latency() + 2*float64(distance(w.RTT()))/float64(time.Millisecond) + 1
+	return load * expected * float64(1+w.Failures())
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,252 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+)
+
+// The events of the package.
+var (
+	EventEjected     = event.New(2300, "worker-ejected", slog.LevelWarn, "a worker failed several requests in a row and is ejected")
+	EventReturned    = event.New(2301, "worker-returned", slog.LevelInfo, "an ejected worker answers again")
+	EventPoolFailing = event.New(2302, "pool-failing", slog.LevelError, "most workers of a pool fail; none is ejected")
+	EventPoolWorks   = event.New(2303, "pool-works", slog.LevelInfo, "most workers of a pool answer again")
+	EventLeaving     = event.New(2304, "worker-leaving", slog.LevelInfo, "a worker is leaving and receives no new work")
+)
+
+const (
+	failuresToEject = 5
+	firstProbe      = 1 * clock.Second
+	lastProbe       = 30 * clock.Second
+)
+
+// defaultPolicy is used by pools that name none.
+const defaultPolicy = "weighted"
+
+// PoolState is the input of Update for one pool.
+type PoolState struct {
+	name     string
+	policy   string
+	capacity int
+	workers  []WorkerState
+}
+
+// NewPoolState describes a pool; an empty or unknown policy means "weighted", and capacity is the number of workers
+// that must serve.
+func NewPoolState(name, policy string, capacity int, workers ...WorkerState) PoolState {
+	return PoolState{name: name, policy: policy, capacity: capacity, workers: workers}
+}
+
+// WorkerState is the input of Update for one worker.
+type WorkerState struct {
+	id      string
+	address string
+	zone    string
+	account Account
+	leaving bool
+}
+
+// NewWorkerState describes a worker; leaving is set for each worker that must receive no new work, whatever the reason.
+// The account of a worker must stay the same as long as its id and address do.
+func NewWorkerState(id, address, zone string, account Account, leaving bool) WorkerState {
+	return WorkerState{id: id, address: address, zone: zone, account: account, leaving: leaving}
+}
+
+// Router holds the snapshot of pools and workers.
+type Router struct {
+	// Clock measures the time until a probe.
+	Clock *clock.Clock
+	// Seed makes every choice repeatable; 0 uses the random source of the process, which threads do not share.
+	Seed uint64
+	// Logger receives the events; nil drops them.
+	Logger *slog.Logger
+	// Probe asks a worker on a new connection whether it answers and whether it is leaving; nil answers neither, and
+	// then an ejected worker is tried with a request when its time has come. Probe must not block for long.
+	Probe func(ctx context.Context, w *Worker) (leaving bool, err error)
+
+	snapshot atomic.Pointer[snapshot]
+	sequence atomic.Uint64 // of the seeded random source
+
+	mu      sync.Mutex // serialises writers; Acquire and Release of working workers never take it
+	workers map[string]*Worker
+}
+
+type snapshot struct {
+	pools map[string]*Pool
+	homes map[*Worker]*Pool
+}
+
+// Pool is the view of one pool that a policy chooses from.
+type Pool struct {
+	name     string
+	policy   Policy
+	named    string
+	capacity int
+	workers  []*Worker // without those that the list shows as leaving
+	router   *Router
+	failing  atomic.Bool // most workers fail
+}
+
+// Name returns the name of the pool.
+func (p *Pool) Name() string { return p.name }
+
+// Workers returns the workers that the list does not show as leaving; the slice must not be changed.
+func (p *Pool) Workers() []*Worker { return p.workers }
+
+// Random returns a number from 0 to n-1.
+func (p *Pool) Random(n int) int {
+	if p.router.Seed == 0 {
+		return rand.IntN(n)
+	}
+	return int(mix(p.router.Seed+p.router.sequence.Add(1)*0x9e3779b97f4a7c15) % uint64(n))
+}
+
+// mix is the finaliser of SplitMix64 (Steele, Lea and Flood, 2014), which needs one counter as its only state.
+func mix(z uint64) uint64 {
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// Update swaps the snapshot; workers are recognised by id and address, so that their counters survive.
+func (r *Router) Update(pools []PoolState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.snapshot.Load()
+	next := &snapshot{pools: make(map[string]*Pool, len(pools)), homes: map[*Worker]*Pool{}}
+	workers := make(map[string]*Worker)
+	for _, s := range pools {
+		p := &Pool{name: s.name, named: s.policy, capacity: s.capacity, router: r}
+		if old != nil {
+			if before, ok := old.pools[s.name]; ok {
+				p.failing.Store(before.failing.Load())
+				if before.named == s.policy {
+					p.policy = before.policy // keeps its cursor
+				}
+			}
+		}
+		if p.policy == nil {
+			p.policy = newPolicy(s.policy)
+		}
+		for _, ws := range s.workers {
+			w := r.adopt(ws)
+			workers[ws.id] = w
+			next.homes[w] = p
+			if !ws.leaving {
+				p.workers = append(p.workers, w)
+			}
+		}
+		next.pools[s.name] = p
+	}
+	for id, w := range r.workers {
+		if workers[id] != w {
+			w.leaving.Store(true) // readers of the old snapshot stop using it
+			if w.stopTimer != nil {
+				w.stopTimer()
+			}
+		}
+	}
+	r.workers = workers
+	r.snapshot.Store(next)
+}
+
+// adopt finds or makes the worker and applies what the list says about it. A worker that said itself that it leaves
+// stays so until the list has shown it as leaving, or without it, and shows it as serving again.
+func (r *Router) adopt(s WorkerState) *Worker {
+	w, known := r.workers[s.id]
+	if !known || w.address != s.address {
+		w = &Worker{id: s.id, address: s.address, zone: s.zone, account: s.account}
+	}
+	if s.leaving {
+		w.leaving.Store(true)
+	} else if w.listedLeaving {
+		w.leaving.Store(false)
+	}
+	w.listedLeaving = s.leaving
+	return w
+}
+
+// Serving returns how many workers of a pool may be chosen, and whether most of the pool fails.
+func (r *Router) Serving(pool string) (serving int, failing bool) {
+	s := r.snapshot.Load()
+	if s == nil || s.pools[pool] == nil {
+		return 0, false
+	}
+	p := s.pools[pool]
+	for _, w := range p.workers {
+		if w.usable() {
+			serving++
+		}
+	}
+	return serving, p.failing.Load()
+}
+
+// Acquire takes a slot on a worker of the pool until the deadline, or reports that none is free. It avoids one worker
+// (nil for none) unless no other has a free slot. It takes no lock.
+func (r *Router) Acquire(pool string, deadline clock.Millis, avoid *Worker) (*Grant, bool) {
+	s := r.snapshot.Load()
+	if s == nil {
+		return nil, false
+	}
+	p := s.pools[pool]
+	if p == nil || len(p.workers) == 0 {
+		return nil, false
+	}
+	// The policy is asked twice; after that any free slot is better than refusing the request.
+	for range 2 {
+		w := p.policy.Pick(p)
+		if w == nil {
+			break
+		}
+		if w != avoid && w.usable() {
+			if g, ok := r.take(w, deadline, false); ok {
+				return g, true
+			}
+		}
+	}
+	n := len(p.workers)
+	start := p.Random(n)
+	for i := range n {
+		w := p.workers[(start+i)%n]
+		if w == avoid {
+			continue
+		}
+		if w.usable() {
+			if g, ok := r.take(w, deadline, false); ok {
+				return g, true
+			}
+		} else if g, ok := r.try(w, deadline); ok {
+			return g, true
+		}
+	}
+	if avoid != nil && avoid.usable() && s.homes[avoid] == p {
+		return r.take(avoid, deadline, false)
+	}
+	return nil, false
+}
+
+// try gives an ejected worker whose time has come one request.
+func (r *Router) try(w *Worker, deadline clock.Millis) (*Grant, bool) {
+	if w.leaving.Load() || !w.ejected.Load() || !w.trial.CompareAndSwap(true, false) {
+		return nil, false
+	}
+	g, ok := r.take(w, deadline, true)
+	if !ok {
+		w.trial.Store(true)
+	}
+	return g, ok
+}
+
+func (r *Router) take(w *Worker, deadline clock.Millis, trial bool) (*Grant, bool) {
+	if !w.account.TryAcquire(deadline) {
+		return nil, false
+	}
+	w.inFlight.Add(1)
+	return &Grant{router: r, worker: w, trial: trial}, true
+}
--- /dev/null
+++ b/worker/conn.go
@@ -0,0 +1,157 @@
+package worker
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+)
+
+// The states of what is known about the bytes of an exchange.
+const (
+	unsent  int32 = iota // no byte was handed to the kernel
+	sending              // some byte may have been handed over
+	sealed               // no byte was handed over and none will be
+)
+
+var (
+	errSealed     = errors.New("worker: the request was given up before it was sent")
+	errUnasked    = errors.New("worker: the connection carried bytes that no request asked for")
+	errWrongState = errors.New("worker: connection written without a request")
+)
+
+// exchange is one request on one connection.
+type exchange struct {
+	state atomic.Int32
+	sent  atomic.Bool // the whole request was passed on, so that an answer is due
+}
+
+// seal prevents any later write and reports whether none has happened.
+func (e *exchange) seal() bool {
+	return e.state.CompareAndSwap(unsent, sealed) || e.state.Load() == sealed
+}
+
+// conn is one connection to a worker. It wraps the network connection to see each byte and owns the http.ClientConn
+// on top of it.
+type conn struct {
+	net.Conn
+	target *Target
+	http   *http.ClientConn
+
+	exchange atomic.Pointer[exchange] // nil while idle
+	active   atomic.Int64             // time of the last byte in either direction
+	reading  atomic.Int64             // time since which a read waits, 0 for none
+	writing  atomic.Bool              // a write waits
+	used     atomic.Int64             // time at which the last exchange ended
+	unasked  atomic.Bool
+	silent   atomic.Bool
+	retired  atomic.Bool
+	closed   atomic.Bool
+	armed    atomic.Bool // the timer runs
+}
+
+// Read records progress and bytes that nobody asked for.
+func (c *conn) Read(b []byte) (int, error) {
+	// Times are shifted by one, because a fake clock may stand at 0.
+	c.reading.Store(int64(c.target.client.Clock.Now()) + 1)
+	n, err := c.Conn.Read(b)
+	c.reading.Store(0)
+	if n > 0 {
+		c.active.Store(int64(c.target.client.Clock.Now()))
+		if e := c.exchange.Load(); e == nil || e.state.Load() != sending {
+			c.unasked.Store(true)
+		}
+	}
+	return n, err
+}
+
+// Write records that a request was handed over, and refuses once the request was given up.
+func (c *conn) Write(b []byte) (int, error) {
+	e := c.exchange.Load()
+	if e == nil {
+		return 0, errWrongState
+	}
+	if c.unasked.Load() && e.state.Load() == unsent {
+		e.state.CompareAndSwap(unsent, sealed)
+		return 0, errUnasked
+	}
+	first := e.state.CompareAndSwap(unsent, sending)
+	if !first && e.state.Load() == sealed {
+		return 0, errSealed
+	}
+	c.writing.Store(true)
+	n, err := c.Conn.Write(b)
+	c.writing.Store(false)
+	if n > 0 {
+		c.active.Store(int64(c.target.client.Clock.Now()))
+	} else if first && err != nil {
+		e.state.Store(sealed) // the kernel took nothing
+	}
+	return n, err
+}
+
+// Close closes the connection once and gives its place back.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.target.forget(c)
+	return c.Conn.Close()
+}
+
+// begin makes e the exchange of the connection.
+func (c *conn) begin(e *exchange) {
+	c.active.Store(int64(c.target.client.Clock.Now()))
+	c.exchange.Store(e)
+	c.arm()
+}
+
+// usable reports whether an idle connection can take a request.
+func (c *conn) usable() bool {
+	return !c.closed.Load() && !c.unasked.Load() && !c.retired.Load() && c.http.Err() == nil
+}
+
+// arm starts the timer of the connection unless it runs. One timer serves many requests: when it fires it looks at
+// what has happened since, so that a request pays for no timer of its own.
+func (c *conn) arm() {
+	if c.armed.Swap(true) {
+		return
+	}
+	c.target.client.Clock.AfterFunc(c.target.client.progress(), c.check)
+}
+
+// check closes a connection that went silent, probes an idle one, and starts the timer again.
+func (c *conn) check() {
+	if c.closed.Load() {
+		return
+	}
+	client := c.target.client
+	limit := client.progress()
+	now := client.Clock.Now()
+	if e := c.exchange.Load(); e != nil {
+		wait := limit
+		if read := c.reading.Load(); read != 0 && (e.sent.Load() || c.writing.Load()) {
+			// Only the time during which this side waits counts: a caller that takes an answer slowly keeps this
+			// side from reading, and that is no fault of the worker.
+			since := clock.Millis(max(c.active.Load(), read-1))
+			if now-since >= limit {
+				c.silent.Store(true)
+				c.target.silence(c)
+				c.Close()
+				return
+			}
+			wait = limit - (now - since)
+		}
+		client.Clock.AfterFunc(wait, c.check)
+		return
+	}
+	idle := now - clock.Millis(c.active.Load())
+	if idle < client.probeEvery() {
+		client.Clock.AfterFunc(client.probeEvery()-idle, c.check)
+		return
+	}
+	c.armed.Store(false)
+	go c.target.probeIdle(c)
+}
