Let ejected workers be tried, keep the declared capacity, test routing

Cause: a policy that found a slot never reached an ejected worker whose trial was due; an answer that arrived during the ejection cleared the failures, so that the trial could not end it; workers that leave could take a pool with ejected workers below its capacity; least-used did not take exact turns. Change: a counter of due trials is checked before the policy; only the trial's answer ends an ejection; Update and MarkLeaving take ejected workers back up to the capacity; least-used searches from the worker after the last choice. Tests for each, and for every policy's use of all slots.

--- a/routing/grant.go
+++ b/routing/grant.go
@@ -40,7 +40,8 @@
 	switch outcome {
 	case Answered:
 		w.observeLatency(latency)
-		if w.failures.Load() != 0 {
+		// While a worker is ejected only the answer to its trial request counts; the others started before.
+		if w.failures.Load() != 0 && (g.trial || !w.ejected.Load()) {
 			w.failures.Store(0)
 			g.router.recover(w, g.trial)
 		}
@@ -50,7 +51,7 @@
 		}
 	case Neutral:
 		if g.trial && w.ejected.Load() {
-			w.trial.Store(true)
+			g.router.setTrial(w, true)
 		}
 	}
 }
@@ -61,6 +62,11 @@
 		return
 	}
 	r.log(EventLeaving, w)
+	r.mu.Lock()
+	if p := r.snapshot.Load().homes[w]; p != nil {
+		r.keepCapacity(p)
+	}
+	r.mu.Unlock()
 	if r.Probe != nil {
 		r.Clock.AfterFunc(lastProbe, func() { go r.recheckLeaving(w) })
 	}
@@ -154,7 +160,7 @@
 }
 
 func (r *Router) restore(w *Worker) {
-	w.trial.Store(false)
+	r.setTrial(w, false)
 	w.ejected.Store(false)
 	if w.stopTimer != nil {
 		w.stopTimer()
@@ -166,7 +172,7 @@
 func (r *Router) schedule(w *Worker) {
 	w.stopTimer = r.Clock.AfterFunc(w.backoff, func() {
 		if r.Probe == nil {
-			w.trial.Store(true)
+			r.setTrial(w, true)
 			return
 		}
 		go r.probe(w)
@@ -176,7 +182,7 @@
 func (r *Router) probe(w *Worker) {
 	_, err := r.Probe(context.Background(), w)
 	if err == nil {
-		w.trial.Store(true)
+		r.setTrial(w, true)
 		return
 	}
 	r.mu.Lock()
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -84,44 +84,28 @@
 }
 
 func (l *leastUsed) Pick(p *Pool) *Worker {
+	n := uint64(len(p.workers))
+	start := l.cursor.Load()
 	var best *Worker
-	var bestUsed, bestDistance, ties int64
-	// The first pass counts the equal workers, the second finds the one whose turn it is.
-	for pass := range 2 {
-		turn := int64(0)
-		if pass == 1 {
-			if ties <= 1 {
-				return best
-			}
-			turn = int64((l.cursor.Add(1) - 1) % uint64(ties))
+	var bestUsed int64
+	var bestDistance time.Duration
+	var bestIndex uint64
+	// The search begins after the worker chosen last, so that the first of equal ones is the one whose turn it is.
+	for i := range n {
+		index := (start + i) % n
+		w := p.workers[index]
+		if !w.usable() {
+			continue
+		}
+		used, far := w.inFlight.Load(), time.Duration(0)
+		if l.byDistance {
+			far = distance(w.RTT())
 		}
-		seen := int64(0)
-		for _, w := range p.workers {
-			if !w.usable() {
-				continue
-			}
-			used, far := w.inFlight.Load(), int64(0)
-			if l.byDistance {
-				far = int64(distance(w.RTT()))
-			}
-			if pass == 1 {
-				// Loads move between the passes; a worker that is better by now belongs to the equals too.
-				if used < bestUsed || (used == bestUsed && far <= bestDistance) {
-					if seen == turn {
-						return w
-					}
-					seen++
-				}
-				continue
-			}
-			switch {
-			case best == nil || used < bestUsed || (used == bestUsed && far < bestDistance):
-				best, bestUsed, bestDistance, ties = w, used, far, 1
-			case used == bestUsed && far == bestDistance:
-				ties++
-			}
+		if best == nil || used < bestUsed || (used == bestUsed && far < bestDistance) {
+			best, bestUsed, bestDistance, bestIndex = w, used, far, index
 		}
 	}
+	l.cursor.Store(bestIndex + 1)
 	return best
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -72,6 +72,7 @@
 
 	snapshot atomic.Pointer[snapshot]
 	sequence atomic.Uint64 // of the seeded random source
+	trials   atomic.Int64  // ejected workers that may get a request now
 
 	mu      sync.Mutex // serialises writers; Acquire and Release of working workers never take it
 	workers map[string]*Worker
@@ -147,15 +148,32 @@
 	for id, w := range r.workers {
 		if workers[id] != w {
 			w.leaving.Store(true) // readers of the old snapshot stop using it
-			if w.stopTimer != nil {
-				w.stopTimer()
-			}
+			r.restore(w)
 		}
 	}
 	r.workers = workers
+	for _, p := range next.pools {
+		r.keepCapacity(p)
+	}
 	r.snapshot.Store(next)
 }
 
+// keepCapacity takes ejected workers back while fewer than the declared capacity are in use.
+func (r *Router) keepCapacity(p *Pool) {
+	usable := 0
+	for _, w := range p.workers {
+		if w.usable() {
+			usable++
+		}
+	}
+	for _, w := range p.workers {
+		if usable < p.capacity && w.ejected.Load() && !w.leaving.Load() {
+			r.restore(w)
+			usable++
+		}
+	}
+}
+
 // adopt finds or makes the worker and applies what the list says about it. A worker that said itself that it leaves
 // stays so until the list has shown it as leaving, or without it, and shows it as serving again.
 func (r *Router) adopt(s WorkerState) *Worker {
@@ -198,6 +216,13 @@
 	if p == nil || len(p.workers) == 0 {
 		return nil, false
 	}
+	if avoid == nil && r.trials.Load() > 0 {
+		for _, w := range p.workers {
+			if g, ok := r.try(w, deadline); ok {
+				return g, true
+			}
+		}
+	}
 	// The policy is asked twice; after that any free slot is better than refusing the request.
 	for range 2 {
 		w := p.policy.Pick(p)
@@ -214,15 +239,10 @@
 	start := p.Random(n)
 	for i := range n {
 		w := p.workers[(start+i)%n]
-		if w == avoid {
-			continue
-		}
-		if w.usable() {
+		if w != avoid && w.usable() {
 			if g, ok := r.take(w, deadline, false); ok {
 				return g, true
 			}
-		} else if g, ok := r.try(w, deadline); ok {
-			return g, true
 		}
 	}
 	if avoid != nil && avoid.usable() && s.homes[avoid] == p {
@@ -233,16 +253,29 @@
 
 // try gives an ejected worker whose time has come one request.
 func (r *Router) try(w *Worker, deadline clock.Millis) (*Grant, bool) {
-	if w.leaving.Load() || !w.ejected.Load() || !w.trial.CompareAndSwap(true, false) {
+	if w.leaving.Load() || !w.ejected.Load() || !r.setTrial(w, false) {
 		return nil, false
 	}
 	g, ok := r.take(w, deadline, true)
 	if !ok {
-		w.trial.Store(true)
+		r.setTrial(w, true)
 	}
 	return g, ok
 }
 
+// setTrial allows or takes back the trial request of a worker and reports whether that changed anything.
+func (r *Router) setTrial(w *Worker, allowed bool) bool {
+	if !w.trial.CompareAndSwap(!allowed, allowed) {
+		return false
+	}
+	if allowed {
+		r.trials.Add(1)
+	} else {
+		r.trials.Add(-1)
+	}
+	return true
+}
+
 func (r *Router) take(w *Worker, deadline clock.Millis, trial bool) (*Grant, bool) {
 	if !w.account.TryAcquire(deadline) {
 		return nil, false
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,357 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"magnoliaferry/clock"
+)
+
+// slots is a fixed number of slots.
+type slots struct{ free atomic.Int64 }
+
+func (s *slots) TryAcquire(clock.Millis) bool {
+	for {
+		n := s.free.Load()
+		if n <= 0 {
+			return false
+		}
+		if s.free.CompareAndSwap(n, n-1) {
+			return true
+		}
+	}
+}
+func (s *slots) Release()  { s.free.Add(1) }
+func (s *slots) Free() int { return int(s.free.Load()) }
+
+func withSlots(n int) *slots {
+	s := &slots{}
+	s.free.Store(int64(n))
+	return s
+}
+
+func states(n, held int) []WorkerState {
+	var all []WorkerState
+	for i := range n {
+		all = append(all, NewWorkerState(fmt.Sprint("w", i), fmt.Sprint("10.0.0.", i, ":80"), "a", withSlots(held), false))
+	}
+	return all
+}
+
+func newRouter(policy string, capacity int, workers []WorkerState) (*Router, *clock.Clock) {
+	c := clock.NewFake(0)
+	r := &Router{Clock: c, Seed: 7}
+	r.Update([]PoolState{NewPoolState("p", policy, capacity, workers...)})
+	return r, c
+}
+
+func acquire(t *testing.T, r *Router) *Grant {
+	t.Helper()
+	g, ok := r.Acquire("p", 1000, nil)
+	if !ok {
+		t.Fatal("no slot")
+	}
+	return g
+}
+
+// failOn makes the worker fail n requests in a row, whatever the policy would choose.
+func failOn(r *Router, w *Worker, n int) {
+	for range n {
+		if g, ok := r.take(w, 0, false); ok {
+			g.Release(Failed, 0)
+		}
+	}
+}
+
+// Every policy must use each free slot before it refuses, and no worker beyond its slots.
+func TestPoliciesUseAllSlots(t *testing.T) {
+	for _, policy := range Policies.Names() {
+		r, _ := newRouter(policy, 3, states(3, 4))
+		var grants []*Grant
+		for {
+			g, ok := r.Acquire("p", 1000, nil)
+			if !ok {
+				break
+			}
+			grants = append(grants, g)
+		}
+		if len(grants) != 12 {
+			t.Errorf("%s: got %d grants, want 12", policy, len(grants))
+		}
+		for _, g := range grants {
+			g.Release(Answered, 5)
+			g.Release(Answered, 5) // a second release must not give a slot twice
+		}
+		for _, w := range r.snapshot.Load().pools["p"].workers {
+			if w.InFlight() != 0 || w.account.Free() != 4 {
+				t.Errorf("%s: %s has %d in flight and %d free, want 0 and 4", policy, w.ID(), w.InFlight(), w.account.Free())
+			}
+		}
+	}
+}
+
+// The spread of each policy is fixed by the seed; a change of it must be seen.
+func TestPolicyOrder(t *testing.T) {
+	for _, c := range []struct {
+		policy string
+		rtts   []time.Duration
+		want   string
+	}{
+		{"round-robin", nil, "w0 w1 w2 w0 w1 w2"},
+		{"least-used", nil, "w0 w1 w2 w0 w1 w2"},
+		{"least-used-distance", []time.Duration{4 * time.Millisecond, 900 * time.Microsecond, 200 * time.Microsecond}, "w1 w2 w0 w1 w2 w0"},
+		{"least-used-distance", []time.Duration{4 * time.Millisecond, 3 * time.Millisecond, 200 * time.Microsecond}, "w2 w0 w1 w2 w0 w1"},
+	} {
+		r, _ := newRouter(c.policy, 3, states(3, 8))
+		for i, rtt := range c.rtts {
+			r.workers[fmt.Sprint("w", i)].ObserveRTT(rtt)
+		}
+		got := ""
+		for range 6 {
+			got += " " + acquire(t, r).Worker().ID()
+		}
+		if got[1:] != c.want {
+			t.Errorf("%s: got %q, want %q", c.policy, got[1:], c.want)
+		}
+	}
+}
+
+// Distances that differ by less than half a step must count as equal.
+func TestDistance(t *testing.T) {
+	for rtt, want := range map[time.Duration]time.Duration{
+		0: 0, 900 * time.Microsecond: 0, 1 * time.Millisecond: time.Millisecond, 2900 * time.Microsecond: time.Millisecond,
+		3 * time.Millisecond: 2 * time.Millisecond, 6 * time.Millisecond: 3 * time.Millisecond} {
+		if got := distance(rtt); got != want {
+			t.Errorf("distance(%v): got %v, want %v", rtt, got, want)
+		}
+	}
+}
+
+// weighted must prefer the worker whose load, latency, distance and failures promise the earlier answer.
+func TestWeightedScore(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		better, then func(w *Worker)
+	}{
+		{"load per share", func(w *Worker) { w.inFlight.Store(1); w.account = withSlots(3) }, func(w *Worker) { w.account = withSlots(1) }},
+		{"latency", func(w *Worker) { w.observeLatency(10) }, func(w *Worker) { w.observeLatency(40) }},
+		{"distance", func(w *Worker) { w.ObserveRTT(time.Millisecond) }, func(w *Worker) { w.ObserveRTT(5 * time.Millisecond) }},
+		{"failures", func(*Worker) {}, func(w *Worker) { w.failures.Store(1) }},
+	} {
+		a, b := &Worker{account: withSlots(4)}, &Worker{account: withSlots(4)}
+		c.better(a)
+		c.then(b)
+		if score(a) >= score(b) {
+			t.Errorf("%s: got scores %v and %v, want the first lower", c.name, score(a), score(b))
+		}
+	}
+}
+
+// The same seed must give the same choices.
+func TestSeed(t *testing.T) {
+	run := func() (ids string) {
+		r, _ := newRouter("weighted", 5, states(5, 8))
+		for range 20 {
+			ids += acquire(t, r).Worker().ID()
+		}
+		return ids
+	}
+	if a, b := run(), run(); a != b {
+		t.Errorf("got %q and %q, want equal", a, b)
+	}
+}
+
+// Counters must survive a swap of the snapshot; a worker shown as leaving must get nothing from then on.
+func TestUpdateKeepsWorkers(t *testing.T) {
+	all := states(2, 8)
+	r, _ := newRouter("round-robin", 1, all)
+	g := acquire(t, r)
+	all[0].leaving = true
+	r.Update([]PoolState{NewPoolState("p", "round-robin", 1, all...)})
+	if w := r.workers["w0"]; w != g.Worker() || w.InFlight() != 1 || !w.Leaving() {
+		t.Fatalf("got in flight %d and leaving %v, want 1 and true", w.InFlight(), w.Leaving())
+	}
+	for range 8 {
+		if id := acquire(t, r).Worker().ID(); id != "w1" {
+			t.Fatalf("got %s, want w1", id)
+		}
+	}
+	if _, ok := r.Acquire("p", 1000, nil); ok {
+		t.Error("got a slot of a leaving worker")
+	}
+	g.Release(Answered, 1)
+	r.MarkLeaving(r.workers["w1"])
+	all[0].leaving = false
+	r.Update([]PoolState{NewPoolState("p", "round-robin", 1, all...)})
+	if r.workers["w0"].Leaving() || !r.workers["w1"].Leaving() {
+		t.Error("want w0 back after the list showed it and w1 leaving, because it said so itself")
+	}
+}
+
+// A worker that says it is leaving and restarts before the list shows it must come back by a probe.
+func TestLeavingRecheck(t *testing.T) {
+	r, c := newRouter("round-robin", 1, states(1, 8))
+	answers := make(chan bool, 2)
+	answers <- true
+	answers <- false
+	asked := make(chan struct{})
+	r.Probe = func(context.Context, *Worker) (bool, error) {
+		defer func() { asked <- struct{}{} }()
+		return <-answers, nil
+	}
+	w := r.workers["w0"]
+	r.MarkLeaving(w)
+	c.Advance(lastProbe)
+	<-asked
+	waitTimers(c, 1)
+	if !w.Leaving() {
+		t.Fatal("want leaving while the probe says so")
+	}
+	c.Advance(lastProbe)
+	<-asked
+	for w.Leaving() {
+		runtime.Gosched() // until the probe's goroutine has stored the result
+	}
+}
+
+func waitTimers(c *clock.Clock, n int) {
+	for c.Waiters() != n {
+		runtime.Gosched()
+	}
+}
+
+// A worker is ejected after 5 failures in a row, tried after 1 s, and its waits double up to 30 s.
+func TestEjectionAndTrials(t *testing.T) {
+	r, c := newRouter("round-robin", 3, states(4, 8))
+	w := r.workers["w1"]
+	failOn(r, w, 4)
+	if g, _ := r.take(w, 0, false); g != nil {
+		g.Release(Answered, 1)
+	}
+	failOn(r, w, 4)
+	if w.Ejected() {
+		t.Fatal("ejected without 5 failures in a row")
+	}
+	failOn(r, w, 1)
+	if !w.Ejected() {
+		t.Fatal("not ejected after 5 failures in a row")
+	}
+	for _, wait := range []clock.Millis{1000, 2000, 4000, 8000, 16000, 30000, 30000} {
+		c.Advance(wait - 1)
+		for range 8 {
+			g := acquire(t, r)
+			if g.Worker() == w {
+				t.Fatalf("used %d ms early", 1)
+			}
+			g.Release(Answered, 1)
+		}
+		c.Advance(1)
+		g := acquire(t, r)
+		if g.Worker() != w {
+			t.Fatalf("after %d ms: got %s, want the trial on w1", wait, g.Worker().ID())
+		}
+		if other := acquire(t, r); other.Worker() == w {
+			t.Fatal("two trials at once")
+		}
+		g.Release(Failed, 0)
+	}
+	c.Advance(30000)
+	acquire(t, r).Release(Answered, 1)
+	if w.Ejected() || w.Failures() != 0 {
+		t.Error("want the worker back after a trial that was answered")
+	}
+}
+
+// An ejected worker that does not answer the probe must not be given a request.
+func TestProbeBeforeTrial(t *testing.T) {
+	r, c := newRouter("round-robin", 1, states(2, 8))
+	answers := make(chan error)
+	r.Probe = func(context.Context, *Worker) (bool, error) { return false, <-answers }
+	w := r.workers["w0"]
+	failOn(r, w, 5)
+	c.Advance(firstProbe)
+	answers <- errors.New("down")
+	waitTimers(c, 1)
+	if r.trials.Load() != 0 {
+		t.Fatal("trial allowed after a failed probe")
+	}
+	c.Advance(2 * firstProbe)
+	answers <- nil
+	for r.trials.Load() == 0 {
+		runtime.Gosched()
+	}
+	if got := acquire(t, r).Worker(); got != w {
+		t.Errorf("got %s, want the trial on w0", got.ID())
+	}
+}
+
+// Ejections must leave the declared capacity, and stop where most of the pool fails.
+func TestEjectionLimits(t *testing.T) {
+	r, _ := newRouter("round-robin", 3, states(4, 8))
+	failOn(r, r.workers["w0"], 5)
+	failOn(r, r.workers["w1"], 5)
+	if !r.workers["w0"].Ejected() || r.workers["w1"].Ejected() {
+		t.Error("capacity 3 of 4: want exactly the first one ejected")
+	}
+	failOn(r, r.workers["w2"], 5)
+	if serving, failing := r.Serving("p"); serving != 4 || !failing {
+		t.Errorf("3 of 4 fail: got %d serving, failing %v, want 4 and true", serving, failing)
+	}
+	for range 8 {
+		acquire(t, r).Release(Answered, 1)
+	}
+	if _, failing := r.Serving("p"); failing {
+		t.Error("want the pool to be well after answers from all")
+	}
+	failOn(r, r.workers["w0"], 5)
+	r.MarkLeaving(r.workers["w3"])
+	if r.workers["w0"].Ejected() {
+		t.Error("want the ejected worker back when another one leaves and the capacity would not be kept")
+	}
+}
+
+// A retry must avoid the worker that failed unless it is the only one with a free slot.
+func TestAvoid(t *testing.T) {
+	r, _ := newRouter("least-used", 2, states(2, 1))
+	g, _ := r.Acquire("p", 1000, r.workers["w0"])
+	if g.Worker().ID() != "w1" {
+		t.Errorf("got %s, want w1", g.Worker().ID())
+	}
+	if g, ok := r.Acquire("p", 1000, r.workers["w0"]); !ok || g.Worker().ID() != "w0" {
+		t.Error("want w0 as the last resort")
+	}
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, seed := range []uint64{0, 1} {
+		for _, policy := range Policies.Names() {
+			for _, threads := range []int{1, 2, 4, 8, 10} {
+				b.Run(fmt.Sprintf("%s/seed=%d/threads=%d", policy, seed, threads), func(b *testing.B) {
+					r, _ := newRouter(policy, 10, states(10, 64))
+					r.Seed = seed
+					b.ReportAllocs()
+					b.ResetTimer()
+					done := make(chan struct{})
+					for i := range threads {
+						go func() {
+							for range b.N/threads + min(1, max(0, b.N%threads-i)) {
+								if g, ok := r.Acquire("p", 1000, nil); ok {
+									g.Release(Answered, 1)
+								}
+							}
+							done <- struct{}{}
+						}()
+					}
+					for range threads {
+						<-done
+					}
+				})
+			}
+		}
+	}
+}
