--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,584 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+)
+
+// The weights of the urgency classes; a class without waiting requests leaves its part to the others.
+const (
+	weightUrgent = 8
+	weightNormal = 4
+	weightBatch  = 1
+	weightTotal  = weightUrgent + weightNormal + weightBatch
+)
+
+var weights = [...]int{weightUrgent, weightNormal, weightBatch}
+
+// minRetryAfter keeps refused callers from repeating at once and maxRetryAfter is the longest request deadline.
+const (
+	minRetryAfter = 100 * clock.Millis(1)
+	maxRetryAfter = 30 * clock.Second
+)
+
+// Request describes what the queue has to know about a request.
+type Request struct {
+	caller   string
+	team     string
+	class    int
+	deadline clock.Millis
+}
+
+// NewRequest returns a request; deadline is a point in time of the queue's clock, and an unknown urgency counts as
+// normal.
+func NewRequest(caller, team string, urgency config.Urgency, deadline clock.Millis) Request {
+	class := 1
+	switch urgency {
+	case config.Urgent:
+		class = 0
+	case config.Batch:
+		class = 2
+	}
+	return Request{caller: caller, team: team, class: class, deadline: deadline}
+}
+
+// Caller returns the caller's name.
+func (r Request) Caller() string { return r.caller }
+
+// Team returns the team of the caller, or "".
+func (r Request) Team() string { return r.team }
+
+// Deadline returns the point in time at which the request ends.
+func (r Request) Deadline() clock.Millis { return r.deadline }
+
+// Urgency returns the urgency class.
+func (r Request) Urgency() config.Urgency {
+	return [...]config.Urgency{config.Urgent, config.Normal, config.Batch}[r.class]
+}
+
+// quotaGroup names the requests that share a quota: the team, or the caller when it belongs to none.
+func (r Request) quotaGroup() string {
+	if r.team != "" {
+		return "team/" + r.team
+	}
+	return "caller/" + r.caller
+}
+
+// Queue is the queue of one pool; G is what a request receives when its turn comes. The exported fields are set before
+// the first Enter.
+type Queue[G any] struct {
+	Clock     *clock.Clock
+	MaxLength int          // requests between Enter and their slot
+	MaxWait   clock.Millis // from Enter
+	// Acquire takes a slot without waiting. False says "not this request now"; the queue then tries the requests of
+	// other teams, so that a team at its quota does not block those behind it. Called with the queue locked.
+	Acquire func(Request) (G, bool)
+	// Release gives back a slot whose request no longer wants it. The queue offers it to the next request itself.
+	Release func(G)
+	// Free returns an upper bound of the slots that anyone could take. It is optional, and 0 ends a search that
+	// Acquire would only fail for each team in turn.
+	Free func() int
+
+	pending atomic.Int32 // tickets between Enter and Wait that are in no list
+	listed  atomic.Int32 // tickets in the lists; changes under mu
+	ready   atomic.Int32 // listed tickets whose owner is in Wait; changes under mu
+
+	mu      sync.Mutex
+	classes [len(weights)]class[G]
+	rate    rate
+}
+
+// class holds the waiting requests of one urgency.
+type class[G any] struct {
+	length  int
+	credit  int // dispatches left in this round
+	next    int // index in order whose turn it is
+	order   []*line[G]
+	callers map[string]*line[G]
+}
+
+// line is the list of waiting requests of one caller in one class, oldest first. The deficit of a line is one request,
+// because each request costs one slot: a round serves one request of each line.
+type line[G any] struct {
+	caller  string
+	tickets []*Ticket[G]
+}
+
+type ticketState int
+
+const (
+	statePending ticketState = iota // in no list
+	stateListed
+	stateGranted
+	stateRefused
+	stateGone // left, or the slot was handed to the owner
+)
+
+// Ticket is the place of one request; its owner calls Wait once, or Leave.
+type Ticket[G any] struct {
+	queue   *Queue[G]
+	request Request
+	entered clock.Millis
+	expiry  clock.Millis // first of the deadline and the longest wait
+	state   ticketState  // under queue.mu, but for statePending, which only the owner sees
+	waiting bool         // the owner is in Wait; under queue.mu
+	decided chan struct{}
+	grant   G
+	refusal *result.Refusal
+}
+
+// Enter gives the request a place or refuses it; it never blocks. The place counts from Enter, but a slot is taken only
+// in Wait, so that no slot is idle while the claim of the request is stored.
+func (q *Queue[G]) Enter(r Request) (*Ticket[G], *result.Refusal) {
+	now := q.Clock.Now()
+	if now >= r.deadline {
+		return nil, refuseDeadline(r, now)
+	}
+	t := &Ticket[G]{queue: q, request: r, entered: now, expiry: min(r.deadline, now+q.MaxWait)}
+	// A quarter of the length may be between Enter and Wait outside of the lists. Beyond that every ticket is listed
+	// at once, so that the rules for a full queue apply to requests that wait for their claim as well. The count grows
+	// before listed is read, and list does the reverse, so that one of them sees the other and the bound holds.
+	if int(q.pending.Add(1)) <= q.pendingLimit() && q.listed.Load() == 0 {
+		return t, nil
+	}
+	q.pending.Add(-1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refusal := q.list(t, now); refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// Wait blocks until the request has its slot or is refused; the context is that of the caller.
+func (t *Ticket[G]) Wait(ctx context.Context) (G, *result.Refusal) {
+	q := t.queue
+	now := q.Clock.Now()
+	if t.state == statePending && t.decided == nil {
+		if grant, ok := t.fast(ctx, now); ok {
+			return grant, nil
+		}
+	}
+	if refusal := t.begin(ctx, now); refusal != nil {
+		var none G
+		return none, refusal
+	}
+	expired := make(chan struct{})
+	stop := q.Clock.AfterFunc(t.expiry-now, func() { close(expired) })
+	defer stop()
+	select {
+	case <-t.decided:
+	case <-ctx.Done():
+	case <-expired:
+	}
+	return t.end(ctx)
+}
+
+// Leave gives up the place; it has no effect after Wait has returned.
+func (t *Ticket[G]) Leave() {
+	q := t.queue
+	if t.decided == nil {
+		if t.state == statePending {
+			t.state = stateGone
+			q.pending.Add(-1)
+		}
+		return
+	}
+	q.mu.Lock()
+	released := t.detach()
+	q.mu.Unlock()
+	q.giveBack(t, released)
+}
+
+// Wake tells the queue that a slot may have become free; it takes no lock when nobody waits.
+func (q *Queue[G]) Wake() {
+	if q.ready.Load() == 0 {
+		return
+	}
+	q.mu.Lock()
+	q.dispatch()
+	q.mu.Unlock()
+}
+
+// Length returns the number of requests between Enter and their slot.
+func (q *Queue[G]) Length() int {
+	return int(q.listed.Load() + q.pending.Load())
+}
+
+func (q *Queue[G]) pendingLimit() int { return (q.MaxLength + 3) / 4 }
+
+// fast takes a slot without the lock when nobody is ahead.
+func (t *Ticket[G]) fast(ctx context.Context, now clock.Millis) (grant G, ok bool) {
+	q := t.queue
+	if q.ready.Load() != 0 || now >= t.expiry || ctx.Err() != nil {
+		return grant, false
+	}
+	if grant, ok = q.Acquire(t.request); ok {
+		t.state = stateGone
+		q.pending.Add(-1)
+	}
+	return grant, ok
+}
+
+// begin lists the ticket when it is not listed yet and lets it take part in the dispatch.
+func (t *Ticket[G]) begin(ctx context.Context, now clock.Millis) *result.Refusal {
+	q := t.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if t.state == statePending {
+		q.pending.Add(-1)
+		if ctx.Err() != nil {
+			t.state = stateGone
+			return refuseLeft(t.request)
+		}
+		if now >= t.expiry {
+			t.state = stateGone
+			return t.refuseExpired(now)
+		}
+		if refusal := q.list(t, now); refusal != nil {
+			t.state = stateGone
+			return refusal
+		}
+	}
+	if t.state == stateListed {
+		t.waiting = true
+		if q.ready.Add(1) == 1 {
+			q.rate.start(now)
+		}
+		// A slot that came free after the last failed Acquire met no waiter, so the search runs again here.
+		q.dispatch()
+	}
+	return nil
+}
+
+// end takes the decision, or leaves the queue when there is none.
+func (t *Ticket[G]) end(ctx context.Context) (grant G, refusal *result.Refusal) {
+	q := t.queue
+	now := q.Clock.Now()
+	q.mu.Lock()
+	state := t.state
+	if state == stateGranted && ctx.Err() == nil && now < t.request.deadline {
+		t.state = stateGone
+		q.mu.Unlock()
+		return t.grant, nil
+	}
+	released := t.detach()
+	q.mu.Unlock()
+	q.giveBack(t, released)
+	switch {
+	case state == stateRefused:
+		return grant, t.refusal
+	case state == stateGone || ctx.Err() != nil:
+		return grant, refuseLeft(t.request)
+	default:
+		return grant, t.refuseExpired(now)
+	}
+}
+
+// detach ends the ticket and reports whether its slot has to be given back.
+func (t *Ticket[G]) detach() (release bool) {
+	if t.state == stateListed {
+		t.queue.unlist(t)
+	}
+	release = t.state == stateGranted
+	t.state = stateGone
+	return release
+}
+
+func (q *Queue[G]) giveBack(t *Ticket[G], release bool) {
+	if release {
+		q.Release(t.grant)
+		q.Wake()
+	}
+}
+
+// list adds a ticket to the line of its caller; in a full queue another ticket gives way or the request is refused.
+func (q *Queue[G]) list(t *Ticket[G], now clock.Millis) *result.Refusal {
+	if wait, known := q.predict(t.request, now); known && now+wait >= t.expiry {
+		detail := fmt.Sprintf("%d requests wait, and the predicted wait is %d ms", q.Length(), wait)
+		return result.Refuse(CodeWaitTooLong, detail, retryAfter(wait-(t.expiry-now)))
+	}
+	q.listed.Add(1)
+	if q.Length() > q.MaxLength {
+		q.dropExpired(now)
+	}
+	if q.Length() > q.MaxLength {
+		victim := q.victim(t.request)
+		if victim == nil {
+			q.listed.Add(-1)
+			detail := fmt.Sprintf("%d requests wait", q.MaxLength)
+			return result.Refuse(CodeQueueFull, detail, q.retryTime(now))
+		}
+		q.refuse(victim, result.Refuse(CodeDisplaced, fmt.Sprintf("caller %q has the most requests waiting",
+			victim.request.caller), q.retryTime(now)))
+	}
+	c := &q.classes[t.request.class]
+	if c.callers == nil {
+		c.callers = make(map[string]*line[G])
+	}
+	l := c.callers[t.request.caller]
+	if l == nil {
+		l = &line[G]{caller: t.request.caller}
+		c.callers[l.caller] = l
+		// The new line comes last in the current round.
+		c.order = append(c.order, nil)
+		copy(c.order[c.next+1:], c.order[c.next:])
+		c.order[c.next] = l
+		c.next = (c.next + 1) % len(c.order)
+	}
+	l.tickets = append(l.tickets, t)
+	c.length++
+	t.state = stateListed
+	t.decided = make(chan struct{})
+	return nil
+}
+
+// unlist removes a ticket from its line.
+func (q *Queue[G]) unlist(t *Ticket[G]) {
+	c := &q.classes[t.request.class]
+	l := c.callers[t.request.caller]
+	for i, o := range l.tickets {
+		if o == t {
+			copy(l.tickets[i:], l.tickets[i+1:])
+			l.tickets[len(l.tickets)-1] = nil
+			l.tickets = l.tickets[:len(l.tickets)-1]
+			break
+		}
+	}
+	c.length--
+	q.listed.Add(-1)
+	if t.waiting {
+		q.ready.Add(-1)
+	}
+	if len(l.tickets) > 0 {
+		return
+	}
+	delete(c.callers, l.caller)
+	for i, o := range c.order {
+		if o == l {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			if i < c.next {
+				c.next--
+			}
+			break
+		}
+	}
+	if c.next >= len(c.order) {
+		c.next = 0
+	}
+}
+
+func (q *Queue[G]) refuse(t *Ticket[G], refusal *result.Refusal) {
+	q.unlist(t)
+	t.state = stateRefused
+	t.refusal = refusal
+	close(t.decided)
+}
+
+// dropExpired refuses the listed requests whose time has passed.
+func (q *Queue[G]) dropExpired(now clock.Millis) {
+	var expired []*Ticket[G]
+	for i := range q.classes {
+		for _, l := range q.classes[i].order {
+			for _, t := range l.tickets {
+				if now >= t.expiry {
+					expired = append(expired, t)
+				}
+			}
+		}
+	}
+	for _, t := range expired {
+		q.refuse(t, t.refuseExpired(now))
+	}
+}
+
+// victim returns the ticket that gives way to r in a full queue, or nil. A class below its guaranteed part of the queue
+// takes from the class that is furthest above its own; otherwise the longest line of the same class gives way, if it is
+// at least two requests longer. The newest request of a line goes first, because it has lost the least.
+func (q *Queue[G]) victim(r Request) *Ticket[G] {
+	above, furthest := 0, -1
+	for i := range q.classes {
+		if over := q.classes[i].length - q.guaranteed(i); over > above {
+			above, furthest = over, i
+		}
+	}
+	if q.classes[r.class].length < q.guaranteed(r.class) {
+		if furthest < 0 {
+			return nil
+		}
+		return q.classes[furthest].longest().newest()
+	}
+	c := &q.classes[r.class]
+	own := 0
+	if l := c.callers[r.caller]; l != nil {
+		own = len(l.tickets)
+	}
+	if l := c.longest(); l != nil && len(l.tickets) >= own+2 {
+		return l.newest()
+	}
+	return nil
+}
+
+// guaranteed returns the part of the queue that a class keeps under a flood of the other classes.
+func (q *Queue[G]) guaranteed(class int) int { return max(1, q.MaxLength*weights[class]/weightTotal) }
+
+func (c *class[G]) longest() *line[G] {
+	var found *line[G]
+	for _, l := range c.order {
+		if found == nil || len(l.tickets) > len(found.tickets) {
+			found = l
+		}
+	}
+	return found
+}
+
+func (l *line[G]) newest() *Ticket[G] { return l.tickets[len(l.tickets)-1] }
+
+// dispatch hands out slots until none is left or nobody waits.
+func (q *Queue[G]) dispatch() {
+	now := q.Clock.Now()
+	var blocked map[string]bool // quota groups that Acquire turned down in this search
+	for q.ready.Load() > 0 {
+		if q.Free != nil && q.Free() <= 0 {
+			return
+		}
+		t := q.pick(now, blocked)
+		if t == nil {
+			return
+		}
+		grant, ok := q.Acquire(t.request)
+		if !ok {
+			if blocked == nil {
+				blocked = make(map[string]bool)
+			}
+			blocked[t.request.quotaGroup()] = true
+			continue
+		}
+		q.served(t)
+		q.unlist(t)
+		q.rate.observe(now)
+		t.state = stateGranted
+		t.grant = grant
+		close(t.decided)
+	}
+}
+
+// pick returns the next request in turn whose owner waits and whose quota group is not blocked. It refuses expired
+// requests on the way. Classes with credit come first; when none of them has such a request, the round is over.
+func (q *Queue[G]) pick(now clock.Millis, blocked map[string]bool) *Ticket[G] {
+	var next *Ticket[G]
+	for i := range q.classes {
+		if next != nil && q.classes[i].credit <= 0 {
+			continue
+		}
+		t := q.pickInClass(i, now, blocked)
+		if t != nil && q.classes[i].credit > 0 {
+			return t
+		}
+		if next == nil {
+			next = t
+		}
+	}
+	return next
+}
+
+func (q *Queue[G]) pickInClass(index int, now clock.Millis, blocked map[string]bool) *Ticket[G] {
+	c := &q.classes[index]
+	for i := 0; i < len(c.order); {
+		l := c.order[(c.next+i)%len(c.order)]
+		before := len(c.order)
+		for j := 0; j < len(l.tickets); {
+			t := l.tickets[j]
+			if now >= t.expiry {
+				q.refuse(t, t.refuseExpired(now))
+				continue
+			}
+			if t.waiting && !blocked[t.request.quotaGroup()] {
+				return t
+			}
+			j++
+		}
+		i++
+		if len(c.order) != before {
+			i = 0 // a line went with its expired requests, which moves the others
+		}
+	}
+	return nil
+}
+
+// served moves the turn past the caller of t and counts the dispatch against the credit of its class.
+func (q *Queue[G]) served(t *Ticket[G]) {
+	c := &q.classes[t.request.class]
+	if c.credit <= 0 {
+		// A new round. A class without requests gets its credit as well and keeps it for this round only, so that a rare
+		// urgent request need not wait for the end of a round, and a class saves nothing up.
+		for i := range q.classes {
+			q.classes[i].credit = weights[i]
+		}
+	}
+	c.credit--
+	for i, l := range c.order {
+		if l.caller == t.request.caller {
+			c.next = (i + 1) % len(c.order)
+			return
+		}
+	}
+}
+
+// predict returns how long r would wait at the observed rate.
+func (q *Queue[G]) predict(r Request, now clock.Millis) (wait clock.Millis, known bool) {
+	interval, known := q.rate.interval(now)
+	if !known || q.ready.Load() == 0 {
+		return 0, false
+	}
+	c := &q.classes[r.class]
+	own := 0
+	if l := c.callers[r.caller]; l != nil {
+		own = len(l.tickets)
+	}
+	inClass := 1 + own
+	for _, l := range c.order {
+		if l.caller != r.caller {
+			inClass += min(len(l.tickets), own+1)
+		}
+	}
+	ahead := inClass
+	for i := range q.classes {
+		if i != r.class {
+			ahead += min(q.classes[i].length, (inClass*weights[i]+weights[r.class]-1)/weights[r.class])
+		}
+	}
+	return clock.Millis(float64(ahead) * interval), true
+}
+
+// retryTime estimates when the requests that wait now have been served.
+func (q *Queue[G]) retryTime(now clock.Millis) clock.Millis {
+	if interval, known := q.rate.interval(now); known {
+		return retryAfter(clock.Millis(float64(q.Length()) * interval))
+	}
+	return retryAfter(q.MaxWait)
+}
+
+func retryAfter(d clock.Millis) clock.Millis { return min(max(d, minRetryAfter), maxRetryAfter) }
+
+func (t *Ticket[G]) refuseExpired(now clock.Millis) *result.Refusal {
+	if now >= t.request.deadline {
+		return refuseDeadline(t.request, now)
+	}
+	detail := fmt.Sprintf("the request waited %d ms", now-t.entered)
+	return result.Refuse(CodeWaitExpired, detail, retryAfter(t.queue.MaxWait))
+}
+
+func refuseDeadline(r Request, now clock.Millis) *result.Refusal {
+	return result.Refuse(CodeDeadlinePassed, fmt.Sprintf("the deadline passed %d ms ago", now-r.deadline), 0)
+}
+
+func refuseLeft(r Request) *result.Refusal {
+	return result.Refuse(CodeCallerLeft, fmt.Sprintf("caller %q left the queue", r.caller), 0)
+}
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+)
+
+// bench is a queue over a number of slots, with the slots of each team limited to quota; 0 is no limit.
+type bench struct {
+	*Queue[string]
+	free  int
+	quota int
+	teams map[string]int
+}
+
+func newBench(slots, length, quota int) *bench {
+	b := &bench{free: slots, quota: quota, teams: map[string]int{}}
+	b.Queue = &Queue[string]{Clock: clock.NewFake(0), MaxLength: length, MaxWait: 2 * clock.Second,
+		Acquire: func(r Request) (string, bool) {
+			if b.free == 0 || (b.quota > 0 && b.teams[r.Team()] == b.quota) {
+				return "", false
+			}
+			b.free--
+			b.teams[r.Team()]++
+			return r.Team(), true
+		},
+		Release: func(team string) { b.free++; b.teams[team]-- },
+	}
+	return b
+}
+
+// wait enters a request and begins its wait without blocking; the ticket has its decision once decided is closed.
+func (b *bench) wait(caller, team string, u config.Urgency, deadline clock.Millis) (*Ticket[string], *result.Refusal) {
+	t, refusal := b.Enter(NewRequest(caller, team, u, deadline))
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, t.begin(context.Background(), b.Clock.Now())
+}
+
+// serve frees slots one by one and returns the callers in the order of their dispatch.
+func (b *bench) serve(tickets []*Ticket[string], slots int) (order []string) {
+	for range slots {
+		before := map[*Ticket[string]]bool{}
+		for _, t := range tickets {
+			before[t] = t.state == stateGranted
+		}
+		b.free++
+		b.Wake()
+		for _, t := range tickets {
+			if t.state == stateGranted && !before[t] {
+				order = append(order, t.request.caller)
+			}
+		}
+	}
+	return order
+}
+
+// Guards against classes that do not share by weight, or that leave slots idle.
+func TestClassesShareByWeight(t *testing.T) {
+	b := newBench(0, 200, 0)
+	var tickets []*Ticket[string]
+	for i := range 40 {
+		for _, u := range []config.Urgency{config.Urgent, config.Normal, config.Batch} {
+			ticket, refusal := b.wait(string(u), "", u, clock.Minute)
+			if refusal != nil {
+				t.Fatalf("request %d got %v, want a place", i, refusal)
+			}
+			tickets = append(tickets, ticket)
+		}
+	}
+	got := map[string]int{}
+	for _, caller := range b.serve(tickets, 26) {
+		got[caller]++
+	}
+	if got["urgent"] != 16 || got["normal"] != 8 || got["batch"] != 2 {
+		t.Errorf("dispatches got %v, want 16, 8 and 2", got)
+	}
+	if got := len(b.serve(tickets, 94)); got != 94 {
+		t.Errorf("dispatches of the rest got %d, want 94", got)
+	}
+}
+
+// Guards against a caller that gets more slots because it sends more requests.
+func TestCallersTakeTurns(t *testing.T) {
+	b := newBench(0, 200, 0)
+	var tickets []*Ticket[string]
+	for _, caller := range []string{"a", "a", "a", "a", "b", "a", "c", "b"} {
+		ticket, _ := b.wait(caller, "", config.Normal, clock.Minute)
+		tickets = append(tickets, ticket)
+	}
+	got, want := fmt.Sprint(b.serve(tickets, 8)), "[a b c a b a a a]"
+	if got != want {
+		t.Errorf("order got %v, want %v", got, want)
+	}
+}
+
+// Guards against a team at its quota that blocks the callers behind it.
+func TestQuotaDoesNotBlockOthers(t *testing.T) {
+	b := newBench(3, 200, 1)
+	b.wait("a", "x", config.Urgent, clock.Minute)
+	blocked, _ := b.wait("a", "x", config.Urgent, clock.Minute)
+	other, _ := b.wait("b", "y", config.Batch, clock.Minute)
+	if blocked.state != stateListed || other.state != stateGranted {
+		t.Errorf("states got %v and %v, want listed and granted", blocked.state, other.state)
+	}
+}
+
+// Guards against a flood that fills the queue, in each class: the smallest caller must get in and be served in turn.
+func TestSmallestCallerGetsIn(t *testing.T) {
+	classes := []config.Urgency{config.Urgent, config.Normal, config.Batch}
+	for _, flood := range classes {
+		for _, small := range classes {
+			b := newBench(0, 26, 0)
+			var tickets []*Ticket[string]
+			for range 100 {
+				if ticket, refusal := b.wait("flood", "", flood, clock.Minute); refusal == nil {
+					tickets = append(tickets, ticket)
+				}
+			}
+			ticket, refusal := b.wait("small", "", small, clock.Minute)
+			if refusal != nil {
+				t.Errorf("%s under a flood of %s got %v, want a place", small, flood, refusal)
+				continue
+			}
+			displaced := 0
+			for _, o := range tickets {
+				if o.state == stateRefused && o.refusal.Code() == CodeDisplaced {
+					displaced++
+				}
+			}
+			b.serve(append(tickets, ticket), 13)
+			if displaced != 1 || b.Length() > 26 || ticket.state != stateGranted {
+				t.Errorf("%s under a flood of %s: displaced %d, length %d, state %v; want 1, at most 26, granted",
+					small, flood, displaced, b.Length(), ticket.state)
+			}
+		}
+	}
+}
+
+// Guards against a caller that waits in vain although the observed rate says that its deadline will pass.
+func TestEarlyRefusalByRate(t *testing.T) {
+	b := newBench(0, 200, 0)
+	var tickets []*Ticket[string]
+	for range 20 {
+		ticket, _ := b.wait("a", "", config.Normal, clock.Minute)
+		tickets = append(tickets, ticket)
+	}
+	for range rateMinSamples {
+		b.Clock.Advance(100)
+		b.serve(tickets, 1)
+	}
+	now := b.Clock.Now()
+	if _, refusal := b.Enter(NewRequest("a", "", config.Normal, now+1500)); refusal == nil ||
+		refusal.Code() != CodeWaitTooLong || refusal.RetryAfter() < minRetryAfter {
+		t.Errorf("16 ahead at 100 ms each got %v, want an early refusal with a retry time", refusal)
+	}
+	if _, refusal := b.Enter(NewRequest("b", "", config.Normal, now+1500)); refusal != nil {
+		t.Errorf("a caller whose turn is next but one got %v, want a place", refusal)
+	}
+}
+
+// Guards against expired work that is dispatched, and against waiters that outlive their time.
+func TestExpiredIsNeverDispatched(t *testing.T) {
+	b := newBench(0, 200, 0)
+	soon, _ := b.wait("a", "", config.Normal, 100)
+	later, _ := b.wait("b", "", config.Normal, clock.Minute)
+	b.Clock.Advance(100)
+	b.serve(nil, 1)
+	if soon.state != stateRefused || soon.refusal.Code() != CodeDeadlinePassed || later.state != stateGranted {
+		t.Errorf("states got %v and %v, want refused and granted", soon.state, later.state)
+	}
+	last, _ := b.wait("a", "", config.Normal, clock.Minute)
+	b.Clock.Advance(2 * clock.Second)
+	if _, refusal := last.end(context.Background()); refusal == nil || refusal.Code() != CodeWaitExpired {
+		t.Errorf("after the longest wait got %v, want expired", refusal)
+	}
+}
+
+// Guards against a slot that leaks when its waiter leaves at the moment of its turn: the next one must get it.
+func TestLeavingPassesTheSlotOn(t *testing.T) {
+	b := newBench(0, 200, 0)
+	first, _ := b.wait("a", "", config.Normal, clock.Minute)
+	second, _ := b.wait("b", "", config.Normal, clock.Minute)
+	third, _ := b.wait("c", "", config.Normal, clock.Minute)
+	b.serve(nil, 1)
+	first.Leave()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, refusal := second.Wait(canceled); refusal == nil || refusal.Code() != CodeCallerLeft {
+		t.Errorf("Wait with an ended context got %v, want caller left", refusal)
+	}
+	if third.state != stateGranted || b.Length() != 0 || b.ready.Load() != 0 {
+		t.Errorf("third got state %v with %d in the queue, want granted and 0", third.state, b.Length())
+	}
+}
--- /dev/null
+++ b/claim/cleanup.go
@@ -0,0 +1,43 @@
+package claim
+
+import (
+	"context"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/platform"
+)
+
+// CleanUp deletes claims that were written before now minus the retention, both by wall clocks. It scans at most limit
+// rows after the given key and returns the key from which to go on, or "" at the end. A row that changes meanwhile, or
+// whose deletion fails, is left for the next pass, so nothing has to be settled. The control loop calls it at intervals.
+func CleanUp(ctx context.Context, table platform.Table, now, retention clock.Millis, after string, limit int) (
+	next string, deleted int, err error) {
+	rows, err := table.Scan(ctx, keyPrefix, after, limit)
+	if err != nil {
+		return after, 0, err
+	}
+	var deletes []platform.Write
+	for _, r := range rows {
+		if found, err := decodeRow(r.Value()); err == nil && found.Written < now-retention {
+			deletes = append(deletes, platform.Delete(r.Key(), r.Version()))
+		}
+	}
+	if len(rows) == limit {
+		next = rows[len(rows)-1].Key()
+	}
+	if len(deletes) == 0 {
+		return next, 0, nil
+	}
+	switch err := table.Commit(ctx, platform.NewTransaction("claim/clean-up", deletes...)); {
+	case err == nil:
+		return next, len(deletes), nil
+	case !platformConflict(err):
+		return after, 0, err
+	}
+	for _, w := range deletes { // one row changed; the others go one by one
+		if table.Commit(ctx, platform.NewTransaction("claim/clean-up", w)) == nil {
+			deleted++
+		}
+	}
+	return next, deleted, nil
+}
--- /dev/null
+++ b/claim/row.go
@@ -0,0 +1,110 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"magnoliaferry/clock"
+)
+
+// MaxAnswer is the size in bytes up to which the header and body of an answer are recorded.
+const MaxAnswer = 64 << 10
+
+// keyPrefix is the prefix of the keys of all claims.
+const keyPrefix = "claim/"
+
+// rowKey returns the key of a claim; the parts are escaped, so that no two claims share a row.
+func rowKey(caller, key string) string {
+	return keyPrefix + url.PathEscape(caller) + "/" + url.PathEscape(key)
+}
+
+// Answer is what a run of a request ended with.
+type Answer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	kept    bool
+	unknown bool
+}
+
+// NewAnswer returns the complete answer of a worker; it must not be changed afterwards.
+func NewAnswer(status int, header http.Header, body []byte) Answer {
+	return Answer{status: status, header: header, body: body, kept: true}
+}
+
+// TooLargeAnswer returns an answer whose body is not recorded, for example because it was streamed.
+func TooLargeAnswer(status int) Answer { return Answer{status: status} }
+
+// UnknownAnswer says that the request was handed over and that nobody knows how it ended.
+func UnknownAnswer() Answer { return Answer{unknown: true} }
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Header returns the HTTP header.
+func (a Answer) Header() http.Header { return a.header }
+
+// Body returns the body.
+func (a Answer) Body() []byte { return a.body }
+
+type rowState string
+
+const (
+	stateClaimed   rowState = "claimed"
+	stateDone      rowState = "done"
+	stateAbandoned rowState = "abandoned" // certainly not run; may be claimed again
+)
+
+// row is the value of claim/<caller>/<key>.
+type row struct {
+	State       rowState     `json:"state"`
+	Holder      string       `json:"holder"`
+	Incarnation int64        `json:"incarnation"`
+	Fingerprint string       `json:"fingerprint,omitempty"`
+	Written     clock.Millis `json:"written-ms"` // wall clock of the holder, since 1970
+	Status      int          `json:"status,omitempty"`
+	Header      http.Header  `json:"header,omitempty"`
+	Body        []byte       `json:"body,omitempty"`
+	NotKept     bool         `json:"answer-not-kept,omitempty"`
+}
+
+func (r row) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // numbers, strings and bytes always encode
+	}
+	return value
+}
+
+func decodeRow(value []byte) (row, error) {
+	var r row
+	if err := json.Unmarshal(value, &r); err != nil {
+		return row{}, fmt.Errorf("claim row: %w", err)
+	}
+	return r, nil
+}
+
+// withAnswer returns the row in the state done.
+func (r row) withAnswer(a Answer) row {
+	r.State, r.Status, r.Header, r.Body = stateDone, a.status, a.header, a.body
+	if !a.kept || r.size() > MaxAnswer+rowOverhead {
+		r.Header, r.Body, r.NotKept = nil, nil, true
+	}
+	return r
+}
+
+// rowOverhead is about the size in bytes of a row without an answer.
+const rowOverhead = 256
+
+// size returns about how many bytes the row takes.
+func (r row) size() int {
+	size := rowOverhead + len(r.Body)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/claim/store.go
@@ -0,0 +1,665 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/platform"
+	"magnoliaferry/result"
+)
+
+// Defaults of the settings of a Store.
+const (
+	// DefaultInterval gives at most 20 transactions a second for each entry instance, 180 for the 9 of a user; the
+	// platform sustains several hundred.
+	DefaultInterval   = 50 * clock.Millis(1)
+	DefaultTimeout    = clock.Second
+	DefaultMaxBatch   = 256
+	DefaultBatchBytes = 1 << 20
+	DefaultMaxPending = 2048
+	// forgetAfter is how long after its deadline a dispatched request that nobody finished counts as running.
+	forgetAfter = clock.Minute
+)
+
+// Store claims requests in the table. The exported fields are set before Run; zero values give the defaults.
+type Store struct {
+	Clock       *clock.Clock
+	Table       platform.Table
+	Holder      string // id of the entry instance
+	Incarnation int64  // differs for each start of the process
+
+	Interval   clock.Millis // between the starts of two transactions
+	Timeout    clock.Millis // of one access to the table
+	MaxBatch   int          // claims and answers in a transaction
+	BatchBytes int          // values in a transaction; a single answer may exceed it
+	MaxPending int          // claims that are known at once
+	// WallClock returns milliseconds since 1970, for the retention. Nil takes the system's time.
+	WallClock func() clock.Millis
+	// HolderRuns asks the holder of a claim whether the request still runs there, see Runs. Nil: unknown.
+	HolderRuns func(ctx context.Context, holder string, incarnation int64, caller, key string) bool
+	Logger     *slog.Logger // nil: no log
+
+	mu        sync.Mutex
+	entries   map[string]*entry // by row key
+	queue     []*entry          // entries with something to write, oldest first
+	claims    int               // claims in the queue or in the transaction in flight
+	breaker   breaker
+	sequence  int64 // of the operation ids
+	stopped   bool
+	wakeOnce  sync.Once
+	wakeup    chan struct{}
+	lastStart clock.Millis
+}
+
+// phase says what an entry has to write next.
+type phase int
+
+const (
+	phaseClaim   phase = iota // the claim, conditional on the row as last seen
+	phaseHeld                 // nothing; the claim is stored
+	phaseDone                 // the answer
+	phaseAbandon              // that the request was not run
+)
+
+// entry is a claim that this store holds or tries to store.
+type entry struct {
+	rowKey      string
+	caller, key string
+	deadline    clock.Millis
+	value       row // as it is written next
+	phase       phase
+	version     int64 // of the row that the next write replaces
+	known       bool  // version is known
+	permit      *Permit
+
+	// For a claim that waits.
+	left     bool // nobody waits for the decision any more
+	decided  chan struct{}
+	decision Decision
+	refusal  *result.Refusal
+}
+
+// Claim claims the key without a fingerprint of the request; see ClaimWithFingerprint.
+func (s *Store) Claim(ctx context.Context, caller, key string, deadline clock.Millis) (Decision, error) {
+	return s.ClaimWithFingerprint(ctx, caller, key, "", deadline)
+}
+
+// ClaimWithFingerprint stores the claim of a key and returns a permit to dispatch, or the recorded answer of an earlier
+// attempt. Any error is a *result.Refusal. A fingerprint, for example a digest of method, path and body, makes sure that
+// the key is not used for a different request; an empty one is not compared. The deadline is a point in time.
+func (s *Store) ClaimWithFingerprint(ctx context.Context, caller, key, fingerprint string, deadline clock.Millis) (
+	Decision, error) {
+	e, refusal := s.begin(caller, key, fingerprint, deadline)
+	if refusal != nil {
+		return Decision{}, refusal
+	}
+	ctx, cancel := s.Clock.WithTimeout(ctx, deadline-s.Clock.Now())
+	defer cancel()
+	select {
+	case <-e.decided:
+	case <-ctx.Done():
+	}
+	d, holder, refusal := s.end(ctx, e)
+	if refusal != nil && refusal.Code() == CodeOutcomeUnknown && holder.Holder != "" && s.HolderRuns != nil &&
+		s.HolderRuns(ctx, holder.Holder, holder.Incarnation, caller, key) {
+		refusal = result.Refuse(CodeStillRunning, "entry instance "+holder.Holder+" runs it", clock.Second)
+	}
+	if refusal != nil {
+		return Decision{}, refusal
+	}
+	return d, nil
+}
+
+// Finish records the answer of a request that was dispatched. It returns at once; the write follows in a batch.
+func (s *Store) Finish(caller, key string, answer Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[rowKey(caller, key)]
+	if e == nil || e.phase != phaseHeld || !e.permit.state.CompareAndSwap(permitUsed, permitFinished) {
+		eventMisuse.Log(context.Background(), s.Logger, slog.String("caller", caller), slog.String("key", key))
+		return
+	}
+	if answer.unknown {
+		delete(s.entries, e.rowKey) // the row stays claimed
+		return
+	}
+	e.value = e.value.withAnswer(answer)
+	s.enqueue(e, phaseDone)
+}
+
+// Abandon says that a claimed request is not dispatched; the key can then be claimed again. It has no effect once the
+// permit was used.
+func (s *Store) Abandon(caller, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[rowKey(caller, key)]
+	if e == nil || e.phase != phaseHeld {
+		return
+	}
+	if !e.permit.void() {
+		eventMisuse.Log(context.Background(), s.Logger, slog.String("caller", caller), slog.String("key", key))
+		return
+	}
+	s.abandon(e)
+}
+
+// Runs reports whether this store holds the claim, for peers that ask on behalf of a repeat.
+func (s *Store) Runs(caller, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[rowKey(caller, key)]
+	return e != nil && (e.phase == phaseHeld || e.phase == phaseDone)
+}
+
+// begin queues a claim or refuses it at once.
+func (s *Store) begin(caller, key, fingerprint string, deadline clock.Millis) (*entry, *result.Refusal) {
+	now := s.Clock.Now()
+	if now >= deadline {
+		return nil, result.Refuse(CodeDeadlinePassed, "the deadline passed before the claim", 0)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := rowKey(caller, key)
+	if e := s.entries[id]; e != nil {
+		return s.repeat(e, fingerprint, now)
+	}
+	if len(s.entries) >= or(s.MaxPending, DefaultMaxPending) {
+		s.sweep(now)
+	}
+	switch {
+	case s.stopped:
+		return nil, result.Refuse(CodeStopping, "the entry instance takes no new claims", clock.Second)
+	case s.breaker.open, s.breaker.limit > 0 && s.claims >= s.breaker.limit:
+		return nil, result.Refuse(CodeTableUnavailable, "the table did not answer lately", s.breaker.retryAfter(now))
+	case len(s.entries) >= or(s.MaxPending, DefaultMaxPending):
+		return nil, result.Refuse(CodeTooManyClaims, fmt.Sprintf("%d claims are open", len(s.entries)), clock.Second)
+	}
+	e := &entry{rowKey: id, caller: caller, key: key, deadline: deadline, decided: make(chan struct{}), known: true,
+		value: row{State: stateClaimed, Holder: s.Holder, Incarnation: s.Incarnation, Fingerprint: fingerprint}}
+	if s.entries == nil {
+		s.entries = make(map[string]*entry)
+	}
+	s.entries[id] = e
+	s.claims++
+	s.enqueue(e, phaseClaim)
+	return e, nil
+}
+
+// repeat answers a repeat of a key that this store knows.
+func (s *Store) repeat(e *entry, fingerprint string, now clock.Millis) (*entry, *result.Refusal) {
+	switch {
+	case differ(e.value.Fingerprint, fingerprint):
+		return nil, result.Refuse(CodeKeyReused, "the key is in use for another request", 0)
+	case e.phase == phaseAbandon:
+		return nil, result.Refuse(CodeTableUnavailable, "an earlier attempt is being given up",
+			s.breaker.retryAfter(now))
+	case e.phase != phaseDone:
+		return nil, result.Refuse(CodeStillRunning, "this entry instance runs it", clock.Second)
+	}
+	// The answer is known here, although it is not stored yet.
+	answered := &entry{decided: make(chan struct{}), deadline: e.deadline}
+	close(answered.decided)
+	answered.decision, answered.refusal = recorded(e.value)
+	return answered, nil
+}
+
+// recorded returns the answer of a row in the state done.
+func recorded(r row) (Decision, *result.Refusal) {
+	if r.NotKept {
+		return Decision{}, result.Refuse(CodeAnswerNotKept, fmt.Sprintf("the status was %d", r.Status), 0)
+	}
+	a := NewAnswer(r.Status, r.Header, r.Body)
+	return Decision{answer: &a}, nil
+}
+
+// sweep gives up entries that their owner never finished nor abandoned, so that they do not fill the store.
+func (s *Store) sweep(now clock.Millis) {
+	for id, e := range s.entries {
+		if e.phase != phaseHeld || now < e.deadline {
+			continue
+		}
+		if e.permit.void() {
+			s.abandon(e)
+		} else if now >= e.deadline+forgetAfter {
+			delete(s.entries, id) // the row stays claimed
+		}
+	}
+}
+
+// end takes the decision. A claim without one is given up; it was not dispatched, so that is certain.
+func (s *Store) end(ctx context.Context, e *entry) (Decision, row, *result.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-e.decided:
+		if e.permit == nil {
+			return e.decision, e.value, e.refusal
+		}
+		if ctx.Err() == nil {
+			return e.decision, row{}, nil
+		}
+		if e.phase == phaseHeld && e.permit.void() {
+			s.abandon(e)
+		}
+	default:
+		e.left = true
+	}
+	if s.Clock.Now() >= e.deadline {
+		return Decision{}, row{}, result.Refuse(CodeDeadlinePassed, "the claim was not stored in time", 0)
+	}
+	return Decision{}, row{}, result.Refuse(CodeCallerLeft, "the caller left during the claim", 0)
+}
+
+// abandon queues the write that makes the key free again.
+func (s *Store) abandon(e *entry) {
+	e.value.State = stateAbandoned
+	s.enqueue(e, phaseAbandon)
+}
+
+// enqueue adds an entry to the next batch.
+func (s *Store) enqueue(e *entry, p phase) {
+	e.phase = p
+	s.queue = append(s.queue, e)
+	select {
+	case s.wake() <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Store) wake() chan struct{} {
+	s.wakeOnce.Do(func() { s.wakeup = make(chan struct{}, 1) })
+	return s.wakeup
+}
+
+// refuse decides a claim that was not stored and forgets it.
+func (s *Store) refuse(e *entry, refusal *result.Refusal) {
+	s.claims--
+	e.refusal = refusal
+	delete(s.entries, e.rowKey)
+	close(e.decided)
+}
+
+// Run writes batches until the context ends. It then refuses the claims that wait and writes the answers that are
+// finished by then, for at most the timeout of one access.
+func (s *Store) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !s.await(ctx) {
+			break
+		}
+		s.step(ctx)
+	}
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	last, cancel := s.Clock.WithTimeout(context.WithoutCancel(ctx), or(s.Timeout, DefaultTimeout))
+	defer cancel()
+	for more := true; more; {
+		s.step(last)
+		s.mu.Lock()
+		more = len(s.queue) > 0 && !s.breaker.open && last.Err() == nil
+		s.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+// await returns when the next transaction may start, or false at the end of the context.
+func (s *Store) await(ctx context.Context) bool {
+	s.mu.Lock()
+	open, until, waiting := s.breaker.open, s.breaker.until, len(s.queue) > 0
+	s.mu.Unlock()
+	if open {
+		return s.Clock.Sleep(ctx, max(until-s.Clock.Now(), 0)) == nil
+	}
+	if !waiting {
+		select {
+		case <-s.wake():
+		case <-ctx.Done():
+			return false
+		}
+	}
+	pause := s.lastStart + or(s.Interval, DefaultInterval) - s.Clock.Now()
+	return pause <= 0 || s.Clock.Sleep(ctx, pause) == nil
+}
+
+// step writes one batch, after a probe when the breaker is open.
+func (s *Store) step(ctx context.Context) {
+	s.lastStart = s.Clock.Now()
+	s.mu.Lock()
+	open := s.breaker.open
+	s.mu.Unlock()
+	if open {
+		if _, err := s.read(ctx, keyPrefix+"probe"); err != nil {
+			s.fail()
+			return
+		}
+		s.mu.Lock()
+		s.breaker.probed()
+		s.mu.Unlock()
+	}
+	if batch := s.take(); len(batch) > 0 {
+		s.write(ctx, batch)
+	}
+}
+
+// fail opens the breaker and refuses the claims that wait, so that an outage does not hold them until their deadline.
+func (s *Store) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.breaker.open && s.breaker.limit == 0 {
+		eventOpened.Log(context.Background(), s.Logger)
+	}
+	now := s.Clock.Now()
+	s.breaker.failed(now)
+	var rest []*entry
+	for _, e := range s.queue {
+		if e.phase == phaseClaim {
+			s.refuse(e, s.refuseUnavailable(now))
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	s.queue = rest
+}
+
+func (s *Store) refuseUnavailable(now clock.Millis) *result.Refusal {
+	return result.Refuse(CodeTableUnavailable, "the table did not answer", s.breaker.retryAfter(now))
+}
+
+// take removes the next batch from the queue. Claims that nobody waits for any more are dropped without a write.
+func (s *Store) take() []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	var batch []*entry
+	bytes := 0
+	for len(s.queue) > 0 && len(batch) < or(s.MaxBatch, DefaultMaxBatch) {
+		e := s.queue[0]
+		if e.phase == phaseClaim && (e.left || s.stopped || now >= e.deadline) {
+			s.queue = s.queue[1:]
+			s.refuse(e, s.refuseUnwritten(e, now))
+			continue
+		}
+		if bytes += e.value.size(); bytes > or(s.BatchBytes, DefaultBatchBytes) && len(batch) > 0 {
+			break
+		}
+		s.queue = s.queue[1:]
+		batch = append(batch, e)
+	}
+	return batch
+}
+
+func (s *Store) refuseUnwritten(e *entry, now clock.Millis) *result.Refusal {
+	if s.stopped {
+		return result.Refuse(CodeStopping, "the entry instance is shutting down", clock.Second)
+	}
+	if now >= e.deadline {
+		return result.Refuse(CodeDeadlinePassed, "the claim was not stored in time", 0)
+	}
+	return result.Refuse(CodeCallerLeft, "the caller left during the claim", 0)
+}
+
+// maxRounds bounds how often a batch is split after conflicts before the rest waits for the next batch.
+const maxRounds = 4
+
+// write stores a batch and decides every entry of it. Entries that lose a conflict are split out.
+func (s *Store) write(ctx context.Context, batch []*entry) {
+	for range maxRounds {
+		batch = s.resolve(ctx, batch)
+		if len(batch) == 0 {
+			return
+		}
+		operation, tx := s.transaction(batch)
+		err := s.commit(ctx, tx)
+		switch {
+		case err == nil:
+			s.applied(batch)
+			return
+		case platformConflict(err):
+			s.forget(batch)
+			continue
+		case platformUnavailable(err):
+			s.unavailable(batch)
+			return
+		}
+		if done := s.settle(ctx, batch, operation, tx); done {
+			return
+		}
+	}
+	s.mu.Lock()
+	s.queue = append(batch, s.queue...)
+	s.mu.Unlock()
+}
+
+// resolve reads the rows whose version is unknown and drops the entries that they decide.
+func (s *Store) resolve(ctx context.Context, batch []*entry) []*entry {
+	var keys []string
+	for _, e := range batch {
+		if !e.known {
+			keys = append(keys, e.rowKey)
+		}
+	}
+	if len(keys) == 0 {
+		return batch
+	}
+	rows, err := s.read(ctx, keys...)
+	if err != nil {
+		s.unavailable(batch)
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := 0
+	var rest []*entry
+	for _, e := range batch {
+		if !e.known {
+			r := rows[next]
+			next++
+			if s.decide(e, r) {
+				continue
+			}
+			e.version, e.known = r.Version(), true
+		}
+		rest = append(rest, e)
+	}
+	return rest
+}
+
+// decide compares an entry with its row. It reports true when the entry is decided and has nothing more to write.
+func (s *Store) decide(e *entry, r platform.Row) bool {
+	found, err := decodeRow(r.Value())
+	free := r.Version() == 0 || (err == nil && found.State == stateAbandoned)
+	own := err == nil && found.State == stateClaimed && found.Holder == s.Holder && found.Incarnation == s.Incarnation
+	if e.phase != phaseClaim {
+		// A claim whose fate was unknown may be absent; its abandonment is written all the same, because it makes a
+		// delayed copy of the claim fail.
+		if own || (e.phase == phaseAbandon && free) {
+			return false
+		}
+		if e.phase != phaseDone || err != nil || found.State != stateDone || found.Holder != s.Holder {
+			eventForeign.Log(context.Background(), s.Logger, slog.String("key", e.rowKey))
+		}
+		delete(s.entries, e.rowKey)
+		return true
+	}
+	if free {
+		return false
+	}
+	switch {
+	case err != nil:
+		s.refuse(e, result.Refuse(CodeOutcomeUnknown, "the row of the claim cannot be read", 0))
+	case differ(found.Fingerprint, e.value.Fingerprint):
+		s.refuse(e, result.Refuse(CodeKeyReused, "the key was used for another request", 0))
+	case found.State == stateDone:
+		d, refusal := recorded(found)
+		e.decision = d
+		s.refuse(e, refusal)
+	default:
+		e.value = found // names the holder
+		s.refuse(e, result.Refuse(CodeOutcomeUnknown, "entry instance "+found.Holder+" held the claim", clock.Second))
+	}
+	return true
+}
+
+func (s *Store) transaction(batch []*entry) (string, platform.Transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	operation := fmt.Sprintf("claim/%s/%d/%d", s.Holder, s.Incarnation, s.sequence)
+	writes := make([]platform.Write, 0, len(batch))
+	for _, e := range batch {
+		e.value.Written = s.wallClock()
+		writes = append(writes, platform.Put(e.rowKey, e.value.encode(), e.version))
+	}
+	return operation, platform.NewTransaction(operation, writes...)
+}
+
+// settle finds out whether a transaction without an answer was applied. It reports false when the rows say that it
+// certainly was not and that the batch has to be planned again.
+func (s *Store) settle(ctx context.Context, batch []*entry, operation string, tx platform.Transaction) bool {
+	keys := make([]string, len(batch))
+	for i, e := range batch {
+		keys[i] = e.rowKey
+	}
+	for range maxRounds {
+		rows, err := s.read(ctx, keys...)
+		if err != nil {
+			break
+		}
+		// One row with the operation id proves that all were written. Without one nothing was: nobody else overwrites a
+		// row that says claimed by this holder or done, and an abandonment may be planned again.
+		written, changed := false, false
+		for i, r := range rows {
+			written = written || r.Operation() == operation
+			changed = changed || r.Version() != tx.Writes()[i].IfVersion()
+		}
+		if written {
+			s.applied(batch)
+			return true
+		}
+		if changed {
+			s.forget(batch)
+			return false
+		}
+		// Not applied so far; a delayed copy may still arrive. The same transaction is repeated, so that only one of
+		// the two can be applied and both carry the same operation id.
+		err = s.commit(ctx, tx)
+		if err == nil {
+			s.applied(batch)
+			return true
+		}
+	}
+	s.unsettled(batch)
+	return true
+}
+
+// forget marks the versions of a batch as unknown.
+func (s *Store) forget(batch []*entry) {
+	for _, e := range batch {
+		e.known = false
+	}
+}
+
+// applied says that the batch is stored. A claim whose deadline has passed, or that nobody waits for, is abandoned.
+func (s *Store) applied(batch []*entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for _, e := range batch {
+		if e.phase != phaseClaim {
+			delete(s.entries, e.rowKey)
+			continue
+		}
+		s.claims--
+		e.known = false // the commit does not tell the new version
+		if e.left || now >= e.deadline || s.stopped {
+			e.refusal = s.refuseUnwritten(e, now)
+			close(e.decided)
+			s.abandon(e)
+			continue
+		}
+		e.phase = phaseHeld
+		e.permit = &Permit{store: s, caller: e.caller, key: e.key, deadline: e.deadline}
+		e.decision = Decision{permit: e.permit}
+		close(e.decided)
+	}
+	if s.breaker.succeeded(or(s.MaxPending, DefaultMaxPending)) {
+		eventClosed.Log(context.Background(), s.Logger)
+	}
+}
+
+// unavailable says that the batch was certainly not stored: claims are refused, the rest waits.
+func (s *Store) unavailable(batch []*entry) {
+	s.fail()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []*entry
+	for _, e := range batch {
+		if e.phase == phaseClaim {
+			s.refuse(e, s.refuseUnavailable(s.Clock.Now()))
+			continue
+		}
+		e.known = false
+		rest = append(rest, e)
+	}
+	s.queue = append(rest, s.queue...)
+}
+
+// unsettled says that nobody knows whether the batch is stored. Its claims are refused, which is certain, because they
+// were not dispatched; they are abandoned in the table as soon as it answers.
+func (s *Store) unsettled(batch []*entry) {
+	s.fail()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []*entry
+	for _, e := range batch {
+		if e.phase == phaseClaim {
+			s.claims--
+			e.refusal = s.refuseUnavailable(s.Clock.Now())
+			close(e.decided)
+			e.value.State = stateAbandoned
+			e.phase = phaseAbandon
+		}
+		e.known = false
+		rest = append(rest, e)
+	}
+	s.queue = append(rest, s.queue...)
+}
+
+func (s *Store) read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
+	defer cancel()
+	rows, err := s.Table.Read(ctx, keys...)
+	if err == nil && len(rows) != len(keys) {
+		return nil, errors.New("the table returned another number of rows than keys")
+	}
+	return rows, err
+}
+
+func (s *Store) commit(ctx context.Context, tx platform.Transaction) error {
+	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
+	defer cancel()
+	return s.Table.Commit(ctx, tx)
+}
+
+func (s *Store) wallClock() clock.Millis {
+	if s.WallClock != nil {
+		return s.WallClock()
+	}
+	return clock.Millis(time.Now().UnixMilli())
+}
+
+// differ reports whether two fingerprints are of different requests; an empty one is of any request.
+func differ(a, b string) bool { return a != "" && b != "" && a != b }
+
+// or returns the setting, or its default when it is 0.
+func or[T int | clock.Millis](setting, standard T) T {
+	if setting == 0 {
+		return standard
+	}
+	return setting
+}
--- /dev/null
+++ b/claim/store_test.go
@@ -0,0 +1,303 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/result"
+)
+
+// instance is one entry instance of a test; its batch writer runs only when the test calls step.
+type instance struct {
+	*Store
+	clock *clock.Clock
+}
+
+func newInstance(p *memory.Store, holder string, incarnation int64) instance {
+	return instance{&Store{Clock: p.Clock, Table: p.View("").Table(), Holder: holder, Incarnation: incarnation,
+		WallClock: p.Clock.Now}, p.Clock}
+}
+
+// claim runs one claim with the given steps of the batch writer and returns its decision or refusal.
+func (i instance) claim(key, fingerprint string, steps int) (Decision, *result.Refusal) {
+	e, refusal := i.begin("c", key, fingerprint, i.clock.Now()+clock.Second)
+	if refusal != nil {
+		return Decision{}, refusal
+	}
+	for range steps {
+		i.step(context.Background())
+	}
+	d, _, refusal := i.end(context.Background(), e)
+	return d, refusal
+}
+
+func code(r *result.Refusal) int {
+	if r == nil {
+		return 0
+	}
+	return r.Code().Number()
+}
+
+// Guards against a repeat that runs again, or that gets something other than the recorded answer.
+func TestRepeatGetsRecordedAnswer(t *testing.T) {
+	p := memory.New(clock.NewFake(0), nil)
+	a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+	d, refusal := a.claim("k", "f", 1)
+	permit, ok := d.Permit()
+	if !ok {
+		t.Fatalf("first claim got %v, want a permit", refusal)
+	}
+	if err := permit.Use(); err != nil {
+		t.Fatalf("Use got %v, want nil", err)
+	}
+	if _, refusal := b.claim("k", "f", 1); code(refusal) != CodeOutcomeUnknown.Number() {
+		t.Errorf("repeat during the run got %v, want outcome unknown", refusal)
+	}
+	a.Finish("c", "k", NewAnswer(201, nil, []byte("made")))
+	a.step(context.Background())
+	d, refusal = b.claim("k", "f", 1)
+	answer, ok := d.Answer()
+	if !ok || answer.Status() != 201 || string(answer.Body()) != "made" {
+		t.Errorf("repeat after the run got %v %v, want the answer", answer, refusal)
+	}
+	if _, refusal := b.claim("k", "g", 1); code(refusal) != CodeKeyReused.Number() {
+		t.Errorf("other request got %v, want key reused", refusal)
+	}
+}
+
+// Guards against a permit that can be used twice, late, or after the claim was given up.
+func TestPermitWorksOnce(t *testing.T) {
+	p := memory.New(clock.NewFake(0), nil)
+	a := newInstance(p, "a", 1)
+	take := func(key string) *Permit {
+		d, refusal := a.claim(key, "", 1)
+		permit, ok := d.Permit()
+		if !ok {
+			t.Fatalf("claim of %s got %v, want a permit", key, refusal)
+		}
+		return permit
+	}
+	used := take("used")
+	first, second := used.Use(), used.Use()
+	if first != nil || second == nil {
+		t.Errorf("Use twice got %v and %v, want nil and an error", first, second)
+	}
+	a.Finish("c", "used", UnknownAnswer())
+	used.Undo()
+	if err := used.Use(); err == nil {
+		t.Errorf("Use after Finish got nil, want an error")
+	}
+	left := take("left")
+	a.Abandon("c", "left")
+	if err := left.Use(); err == nil {
+		t.Errorf("Use after Abandon got nil, want an error")
+	}
+	late := take("late")
+	p.Clock.Advance(clock.Second)
+	var refusal *result.Refusal
+	if err := late.Use(); !errors.As(err, &refusal) || refusal.Code() != CodeDeadlinePassed {
+		t.Errorf("Use after the deadline got %v, want the deadline passed", err)
+	}
+	a.step(context.Background())
+	if d, refusal := a.claim("late", "", 1); d.permit == nil {
+		t.Errorf("claim after the abandonment got %v, want a permit", refusal)
+	}
+}
+
+// Guards against a fault at one step of a claim that runs a request twice, loses a key or gives an untrue refusal.
+func TestFaultAtEachStep(t *testing.T) {
+	tests := []struct {
+		name   string
+		step   string
+		kind   fault.Kind
+		count  int
+		second bool // a row exists already, so that the claim reads
+		want   int  // code of the refusal, 0 for a permit
+	}{
+		{"commit down", memory.StepCommit, fault.Down, 1, false, 2200},
+		{"commit request lost", memory.StepCommit, fault.LoseRequest, 1, false, 0},
+		{"commit request lost for long", memory.StepCommit, fault.LoseRequest, 99, false, 2200},
+		{"commit answer lost", memory.StepCommit, fault.LoseAnswer, 1, false, 0},
+		{"read down", memory.StepRead, fault.Down, 1, true, 2200},
+		{"read request lost", memory.StepRead, fault.LoseRequest, 1, true, 2200},
+		{"read answer lost", memory.StepRead, fault.LoseAnswer, 1, true, 2200},
+	}
+	for _, test := range tests {
+		faults := &fault.Driver{}
+		p := memory.New(clock.NewFake(0), faults)
+		a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+		if test.second {
+			b.claim("k", "", 1)
+			b.Abandon("c", "k")
+			b.step(context.Background())
+		}
+		faults.Next(test.step, test.kind, test.count)
+		d, refusal := a.claim("k", "", 1)
+		if got := code(refusal); got != test.want || (d.permit != nil) != (test.want == 0) {
+			t.Errorf("%s: claim got %v, want code %d", test.name, refusal, test.want)
+		}
+		if refusal != nil && refusal.RetryAfter() <= 0 {
+			t.Errorf("%s: refusal without a retry time", test.name)
+		}
+		// After the fault a refused key is free again and a held one is not.
+		faults.ClearAll()
+		p.Clock.Advance(maxBackoff)
+		for range 3 {
+			a.step(context.Background())
+		}
+		want := 0
+		if d.permit != nil {
+			want = CodeOutcomeUnknown.Number()
+		}
+		if _, refusal := b.claim("k", "", 1); code(refusal) != want {
+			t.Errorf("%s: later claim got %v, want code %d", test.name, refusal, want)
+		}
+	}
+}
+
+// Guards against an unsettled commit that leads to a dispatch: the commit is applied, and no answer arrives at all.
+func TestUnsettledCommitIsAbandoned(t *testing.T) {
+	faults := &fault.Driver{}
+	p := memory.New(clock.NewFake(0), faults)
+	a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+	faults.Next(memory.StepCommit, fault.LoseAnswer, 1)
+	faults.Always(memory.StepRead, fault.LoseRequest, 0)
+	if d, refusal := a.claim("k", "", 1); d.permit != nil || code(refusal) != CodeTableUnavailable.Number() {
+		t.Errorf("claim got %v, want a refusal", refusal)
+	}
+	if _, refusal := a.claim("other", "", 0); code(refusal) != CodeTableUnavailable.Number() {
+		t.Errorf("claim while the table is away got %v, want an immediate refusal", refusal)
+	}
+	faults.ClearAll()
+	if _, refusal := b.claim("k", "", 1); code(refusal) != CodeOutcomeUnknown.Number() {
+		t.Errorf("claim before the abandonment got %v, want outcome unknown", refusal)
+	}
+	p.Clock.Advance(maxBackoff)
+	a.step(context.Background())
+	if d, refusal := b.claim("k", "", 1); d.permit == nil {
+		t.Errorf("claim after the abandonment got %v, want a permit", refusal)
+	}
+}
+
+// Guards against an answer that is lost because a fault met the write that records it.
+func TestFinishSurvivesFaults(t *testing.T) {
+	for _, step := range []string{memory.StepRead, memory.StepCommit} {
+		for _, kind := range []fault.Kind{fault.Down, fault.LoseRequest, fault.LoseAnswer} {
+			faults := &fault.Driver{}
+			p := memory.New(clock.NewFake(0), faults)
+			a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+			d, _ := a.claim("k", "", 1)
+			if err := d.permit.Use(); err != nil {
+				t.Fatalf("Use got %v, want nil", err)
+			}
+			a.Finish("c", "k", NewAnswer(200, nil, make([]byte, MaxAnswer+1)))
+			faults.Next(step, kind, 2)
+			for range 4 {
+				a.step(context.Background())
+				p.Clock.Advance(maxBackoff)
+			}
+			if _, refusal := b.claim("k", "", 1); code(refusal) != CodeAnswerNotKept.Number() {
+				t.Errorf("%s %s: repeat got %v, want answer not kept", step, kind, refusal)
+			}
+		}
+	}
+}
+
+// Guards against one conflict that fails the other claims of a batch.
+func TestConflictSplitsOneClaimOut(t *testing.T) {
+	p := memory.New(clock.NewFake(0), nil)
+	a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+	b.claim("taken", "", 1)
+	var entries []*entry
+	for _, key := range []string{"free", "taken", "free too"} {
+		e, _ := a.begin("c", key, "", clock.Second)
+		entries = append(entries, e)
+	}
+	a.step(context.Background())
+	for i, want := range []int{0, CodeOutcomeUnknown.Number(), 0} {
+		if d, _, refusal := a.end(context.Background(), entries[i]); code(refusal) != want || (d.permit != nil) != (want == 0) {
+			t.Errorf("claim %d got %v, want code %d", i, refusal, want)
+		}
+	}
+	if _, got := p.Counts(); got != 2 {
+		t.Errorf("transactions got %d, want 2", got)
+	}
+}
+
+// Guards against a clean-up that deletes a claim within its retention, and against one that is not bounded.
+func TestCleanUpIsBounded(t *testing.T) {
+	p := memory.New(clock.NewFake(0), nil)
+	a := newInstance(p, "a", 1)
+	for _, key := range []string{"1", "2", "3"} {
+		a.claim(key, "", 1)
+	}
+	p.Clock.Advance(clock.Day)
+	a.claim("4", "", 1)
+	table := a.Table
+	next, deleted, err := CleanUp(context.Background(), table, clock.Day+1, clock.Day, "", 2)
+	if deleted != 2 || err != nil {
+		t.Errorf("first page deleted %d with error %v, want 2 and nil", deleted, err)
+	}
+	next, deleted, err = CleanUp(context.Background(), table, clock.Day+1, clock.Day, next, 2)
+	if deleted != 1 || err != nil {
+		t.Errorf("second page deleted %d with error %v, want 1 and nil", deleted, err)
+	}
+	rows, _ := table.Scan(context.Background(), keyPrefix, "", 9)
+	if len(rows) != 1 || rows[0].Key() != rowKey("c", "4") {
+		t.Errorf("rows left got %v (next %q), want the new one", rows, next)
+	}
+}
+
+// Guards against a return of the table that lets all callers through at once.
+func TestBreakerOpensGradually(t *testing.T) {
+	faults := &fault.Driver{}
+	p := memory.New(clock.NewFake(0), faults)
+	a := newInstance(p, "a", 1)
+	a.MaxPending = 8
+	faults.Always(memory.StepCommit, fault.Down, 0)
+	a.claim("k", "", 1)
+	faults.ClearAll()
+	p.Clock.Advance(maxBackoff)
+	a.step(context.Background())
+	for _, want := range []int{1, 2, 4} {
+		got := 0
+		for i := range 6 {
+			if _, refusal := a.begin("c", string(rune('a'+10*want+i)), "", p.Clock.Now()+clock.Second); refusal == nil {
+				got++
+			}
+		}
+		if got != want {
+			t.Errorf("claims let through got %d, want %d", got, want)
+		}
+		a.step(context.Background())
+	}
+}
+
+// Guards against a batch writer that sleeps through a claim or loses the answers at shutdown.
+func TestRunWritesAndStops(t *testing.T) {
+	p := memory.New(clock.System(), nil)
+	a := newInstance(p, "a", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- a.Run(ctx) }()
+	d, err := a.Claim(ctx, "c", "k", p.Clock.Now()+30*clock.Second)
+	if err != nil {
+		t.Fatalf("Claim got %v, want nil", err)
+	}
+	if err := d.permit.Use(); err != nil {
+		t.Fatalf("Use got %v, want nil", err)
+	}
+	a.Finish("c", "k", NewAnswer(200, nil, nil))
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("Run got %v, want canceled", err)
+	}
+	rows, _ := p.View("").Table().Read(context.Background(), rowKey("c", "k"))
+	if r, err := decodeRow(rows[0].Value()); err != nil || r.State != stateDone {
+		t.Errorf("row got %s, want done", rows[0].Value())
+	}
+}
--- /dev/null
+++ b/slots/account.go
@@ -0,0 +1,226 @@
+package slots
+
+import (
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+)
+
+// count packs how many slots a part may use (high half) and how many are in use (low half) into one word, so that both
+// change together. The limit can fall below the use; then nothing is acquired until enough is released.
+type count struct{ word atomic.Int64 }
+
+func pack(limit, used int) int64 { return int64(limit)<<32 | int64(used) }
+
+func unpack(word int64) (limit, used int) { return int(word >> 32), int(word & (1<<32 - 1)) }
+
+func (c *count) load() (limit, used int) { return unpack(c.word.Load()) }
+
+func (c *count) acquire() bool {
+	for {
+		word := c.word.Load()
+		if limit, used := unpack(word); used >= limit {
+			return false
+		}
+		if c.word.CompareAndSwap(word, word+1) {
+			return true
+		}
+	}
+}
+
+func (c *count) release() bool {
+	for {
+		word := c.word.Load()
+		if _, used := unpack(word); used == 0 {
+			return false
+		}
+		if c.word.CompareAndSwap(word, word-1) {
+			return true
+		}
+	}
+}
+
+func (c *count) setLimit(limit int) {
+	for {
+		word := c.word.Load()
+		_, used := unpack(word)
+		if c.word.CompareAndSwap(word, pack(limit, used)) {
+			return
+		}
+	}
+}
+
+// take lowers the limit by at most want, leaving reserve unused slots while any is in use, and returns by how much.
+func (c *count) take(want, reserve int) int {
+	for {
+		word := c.word.Load()
+		limit, used := unpack(word)
+		free := limit - used
+		if used > 0 {
+			free -= reserve
+		}
+		taken := min(want, free)
+		if taken <= 0 {
+			return 0
+		}
+		if c.word.CompareAndSwap(word, pack(limit-taken, used)) {
+			return taken
+		}
+	}
+}
+
+// loan is a number of slots borrowed until end.
+type loan struct {
+	count
+	end clock.Millis
+}
+
+// lent is a number of slots that others use until end.
+type lent struct {
+	units int
+	end   clock.Millis
+}
+
+// Account is the part of one resource that this entry instance may use; its methods take no lock.
+type Account struct {
+	ledger   *Ledger
+	resource string
+
+	base   count
+	loans  atomic.Pointer[[]*loan] // by end, earliest first; replaced under ledger.mu
+	missed atomic.Int64            // acquisitions that failed since the last Wants
+
+	// Under ledger.mu.
+	zone  string
+	units int
+	lent  []lent
+}
+
+// Resource returns the name, for example "worker/w17".
+func (a *Account) Resource() string { return a.resource }
+
+// TryAcquire takes a slot for a request that ends by the deadline, a point in time of the ledger's clock at most
+// LongestDeadline ahead. A borrowed slot is used only when the deadline is not after the end of its loan.
+func (a *Account) TryAcquire(deadline clock.Millis) bool {
+	now := a.ledger.Clock.Now()
+	if !a.ledger.live(now) || deadline > now+LongestDeadline {
+		return false
+	}
+	// Loans go first: they end by themselves, and the own slots stay free for longer requests.
+	for _, b := range a.borrowed() {
+		if deadline <= b.end && now < b.end && b.acquire() {
+			return true
+		}
+	}
+	if a.base.acquire() {
+		return true
+	}
+	a.missed.Add(1)
+	return false
+}
+
+// Release gives back a slot; call it once for each successful TryAcquire, at the latest at the deadline.
+//
+// The slot goes back to the loan that ends first. Which part the request really used is not known, but this order is
+// safe: requests that end after a loan were counted elsewhere, and a release lowers the other counts only when no slot
+// of the loan is counted as used. So at the end of the loan the other counts still cover every running request.
+func (a *Account) Release() {
+	if a.tryRelease() {
+		return
+	}
+	// A loan that is being closed moves its count to the own share while ledger.mu is held.
+	a.ledger.mu.Lock()
+	defer a.ledger.mu.Unlock()
+	if !a.tryRelease() {
+		panic("slots: Release of " + a.resource + " without a slot in use")
+	}
+}
+
+func (a *Account) tryRelease() bool {
+	for _, b := range a.borrowed() {
+		if b.release() {
+			return true
+		}
+	}
+	return a.base.release()
+}
+
+// Free returns how many slots the account could hand out to a request with a short deadline.
+func (a *Account) Free() int {
+	now := a.ledger.Clock.Now()
+	if !a.ledger.live(now) {
+		return 0
+	}
+	free := 0
+	for _, b := range a.borrowed() {
+		if now < b.end {
+			limit, used := b.load()
+			free += max(0, limit-used)
+		}
+	}
+	limit, used := a.base.load()
+	return free + max(0, limit-used)
+}
+
+// Used returns how many slots are in use.
+func (a *Account) Used() int {
+	_, total := a.base.load()
+	for _, b := range a.borrowed() {
+		_, used := b.load()
+		total += used
+	}
+	return total
+}
+
+// Connections returns how many connections the instance may have open to the worker: 8 for each slot held.
+func (a *Account) Connections() int {
+	now := a.ledger.Clock.Now()
+	held, _ := a.base.load()
+	for _, b := range a.borrowed() {
+		if now < b.end {
+			limit, _ := b.load()
+			held += limit
+		}
+	}
+	return held * ConnectionsPerSlot
+}
+
+func (a *Account) borrowed() []*loan {
+	if loans := a.loans.Load(); loans != nil {
+		return *loans
+	}
+	return nil
+}
+
+// expire drops loans that have ended and restores slots whose loan to others has ended; it needs ledger.mu.
+func (a *Account) expire(now clock.Millis) {
+	var kept []*loan
+	for _, b := range a.borrowed() {
+		if now < b.end {
+			kept = append(kept, b)
+		}
+	}
+	if ended := a.borrowed()[:len(a.borrowed())-len(kept)]; len(ended) > 0 {
+		a.loans.Store(&kept)
+		for _, b := range ended {
+			// Requests that overran their deadline stay counted, now against the own share.
+			_, used := unpack(b.word.Swap(0))
+			a.base.word.Add(int64(used))
+		}
+	}
+	var out []lent
+	for _, o := range a.lent {
+		if now < o.end {
+			out = append(out, o)
+		}
+	}
+	a.lent = out
+}
+
+func (a *Account) lentUnits() int {
+	total := 0
+	for _, o := range a.lent {
+		total += o.units
+	}
+	return total
+}
--- /dev/null
+++ b/slots/ledger.go
@@ -0,0 +1,354 @@
+package slots
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+)
+
+// Times of loans.
+const (
+	LoanPeriod = 10 * clock.Second
+	// loanMargin is how much longer the lender keeps lent slots back. The borrower counts the period from before its
+	// question, so the margin only has to cover clocks that run at different rates: 1% of the period.
+	loanMargin = LoanPeriod / 100
+)
+
+// Ledger holds the shares and loans of one entry instance. The exported fields are set before the first call.
+type Ledger struct {
+	Clock       *clock.Clock
+	ID          string // of the entry instance, in its roster
+	Incarnation int64  // with which the instance joins first; see Rejoin
+	Zone        string
+	// OpenConnections returns the connections that are open to a resource, busy or idle. A smaller share is confirmed
+	// only once they fit it. Optional.
+	OpenConnections func(resource string) int
+
+	accounts  sync.Map // resource to *Account
+	confirmed atomic.Int64
+	started   atomic.Bool // confirmed holds a time
+
+	mu          sync.Mutex
+	incarnation int64
+	used        map[int64]bool // incarnations of this process
+	rosters     map[string]Roster
+	departed    map[identity]clock.Millis // of the own zone, with the time when they were first seen
+	free        map[identity]bool         // departed members whose slots are certainly not in use
+	withLoans   map[*Account]bool         // accounts that expire has to visit
+}
+
+// Want is a resource of which the instance is short.
+type Want struct {
+	resource string
+	zone     string
+	units    int
+}
+
+// Resource returns the name of the resource.
+func (w Want) Resource() string { return w.resource }
+
+// Zone returns the zone of the resource, or "" for one of the whole fleet.
+func (w Want) Zone() string { return w.zone }
+
+// Units returns how many slots to ask for.
+func (w Want) Units() int { return w.units }
+
+// Account returns the account of a resource: "worker/<id>", "team/<name>" or "pool/<name>". It stays the same object.
+func (l *Ledger) Account(resource string) *Account {
+	if a, ok := l.accounts.Load(resource); ok {
+		return a.(*Account)
+	}
+	a, _ := l.accounts.LoadOrStore(resource, &Account{ledger: l, resource: resource})
+	return a.(*Account)
+}
+
+// SetCapacity sets how many units of a resource exist; zone "" says that the whole fleet shares them. While the
+// members of a roster know different values, their shares add up to at most the greatest of them.
+func (l *Ledger) SetCapacity(resource, zone string, units int) {
+	a := l.Account(resource)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.zone, a.units = zone, units
+	l.update(a, l.Clock.Now())
+}
+
+// SetRoster takes a roster that was read from the table or received from a peer; an older one has no effect.
+func (l *Ledger) SetRoster(zone string, roster Roster) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	if known, ok := l.rosters[zone]; ok && known.version >= roster.version {
+		return
+	}
+	l.rosters[zone] = roster
+	now := l.Clock.Now()
+	if zone == l.Zone {
+		departed := make(map[identity]clock.Millis)
+		for _, m := range roster.members {
+			if m.f.State == Active {
+				continue
+			}
+			seen, known := l.departed[m.identity()]
+			if !known {
+				seen = now
+			}
+			departed[m.identity()] = seen
+		}
+		l.departed = departed
+		for m := range l.free {
+			if _, still := departed[m]; !still {
+				delete(l.free, m)
+			}
+		}
+	}
+	l.updateAll(now)
+}
+
+// Roster returns the newest known roster of a zone.
+func (l *Ledger) Roster(zone string) Roster {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rosters[zone]
+}
+
+// Member reports whether the instance is an active member of the newest known roster of its zone.
+func (l *Ledger) Member() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	return l.active()
+}
+
+// Rejoin sets the incarnation with which the instance joins again after it was removed.
+func (l *Ledger) Rejoin(incarnation int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	l.incarnation = incarnation
+	l.used[incarnation] = true
+	l.updateAll(l.Clock.Now())
+}
+
+// Confirm says that an attempt to confirm the membership, begun at the given time, is complete: the table or a peer
+// answered and SetRoster was called, or nobody answered. Without a call the instance dispatches nothing once the lease
+// period has passed since the beginning of the last attempt.
+func (l *Ledger) Confirm(started clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	now := l.Clock.Now()
+	l.updateAll(now)
+	if !l.started.Load() || started > clock.Millis(l.confirmed.Load()) {
+		l.confirmed.Store(int64(started))
+		l.started.Store(true)
+	}
+}
+
+// Propose returns the roster row that follows from the newest known one and from the slots in use here: the own
+// confirmation of the current generation, and the release of departed members whose slots are certainly free. It
+// reports false when there is nothing to write. The row is written conditional on Roster.Version.
+func (l *Ledger) Propose() (Roster, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin()
+	now := l.Clock.Now()
+	l.updateAll(now)
+	next, changed := l.rosters[l.Zone], false
+	apply := func(r Roster, ok bool) {
+		if ok {
+			next, changed = r, true
+		}
+	}
+	for m := range l.free {
+		apply(next.Release(m.ID, m.Incarnation))
+	}
+	if l.fits() {
+		apply(next.Confirm(l.ID, l.incarnation, next.Generation()))
+	}
+	return next, changed
+}
+
+// Drained reports whether no slot of the own share is in use or lent, so that a leaving instance may exit.
+func (l *Ledger) Drained() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expireAll(l.Clock.Now())
+	return l.idle()
+}
+
+// Lend gives slots that are free here to a borrower and returns how many and for how long. They are subtracted before
+// it returns.
+func (l *Ledger) Lend(borrower, resource string, want int) (granted int, period clock.Millis) {
+	a := l.Account(resource)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if borrower == l.ID || !l.live(now) {
+		return 0, 0
+	}
+	l.update(a, now)
+	// A resource that is in use here keeps one free slot for the next request of its own.
+	granted = a.base.take(want, 1)
+	if granted == 0 {
+		return 0, 0
+	}
+	a.lent = append(a.lent, lent{granted, now + LoanPeriod + loanMargin})
+	l.visit(a)
+	return granted, LoanPeriod
+}
+
+// Borrow takes over a loan. The period counts from now, so the caller reduces the lender's period by the time since it
+// sent its question.
+func (l *Ledger) Borrow(lender, resource string, granted int, period clock.Millis) {
+	if granted <= 0 || period <= 0 || lender == l.ID {
+		return
+	}
+	a := l.Account(resource)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	a.expire(now)
+	b := &loan{end: now + min(period, LoanPeriod)}
+	b.setLimit(granted)
+	loans := append(slices.Clone(a.borrowed()), b)
+	sort.SliceStable(loans, func(i, j int) bool { return loans[i].end < loans[j].end })
+	a.loans.Store(&loans)
+	l.visit(a)
+}
+
+// Wants returns the resources of which requests found no slot since the last call.
+func (l *Ledger) Wants() []Want {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expireAll(l.Clock.Now())
+	var wants []Want
+	l.each(func(a *Account) {
+		if missed := int(a.missed.Swap(0)); missed > 0 && a.units > 0 {
+			wants = append(wants, Want{a.resource, a.zone, min(missed, a.units)})
+		}
+	})
+	sort.Slice(wants, func(i, j int) bool { return wants[i].resource < wants[j].resource })
+	return wants
+}
+
+// live reports whether the last attempt to confirm the membership began at most a lease period ago.
+func (l *Ledger) live(now clock.Millis) bool {
+	return l.started.Load() && now-clock.Millis(l.confirmed.Load()) <= LeasePeriod
+}
+
+// begin sets what depends on the exported fields.
+func (l *Ledger) begin() {
+	if l.used != nil {
+		return
+	}
+	l.incarnation = l.Incarnation
+	l.used = map[int64]bool{l.Incarnation: true}
+	l.rosters = make(map[string]Roster)
+	l.departed = make(map[identity]clock.Millis)
+	l.free = make(map[identity]bool)
+}
+
+func (l *Ledger) active() bool {
+	m, ok := l.rosters[l.Zone].Member(l.ID, l.incarnation)
+	return ok && m.f.State == Active
+}
+
+func (l *Ledger) each(visit func(*Account)) {
+	l.accounts.Range(func(_, a any) bool {
+		visit(a.(*Account))
+		return true
+	})
+}
+
+func (l *Ledger) visit(a *Account) {
+	if l.withLoans == nil {
+		l.withLoans = make(map[*Account]bool)
+	}
+	l.withLoans[a] = true
+}
+
+// expireAll ends loans in both directions.
+func (l *Ledger) expireAll(now clock.Millis) {
+	for a := range l.withLoans {
+		l.update(a, now)
+		if len(a.lent) == 0 && len(a.borrowed()) == 0 {
+			delete(l.withLoans, a)
+		}
+	}
+}
+
+func (l *Ledger) updateAll(now clock.Millis) {
+	l.release(now)
+	l.each(func(a *Account) { l.update(a, now) })
+}
+
+// update sets what the account may use of the own share now.
+func (l *Ledger) update(a *Account, now clock.Millis) {
+	l.begin()
+	a.expire(now)
+	a.base.setLimit(max(0, l.share(a)-a.lentUnits()))
+}
+
+// share returns the own part of a resource, including what is lent.
+func (l *Ledger) share(a *Account) int {
+	units := a.units
+	switch a.zone {
+	case l.Zone:
+	case "":
+		// Quotas of the whole fleet are split over the zones and then within the zone, so that the agreement on a
+		// roster stays inside its zone.
+		zones := l.zones()
+		units = deal(slices.Index(zones, l.Zone), len(zones), a.resource, units)
+	default:
+		return 0 // workers of other zones are used by loans only
+	}
+	return l.rosters[l.Zone].share(identity{l.ID, l.incarnation}, a.resource, units, l.free)
+}
+
+// zones returns the names of the zones that have members, and the own one.
+func (l *Ledger) zones() []string {
+	zones := []string{l.Zone}
+	for zone, roster := range l.rosters {
+		if zone != l.Zone && len(roster.members) > 0 {
+			zones = append(zones, zone)
+		}
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// release notes the departed members whose slots are certainly free: the quarantine has passed, or the member was an
+// earlier incarnation of this process and nothing of the own share is in use.
+func (l *Ledger) release(now clock.Millis) {
+	for m, seen := range l.departed {
+		if now-seen >= Quarantine || (m.ID == l.ID && l.used[m.Incarnation] && l.idle()) {
+			l.free[m] = true
+		}
+	}
+}
+
+// idle reports whether no slot of the own share is in use or lent.
+func (l *Ledger) idle() bool {
+	idle := true
+	l.each(func(a *Account) {
+		_, used := a.base.load()
+		idle = idle && used == 0 && len(a.lent) == 0
+	})
+	return idle
+}
+
+// fits reports whether every slot in use or lent, and every open connection, is within the share.
+func (l *Ledger) fits() bool {
+	fits := true
+	l.each(func(a *Account) {
+		_, used := a.base.load()
+		fits = fits && used+a.lentUnits() <= l.share(a)
+		if l.OpenConnections != nil {
+			fits = fits && l.OpenConnections(a.resource) <= a.Connections()
+		}
+	})
+	return fits
+}
--- /dev/null
+++ b/slots/ledger_test.go
@@ -0,0 +1,180 @@
+package slots
+
+import (
+	"testing"
+
+	"magnoliaferry/clock"
+)
+
+// Guards against shares that do not add up to the units, or a remainder that always goes to the same member.
+func TestSharesAddUp(t *testing.T) {
+	r := Roster{}
+	for i, id := range []string{"a", "b", "c"} {
+		r, _ = r.Join(id, int64(i))
+	}
+	largest := map[string]int{}
+	for _, resource := range []string{"worker/1", "worker/2", "worker/3", "worker/4", "worker/5", "worker/6"} {
+		sum := 0
+		for i, id := range []string{"a", "b", "c"} {
+			s := r.current.share(identity{id, int64(i)}, resource, 8)
+			sum += s
+			largest[id] = max(largest[id], s)
+		}
+		if sum != 8 {
+			t.Errorf("shares of %s got a sum of %d, want 8", resource, sum)
+		}
+	}
+	for id, got := range largest {
+		if got != 3 {
+			t.Errorf("largest share of %s got %d, want 3", id, got)
+		}
+	}
+}
+
+// member returns a ledger that knows the worker w with 8 slots.
+func member(c *clock.Clock, id string) *Ledger {
+	l := &Ledger{Clock: c, ID: id, Incarnation: 1, Zone: "z"}
+	l.SetCapacity("worker/w", "z", 8)
+	return l
+}
+
+// exchange writes the row as the peer module does: every ledger in turn reads it and writes what it proposes.
+func exchange(r Roster, ledgers ...*Ledger) Roster {
+	for range 2 {
+		for _, l := range ledgers {
+			l.SetRoster("z", r)
+			l.Confirm(l.Clock.Now())
+			if next, changed := l.Propose(); changed {
+				next.version = r.version + 1
+				r = next
+			}
+		}
+	}
+	for _, l := range ledgers {
+		l.SetRoster("z", r)
+	}
+	return r
+}
+
+func join(r Roster, id string) Roster {
+	next, _ := r.Join(id, 1)
+	next.version++
+	return next
+}
+
+// Guards against a joining member that uses slots which the others have not given up yet.
+func TestJoinWaitsForTheOthers(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	r := exchange(join(Roster{}, "a"), a)
+	for range 8 {
+		if !a.Account("worker/w").TryAcquire(c.Now() + 1) {
+			t.Fatalf("the only member got no slot, want 8")
+		}
+	}
+	r = exchange(join(r, "b"), a, b)
+	if got := b.Account("worker/w").Free(); got != 0 {
+		t.Errorf("new member while all slots are in use got %d free, want 0", got)
+	}
+	for range 4 {
+		a.Account("worker/w").Release()
+	}
+	if a.Account("worker/w").TryAcquire(c.Now() + 1) {
+		t.Errorf("shrinking member at its share got a slot, want none")
+	}
+	exchange(r, a, b)
+	if got := b.Account("worker/w").Free(); got != 4 {
+		t.Errorf("new member after the confirmation got %d free, want 4", got)
+	}
+}
+
+// Guards against use of the slots of a removed member within its quarantine, and against waiting after its release.
+func TestQuarantine(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	r := exchange(join(join(Roster{}, "a"), "b"), a, b)
+	removed, _ := r.Remove("b", 1)
+	removed.version++
+	r = exchange(removed, a)
+	c.Advance(Quarantine - 1)
+	r = exchange(r, a)
+	if got := a.Account("worker/w").Free(); got != 4 {
+		t.Errorf("within the quarantine got %d free, want 4", got)
+	}
+	c.Advance(1)
+	r = exchange(r, a)
+	if got := a.Account("worker/w").Free(); got != 8 {
+		t.Errorf("after the quarantine got %d free, want 8", got)
+	}
+	if got := len(r.Members()); got != 1 {
+		t.Errorf("members after the release got %d, want 1", got)
+	}
+	// A removed process learns of it, stops, and releases its old incarnation itself once nothing is in use.
+	b.Confirm(c.Now())
+	b.Account("worker/w").TryAcquire(c.Now() + 1)
+	removed, _ = join(r, "b").Remove("b", 1)
+	removed.version = r.version + 2
+	r = exchange(removed, a, b)
+	if b.Account("worker/w").TryAcquire(c.Now()+1) || b.Member() || len(r.Members()) != 2 {
+		t.Errorf("removed member got a slot or released one in use, want neither")
+	}
+	b.Account("worker/w").Release()
+	b.Rejoin(2)
+	next, _ := r.Join("b", 2)
+	next.version = r.version + 1
+	r = exchange(next, b, a, b)
+	if got := b.Account("worker/w").Free(); got != 4 || len(r.Members()) != 2 {
+		t.Errorf("after the return got %d free and %d members, want 4 and 2", got, len(r.Members()))
+	}
+}
+
+// Guards against a dispatch after a pause before one attempt to confirm is complete.
+func TestPauseSuspends(t *testing.T) {
+	c := clock.NewFake(0)
+	a := member(c, "a")
+	exchange(join(Roster{}, "a"), a)
+	c.Advance(LeasePeriod + 1)
+	if a.Account("worker/w").TryAcquire(c.Now()+1) || a.Account("worker/w").Free() != 0 {
+		t.Errorf("after a pause got a slot, want none")
+	}
+	a.Confirm(c.Now())
+	if !a.Account("worker/w").TryAcquire(c.Now() + 1) {
+		t.Errorf("after the attempt got no slot, want one")
+	}
+}
+
+// Guards against a loan that is used past its end, by the borrower or twice by both.
+func TestLoan(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	exchange(join(Roster{}, "a"), a)
+	b.Confirm(0)
+	granted, period := a.Lend("b", "worker/w", 5)
+	if granted != 5 || period != LoanPeriod || a.Account("worker/w").Free() != 3 {
+		t.Fatalf("Lend got %d for %d ms, want 5 for %d", granted, period, LoanPeriod)
+	}
+	b.Borrow("a", "worker/w", granted, period)
+	account := b.Account("worker/w")
+	if account.TryAcquire(LoanPeriod + 1) {
+		t.Errorf("a request that ends after the loan got a slot, want none")
+	}
+	if !account.TryAcquire(LoanPeriod) || account.Free() != 4 || account.Connections() != 40 {
+		t.Errorf("borrower got %d free and %d connections, want 4 and 40", account.Free(), account.Connections())
+	}
+	if got := b.Wants(); len(got) != 1 || got[0].Resource() != "worker/w" || got[0].Units() != 1 {
+		t.Errorf("Wants got %v, want one unit of worker/w", got)
+	}
+	c.Advance(LoanPeriod)
+	b.Confirm(c.Now())
+	a.Confirm(c.Now())
+	if account.Free() != 0 || account.Used() != 1 || a.Account("worker/w").Free() != 3 {
+		t.Errorf("at the end of the loan got %d free here and %d there, want 0 and 3", account.Free(),
+			a.Account("worker/w").Free())
+	}
+	account.Release()
+	c.Advance(loanMargin)
+	a.Confirm(c.Now())
+	if got := a.Account("worker/w").Free(); got != 8 {
+		t.Errorf("lender after the margin got %d free, want 8", got)
+	}
+}
