fleet: plan and carry out maintenance within the availability budget

Cause: nothing decided yet which instances may be taken out for planned work. Change: planner turns a frozen state into steps for drain, reboot, verify, return, moves and joins; fleet carries them out in transactions that are conditional on the instance, the budget and the changes of the zone; Assignments follows changes/<zone> for routing. The budget row holds the number of members too, so that the capacity rule is decided on one row.

--- /dev/null
+++ b/fleet/assignments.go
@@ -0,0 +1,298 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
+)
+
+const (
+	pollPeriod    = clock.Second
+	listAllPeriod = 10 * clock.Second
+	scanLimit     = 500
+)
+
+// Assignment is what routing needs to know of one instance.
+type Assignment struct {
+	instance, address, zone, pool string
+	phase                         planner.Phase
+	leaving                       bool
+}
+
+// Instance returns the id of the instance.
+func (a Assignment) Instance() string { return a.instance }
+
+// Address returns the IP address and port.
+func (a Assignment) Address() string { return a.address }
+
+// Zone returns the availability zone.
+func (a Assignment) Zone() string { return a.zone }
+
+// Pool returns the pool that the instance belongs to.
+func (a Assignment) Pool() string { return a.pool }
+
+// Phase returns the phase of the instance; only a serving one may receive new work.
+func (a Assignment) Phase() planner.Phase { return a.phase }
+
+// Leaving reports whether the platform's list says that the instance is leaving; it may receive no new work.
+func (a Assignment) Leaving() bool { return a.leaving }
+
+// Assignments follows which pool each instance belongs to. It reads one row for each zone and reads all instance rows
+// only at the start and when it missed changes.
+type Assignments struct {
+	Clock    *clock.Clock
+	Platform platform.Platform
+	Zone     string          // of this process; its part of the platform's list is read at every poll
+	Zones    func() []string // further zones to follow, for example those of the configuration; may be nil
+	Logger   *slog.Logger
+
+	mu        sync.Mutex
+	sequences map[string]int64 // by zone
+	entries   map[string]entry
+	listed    map[string]platform.Instance
+	listedAll clock.Millis
+	hasList   bool
+	current   []Assignment // rebuilt by Current after a change
+	valid     bool
+}
+
+type entry struct {
+	record planner.RecordFields
+	seen   clock.Millis // when this process first saw the phase
+}
+
+// Name implements kernel.Module.
+func (a *Assignments) Name() string { return "assignments" }
+
+// Run polls until the context ends; a failed poll keeps what is known.
+func (a *Assignments) Run(ctx context.Context) error {
+	for {
+		_ = a.Poll(ctx) // the control loop reports an outage; routing goes on with what it knows
+		if err := a.Clock.Sleep(ctx, pollPeriod); err != nil {
+			return err
+		}
+	}
+}
+
+// Poll reads the platform's list and the changes of every zone.
+func (a *Assignments) Poll(ctx context.Context) error {
+	if err := a.pollList(ctx); err != nil {
+		return err
+	}
+	zones := a.zones()
+	keys := make([]string, len(zones))
+	for i, zone := range zones {
+		keys[i] = changesPrefix + zone
+	}
+	rows, err := a.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	complete := true
+	for i, row := range rows {
+		ok, err := a.Apply(zones[i], row)
+		if err != nil {
+			return err
+		}
+		complete = complete && ok
+	}
+	if complete {
+		return nil
+	}
+	return a.scan(ctx, zones, rows)
+}
+
+// Apply takes over a row changes/<zone> that the caller has read; false says that changes were missed, so that Poll has
+// to read all instance rows.
+func (a *Assignments) Apply(zone string, row platform.Row) (complete bool, err error) {
+	a.mu.Lock()
+	known, followed := a.sequences[zone]
+	a.mu.Unlock()
+	if !followed {
+		return false, nil
+	}
+	var changes changesRow
+	if err := decode(row, &changes); err != nil {
+		return false, err
+	}
+	missed, ok := changes.since(known)
+	if !ok {
+		return false, nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range missed {
+		a.store(c.Record)
+	}
+	a.sequences[zone] = changes.Sequence
+	return true, nil
+}
+
+// store takes over one record; the caller holds the lock.
+func (a *Assignments) store(r planner.RecordFields) {
+	a.valid = false
+	if r.Phase == "" {
+		delete(a.entries, r.ID)
+		return
+	}
+	e := entry{r, a.Clock.Now()}
+	if before, known := a.entries[r.ID]; known && before.record.Phase == r.Phase && before.record.Since == r.Since {
+		e.seen = before.seen
+	}
+	a.entries[r.ID] = e
+}
+
+// scan reads every instance row. The changes were read before it, so that a change during the scan is applied again by
+// the next poll, which leaves the newest record in place.
+func (a *Assignments) scan(ctx context.Context, zones []string, rows []platform.Row) error {
+	eventScan.Log(ctx, a.Logger)
+	records := map[string]planner.RecordFields{}
+	for after := ""; ; {
+		page, err := a.Platform.Table().Scan(ctx, instancePrefix, after, scanLimit)
+		if err != nil {
+			return err
+		}
+		for _, row := range page {
+			var r planner.RecordFields
+			if err := decode(row, &r); err != nil {
+				return err
+			}
+			records[r.ID] = r
+			after = row.Key()
+		}
+		if len(page) < scanLimit {
+			break
+		}
+	}
+	sequences := map[string]int64{}
+	for i, row := range rows {
+		var changes changesRow
+		if err := decode(row, &changes); err != nil {
+			return err
+		}
+		sequences[zones[i]] = changes.Sequence
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.entries == nil {
+		a.entries = map[string]entry{}
+	}
+	for id := range a.entries {
+		if _, exists := records[id]; !exists {
+			delete(a.entries, id)
+		}
+	}
+	for _, r := range records {
+		a.store(r)
+	}
+	a.sequences = sequences
+	return nil
+}
+
+func (a *Assignments) pollList(ctx context.Context) error {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	zone := a.Zone
+	if !a.hasList || now-a.listedAll >= listAllPeriod {
+		zone = ""
+	}
+	a.mu.Unlock()
+	list, err := a.Platform.Instances().List(ctx, zone)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.listed == nil {
+		a.listed = map[string]platform.Instance{}
+	}
+	present := make(map[string]bool, len(list))
+	for _, i := range list {
+		present[i.ID()] = true
+		if a.listed[i.ID()] != i {
+			a.listed[i.ID()], a.valid = i, false
+		}
+	}
+	for id, i := range a.listed {
+		if !present[id] && (zone == "" || i.Zone() == zone) {
+			delete(a.listed, id)
+			a.valid = false
+		}
+	}
+	if zone == "" {
+		a.listedAll, a.hasList = now, true
+	}
+	return nil
+}
+
+// zones returns the zones of the platform's list, of the records and of the configuration.
+func (a *Assignments) zones() []string {
+	all := map[string]bool{}
+	if a.Zone != "" {
+		all[a.Zone] = true
+	}
+	if a.Zones != nil {
+		for _, zone := range a.Zones() {
+			all[zone] = true
+		}
+	}
+	a.mu.Lock()
+	for _, i := range a.listed {
+		all[i.Zone()] = true
+	}
+	for zone := range a.sequences {
+		all[zone] = true
+	}
+	a.mu.Unlock()
+	zones := make([]string, 0, len(all))
+	for zone := range all {
+		zones = append(zones, zone)
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// Current returns the instances that belong to a pool and that the platform lists, by id. The slice must not be changed.
+func (a *Assignments) Current() []Assignment {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.valid {
+		return a.current
+	}
+	current := make([]Assignment, 0, len(a.entries))
+	for id, e := range a.entries {
+		if i, listed := a.listed[id]; listed {
+			current = append(current, Assignment{instance: id, address: i.Address(), zone: i.Zone(), pool: e.record.Pool,
+				phase: e.record.Phase, leaving: i.State() == platform.Leaving})
+		}
+	}
+	sort.Slice(current, func(i, j int) bool { return current[i].instance < current[j].instance })
+	a.current, a.valid = current, true
+	return current
+}
+
+// instances returns what planner needs: every record, and every listed worker without one.
+func (a *Assignments) instances(healthy func(string) bool) []planner.InstanceFields {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	all := make([]planner.InstanceFields, 0, max(len(a.entries), len(a.listed)))
+	for id, e := range a.entries {
+		i, listed := a.listed[id]
+		all = append(all, planner.InstanceFields{RecordFields: e.record, Age: now - e.seen, Listed: listed,
+			Leaving: listed && i.State() == platform.Leaving, Healthy: listed && (healthy == nil || healthy(id))})
+	}
+	for id, i := range a.listed {
+		if _, known := a.entries[id]; !known && i.Role() == platform.RoleWorker {
+			all = append(all, planner.InstanceFields{
+				RecordFields: planner.RecordFields{ID: id, Zone: i.Zone(), Rack: i.Rack()}, Listed: true,
+				Leaving: i.State() == platform.Leaving, Healthy: healthy == nil || healthy(id)})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/fleet/loop.go
@@ -0,0 +1,354 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"sync"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
+)
+
+const (
+	defaultPeriod = 2 * clock.Second
+	leasePeriod   = 5 * clock.Second
+	// spreadPeriod is the time over which loops resume after an outage of the platform, so that all entry instances do
+	// not plan, read and write at the same moment.
+	spreadPeriod = 10 * clock.Second
+	// staleAfter is how old a row may be when an order goes to the platform on its ground. A holder that was paused
+	// reads the row again.
+	staleAfter = clock.Second
+	// batch is how many rows of instances or jobs one transaction changes.
+	batch = 40
+)
+
+// Loop does the control work of the pools whose lease it holds. Any number of loops may run; the leases only avoid
+// duplicate work, and every write is conditional on the rows that it was decided on.
+type Loop struct {
+	Holder        string // unique name of this process among the entry instances
+	Clock         *clock.Clock
+	Platform      platform.Platform
+	Assignments   *Assignments
+	Configuration func() *config.Configuration // nil until there is one
+	// ConfigurationVersion returns the version of the row config/current that is in force here. When it is set, planned
+	// work is refused while the table holds a newer configuration.
+	ConfigurationVersion func() int64
+	Demand               func() map[string]int      // requests in flight and waiting, by pool, over the whole fleet
+	Healthy              func(instance string) bool // nil: every listed instance is healthy
+	Wall                 func() clock.Millis        // wall-clock time
+	Seed                 int64                      // of the jitter after an outage
+	Period               clock.Millis               // between passes; 0 for 2 s
+	Logger               *slog.Logger
+
+	mu       sync.Mutex // guards what operators' actions read
+	trends   map[string]planner.Trend
+	leases   map[string]*lease
+	waves    map[string]wave
+	steps    map[string][]planner.Step // of the last pass, by pool, for the status
+	random   *rand.Rand
+	away     bool
+	resumeAt clock.Millis
+}
+
+type lease struct {
+	version int64
+	seen    clock.Millis // when this process first saw the version
+	held    bool
+}
+
+type wave struct {
+	fields  planner.WaveFields
+	version int64
+}
+
+// Name implements kernel.Module.
+func (l *Loop) Name() string { return "fleet" }
+
+// Run does one pass after another until the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	period := l.Period
+	if period == 0 {
+		period = defaultPeriod
+	}
+	for {
+		_ = l.Pass(ctx) // an error means that the platform is away, which Pass records
+		if err := l.Clock.Sleep(ctx, period); err != nil {
+			return err
+		}
+	}
+}
+
+// Pass reads the state, plans the pools whose lease it holds and carries the steps out. An error says that the platform
+// did not answer; nothing more was decided then.
+func (l *Loop) Pass(ctx context.Context) error {
+	configuration := l.Configuration()
+	if configuration == nil {
+		return nil
+	}
+	if err := l.Assignments.Poll(ctx); err != nil {
+		return l.outage(ctx, err)
+	}
+	if !l.resumed(ctx) {
+		return nil
+	}
+	held, err := l.lead(ctx, configuration)
+	if err != nil {
+		return l.outage(ctx, err)
+	}
+	if err := l.planAndApply(ctx, configuration, held); err != nil {
+		return l.outage(ctx, err)
+	}
+	return nil
+}
+
+func (l *Loop) outage(ctx context.Context, err error) error {
+	if !l.away {
+		eventAway.Log(ctx, l.Logger, slog.String("error", err.Error()))
+	}
+	l.away = true
+	return err
+}
+
+// resumed tells whether decisions may be taken; after an outage they begin after a random part of spreadPeriod.
+func (l *Loop) resumed(ctx context.Context) bool {
+	now := l.Clock.Now()
+	if l.away {
+		if l.random == nil {
+			l.random = rand.New(rand.NewSource(l.Seed))
+		}
+		l.away = false
+		delay := clock.Millis(l.random.Int63n(int64(spreadPeriod)))
+		l.resumeAt = now + delay
+		eventBack.Log(ctx, l.Logger, slog.Int64("delay-ms", int64(delay)))
+	}
+	return now >= l.resumeAt
+}
+
+// lead renews the leases that this process holds and takes some of those that lapsed. A lease has lapsed when its
+// version has not changed for the lease period, as seen by this process.
+func (l *Loop) lead(ctx context.Context, configuration *config.Configuration) (held []string, err error) {
+	pools := configuration.Pools()
+	if l.leases == nil {
+		l.leases, l.waves = map[string]*lease{}, map[string]wave{}
+	}
+	keys := make([]string, 0, 2*len(pools))
+	for _, p := range pools {
+		keys = append(keys, leasePrefix+p.Name())
+	}
+	for _, p := range pools {
+		keys = append(keys, wavePrefix+p.Name())
+	}
+	rows, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	// A process takes a part of the free leases in a pass, so that the pools spread over the entry instances.
+	quota := (len(pools) + 3) / 4
+	for i, p := range pools {
+		took, err := l.renew(ctx, p.Name(), rows[i], quota > 0)
+		if err != nil {
+			return nil, err
+		}
+		if took {
+			quota--
+		}
+		if l.leases[p.Name()].held {
+			held = append(held, p.Name())
+		}
+		var w wave
+		if err := decode(rows[len(pools)+i], &w.fields); err != nil {
+			return nil, err
+		}
+		w.version = rows[len(pools)+i].Version()
+		l.mu.Lock()
+		l.waves[p.Name()] = w
+		l.mu.Unlock()
+	}
+	return held, nil
+}
+
+func (l *Loop) renew(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
+	now := l.Clock.Now()
+	known := l.leases[pool]
+	if known == nil || known.version != row.Version() {
+		known = &lease{version: row.Version(), seen: now}
+		l.leases[pool] = known
+	}
+	lapsed := row.Version() == 0 || now-known.seen >= leasePeriod
+	if !known.held && (!lapsed || !mayTake) {
+		return false, nil
+	}
+	operation := uuid.NewString()
+	err = l.commit(ctx, platform.NewTransaction(operation,
+		platform.Put(leasePrefix+pool, encode(leaseRow{l.Holder}), row.Version())), row)
+	switch {
+	case err == nil:
+		rows, err := l.Platform.Table().Read(ctx, leasePrefix+pool)
+		if err != nil {
+			return false, err
+		}
+		took = !known.held
+		l.leases[pool] = &lease{version: rows[0].Version(), seen: now, held: rows[0].Operation() == operation}
+		return took, nil
+	case errorx.IsOfType(err, platform.ErrConflict):
+		known.held = false
+		return false, nil
+	}
+	return false, err
+}
+
+// commit applies a transaction and settles a lost answer by the operation id of the first row that it writes, which the
+// writer saw as before. It returns ErrConflict when the state has to be read again, and ErrUnknownOutcome when the
+// answer stays unknown.
+func (l *Loop) commit(ctx context.Context, tx platform.Transaction, before platform.Row) error {
+	unsettled := false
+	for range 3 {
+		err := l.Platform.Table().Commit(ctx, tx)
+		if err == nil {
+			return nil
+		}
+		if !unsettled && !errorx.IsOfType(err, platform.ErrUnknownOutcome) {
+			return err
+		}
+		unsettled = true
+		rows, readErr := l.Platform.Table().Read(ctx, before.Key())
+		if readErr != nil {
+			return platform.ErrUnknownOutcome.Wrap(readErr, "transaction %s is not settled", tx.Operation())
+		}
+		if rows[0].Operation() == tx.Operation() {
+			return nil
+		}
+		if rows[0].Version() != before.Version() || errorx.IsOfType(err, platform.ErrConflict) {
+			return platform.ErrConflict.New("row %q was changed by another writer", before.Key())
+		}
+	}
+	return platform.ErrUnknownOutcome.New("transaction %s is not settled", tx.Operation())
+}
+
+// planAndApply plans each held pool on one state and carries out its steps.
+func (l *Loop) planAndApply(ctx context.Context, configuration *config.Configuration, held []string) error {
+	instances := l.Assignments.instances(l.Healthy)
+	mine := make(map[string]bool, len(held))
+	for _, pool := range held {
+		mine[pool] = true
+	}
+	if err := l.observe(ctx, instances, mine); err != nil {
+		return err
+	}
+	state := l.state(configuration, instances)
+	trends := planner.Trends(state)
+	l.mu.Lock()
+	l.trends = trends
+	l.mu.Unlock()
+	records := make(map[string]planner.RecordFields)
+	for i := range instances {
+		if mine[instances[i].Pool] || instances[i].Pool == "" {
+			records[instances[i].ID] = instances[i].RecordFields
+		}
+	}
+	for _, pool := range held {
+		steps := planner.PlanPool(state, pool)
+		l.mu.Lock()
+		if l.steps == nil {
+			l.steps = map[string][]planner.Step{}
+		}
+		l.steps[pool] = steps
+		l.mu.Unlock()
+		if err := l.apply(ctx, configuration, steps, records); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Loop) state(configuration *config.Configuration, instances []planner.InstanceFields) *planner.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waves := make(map[string]planner.WaveFields, len(l.waves))
+	for pool, w := range l.waves {
+		if w.version > 0 {
+			waves[pool] = w.fields
+		}
+	}
+	var demand map[string]int
+	if l.Demand != nil {
+		demand = l.Demand()
+	}
+	return planner.New(planner.Fields{Now: l.Clock.Now(), Wall: l.Wall(), Configuration: configuration,
+		Instances: instances, Waves: waves, Demand: demand, Trends: l.trends})
+}
+
+// observe gives the platform its maintenance orders and reads their progress, for the instances that are out in the
+// pools of this process. Orders are repeated at every pass until the platform shows their effect; each follows a read of
+// the instance's row that shows the phase that it belongs to.
+func (l *Loop) observe(ctx context.Context, instances []planner.InstanceFields, mine map[string]bool) error {
+	var out []*planner.InstanceFields
+	var keys []string
+	for i := range instances {
+		m := &instances[i]
+		ordered := m.Phase == planner.Draining || m.Phase == planner.Rebooting || m.Phase == planner.Moving
+		if ordered && mine[m.Pool] && m.Listed {
+			out = append(out, m)
+			keys = append(keys, instancePrefix+m.ID)
+		}
+	}
+	var rows []platform.Row
+	readAt := clock.Millis(0)
+	for i, m := range out {
+		if now := l.Clock.Now(); rows == nil || now-readAt >= staleAfter {
+			var err error
+			if rows, err = l.Platform.Table().Read(ctx, keys[i:]...); err != nil {
+				return err
+			}
+			rows, readAt = append(make([]platform.Row, i), rows...), now
+		}
+		var r planner.RecordFields
+		if err := decode(rows[i], &r); err != nil {
+			return err
+		}
+		if r != m.RecordFields {
+			continue // changed since the poll; the next pass sees it
+		}
+		if err := l.order(ctx, m); err != nil {
+			eventOrder.Log(ctx, l.Logger, slog.String("instance", m.ID), slog.String("error", err.Error()))
+		}
+	}
+	return nil
+}
+
+// order sends the order that belongs to the phase of an instance and notes what the platform reports.
+func (l *Loop) order(ctx context.Context, m *planner.InstanceFields) error {
+	maintenance := l.Platform.Maintenance()
+	if m.Phase == planner.Draining {
+		// The order is repeated before each look at the status: an instance that was given back earlier may still be
+		// reported as drained from that time.
+		if err := maintenance.Drain(ctx, m.ID); err != nil {
+			return err
+		}
+	}
+	status, err := maintenance.Status(ctx, m.ID)
+	if err != nil {
+		return err
+	}
+	switch {
+	case m.Phase == planner.Draining:
+		m.Drained = status == platform.StatusDrained
+		m.Accepted = m.Drained || status == platform.StatusDraining
+	case status == platform.StatusServing:
+		m.Rebooted = true
+	case status == platform.StatusFailed:
+		m.RebootFailed = true
+	case status == platform.StatusDrained || status == platform.StatusDraining && m.Force:
+		return maintenance.Reboot(ctx, m.ID)
+	}
+	return nil
+}
+
+func newWaveID(pool string, wall clock.Millis) string { return fmt.Sprintf("%s-%d", pool, wall) }
--- /dev/null
+++ b/fleet/rows.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
+)
+
+// Prefixes of the keys in the table, see section 3 of docs/design.md.
+const (
+	instancePrefix = "instance/"
+	budgetPrefix   = "budget/"
+	changesPrefix  = "changes/"
+	wavePrefix     = "wave/"
+	leasePrefix    = "lease/"
+)
+
+const (
+	changesKept = 64
+	// changesAge drops older changes from a row, because every entry instance reads the row once a second: at the target
+	// size a zone changes about once in ten minutes, so that the row is nearly always short.
+	changesAge = 5 * clock.Minute
+)
+
+// budgetRow is the availability budget of a pool. It holds the number of members as well, so that the rule for the
+// capacity is decided on this one row and needs no scan of the instances.
+type budgetRow struct {
+	Members int               `json:"members"`
+	Out     map[string]string `json:"out"` // instance to planned, failed or joining
+}
+
+// The kinds of entries in a budget. Joining instances do not serve yet, but the pool never relied on them, so that they
+// take no unit.
+const (
+	outPlanned = "planned"
+	outFailed  = "failed"
+	outJoining = "joining"
+)
+
+// kindOf returns the entry of an instance in the budget of its pool, or "" when it serves.
+func kindOf(r planner.RecordFields) string {
+	switch {
+	case r.Phase == planner.Serving:
+		return ""
+	case r.Phase == planner.Failed || r.From != "":
+		return outFailed
+	case r.Joining:
+		return outJoining
+	}
+	return outPlanned
+}
+
+// replace changes the budget of a pool from one record of an instance to the next; an empty pool stands for none.
+func (b *budgetRow) replace(pool string, before, after planner.RecordFields) {
+	if before.Pool == pool {
+		b.Members--
+		delete(b.Out, before.ID)
+	}
+	if after.Pool != pool {
+		return
+	}
+	b.Members++
+	if kind := kindOf(after); kind != "" {
+		if b.Out == nil {
+			b.Out = map[string]string{}
+		}
+		b.Out[after.ID] = kind
+	}
+}
+
+func (b *budgetRow) serving() int { return b.Members - len(b.Out) }
+
+// used returns the units that planned work and failures take.
+func (b *budgetRow) used() (used int) {
+	for _, kind := range b.Out {
+		if kind != outJoining {
+			used++
+		}
+	}
+	return used
+}
+
+// changesRow holds the last changes of the instances in one zone.
+type changesRow struct {
+	Sequence int64        `json:"sequence"` // of the last change ever made
+	Changes  []changeItem `json:"changes"`
+}
+
+type changeItem struct {
+	At     clock.Millis         `json:"at"`
+	Record planner.RecordFields `json:"record"` // an empty phase says that the row was deleted
+}
+
+func (c *changesRow) add(now clock.Millis, r planner.RecordFields) {
+	c.Sequence++
+	c.Changes = append(c.Changes, changeItem{now, r})
+	drop := max(len(c.Changes)-changesKept, 0)
+	for drop < len(c.Changes)-1 && now-c.Changes[drop].At > changesAge {
+		drop++
+	}
+	c.Changes = c.Changes[drop:]
+}
+
+// since returns the changes after a sequence number, or false when some of them are no longer kept.
+func (c *changesRow) since(sequence int64) ([]changeItem, bool) {
+	missing := c.Sequence - sequence
+	if missing < 0 || missing > int64(len(c.Changes)) {
+		return nil, false
+	}
+	return c.Changes[int64(len(c.Changes))-missing:], true
+}
+
+// leaseRow names who does the control work of a pool; a holder renews it by writing it again.
+type leaseRow struct {
+	Holder string `json:"holder"`
+}
+
+// decode reads the value of a row; a missing row leaves the value as it is.
+func decode[T any](row platform.Row, value *T) error {
+	if row.Version() == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(row.Value(), value); err != nil {
+		return fmt.Errorf("row %q: %w", row.Key(), err)
+	}
+	return nil
+}
+
+// encode writes the value of a row; the types of this package always encode.
+func encode(value any) []byte {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("fleet: %T does not encode: %v", value, err))
+	}
+	return body
+}
--- /dev/null
+++ b/fleet/steps.go
@@ -0,0 +1,300 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
+	"magnoliaferry/result"
+)
+
+// configurationKey is the row whose version planned work depends on.
+const configurationKey = "config/current"
+
+// apply carries out the steps of one pool. Steps of the same kind in the same zone share a transaction.
+func (l *Loop) apply(ctx context.Context, configuration *config.Configuration, steps []planner.Step,
+	records map[string]planner.RecordFields) error {
+	for start := 0; start < len(steps); {
+		first := steps[start]
+		end := start + 1
+		if first.Instance() != "" && first.Kind() != planner.KindWait {
+			zone := records[first.Instance()].Zone
+			for end < len(steps) && end-start < batch && steps[end].Kind() == first.Kind() &&
+				steps[end].Target() == first.Target() && records[steps[end].Instance()].Zone == zone {
+				end++
+			}
+		}
+		group := steps[start:end]
+		start = end
+		var err error
+		switch first.Kind() {
+		case planner.KindWait:
+			eventWait.Log(ctx, l.Logger, slog.String("pool", first.Pool()), slog.String("instance", first.Instance()),
+				slog.String("reason", first.Reason()))
+		case planner.KindStartWave, planner.KindStopWave, planner.KindFinishWave:
+			err = l.applyWave(ctx, first)
+		default:
+			err = l.applyGroup(ctx, configuration, group, records)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyWave writes the new state of a wave; a conflict means that an operator was faster, who wins.
+func (l *Loop) applyWave(ctx context.Context, step planner.Step) error {
+	l.mu.Lock()
+	w := l.waves[step.Pool()]
+	l.mu.Unlock()
+	switch step.Kind() {
+	case planner.KindStartWave:
+		wall := l.Wall()
+		w.fields = planner.WaveFields{ID: newWaveID(step.Pool(), wall), Pool: step.Pool(), State: planner.WaveRunning,
+			Started: wall, Resumed: wall, By: l.Holder}
+	case planner.KindStopWave:
+		w.fields.State = planner.WaveStopped
+	case planner.KindFinishWave:
+		w.fields.State = planner.WaveDone
+	}
+	w.fields.Reason = step.Reason()
+	err := l.writeWave(ctx, w)
+	if errorx.IsOfType(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+func (l *Loop) writeWave(ctx context.Context, w wave) error {
+	key := wavePrefix + w.fields.Pool
+	return l.commit(ctx, platform.NewTransaction(uuid.NewString(), platform.Put(key, encode(w.fields), w.version)),
+		platform.NewRow(key, nil, w.version, ""))
+}
+
+// applyGroup carries out steps of one kind on instances of one zone.
+func (l *Loop) applyGroup(ctx context.Context, configuration *config.Configuration, group []planner.Step,
+	records map[string]planner.RecordFields) error {
+	first := group[0]
+	byID := make(map[string]planner.Step, len(group))
+	t := transition{zone: records[first.Instance()].Zone, pools: []string{first.Pool()}}
+	for _, s := range group {
+		byID[s.Instance()] = s
+		t.instances = append(t.instances, s.Instance())
+	}
+	if first.Kind() == planner.KindMove {
+		t.pools = append(t.pools, first.Target())
+	}
+	l.mu.Lock()
+	w := l.waves[first.Pool()]
+	l.mu.Unlock()
+	if first.Kind() == planner.KindDrain && first.Target() == "" {
+		t.checks = append(t.checks, platform.Check(wavePrefix+first.Pool(), w.version)) // an operator may pause the wave
+	}
+	if first.Kind() == planner.KindDrain {
+		t.checks = append(t.checks, l.configurationCheck()...)
+	}
+	t.decide = func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal) {
+		step := byID[r.ID]
+		planned := records[r.ID]
+		if step.Kind() == planner.KindJoin {
+			if r.Phase != "" {
+				return r, result.Refuse(LostRace, fmt.Sprintf("instance %s already belongs to pool %s", r.ID, r.Pool), 0)
+			}
+			r = planned
+		} else if r != planned {
+			return r, result.Refuse(LostRace, fmt.Sprintf("instance %s is %s in pool %s by now", r.ID, r.Phase, r.Pool), 0)
+		}
+		if step.Kind() == planner.KindDrain {
+			if refusal := allow(configuration, step.Pool(), budgets[step.Pool()]); refusal != nil {
+				return r, refusal
+			}
+		}
+		return next(step, r, w.fields, l.Wall()), nil
+	}
+	done, refused, err := l.transition(ctx, t)
+	for _, r := range done {
+		s := byID[r.ID]
+		eventStep.Log(ctx, l.Logger, slog.String("step", string(s.Kind())), slog.String("pool", s.Pool()),
+			slog.String("instance", r.ID), slog.String("target", s.Target()), slog.String("reason", s.Reason()))
+	}
+	for id, refusal := range refused {
+		eventSkip.Log(ctx, l.Logger, slog.String("step", string(first.Kind())), slog.String("instance", id),
+			slog.String("reason", refusal.Error()))
+	}
+	if errorx.IsOfType(err, platform.ErrConflict) {
+		return nil // the next pass plans on the new state
+	}
+	return err
+}
+
+func (l *Loop) configurationCheck() []platform.Write {
+	if l.ConfigurationVersion == nil {
+		return nil
+	}
+	return []platform.Write{platform.Check(configurationKey, l.ConfigurationVersion())}
+}
+
+// allow applies the budget rule of section 9.2 to the budget row that the transaction is conditional on.
+func allow(configuration *config.Configuration, pool string, b *budgetRow) *result.Refusal {
+	p, declared := configuration.Pool(pool)
+	if !declared {
+		return nil // the pool was taken out of the configuration and promises nothing
+	}
+	figures := fmt.Sprintf("pool %s: %d of at most %d out, %d serving, capacity %d", pool, b.used(), p.MaxUnavailable(),
+		b.serving(), p.Capacity())
+	if b.used()+1 > p.MaxUnavailable() {
+		return result.Refuse(BudgetExhausted, figures, clock.Minute).WithContact(p.Contact())
+	}
+	if b.serving()-1 < p.Capacity() {
+		return result.Refuse(CapacityReached, figures, clock.Minute).WithContact(p.Contact())
+	}
+	return nil
+}
+
+// next returns the record after a step. Times never go back, so that clocks of different writers cannot make a
+// maintained instance appear older than the wave that took it out.
+func next(step planner.Step, r planner.RecordFields, w planner.WaveFields, wall clock.Millis) planner.RecordFields {
+	r.Since = max(wall, r.Since)
+	r.Reason = step.Reason()
+	switch step.Kind() {
+	case planner.KindJoin:
+		r.Pool, r.Phase, r.Joining, r.Maintained = step.Pool(), planner.Verifying, true, r.Since
+	case planner.KindDrain:
+		r.Phase, r.Target = planner.Draining, step.Target()
+		if step.Target() == "" {
+			r.Wave, r.Since = w.ID, max(r.Since, w.Started)
+		}
+		if step.Loan() {
+			r.Home = r.Pool
+		}
+	case planner.KindReboot:
+		r.Phase = planner.Rebooting
+	case planner.KindVerify:
+		r.Phase = planner.Verifying
+	case planner.KindReturn:
+		if r.From != planner.Serving && r.From != planner.Draining {
+			r.Maintained = r.Since // it was rebooted
+		}
+		r.Phase, r.From, r.Joining, r.Force, r.Reason = planner.Serving, "", false, false, ""
+	case planner.KindGiveBack:
+		r = stay(r)
+		r.Phase, r.Wave, r.Force = planner.Serving, "", false
+	case planner.KindMove:
+		r.Phase, r.Joining, r.Pool, r.Target = planner.Moving, true, step.Target(), ""
+		if r.Home == r.Pool {
+			r.Home = ""
+		}
+	case planner.KindFail:
+		if r.From == "" {
+			r.From = r.Phase
+		}
+		r = stay(r)
+		r.Phase, r.Force = planner.Failed, false
+	case planner.KindForget:
+		r.Pool, r.Phase = "", ""
+	}
+	return r
+}
+
+// stay ends a move that has not left its pool.
+func stay(r planner.RecordFields) planner.RecordFields {
+	r.Target = ""
+	if r.Home == r.Pool {
+		r.Home = ""
+	}
+	return r
+}
+
+// transition is one transaction over instances of one zone, the budgets of their pools and the changes of the zone.
+type transition struct {
+	zone      string
+	instances []string
+	pools     []string
+	checks    []platform.Write
+	// decide returns the next record of an instance, or a refusal. A record without a phase is deleted, or did not exist.
+	decide func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal)
+}
+
+// transition reads the rows, decides on them and writes on condition that none has changed. A conflict is retried on
+// the new rows, because loops of other pools write the same row of changes.
+func (l *Loop) transition(ctx context.Context, t transition) (done []planner.RecordFields,
+	refused map[string]*result.Refusal, err error) {
+	for range 3 {
+		done, refused, err = l.tryTransition(ctx, t)
+		if !errorx.IsOfType(err, platform.ErrConflict) {
+			break
+		}
+	}
+	return done, refused, err
+}
+
+func (l *Loop) tryTransition(ctx context.Context, t transition) (done []planner.RecordFields,
+	refused map[string]*result.Refusal, err error) {
+	keys := []string{changesPrefix + t.zone}
+	for _, pool := range t.pools {
+		keys = append(keys, budgetPrefix+pool)
+	}
+	for _, id := range t.instances {
+		keys = append(keys, instancePrefix+id)
+	}
+	rows, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return nil, nil, err
+	}
+	var changes changesRow
+	if err := decode(rows[0], &changes); err != nil {
+		return nil, nil, err
+	}
+	budgets := map[string]*budgetRow{}
+	for i, pool := range t.pools {
+		budgets[pool] = &budgetRow{}
+		if err := decode(rows[1+i], budgets[pool]); err != nil {
+			return nil, nil, err
+		}
+	}
+	var writes []platform.Write
+	refused = map[string]*result.Refusal{}
+	for i, id := range t.instances {
+		row := rows[1+len(t.pools)+i]
+		before := planner.RecordFields{ID: id}
+		if err := decode(row, &before); err != nil {
+			return nil, nil, err
+		}
+		after, refusal := t.decide(before, budgets)
+		if refusal != nil {
+			refused[id] = refusal
+			continue
+		}
+		for pool, b := range budgets {
+			b.replace(pool, before, after)
+		}
+		changes.add(l.Wall(), after)
+		if after.Phase == "" {
+			writes = append(writes, platform.Delete(row.Key(), row.Version()))
+		} else {
+			writes = append(writes, platform.Put(row.Key(), encode(after), row.Version()))
+		}
+		done = append(done, after)
+	}
+	if len(writes) == 0 {
+		return nil, refused, nil
+	}
+	// The row of changes comes first because it always exists afterwards, so that the operation id can be found.
+	all := []platform.Write{platform.Put(rows[0].Key(), encode(changes), rows[0].Version())}
+	for i, pool := range t.pools {
+		all = append(all, platform.Put(rows[1+i].Key(), encode(budgets[pool]), rows[1+i].Version()))
+	}
+	all = append(append(all, writes...), t.checks...)
+	if err := l.commit(ctx, platform.NewTransaction(uuid.NewString(), all...), rows[0]); err != nil {
+		return nil, nil, err
+	}
+	return done, refused, nil
+}
--- /dev/null
+++ b/planner/buffer.go
@@ -0,0 +1,118 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"magnoliaferry/config"
+)
+
+// Buffer is the spare capacity that the declared failures of a pool require.
+type Buffer struct {
+	workers int
+	text    string
+}
+
+// Workers returns how many workers the declared failures take away at worst.
+func (b Buffer) Workers() int { return b.workers }
+
+// Text explains the figure to an operator.
+func (b Buffer) Text() string { return b.text }
+
+// BufferOf computes the buffer of a pool from the spread of its members that have not failed; a pool without members
+// needs none.
+func (s *State) BufferOf(pool string) Buffer {
+	v := s.pools[pool]
+	if v == nil {
+		return Buffer{}
+	}
+	workers, lost := v.worstLoss()
+	have := v.serving - v.pool.Capacity
+	judgement := "is covered"
+	if have < workers {
+		judgement = fmt.Sprintf("is short by %d", workers-have)
+	}
+	return Buffer{workers, fmt.Sprintf("declared failures take at most %d of %d workers (%s); serving %d, capacity %d, "+
+		"spare %d: the buffer %s", workers, v.live, lost, v.serving, v.pool.Capacity, have, judgement)}
+}
+
+type domain struct {
+	zone, rack string
+	size       int
+}
+
+// worstLoss returns the largest number of workers that the declared failures take together, and which ones. Racks are
+// counted outside the failed zones, because a rack of a failed zone is already lost.
+func (v *view) worstLoss() (int, string) {
+	declared := v.pool.Survive
+	var zones, racks []domain
+	for i := range v.members { // sorted by zone and rack
+		m := &v.members[i]
+		if m.Phase == Failed {
+			continue
+		}
+		if n := len(zones); n == 0 || zones[n-1].zone != m.Zone {
+			zones = append(zones, domain{zone: m.Zone})
+		}
+		if n := len(racks); n == 0 || racks[n-1].zone != m.Zone || racks[n-1].rack != m.Rack {
+			racks = append(racks, domain{zone: m.Zone, rack: m.Rack})
+		}
+		zones[len(zones)-1].size++
+		racks[len(racks)-1].size++
+	}
+	bySize := func(a, b domain) int { return b.size - a.size }
+	slices.SortStableFunc(zones, bySize)
+	slices.SortStableFunc(racks, bySize)
+	best, lost := -1, []domain(nil)
+	consider := func(failed []domain) {
+		all := slices.Clone(failed)
+		for _, r := range racks {
+			if len(all)-len(failed) == declared.Racks {
+				break
+			}
+			if !slices.ContainsFunc(failed, func(z domain) bool { return z.zone == r.zone }) {
+				all = append(all, r)
+			}
+		}
+		if total := sum(all); total > best {
+			best, lost = total, all
+		}
+	}
+	// One failed zone is the usual declaration, and then every choice is tried: the largest zone is not always the worst
+	// together with a rack. For more zones the largest ones are taken, which can be low by less than a rack per zone.
+	if declared.Zones == 1 {
+		for i := range zones {
+			consider(zones[i : i+1])
+		}
+	} else {
+		consider(zones[:min(declared.Zones, len(zones))])
+	}
+	workers := min(declared.Workers, v.live-max(best, 0))
+	return max(best, 0) + workers, explain(lost, workers, declared)
+}
+
+func sum(all []domain) (total int) {
+	for _, d := range all {
+		total += d.size
+	}
+	return total
+}
+
+func explain(lost []domain, workers int, declared config.Failures) string {
+	var parts []string
+	for _, d := range lost {
+		if d.rack == "" {
+			parts = append(parts, fmt.Sprintf("zone %s holds %d", d.zone, d.size))
+		} else {
+			parts = append(parts, fmt.Sprintf("rack %s in zone %s holds %d", d.rack, d.zone, d.size))
+		}
+	}
+	if workers > 0 {
+		parts = append(parts, fmt.Sprintf("and any %d more", workers))
+	}
+	if len(parts) == 0 {
+		return fmt.Sprintf("%d racks, %d zones, %d workers declared", declared.Racks, declared.Zones, declared.Workers)
+	}
+	return strings.Join(parts, ", ")
+}
