Add the platform client over HTTP and the stand-ins

The end-to-end path needs a platform and workers outside the process.

The platform stand-in serves the memory plug-in by the same protocol and closes the connection where a request or an answer is lost. The worker stand-in counts runs by caller and key, refuses beyond its slots, and can fail, slow down, truncate or go silent on open connections.

--- /dev/null
+++ b/platformhttp/parts.go
@@ -0,0 +1,143 @@
+package platformhttp
+
+import (
+	"context"
+
+	"magnoliaferry/platform"
+)
+
+type table struct{ c *Client }
+
+// Read implements platform.Table.
+func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	answer, err := t.c.call(ctx, PathRead, false, Call{Keys: keys})
+	if err != nil {
+		return nil, err
+	}
+	if len(answer.Rows) != len(keys) {
+		return nil, platform.ErrUnavailable.New("%s: %d rows for %d keys", PathRead, len(answer.Rows), len(keys))
+	}
+	for i, r := range answer.Rows {
+		if r.Key != keys[i] {
+			return nil, platform.ErrUnavailable.New("%s: row %q in place of %q", PathRead, r.Key, keys[i])
+		}
+	}
+	return rows(answer), nil
+}
+
+// Scan implements platform.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	answer, err := t.c.call(ctx, PathScan, false, Call{Prefix: prefix, After: after, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	return rows(answer), nil
+}
+
+// Commit implements platform.Table.
+func (t table) Commit(ctx context.Context, tx platform.Transaction) error {
+	call := Call{Operation: tx.Operation()}
+	for _, w := range tx.Writes() {
+		call.Writes = append(call.Writes,
+			WriteFields{Kind: w.Kind(), Key: w.Key(), Value: w.Value(), IfVersion: w.IfVersion()})
+	}
+	_, err := t.c.call(ctx, PathCommit, true, call)
+	return err
+}
+
+func rows(a Answer) []platform.Row {
+	frozen := make([]platform.Row, len(a.Rows))
+	for i, f := range a.Rows {
+		frozen[i] = f.Row()
+	}
+	return frozen
+}
+
+type objects struct{ c *Client }
+
+// Put implements platform.ObjectStore.
+func (o objects) Put(ctx context.Context, name string, body []byte) error {
+	_, err := o.c.call(ctx, PathObjectPut, true, Call{Name: name, Body: body})
+	return err
+}
+
+// Get implements platform.ObjectStore.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	answer, err := o.c.call(ctx, PathObjectGet, false, Call{Name: name})
+	return answer.Body, err
+}
+
+type instances struct{ c *Client }
+
+// List implements platform.Instances.
+func (i instances) List(ctx context.Context, zone string) ([]platform.Instance, error) {
+	answer, err := i.c.call(ctx, PathList, false, Call{Zone: zone})
+	if err != nil {
+		return nil, err
+	}
+	list := make([]platform.Instance, len(answer.Instances))
+	for n, f := range answer.Instances {
+		list[n] = platform.NewInstance(f)
+	}
+	return list, nil
+}
+
+type tasks struct{ c *Client }
+
+// Start implements platform.Tasks.
+func (t tasks) Start(ctx context.Context, request platform.TaskRequest) error {
+	fields := request.Fields()
+	_, err := t.c.call(ctx, PathTaskStart, true, Call{Task: &fields})
+	return err
+}
+
+// Checkpoint implements platform.Tasks.
+func (t tasks) Checkpoint(ctx context.Context, id string) error {
+	_, err := t.c.call(ctx, PathCheckpoint, true, Call{ID: id})
+	return err
+}
+
+// Throttle implements platform.Tasks.
+func (t tasks) Throttle(ctx context.Context, id string, percent int) error {
+	_, err := t.c.call(ctx, PathThrottle, true, Call{ID: id, Percent: percent})
+	return err
+}
+
+// Stop implements platform.Tasks.
+func (t tasks) Stop(ctx context.Context, id string) error {
+	_, err := t.c.call(ctx, PathTaskStop, true, Call{ID: id})
+	return err
+}
+
+// Usage implements platform.Tasks.
+func (t tasks) Usage(ctx context.Context, instance string) ([]platform.TaskUsage, error) {
+	answer, err := t.c.call(ctx, PathUsage, false, Call{ID: instance})
+	if err != nil {
+		return nil, err
+	}
+	usage := make([]platform.TaskUsage, len(answer.Usage))
+	for i, f := range answer.Usage {
+		usage[i] = platform.NewTaskUsage(f)
+	}
+	return usage, nil
+}
+
+type maintenance struct{ c *Client }
+
+// Drain implements platform.Maintenance.
+func (m maintenance) Drain(ctx context.Context, instance string) error {
+	_, err := m.c.call(ctx, PathDrain, true, Call{ID: instance})
+	return err
+}
+
+// Reboot implements platform.Maintenance.
+func (m maintenance) Reboot(ctx context.Context, instance string) error {
+	_, err := m.c.call(ctx, PathReboot, true, Call{ID: instance})
+	return err
+}
+
+// Status implements platform.Maintenance.
+func (m maintenance) Status(ctx context.Context, instance string) (platform.MaintenanceStatus, error) {
+	answer, err := m.c.call(ctx, PathStatus, false, Call{ID: instance})
+	return answer.Status, err
+}
--- /dev/null
+++ b/platformhttp/wire.go
@@ -0,0 +1,112 @@
+package platformhttp
+
+import (
+	"net/http"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/platform"
+)
+
+// ZoneHeader names the availability zone of the calling process.
+const ZoneHeader = "Magnoliaferry-Zone"
+
+// The paths of the protocol; each takes a POST with a Call as its body and answers with an Answer.
+const (
+	PathRead       = "/v1/table/read"
+	PathScan       = "/v1/table/scan"
+	PathCommit     = "/v1/table/commit"
+	PathObjectPut  = "/v1/objects/put"
+	PathObjectGet  = "/v1/objects/get"
+	PathList       = "/v1/instances/list"
+	PathTaskStart  = "/v1/tasks/start"
+	PathCheckpoint = "/v1/tasks/checkpoint"
+	PathThrottle   = "/v1/tasks/throttle"
+	PathTaskStop   = "/v1/tasks/stop"
+	PathUsage      = "/v1/tasks/usage"
+	PathDrain      = "/v1/maintenance/drain"
+	PathReboot     = "/v1/maintenance/reboot"
+	PathStatus     = "/v1/maintenance/status"
+)
+
+// RowFields is a row of the table on the wire.
+type RowFields struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Version   int64  `json:"version"`
+	Operation string `json:"operation,omitempty"`
+}
+
+// Row freezes the fields.
+func (f RowFields) Row() platform.Row { return platform.NewRow(f.Key, f.Value, f.Version, f.Operation) }
+
+// WriteFields is one conditional change on the wire.
+type WriteFields struct {
+	Kind      platform.WriteKind `json:"kind"`
+	Key       string             `json:"key"`
+	Value     []byte             `json:"value,omitempty"`
+	IfVersion int64              `json:"if-version"`
+}
+
+// Call is the body of every request; each path uses some of the fields.
+type Call struct {
+	Keys      []string             `json:"keys,omitempty"`
+	Prefix    string               `json:"prefix,omitempty"`
+	After     string               `json:"after,omitempty"`
+	Limit     int                  `json:"limit,omitempty"`
+	Operation string               `json:"operation,omitempty"`
+	Writes    []WriteFields        `json:"writes,omitempty"`
+	Name      string               `json:"name,omitempty"`
+	Body      []byte               `json:"body,omitempty"`
+	Zone      string               `json:"zone,omitempty"`
+	ID        string               `json:"id,omitempty"`
+	Percent   int                  `json:"percent,omitempty"`
+	Task      *platform.TaskFields `json:"task,omitempty"`
+}
+
+// Answer is the body of every answer; Error is empty for success.
+type Answer struct {
+	Error     string                     `json:"error,omitempty"` // name of the error type, such as "conflict"
+	Text      string                     `json:"text,omitempty"`
+	Rows      []RowFields                `json:"rows,omitempty"`
+	Body      []byte                     `json:"body,omitempty"`
+	Instances []platform.InstanceFields  `json:"instances,omitempty"`
+	Usage     []platform.UsageFields     `json:"usage,omitempty"`
+	Status    platform.MaintenanceStatus `json:"status,omitempty"`
+}
+
+// errorKinds pairs the error types with their names and HTTP statuses on the wire.
+var errorKinds = []struct {
+	name   string
+	status int
+	kind   *errorx.Type
+}{
+	{"conflict", http.StatusConflict, platform.ErrConflict},
+	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
+	{"unknown-outcome", http.StatusGatewayTimeout, platform.ErrUnknownOutcome},
+	{"not-found", http.StatusNotFound, platform.ErrNotFound},
+}
+
+// EncodeError returns the HTTP status and the answer for an error of a platform. An error of no known type becomes
+// "unknown-outcome", because nothing is known about the effect of the call.
+func EncodeError(err error) (int, Answer) {
+	for _, k := range errorKinds {
+		if errorx.IsOfType(err, k.kind) {
+			return k.status, Answer{Error: k.name, Text: err.Error()}
+		}
+	}
+	return http.StatusInternalServerError, Answer{Error: "unknown-outcome", Text: err.Error()}
+}
+
+// decodeError returns the error that an answer carries, or nil.
+func decodeError(path string, a Answer) error {
+	if a.Error == "" {
+		return nil
+	}
+	for _, k := range errorKinds {
+		if k.name == a.Error {
+			return k.kind.New("%s: %s", path, a.Text)
+		}
+	}
+	return platform.ErrUnknownOutcome.New("%s: unknown error %q: %s", path, a.Error, a.Text)
+}
--- /dev/null
+++ b/standin/control.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/platform"
+)
+
+// maxControl bounds the body of a control request.
+const maxControl = 1 << 20
+
+// control adds the endpoints that change the platform's faults and what it reports.
+func (p *Platform) control(mux *http.ServeMux) {
+	mux.HandleFunc("POST /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Step  string       `json:"step"`
+			Kind  fault.Kind   `json:"kind"`
+			Delay clock.Millis `json:"delay-ms"`
+			Count int          `json:"count"` // 0: until cleared
+		}
+		if !decode(w, r, maxControl, &body) {
+			return
+		}
+		switch body.Kind {
+		case fault.Down, fault.Slow, fault.LoseRequest, fault.LoseAnswer:
+		default:
+			http.Error(w, "unknown kind of fault", http.StatusBadRequest)
+			return
+		}
+		if body.Count > 0 {
+			p.Faults.Next(body.Step, body.Kind, body.Count)
+		} else {
+			p.Faults.Always(body.Step, body.Kind, body.Delay)
+		}
+		eventFault.Log(r.Context(), p.Logger, slog.String("step", body.Step), slog.String("kind", string(body.Kind)))
+	})
+	mux.HandleFunc("POST /control/clear", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Step string `json:"step"` // empty: all
+		}
+		if !decode(w, r, maxControl, &body) {
+			return
+		}
+		if body.Step == "" {
+			p.Faults.ClearAll()
+		} else {
+			p.Faults.Clear(body.Step)
+		}
+		eventFault.Log(r.Context(), p.Logger, slog.String("step", body.Step), slog.String("kind", "none"))
+	})
+	zone := func(change func(string)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			var body struct {
+				Zone string `json:"zone"`
+			}
+			if decode(w, r, maxControl, &body) {
+				change(body.Zone)
+				eventFault.Log(r.Context(), p.Logger, slog.String("path", r.URL.Path), slog.String("zone", body.Zone))
+			}
+		}
+	}
+	mux.HandleFunc("POST /control/partition", zone(func(z string) { p.Faults.Partition(z) }))
+	mux.HandleFunc("POST /control/heal", zone(func(z string) { p.Faults.Heal(z) }))
+	mux.HandleFunc("POST /control/instances", func(w http.ResponseWriter, r *http.Request) {
+		var body []platform.InstanceFields
+		if decode(w, r, maxControl, &body) {
+			for _, f := range body {
+				p.Store.SetInstance(platform.NewInstance(f))
+			}
+		}
+	})
+	mux.HandleFunc("POST /control/instances/remove", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			ID string `json:"id"`
+		}
+		if decode(w, r, maxControl, &body) {
+			p.Store.RemoveInstance(body.ID)
+		}
+	})
+	mux.HandleFunc("POST /control/tasks", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			ID     string             `json:"id"`
+			State  platform.TaskState `json:"state"`
+			Reason string             `json:"reason"`
+		}
+		if decode(w, r, maxControl, &body) {
+			p.Store.SetTaskState(body.ID, body.State, body.Reason)
+		}
+	})
+	mux.HandleFunc("POST /control/workers", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Instance string `json:"instance"`
+			Address  string `json:"address"`
+		}
+		if decode(w, r, maxControl, &body) {
+			p.AttachWorker(body.Instance, p.remoteInFlight(body.Address))
+		}
+	})
+	mux.HandleFunc("GET /control/state", func(w http.ResponseWriter, _ *http.Request) {
+		reads, transactions := p.Store.Counts()
+		reply(w, http.StatusOK, struct {
+			Reads        int64 `json:"reads"`
+			Transactions int64 `json:"transactions"`
+		}{reads, transactions})
+	})
+}
+
+// remoteInFlight asks a worker stand-in in another process. A worker that does not answer counts as busy with what it
+// said last, so that a drain does not end for want of an answer.
+func (p *Platform) remoteInFlight(address string) func(context.Context) int {
+	last := 0
+	return func(ctx context.Context) int {
+		ctx, cancel := p.Clock.WithTimeout(ctx, clock.Second)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/stand-in/state", nil)
+		if err != nil {
+			return last
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return last
+		}
+		defer func() { _ = response.Body.Close() }() // the answer was read
+		var state workerState
+		if json.NewDecoder(io.LimitReader(response.Body, maxControl)).Decode(&state) == nil {
+			last = state.InFlight
+		}
+		return last
+	}
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/platform"
+	"magnoliaferry/platformhttp"
+)
+
+// maxCall bounds the body of a call; the largest is a configuration body in base64.
+const maxCall = 8 << 20
+
+// Platform serves the protocol of platformhttp from a memory.Store; the exported fields are set before Handler or Run.
+//
+// Faults are injected at the steps of the package memory. They can also be set by POSTs to /control/faults,
+// /control/clear, /control/partition and /control/heal; /control/instances, /control/instances/remove,
+// /control/tasks and /control/workers change what the platform reports, and GET /control/state tells the counters.
+type Platform struct {
+	// Address is the IP address and port to listen on; port 0 takes a free one.
+	Address string
+	Clock   *clock.Clock // nil uses the system clock
+	// Store is the state; nil starts with an empty one. Its Faults must be the same driver as Faults.
+	Store  *memory.Store
+	Faults *fault.Driver // nil creates one
+	Logger *slog.Logger
+
+	once    sync.Once
+	handler http.Handler
+	server  server
+
+	mu       sync.Mutex
+	workers  map[string]func(context.Context) int
+	inFlight map[string]int // what the workers said last, for the store, which asks while it holds its lock
+}
+
+// Name implements kernel.Module.
+func (p *Platform) Name() string { return "stand-in platform" }
+
+// Run serves until the context ends.
+func (p *Platform) Run(ctx context.Context) error {
+	p.once.Do(p.start)
+	return p.server.run(ctx, p.Clock, p.Logger, "platform", p.Address, p.handler, nil)
+}
+
+// Bound waits until Run listens and returns the IP address and port.
+func (p *Platform) Bound(ctx context.Context) (string, error) { return p.server.bound(ctx) }
+
+// Handler returns the handler for a server of the caller's own.
+func (p *Platform) Handler() http.Handler { p.once.Do(p.start); return p.handler }
+
+// AttachWorker makes a drain of the instance wait until inFlight returns 0.
+func (p *Platform) AttachWorker(instance string, inFlight func(context.Context) int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.workers == nil {
+		p.workers = map[string]func(context.Context) int{}
+	}
+	p.workers[instance] = inFlight
+}
+
+func (p *Platform) start() {
+	if p.Clock == nil {
+		p.Clock = clock.System()
+	}
+	if p.Faults == nil {
+		p.Faults = &fault.Driver{}
+		if p.Store != nil && p.Store.Faults != nil {
+			p.Faults = p.Store.Faults
+		}
+	}
+	if p.Store == nil {
+		p.Store = memory.New(p.Clock, p.Faults)
+	}
+	p.Store.Faults = p.Faults
+	p.inFlight = map[string]int{}
+	p.Store.InFlight = func(instance string) int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.inFlight[instance]
+	}
+	mux := http.NewServeMux()
+	p.protocol(mux)
+	p.control(mux)
+	p.handler = mux
+}
+
+// work carries out one call for a process in a zone.
+type work func(ctx context.Context, view platform.Platform, call platformhttp.Call, answer *platformhttp.Answer) error
+
+func (p *Platform) protocol(mux *http.ServeMux) {
+	for path, w := range map[string]work{
+		platformhttp.PathRead: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) error {
+			rows, err := v.Table().Read(ctx, c.Keys...)
+			a.Rows = encodeRows(rows)
+			return err
+		},
+		platformhttp.PathScan: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) error {
+			rows, err := v.Table().Scan(ctx, c.Prefix, c.After, max(0, c.Limit))
+			a.Rows = encodeRows(rows)
+			return err
+		},
+		platformhttp.PathCommit: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			writes, err := decodeWrites(c.Writes)
+			if err != nil {
+				return err
+			}
+			return v.Table().Commit(ctx, platform.NewTransaction(c.Operation, writes...))
+		},
+		platformhttp.PathObjectPut: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Objects().Put(ctx, c.Name, c.Body)
+		},
+		platformhttp.PathObjectGet: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) (err error) {
+			a.Body, err = v.Objects().Get(ctx, c.Name)
+			return err
+		},
+		platformhttp.PathList: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) error {
+			list, err := v.Instances().List(ctx, c.Zone)
+			for _, i := range list {
+				a.Instances = append(a.Instances, i.Fields())
+			}
+			return err
+		},
+		platformhttp.PathTaskStart: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			if c.Task == nil {
+				return platform.ErrUnavailable.New("the call names no task")
+			}
+			return v.Tasks().Start(ctx, platform.NewTaskRequest(*c.Task))
+		},
+		platformhttp.PathCheckpoint: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Tasks().Checkpoint(ctx, c.ID)
+		},
+		platformhttp.PathThrottle: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Tasks().Throttle(ctx, c.ID, c.Percent)
+		},
+		platformhttp.PathTaskStop: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Tasks().Stop(ctx, c.ID)
+		},
+		platformhttp.PathUsage: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) error {
+			usage, err := v.Tasks().Usage(ctx, c.ID)
+			for _, u := range usage {
+				a.Usage = append(a.Usage, u.Fields())
+			}
+			return err
+		},
+		platformhttp.PathDrain: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Maintenance().Drain(ctx, c.ID)
+		},
+		platformhttp.PathReboot: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			_ *platformhttp.Answer) error {
+			return v.Maintenance().Reboot(ctx, c.ID)
+		},
+		platformhttp.PathStatus: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+			a *platformhttp.Answer) (err error) {
+			p.askWorker(ctx, c.ID)
+			a.Status, err = v.Maintenance().Status(ctx, c.ID)
+			return err
+		},
+	} {
+		mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) { p.serve(rw, r, w) })
+	}
+}
+
+// serve answers one call. A lost request or answer closes the connection without an answer, so that the client has
+// to classify it.
+func (p *Platform) serve(rw http.ResponseWriter, r *http.Request, w work) {
+	var call platformhttp.Call
+	if !decode(rw, r, maxCall, &call) {
+		return
+	}
+	var answer platformhttp.Answer
+	err := w(r.Context(), p.Store.View(r.Header.Get(platformhttp.ZoneHeader)), call, &answer)
+	switch {
+	case err == nil:
+		reply(rw, http.StatusOK, answer)
+	case errorx.IsOfType(err, platform.ErrUnknownOutcome):
+		panic(http.ErrAbortHandler)
+	default:
+		status, failure := platformhttp.EncodeError(err)
+		reply(rw, status, failure)
+	}
+}
+
+func (p *Platform) askWorker(ctx context.Context, instance string) {
+	p.mu.Lock()
+	ask := p.workers[instance]
+	p.mu.Unlock()
+	if ask == nil {
+		return
+	}
+	count := ask(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight[instance] = count
+}
+
+func encodeRows(rows []platform.Row) []platformhttp.RowFields {
+	fields := make([]platformhttp.RowFields, len(rows))
+	for i, r := range rows {
+		fields[i] = platformhttp.RowFields{Key: r.Key(), Value: r.Value(), Version: r.Version(),
+			Operation: r.Operation()}
+	}
+	return fields
+}
+
+func decodeWrites(fields []platformhttp.WriteFields) ([]platform.Write, error) {
+	writes := make([]platform.Write, len(fields))
+	for i, f := range fields {
+		switch f.Kind {
+		case platform.KindPut:
+			writes[i] = platform.Put(f.Key, f.Value, f.IfVersion)
+		case platform.KindDelete:
+			writes[i] = platform.Delete(f.Key, f.IfVersion)
+		case platform.KindCheck:
+			writes[i] = platform.Check(f.Key, f.IfVersion)
+		default:
+			return nil, platform.ErrUnavailable.New("write %d has the unknown kind %q", i, f.Kind)
+		}
+	}
+	return writes, nil
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,329 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"magnoliaferry/clock"
+)
+
+// Headers of the interface to workers.
+const (
+	HeaderCaller      = "Magnoliaferry-Caller"
+	HeaderRequestKey  = "Magnoliaferry-Request-Key"
+	HeaderWorkerState = "Magnoliaferry-Worker-State" // "leaving" on a worker that shuts down
+	HeaderNotRun      = "Magnoliaferry-Not-Run"      // "true" on a refusal that had no effect
+	HeaderWorker      = "Magnoliaferry-Worker"       // id of the worker that answers
+)
+
+// Mode is how a worker stand-in behaves.
+type Mode string
+
+// The modes of a worker stand-in.
+const (
+	Healthy  Mode = ""
+	FailAll  Mode = "fail-all" // runs every request and answers 500
+	Slow     Mode = "slow"     // ten times the service time
+	Truncate Mode = "truncate" // ends the connection in the middle of the answer
+)
+
+// Worker is a backend server with a number of slots; the exported fields are set before Handler or Run.
+//
+// It runs every path outside /stand-in/. The query "answer-bytes" pads the answer to that many bytes. POSTs to
+// /stand-in/mode and /stand-in/silence change its behaviour and GETs of /stand-in/state and /stand-in/runs report it.
+type Worker struct {
+	// ID is the id of the instance.
+	ID string
+	// Address is the IP address and port to listen on; port 0 takes a free one.
+	Address string
+	Clock   *clock.Clock // nil uses the system clock
+	// Slots is how many requests run at once; others get 503 with Magnoliaferry-Not-Run.
+	Slots int
+	// ServiceTime is how long a request runs, in milliseconds.
+	ServiceTime clock.Millis
+	// MaxBody bounds a request body in bytes; 0 means 64 MiB.
+	MaxBody int64
+	Tracer  trace.Tracer // nil records no spans
+	Logger  *slog.Logger
+
+	once    sync.Once
+	handler http.Handler
+	server  server
+
+	inFlight atomic.Int64
+	peak     atomic.Int64
+	refused  atomic.Int64
+
+	mu      sync.Mutex
+	mode    Mode
+	leaving bool
+	time    clock.Millis
+	runs    map[string]int // by caller and request key
+	total   int
+	conns   map[*silentConn]struct{}
+}
+
+type workerState struct {
+	ID       string       `json:"id"`
+	Mode     Mode         `json:"mode"`
+	Leaving  bool         `json:"leaving"`
+	InFlight int          `json:"in-flight"`
+	Peak     int          `json:"peak"`
+	Refused  int          `json:"refused"`
+	Runs     int          `json:"runs"`
+	Time     clock.Millis `json:"service-time-ms"`
+}
+
+// WorkerAnswer is the body of a worker's answer.
+type WorkerAnswer struct {
+	Worker string `json:"worker"`
+	Key    string `json:"request-key"`
+	Digest string `json:"digest"` // SHA-256 of the request body, in hexadecimal
+	Bytes  int64  `json:"bytes"`
+	Run    int    `json:"run"` // how often the key ran on this worker, this run included
+}
+
+// Name implements kernel.Module.
+func (w *Worker) Name() string { return "stand-in worker " + w.ID }
+
+// Run serves until the context ends.
+func (w *Worker) Run(ctx context.Context) error {
+	w.once.Do(w.start)
+	return w.server.run(ctx, w.Clock, w.Logger, w.ID, w.Address, w.handler, func(l net.Listener) net.Listener {
+		return silentListener{l, w}
+	})
+}
+
+// Bound waits until Run listens and returns the IP address and port.
+func (w *Worker) Bound(ctx context.Context) (string, error) { return w.server.bound(ctx) }
+
+// Handler returns the handler for a server of the caller's own; Silence needs Run.
+func (w *Worker) Handler() http.Handler { w.once.Do(w.start); return w.handler }
+
+// InFlight returns the number of requests that run now, in the shape that Platform.AttachWorker takes.
+func (w *Worker) InFlight(context.Context) int { return int(w.inFlight.Load()) }
+
+// Peak returns the largest number of requests that were open at once, refused ones included.
+func (w *Worker) Peak() int { return int(w.peak.Load()) }
+
+// Refused returns how many requests were refused for want of a slot.
+func (w *Worker) Refused() int { return int(w.refused.Load()) }
+
+// Runs returns how often the request with the caller and key ran.
+func (w *Worker) Runs(caller, key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[runKey(caller, key)]
+}
+
+// Total returns how many requests ran.
+func (w *Worker) Total() int { w.mu.Lock(); defer w.mu.Unlock(); return w.total }
+
+// SetMode changes the behaviour of requests that arrive from now on.
+func (w *Worker) SetMode(m Mode) { w.mu.Lock(); defer w.mu.Unlock(); w.mode = m }
+
+// SetLeaving makes answers carry Magnoliaferry-Worker-State: leaving, or ends that.
+func (w *Worker) SetLeaving(leaving bool) { w.mu.Lock(); defer w.mu.Unlock(); w.leaving = leaving }
+
+// Silence makes every open connection go silent for good; new connections work.
+func (w *Worker) Silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.silent.Store(true)
+	}
+}
+
+func runKey(caller, key string) string { return strconv.Quote(caller) + "/" + key }
+
+func (w *Worker) start() {
+	if w.Clock == nil {
+		w.Clock = clock.System()
+	}
+	if w.MaxBody == 0 {
+		w.MaxBody = 64 << 20
+	}
+	w.time, w.runs, w.conns = w.ServiceTime, map[string]int{}, map[*silentConn]struct{}{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", w.serve)
+	mux.HandleFunc("GET /stand-in/state", func(rw http.ResponseWriter, _ *http.Request) {
+		w.mu.Lock()
+		state := workerState{ID: w.ID, Mode: w.mode, Leaving: w.leaving, InFlight: int(w.inFlight.Load()),
+			Peak: w.Peak(), Refused: w.Refused(), Runs: w.total, Time: w.time}
+		w.mu.Unlock()
+		reply(rw, http.StatusOK, state)
+	})
+	mux.HandleFunc("GET /stand-in/runs", func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		runs := make(map[string]int, len(w.runs))
+		for key, n := range w.runs {
+			runs[key] = n
+		}
+		w.mu.Unlock()
+		reply(rw, http.StatusOK, runs)
+	})
+	mux.HandleFunc("POST /stand-in/mode", func(rw http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Mode    *Mode         `json:"mode"`
+			Leaving *bool         `json:"leaving"`
+			Time    *clock.Millis `json:"service-time-ms"`
+		}
+		if !decode(rw, r, maxControl, &body) {
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if body.Mode != nil {
+			w.mode = *body.Mode
+		}
+		if body.Leaving != nil {
+			w.leaving = *body.Leaving
+		}
+		if body.Time != nil {
+			w.time = *body.Time
+		}
+	})
+	mux.HandleFunc("POST /stand-in/silence", func(http.ResponseWriter, *http.Request) { w.Silence() })
+	w.handler = mux
+}
+
+// serve runs one request.
+func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	if w.Tracer != nil {
+		var span trace.Span
+		ctx, span = w.Tracer.Start(ctx, "run "+r.URL.Path, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+	}
+	rw.Header().Set(HeaderWorker, w.ID)
+	open := w.inFlight.Add(1)
+	defer w.inFlight.Add(-1)
+	for peak := w.peak.Load(); open > peak && !w.peak.CompareAndSwap(peak, open); peak = w.peak.Load() {
+	}
+	w.mu.Lock()
+	mode, leaving, serviceTime := w.mode, w.leaving, w.time
+	w.mu.Unlock()
+	if leaving {
+		rw.Header().Set(HeaderWorkerState, "leaving")
+	}
+	if open > int64(w.Slots) {
+		w.refused.Add(1)
+		rw.Header().Set(HeaderNotRun, "true")
+		http.Error(rw, "all slots are in use", http.StatusServiceUnavailable)
+		return
+	}
+	digest := sha256.New()
+	n, err := io.Copy(digest, http.MaxBytesReader(rw, r.Body, w.MaxBody))
+	if err != nil {
+		rw.Header().Set(HeaderNotRun, "true")
+		http.Error(rw, "the body could not be read", http.StatusBadRequest)
+		return
+	}
+	key := r.Header.Get(HeaderRequestKey)
+	w.mu.Lock()
+	w.total++
+	run := w.total
+	if key != "" {
+		id := runKey(r.Header.Get(HeaderCaller), key)
+		w.runs[id]++
+		run = w.runs[id]
+	}
+	w.mu.Unlock()
+	if mode == Slow {
+		serviceTime *= 10
+	}
+	if serviceTime > 0 && w.Clock.Sleep(ctx, serviceTime) != nil {
+		return // the client has gone; the request counts as run
+	}
+	if mode == FailAll {
+		http.Error(rw, "the request failed", http.StatusInternalServerError)
+		return
+	}
+	w.answer(rw, r, mode, WorkerAnswer{Worker: w.ID, Key: key, Digest: hex.EncodeToString(digest.Sum(nil)), Bytes: n,
+		Run: run})
+}
+
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, mode Mode, a WorkerAnswer) {
+	body, err := json.Marshal(a)
+	if err != nil {
+		panic(fmt.Sprintf("standin: encode an answer: %v", err)) // plain strings and numbers always encode
+	}
+	const maxPadded = 64 << 20
+	if size, err := strconv.Atoi(r.URL.Query().Get("answer-bytes")); err == nil && size > len(body) {
+		body = append(body, bytes.Repeat([]byte(" "), min(size, maxPadded)-len(body))...)
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if mode == Truncate {
+		_, _ = rw.Write(body[:len(body)/2]) // the connection is cut off below in any case
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = rw.Write(body) // the client has gone when this fails
+}
+
+// silentListener wraps connections so that they can go silent.
+type silentListener struct {
+	net.Listener
+	worker *Worker
+}
+
+// Accept returns a connection that the worker can silence.
+func (l silentListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn, worker: l.worker}
+	l.worker.mu.Lock()
+	l.worker.conns[c] = struct{}{}
+	l.worker.mu.Unlock()
+	return c, nil
+}
+
+// silentConn drops what arrives and what is sent once it is silent, as a middle box without connection state does.
+type silentConn struct {
+	net.Conn
+	worker *Worker
+	silent atomic.Bool
+}
+
+// Read blocks on a silent connection until the connection is closed.
+func (c *silentConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write pretends that a silent connection took the bytes.
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and forgets it.
+func (c *silentConn) Close() error {
+	c.worker.mu.Lock()
+	delete(c.worker.conns, c)
+	c.worker.mu.Unlock()
+	return c.Conn.Close()
+}
