--- a/cmd/generate/tables.go
+++ b/cmd/generate/tables.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"fmt"
 
-	_ "magnoliaferry/certs" // declares log events
+	_ "magnoliaferry/command" // imports every package that declares codes or events
 	"magnoliaferry/event"
 	"magnoliaferry/result"
 )
--- a/command/connection.go
+++ b/command/connection.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -12,6 +13,9 @@
 	"magnoliaferry/operator"
 )
 
+// clientTimeout is longer than the time in which an entry instance settles a lost answer of the table.
+const clientTimeout = 30 * time.Second
+
 // Connection tells how to reach an entry instance as an operator.
 type Connection struct {
 	Server      string // "https://<ip>:<port>"
@@ -38,6 +42,10 @@
 	if c.HTTP != nil {
 		return &operator.Client{Address: c.Server, HTTP: c.HTTP}, nil
 	}
+	if c.Certificate == "" && c.Key == "" && c.Authority == "" {
+		// An entry instance that trusts loopback asks for no certificate; any other refuses the call.
+		return &operator.Client{Address: c.Server, HTTP: &http.Client{Timeout: clientTimeout}}, nil
+	}
 	h, err := operator.NewHTTPClient(c.Certificate, c.Key, c.Authority)
 	if err != nil {
 		return nil, usageError{err}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"magnoliaferry/entry"
+	_ "magnoliaferry/memory" // registers the platform plug-in "memory"
+	"magnoliaferry/platform"
+	_ "magnoliaferry/platformhttp" // registers the platform plug-in "http"
+	"magnoliaferry/settings"
+)
+
+// ServeOptions are the options of serve, which runs one entry instance.
+type ServeOptions struct {
+	Settings settings.Settings
+	Platform platform.Platform // used instead of the plug-in that the settings name when it is set
+}
+
+func init() {
+	Register("serve", func(app *kingpin.Application) (*kingpin.CmdClause, RunFunc) {
+		var file string
+		c := app.Command("serve", "Run an entry instance until SIGTERM; it then leaves and finishes what runs.")
+		c.Flag("settings", "Settings of the process (JSON).").Required().StringVar(&file)
+		return c, func(ctx context.Context, env *Environment) error {
+			read, faults := settings.Read(file)
+			if err := faults.Err(); err != nil {
+				return err
+			}
+			return ServeOptions{Settings: read}.Run(ctx, env)
+		}
+	})
+}
+
+// Run serves until the context ends.
+func (o ServeOptions) Run(ctx context.Context, env *Environment) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(o.Settings.LogLevel)); err != nil {
+		return usageError{err}
+	}
+	logger := slog.New(slog.NewJSONHandler(env.Err, &slog.HandlerOptions{Level: level}))
+	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger}
+	return instance.Run(ctx)
+}
--- /dev/null
+++ b/entry/instance.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"magnoliaferry/caller"
+	"magnoliaferry/certs"
+	"magnoliaferry/claim"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/fleet"
+	"magnoliaferry/kernel"
+	"magnoliaferry/operator"
+	"magnoliaferry/platform"
+	"magnoliaferry/routing"
+	"magnoliaferry/settings"
+	"magnoliaferry/slots"
+	"magnoliaferry/trace"
+	"magnoliaferry/worker"
+)
+
+var (
+	eventStarted = event.New(1000, "started", slog.LevelInfo, "the entry instance starts")
+	eventStopped = event.New(1001, "stopped", slog.LevelInfo, "the entry instance has stopped")
+)
+
+// Instance is one entry instance; the exported fields are set before Run.
+type Instance struct {
+	Settings settings.Settings
+	Clock    *clock.Clock // nil uses the system clock
+	Logger   *slog.Logger // nil drops the log
+	// Platform is used instead of the plug-in that the settings name when it is set.
+	Platform platform.Platform
+	// WallClock returns milliseconds since 1970; nil uses the system's time. It numbers incarnations and dates claims
+	// and maintenance; no lease depends on it.
+	WallClock func() clock.Millis
+
+	incarnation int64
+	listeners   map[string]net.Listener
+	ready       sync.Once
+	listening   chan struct{}
+
+	tracer        *trace.Tracer
+	configuration *configurations
+	ledger        *slots.Ledger
+	router        *routing.Router
+	client        *worker.Client
+	claims        *claim.Store
+	handler       *caller.Handler
+	assignments   *fleet.Assignments
+	queues        *queues
+}
+
+// Run serves until the context ends, then leaves, finishes what runs and returns.
+func (i *Instance) Run(ctx context.Context) error {
+	if err := i.prepare(ctx); err != nil {
+		return err
+	}
+	eventStarted.Log(ctx, i.Logger, slog.String("instance", i.Settings.Name), slog.String("zone", i.Settings.Zone),
+		slog.Int64("incarnation", i.incarnation))
+	modules, err := i.modules(ctx)
+	if err != nil {
+		i.closeListeners()
+		return err
+	}
+	close(i.listening)
+	err = (&kernel.Kernel{Modules: modules}).Run(ctx)
+	eventStopped.Log(context.WithoutCancel(ctx), i.Logger, slog.String("instance", i.Settings.Name))
+	return err
+}
+
+// Address returns where the instance listens for "callers", "operators", "peers" or "metrics", once Run listens.
+func (i *Instance) Address(ctx context.Context, port string) (string, error) {
+	i.ready.Do(i.start)
+	select {
+	case <-i.listening:
+		return i.listeners[port].Addr().String(), nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+func (i *Instance) start() { i.listening = make(chan struct{}) }
+
+func (i *Instance) prepare(ctx context.Context) error {
+	i.ready.Do(i.start)
+	if i.Clock == nil {
+		i.Clock = clock.System()
+	}
+	if i.WallClock == nil {
+		i.WallClock = func() clock.Millis { return clock.Millis(time.Now().UnixMilli()) }
+	}
+	i.incarnation = int64(i.WallClock())
+	if i.Platform == nil {
+		open, known := platform.Plugins.Lookup(i.Settings.Platform.Plugin)
+		if !known {
+			return fmt.Errorf("platform plug-in %q does not exist", i.Settings.Platform.Plugin)
+		}
+		opened, err := open(i.Settings.Platform.Address, i.Settings.Zone)
+		if err != nil {
+			return fmt.Errorf("platform %s: %w", i.Settings.Platform.Address, err)
+		}
+		i.Platform = opened
+	}
+	return i.listen(ctx)
+}
+
+// listen opens every port before anything runs, so that a taken port is reported at once.
+func (i *Instance) listen(ctx context.Context) error {
+	i.listeners = map[string]net.Listener{}
+	ports := map[string]*settings.Listener{"callers": &i.Settings.Callers, "operators": &i.Settings.Operators,
+		"peers": &i.Settings.Peers, "metrics": i.Settings.Metrics}
+	for name, port := range ports {
+		if port == nil || port.Listen == "" {
+			continue
+		}
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", port.Listen)
+		if err == nil && port.TLS != nil {
+			l, err = i.secure(l, *port.TLS, name == "operators" || name == "peers")
+		}
+		if err != nil {
+			i.closeListeners()
+			return fmt.Errorf("port for %s: %w", name, err)
+		}
+		i.listeners[name] = l
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range i.listeners {
+		l.Close()
+	}
+}
+
+func (i *Instance) source(files settings.TLS) (*certs.Source, error) {
+	s := &certs.Source{CertificateFile: files.Certificate, KeyFile: files.Key, AuthoritiesFile: files.Authorities,
+		Clock: i.Clock, Logger: i.Logger}
+	return s, s.Load()
+}
+
+// modules builds the parts of the instance in the order in which they start; callers come last and leave first.
+func (i *Instance) modules(ctx context.Context) ([]kernel.Module, error) {
+	var err error
+	options := trace.Options{Instance: i.Settings.Name}
+	if t := i.Settings.Trace; t != nil {
+		options.Exporter, options.Target = t.Exporter, t.Target
+	}
+	if i.tracer, err = trace.New(ctx, options); err != nil {
+		return nil, err
+	}
+	s := i.Settings
+	i.configuration = &configurations{clock: i.Clock, store: &operator.Store{Clock: i.Clock, Table: i.Platform.Table(),
+		Objects: i.Platform.Objects()}}
+	i.ledger = &slots.Ledger{Clock: i.Clock, ID: s.Name, Incarnation: i.incarnation, Zone: s.Zone}
+	i.client = &worker.Client{Clock: i.Clock, Logger: i.Logger}
+	i.router = &routing.Router{Clock: i.Clock, Logger: i.Logger, Probe: i.client.Probe}
+	i.claims = &claim.Store{Clock: i.Clock, Table: i.Platform.Table(), Holder: s.Name, Incarnation: i.incarnation,
+		Interval: s.ClaimInterval, WallClock: i.WallClock, Logger: i.Logger}
+	i.assignments = &fleet.Assignments{Clock: i.Clock, Platform: i.Platform, Zone: s.Zone, Logger: i.Logger,
+		Zones: i.configuration.zones}
+	i.queues = &queues{instance: i}
+	i.handler = &caller.Handler{Clock: i.Clock, Instance: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Logger: i.Logger,
+		Tracer: i.tracer, Configuration: i.configuration.Current, Contact: s.Contact, Queue: i.queues.of,
+		Quota:  func(resource string) routing.Account { return i.ledger.Account(resource) },
+		Claims: claims{i.claims}, Router: i.router, Client: i.client}
+	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
+		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.queues.demand,
+		Wall: i.WallClock, Seed: i.incarnation, Logger: i.Logger}
+	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Logger: i.Logger}
+	modules := []kernel.Module{
+		i.tracer,
+		i.configuration,
+		&rosterLoop{clock: i.Clock, table: i.Platform.Table(), ledger: i.ledger},
+		i.assignments,
+		&workers{instance: i},
+		named{"claims", i.claims.Run},
+		loop,
+		&httpServer{name: "operators", listener: i.listeners["operators"], handler: operators.Handler()},
+	}
+	if l, ok := i.listeners["metrics"]; ok {
+		modules = append(modules, &httpServer{name: "metrics", listener: l, handler: i.metrics()})
+	}
+	return append(modules, &caller.Server{Handler: i.handler, Listener: i.listeners["callers"],
+		LeaveFor: s.Leave, Grace: s.Stop - s.Leave}), nil
+}
+
+// metrics serves the counters of this instance and of the process.
+func (i *Instance) metrics() http.Handler {
+	vars := i.handler.Vars()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		fmt.Fprintf(w, "{\"magnoliaferry\": %s", vars)
+		expvar.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+		fmt.Fprint(w, "}\n")
+	})
+	return mux
+}
+
+// identity tells operators by their certificates, or trusts everybody on a loopback address if the settings say so.
+func (i *Instance) identity() operator.Identity {
+	if i.Settings.Operators.TLS != nil {
+		return operator.Certificate{}
+	}
+	if i.Settings.Operators.TrustLoopback {
+		return loopback{}
+	}
+	return nil
+}
+
+type loopback struct{}
+
+// Identify implements operator.Identity.
+func (loopback) Identify(*http.Request) (string, bool) { return "loopback", true }
+
+// named makes a module of a function.
+type named struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Name implements kernel.Module.
+func (n named) Name() string { return n.name }
+
+// Run implements kernel.Module.
+func (n named) Run(ctx context.Context) error { return n.run(ctx) }
--- /dev/null
+++ b/entry/queues.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"magnoliaferry/admission"
+	"magnoliaferry/caller"
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+)
+
+const (
+	defaultQueueLength = 200
+	defaultQueueWait   = 2 * clock.Second
+)
+
+// queues holds the admission queue of each pool.
+type queues struct {
+	instance *Instance
+	byPool   sync.Map // pool name to *queue
+}
+
+// of returns the queue of a pool, always the same one, so that a new configuration does not lose waiting requests.
+func (q *queues) of(pool string) caller.Queue {
+	if found, ok := q.byPool.Load(pool); ok {
+		return found.(*queue)
+	}
+	fresh := &queue{admission.Queue[*caller.Permit]{
+		Clock:     q.instance.Clock,
+		MaxLength: defaultQueueLength,
+		MaxWait:   defaultQueueWait,
+		Acquire: func(r admission.Request) (*caller.Permit, bool) {
+			return q.instance.handler.Acquire(pool, r.Team(), r.Deadline())
+		},
+		Release: (*caller.Permit).Release,
+	}}
+	if p, ok := q.pool(pool); ok {
+		fresh.MaxLength = orDefault(p.QueueLength(), defaultQueueLength)
+		fresh.MaxWait = orDefault(p.QueueWait(), defaultQueueWait)
+	}
+	found, _ := q.byPool.LoadOrStore(pool, fresh)
+	return found.(*queue)
+}
+
+func orDefault[T int | clock.Millis](value, otherwise T) T {
+	if value == 0 {
+		return otherwise
+	}
+	return value
+}
+
+func (q *queues) pool(name string) (config.Pool, bool) {
+	c := q.instance.configuration.Current()
+	if c == nil {
+		return config.Pool{}, false
+	}
+	return c.Pool(name)
+}
+
+// wakeAll tells every queue that slots may have become free.
+func (q *queues) wakeAll() {
+	q.byPool.Range(func(_, found any) bool { found.(*queue).Wake(); return true })
+}
+
+// demand returns the requests that wait at this instance, by pool.
+func (q *queues) demand() map[string]int {
+	demand := map[string]int{}
+	q.byPool.Range(func(pool, found any) bool {
+		demand[pool.(string)] = found.(*queue).Length()
+		return true
+	})
+	return demand
+}
+
+// queue joins an admission queue to the callers' interface.
+type queue struct {
+	admission.Queue[*caller.Permit]
+}
+
+// Enter implements caller.Queue.
+func (q *queue) Enter(d caller.Demand) (caller.Ticket, *result.Refusal) {
+	t, refusal := q.Queue.Enter(admission.NewRequest(d.Caller(), d.Team(), d.Urgency(), d.Deadline()))
+	if refusal != nil {
+		return nil, refusal
+	}
+	return ticket{t}, nil
+}
+
+type ticket struct {
+	*admission.Ticket[*caller.Permit]
+}
+
+// Wait implements caller.Ticket.
+func (t ticket) Wait(ctx context.Context) (*caller.Permit, *result.Refusal) { return t.Ticket.Wait(ctx) }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -10,7 +10,7 @@
 
 const valid = `{
 "name": "entry-a1",
-"zone": "zone-a",
+"zone": "zone-a", "contact": "desk@example",
 "callers": {"listen": "127.0.0.1:8080"},
 "operators": {"listen": "127.0.0.1:8081", "trust-loopback": true},
 "peers": {"listen": "127.0.0.1:8082", "seeds": ["127.0.0.1:8092"]},
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -210,6 +210,10 @@
 		defer span.End()
 	}
 	rw.Header().Set(HeaderWorker, w.ID)
+	if r.Method == http.MethodOptions {
+		w.answerProbe(rw)
+		return
+	}
 	open := w.inFlight.Add(1)
 	defer w.inFlight.Add(-1)
 	for peak := w.peak.Load(); open > peak && !w.peak.CompareAndSwap(peak, open); peak = w.peak.Load() {
@@ -257,6 +261,21 @@
 		Run: run})
 }
 
+// answerProbe answers a question whether the worker works; it takes no slot and runs nothing.
+func (w *Worker) answerProbe(rw http.ResponseWriter) {
+	w.mu.Lock()
+	mode, leaving := w.mode, w.leaving
+	w.mu.Unlock()
+	if leaving {
+		rw.Header().Set(HeaderWorkerState, "leaving")
+	}
+	if mode == FailAll {
+		http.Error(rw, "the request failed", http.StatusInternalServerError)
+		return
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
 func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, mode Mode, a WorkerAnswer) {
 	body, err := json.Marshal(a)
 	if err != nil {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -91,6 +91,14 @@
 	return t.provider.Shutdown(context.WithoutCancel(ctx))
 }
 
+// OpenTelemetry returns the tracer for code that takes one of OpenTelemetry, or nil when it is off.
+func (t *Tracer) OpenTelemetry() oteltrace.Tracer {
+	if t == nil {
+		return nil
+	}
+	return t.tracer
+}
+
 // Start begins the span of a hop as a child of the span in ctx.
 func (t *Tracer) Start(ctx context.Context, hop Hop) (context.Context, Span) {
 	if t == nil {
