--- a/command/standin.go
+++ b/command/standin.go
@@ -56,7 +56,9 @@
 }
 
 // Run serves until the context ends.
-func (o StandinPlatformOptions) Run(ctx context.Context, env *Environment) error { return o.run(ctx, env) }
+func (o StandinPlatformOptions) Run(ctx context.Context, env *Environment) error {
+	return o.run(ctx, env)
+}
 
 // The commands bind run before the flags are parsed, so it needs a pointer.
 func (o *StandinPlatformOptions) run(ctx context.Context, env *Environment) error {
@@ -79,7 +81,9 @@
 }
 
 // Run serves until the context ends.
-func (o StandinWorkerOptions) Run(ctx context.Context, env *Environment) error { return o.run(ctx, env) }
+func (o StandinWorkerOptions) Run(ctx context.Context, env *Environment) error {
+	return o.run(ctx, env)
+}
 
 func (o *StandinWorkerOptions) run(ctx context.Context, env *Environment) error {
 	options := trace.Options{Instance: o.ID, Target: o.TraceFile}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -93,4 +93,6 @@
 }
 
 // Wait implements caller.Ticket.
-func (t ticket) Wait(ctx context.Context) (*caller.Permit, *result.Refusal) { return t.Ticket.Wait(ctx) }
+func (t ticket) Wait(ctx context.Context) (*caller.Permit, *result.Refusal) {
+	return t.Ticket.Wait(ctx)
+}
