jobs, fleet: place jobs and let operators act

Cause: declared jobs were not started, and operators could not steer planned work. Operators drain instances, steer waves, and list, show and cancel jobs; each refusal is numbered and names the figures.

--- a/fleet/codes.go
+++ b/fleet/codes.go
@@ -30,6 +30,10 @@
 		"The wave is not in a state from which the action is possible.")
 	NoConfiguration = result.New(4009, "no-configuration", http.StatusServiceUnavailable, result.NotRun,
 		"This entry instance has no configuration yet.")
+	NoSuchJob = result.New(4100, "no-such-job", http.StatusNotFound, result.NotRun,
+		"No job of that name is known.")
+	JobEnded = result.New(4101, "job-ended", http.StatusConflict, result.NotRun,
+		"The job has already ended.")
 )
 
 // The log events of the control loop.
@@ -40,5 +44,7 @@
 	eventAway  = event.New(4003, "platform-away", slog.LevelWarn, "the platform does not answer; no new decision is taken")
 	eventBack  = event.New(4004, "platform-back", slog.LevelInfo, "the platform answers again; decisions resume after a delay")
 	eventOrder = event.New(4005, "maintenance-order-failed", slog.LevelWarn, "the platform did not accept a maintenance order")
+	eventJob   = event.New(4100, "job-step", slog.LevelInfo, "a step of a job was carried out")
+	eventTask  = event.New(4101, "task-order-failed", slog.LevelWarn, "the platform did not accept an order for a task")
 	eventScan  = event.New(4006, "assignments-scan", slog.LevelInfo, "changes were missed; all instance rows are read")
 )
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -55,6 +55,7 @@
 	random   *rand.Rand
 	away     bool
 	resumeAt clock.Millis
+	jobs     map[string]*poolJobs // by pool
 }
 
 type lease struct {
@@ -105,6 +106,11 @@
 	if err := l.planAndApply(ctx, configuration, held); err != nil {
 		return l.outage(ctx, err)
 	}
+	for _, pool := range held {
+		if err := l.passJobs(ctx, configuration, pool); err != nil {
+			return l.outage(ctx, err)
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/fleet/operate.go
@@ -0,0 +1,364 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/jobs"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
+	"magnoliaferry/result"
+)
+
+// WaveAction is what an operator does with the maintenance wave of a pool.
+type WaveAction string
+
+// The actions on waves.
+const (
+	WaveStart  WaveAction = "start"
+	WavePause  WaveAction = "pause"
+	WaveResume WaveAction = "resume"
+	WaveStop   WaveAction = "stop"
+)
+
+// Drain takes an instance out for maintenance within the budget of its pool. With force, the instance is rebooted even
+// though requests still run on it; force may also be added to a drain that goes on already.
+func (l *Loop) Drain(ctx context.Context, instance string, force bool) *result.Refusal {
+	configuration := l.Configuration()
+	if configuration == nil {
+		return result.Refuse(NoConfiguration, "no configuration is in force here", clock.Second)
+	}
+	rows, err := l.Platform.Table().Read(ctx, instancePrefix+instance)
+	if err != nil {
+		return refuse(err)
+	}
+	var seen planner.RecordFields
+	if err := decode(rows[0], &seen); err != nil {
+		return refuse(err)
+	}
+	if rows[0].Version() == 0 {
+		return result.Refuse(NoSuchInstance, fmt.Sprintf("no pool holds an instance %q", instance), 0)
+	}
+	contact := contactOf(configuration, seen.Pool)
+	t := transition{zone: seen.Zone, pools: []string{seen.Pool}, instances: []string{instance},
+		checks: l.configurationCheck()}
+	t.decide = func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal) {
+		switch {
+		case r.Pool != seen.Pool:
+			return r, result.Refuse(LostRace, fmt.Sprintf("instance %s moved from pool %s to %s", instance, seen.Pool, r.Pool),
+				clock.Second)
+		case r.Phase == planner.Draining && force && !r.Force && r.Target == "":
+			r.Force = true
+			return r, nil
+		case r.Phase != planner.Serving:
+			return r, result.Refuse(WrongPhase, fmt.Sprintf("instance %s is %s since %d (%s); only a serving instance can be "+
+				"drained, and only a drain for maintenance can be forced", instance, r.Phase, r.Since, r.Reason), 0)
+		}
+		if refusal := allow(configuration, r.Pool, budgets[r.Pool]); refusal != nil {
+			return r, refusal
+		}
+		r.Phase, r.Since, r.Force, r.Wave, r.Reason = planner.Draining, max(l.Wall(), r.Since), force, "", "an operator's order"
+		return r, nil
+	}
+	_, refused, err := l.transition(ctx, t)
+	if err != nil {
+		return refuse(err).WithContact(contact)
+	}
+	if refusal := refused[instance]; refusal != nil {
+		return refusal.WithContact(contact)
+	}
+	return nil
+}
+
+// Wave starts, pauses, resumes or stops the maintenance wave of a pool. Of two operators who act at once one wins, and
+// the other is told the state that the wave has by then.
+func (l *Loop) Wave(ctx context.Context, pool string, action WaveAction, by string) *result.Refusal {
+	configuration := l.Configuration()
+	if configuration == nil {
+		return result.Refuse(NoConfiguration, "no configuration is in force here", clock.Second)
+	}
+	if _, declared := configuration.Pool(pool); !declared {
+		return result.Refuse(NoSuchPool, fmt.Sprintf("the configuration declares no pool %q", pool), 0)
+	}
+	contact := contactOf(configuration, pool)
+	w, err := l.readWave(ctx, pool)
+	if err != nil {
+		return refuse(err).WithContact(contact)
+	}
+	from := map[WaveAction][]planner.WaveState{
+		WaveStart:  {"", planner.WaveDone, planner.WaveStopped},
+		WavePause:  {planner.WaveRunning},
+		WaveResume: {planner.WavePaused, planner.WaveStopped},
+		WaveStop:   {planner.WaveRunning, planner.WavePaused},
+	}[action]
+	if !slices.Contains(from, w.fields.State) {
+		return result.Refuse(WaveState, fmt.Sprintf("%q is not possible: the wave of pool %s is %q (%s)", action, pool,
+			w.fields.State, w.fields.Reason), 0).WithContact(contact)
+	}
+	wall := l.Wall()
+	switch action {
+	case WaveStart:
+		w.fields = planner.WaveFields{ID: newWaveID(pool, wall), Pool: pool, Started: wall, Resumed: wall,
+			State: planner.WaveRunning}
+	case WavePause:
+		w.fields.State = planner.WavePaused
+	case WaveResume:
+		w.fields.State, w.fields.Resumed = planner.WaveRunning, wall
+	case WaveStop:
+		w.fields.State = planner.WaveStopped
+	}
+	w.fields.By, w.fields.Reason = by, fmt.Sprintf("%s by %s", action, by)
+	err = l.writeWave(ctx, w)
+	if errorx.IsOfType(err, platform.ErrConflict) {
+		now, readErr := l.readWave(ctx, pool)
+		if readErr != nil {
+			return refuse(readErr).WithContact(contact)
+		}
+		return result.Refuse(LostRace, fmt.Sprintf("the wave of pool %s is now %q (%s)", pool, now.fields.State,
+			now.fields.Reason), 0).WithContact(contact)
+	}
+	if err != nil {
+		return refuse(err).WithContact(contact)
+	}
+	return nil
+}
+
+func (l *Loop) readWave(ctx context.Context, pool string) (w wave, err error) {
+	rows, err := l.Platform.Table().Read(ctx, wavePrefix+pool)
+	if err != nil {
+		return w, err
+	}
+	w.version = rows[0].Version()
+	return w, decode(rows[0], &w.fields)
+}
+
+// Jobs returns the jobs by name, at most limit whose names sort after the given one.
+func (l *Loop) Jobs(ctx context.Context, after string, limit int) ([]jobs.RecordFields, *result.Refusal) {
+	rows, err := l.Platform.Table().Scan(ctx, jobPrefix, jobPrefix+after, limit)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	all := make([]jobs.RecordFields, len(rows))
+	for i, row := range rows {
+		if err := decode(row, &all[i]); err != nil {
+			return nil, refuse(err)
+		}
+	}
+	return all, nil
+}
+
+// Job returns one job.
+func (l *Loop) Job(ctx context.Context, id string) (r jobs.RecordFields, refusal *result.Refusal) {
+	rows, err := l.Platform.Table().Read(ctx, jobPrefix+id)
+	if err != nil {
+		return r, refuse(err)
+	}
+	if rows[0].Version() == 0 {
+		return r, result.Refuse(NoSuchJob, fmt.Sprintf("no job %q is known", id), 0)
+	}
+	if err := decode(rows[0], &r); err != nil {
+		return r, refuse(err)
+	}
+	return r, nil
+}
+
+// CancelJobs cancels jobs in batches: a job that is not bound to a worker never starts afterwards, and one that runs is
+// stopped by the control loop. It returns a refusal for each job that could not be cancelled.
+func (l *Loop) CancelJobs(ctx context.Context, by string, ids ...string) map[string]*result.Refusal {
+	refused := map[string]*result.Refusal{}
+	pools := map[string][]string{}
+	for chunk := range slices.Chunk(ids, jobBatch) {
+		keys := make([]string, len(chunk))
+		for i, id := range chunk {
+			keys[i] = jobPrefix + id
+		}
+		rows, err := l.Platform.Table().Read(ctx, keys...)
+		for i, id := range chunk {
+			var r jobs.RecordFields
+			switch {
+			case err != nil:
+				refused[id] = refuse(err)
+			case rows[i].Version() == 0:
+				refused[id] = result.Refuse(NoSuchJob, fmt.Sprintf("no job %q is known", id), 0)
+			default:
+				if decodeErr := decode(rows[i], &r); decodeErr != nil {
+					refused[id] = refuse(decodeErr)
+					continue
+				}
+				pools[r.Pool] = append(pools[r.Pool], id)
+			}
+		}
+	}
+	for _, pool := range sorted(pools) {
+		for chunk := range slices.Chunk(pools[pool], jobBatch) {
+			l.cancelBatch(ctx, pool, by, chunk, refused)
+		}
+	}
+	return refused
+}
+
+func (l *Loop) cancelBatch(ctx context.Context, pool, by string, ids []string, refused map[string]*result.Refusal) {
+	ended := map[string]*result.Refusal{}
+	_, err := l.transitionJobs(ctx, pool, ids, nil, func(r jobs.RecordFields, _ int64, _ map[string]*teamRow) (
+		jobs.RecordFields, bool) {
+		switch {
+		case r.State.Ended():
+			ended[r.ID] = result.Refuse(JobEnded, fmt.Sprintf("job %s is %s already: %s", r.ID, r.State, r.Reason), 0)
+			return r, false
+		case r.Cancel:
+			return r, false // cancelled already; the task is being stopped
+		case r.State.Bound():
+			r.Cancel = true
+		default:
+			r.State, r.Since = jobs.Cancelled, max(l.Wall(), r.Since)
+		}
+		r.Reason = "cancelled by " + by
+		return r, true
+	})
+	for _, id := range ids {
+		if err != nil {
+			refused[id] = refuse(err)
+		} else if ended[id] != nil {
+			refused[id] = ended[id]
+		}
+	}
+}
+
+// StatusFields is what an operator sees of the fleet.
+type StatusFields struct {
+	Pools      []PoolStatusFields `json:"pools"`
+	Unassigned []string           `json:"unassigned"` // listed workers that no pool needs
+}
+
+// PoolStatusFields is what an operator sees of one pool.
+type PoolStatusFields struct {
+	Pool           string                 `json:"pool"`
+	Contact        string                 `json:"contact"`
+	Members        int                    `json:"members"`
+	Serving        int                    `json:"serving"`
+	Capacity       int                    `json:"capacity"`
+	Out            int                    `json:"out"` // units of the budget that are used
+	MaxUnavailable int                    `json:"max-unavailable"`
+	Demand         int                    `json:"demand"` // requests in flight and waiting
+	Wanted         int                    `json:"wanted"` // workers for demand, capacity and the buffer that the weights hold
+	Buffer         int                    `json:"buffer"` // workers that the declared failures take away
+	BufferText     string                 `json:"buffer-text"`
+	Away           []planner.RecordFields `json:"away"` // every instance that does not serve, with the reason
+	Wave           *planner.WaveFields    `json:"wave,omitempty"`
+	ToMaintain     int                    `json:"to-maintain"` // by the running wave
+	Moves          []planner.RecordFields `json:"moves"`       // on their way to another pool, and loans
+	Waits          []string               `json:"waits"`       // why planned work and jobs wait, where this process plans the pool
+	Jobs           map[jobs.State]int     `json:"jobs"`        // where this process plans the pool
+}
+
+// Status returns the state of every pool from the table.
+func (l *Loop) Status(ctx context.Context) (StatusFields, *result.Refusal) {
+	configuration := l.Configuration()
+	if configuration == nil {
+		return StatusFields{}, result.Refuse(NoConfiguration, "no configuration is in force here", clock.Second)
+	}
+	if err := l.Assignments.Poll(ctx); err != nil {
+		return StatusFields{}, refuse(err)
+	}
+	pools := configuration.Pools()
+	keys := make([]string, len(pools))
+	for i, p := range pools {
+		keys[i] = wavePrefix + p.Name()
+	}
+	rows, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return StatusFields{}, refuse(err)
+	}
+	instances := l.Assignments.instances(l.Healthy)
+	state := l.state(configuration, instances)
+	var status StatusFields
+	for i, p := range pools {
+		s := PoolStatusFields{Pool: p.Name(), Contact: p.Contact(), Capacity: p.Capacity(),
+			MaxUnavailable: p.MaxUnavailable(), Buffer: state.BufferOf(p.Name()).Workers(),
+			BufferText: state.BufferOf(p.Name()).Text(), Wanted: state.Wanted(p.Name())}
+		if rows[i].Version() > 0 {
+			s.Wave = &planner.WaveFields{}
+			if err := decode(rows[i], s.Wave); err != nil {
+				return StatusFields{}, refuse(err)
+			}
+		}
+		if l.Demand != nil {
+			s.Demand = l.Demand()[p.Name()]
+		}
+		status.Pools = append(status.Pools, s)
+	}
+	for _, m := range instances {
+		i := slices.IndexFunc(status.Pools, func(s PoolStatusFields) bool { return s.Pool == m.Pool })
+		if i < 0 {
+			status.Unassigned = append(status.Unassigned, m.ID)
+			continue
+		}
+		status.Pools[i].count(m.RecordFields)
+	}
+	for i := range status.Pools {
+		l.waits(&status.Pools[i])
+	}
+	sort.Strings(status.Unassigned)
+	return status, nil
+}
+
+func (s *PoolStatusFields) count(r planner.RecordFields) {
+	s.Members++
+	if r.Phase == planner.Serving {
+		s.Serving++
+	} else {
+		s.Away = append(s.Away, r)
+	}
+	if kind := kindOf(r); kind == outPlanned || kind == outFailed {
+		s.Out++
+	}
+	if r.Home != "" || r.Target != "" {
+		s.Moves = append(s.Moves, r)
+	}
+	if s.Wave != nil && s.Wave.State != planner.WaveDone && r.Phase != planner.Failed && r.Maintained < s.Wave.Started {
+		s.ToMaintain++
+	}
+}
+
+// waits adds what the last pass of this process decided for the pool, if it holds the lease.
+func (l *Loop) waits(s *PoolStatusFields) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, step := range l.steps[s.Pool] {
+		if step.Kind() == planner.KindWait {
+			s.Waits = append(s.Waits, step.Reason())
+		}
+	}
+	p := l.jobs[s.Pool]
+	if p == nil {
+		return
+	}
+	s.Jobs = p.counts
+	for _, step := range p.steps[:min(len(p.steps), 100)] {
+		if step.Kind() == jobs.KindWait {
+			s.Waits = append(s.Waits, step.Reason())
+		}
+	}
+}
+
+func contactOf(configuration *config.Configuration, pool string) string {
+	p, _ := configuration.Pool(pool)
+	return p.Contact()
+}
+
+// refuse turns an error of the table into a refusal.
+func refuse(err error) *result.Refusal {
+	switch {
+	case errorx.IsOfType(err, platform.ErrConflict):
+		return result.Refuse(LostRace, err.Error(), clock.Second)
+	case errorx.IsOfType(err, platform.ErrUnknownOutcome):
+		return result.Refuse(OutcomeUnknown, err.Error(), 0)
+	}
+	return result.Refuse(TableUnavailable, err.Error(), 10*clock.Second)
+}
