--- /dev/null
+++ b/command/wave.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"magnoliaferry/operator"
+)
+
+// WaveOptions are the options of wave, which steers the maintenance wave of a pool.
+type WaveOptions struct {
+	Connection
+	Action string // start, pause, resume or stop
+	Pool   string
+}
+
+func init() {
+	Register("wave", func(app *kingpin.Application) (*kingpin.CmdClause, RunFunc) {
+		var o WaveOptions
+		c := app.Command("wave", "Steer the maintenance wave of a pool.")
+		o.flags(c)
+		helps := []struct{ action, help string }{
+			{"start", "Start a wave over every instance of the pool."},
+			{"pause", "Start no further instance; those under way finish."},
+			{"resume", "Go on with a paused wave, or with one that stopped by itself."},
+			{"stop", "End the wave; instances under way finish."},
+		}
+		for _, h := range helps {
+			action := c.Command(h.action, h.help)
+			action.Arg("pool", "Name of the pool.").Required().StringVar(&o.Pool)
+			action.Action(func(*kingpin.ParseContext) error {
+				o.Action = h.action
+				return nil
+			})
+		}
+		return c, func(ctx context.Context, env *Environment) error { return o.Run(ctx, env) }
+	})
+}
+
+// Run gives the order.
+func (o WaveOptions) Run(ctx context.Context, env *Environment) error {
+	return order(o.Connection, env, func(c *operator.Client) (operator.OrderFields, error) {
+		return c.Wave(ctx, o.Action, o.Pool)
+	})
+}
