Test the configuration format and apply deltas without the schema

Apply replaces only the sections that the delta names and relies on the digest; digests are computed once for each configuration. Both faults of a job above its worker and its quota are reported.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,7 @@
 
 measure:
 	go run ./cmd/measure
+
+# Looks for inputs that break the decoder of configurations; the committed corpus runs with the tests.
+fuzz:
+	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./config
--- a/config/check.go
+++ b/config/check.go
@@ -189,19 +189,21 @@
 	if d.ok(path, "memory") && j.MemoryMB < 1 {
 		d.report(CodeOutOfRange, path+"/memory", "must be at least 1MB")
 	}
-	if hasPool && d.ok(path, "cores") && d.ok(p.path, "cores") && j.Cores > p.f.Cores {
+	// A job may exceed both its worker and its quota, so whether a value is sound is asked before either is reported.
+	cores, memory := d.ok(path, "cores"), d.ok(path, "memory")
+	if hasPool && cores && d.ok(p.path, "cores") && j.Cores > p.f.Cores {
 		d.report(CodeJobAboveWorker, path+"/cores", "%d cores are above the %d of a worker in pool %q", j.Cores,
 			p.f.Cores, j.Pool)
 	}
-	if hasPool && d.ok(path, "memory") && d.ok(p.path, "memory") && j.MemoryMB > p.f.MemoryMB {
+	if hasPool && memory && d.ok(p.path, "memory") && j.MemoryMB > p.f.MemoryMB {
 		d.report(CodeJobAboveWorker, path+"/memory", "%s is above the %s of a worker in pool %q",
 			formatUnit(int64(j.MemoryMB), sizeUnits), formatUnit(int64(p.f.MemoryMB), sizeUnits), j.Pool)
 	}
-	if hasTeam && d.ok(path, "cores") && d.ok(t.path, "cores") && j.Cores > t.f.Cores {
+	if hasTeam && cores && d.ok(t.path, "cores") && j.Cores > t.f.Cores {
 		d.report(CodeJobAboveQuota, path+"/cores", "%d cores are above the quota of %d of team %q", j.Cores, t.f.Cores,
 			j.Team)
 	}
-	if hasTeam && d.ok(path, "memory") && d.ok(t.path, "memory") && j.MemoryMB > t.f.MemoryMB {
+	if hasTeam && memory && d.ok(t.path, "memory") && j.MemoryMB > t.f.MemoryMB {
 		d.report(CodeJobAboveQuota, path+"/memory", "%s is above the quota of %s of team %q",
 			formatUnit(int64(j.MemoryMB), sizeUnits), formatUnit(int64(t.f.MemoryMB), sizeUnits), j.Team)
 	}
--- a/config/delta.go
+++ b/config/delta.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/joomcode/errorx"
 )
@@ -94,28 +95,63 @@
 	if d.f.Omitted {
 		return nil, ErrOmitted.New("the delta to %q holds no sections", d.f.Result)
 	}
-	all := named(base)
-	if all == nil {
-		all = map[string]json.RawMessage{}
-	}
-	maps.Copy(all, d.f.Set)
-	for _, section := range d.f.Remove {
-		delete(all, section)
+	var w documentWire
+	if base != nil {
+		w = toWire(base.f)
 	}
-	body, err := joined(all)
-	if err != nil {
-		return nil, ErrDelta.Wrap(err, "delta to %q", d.f.Result)
+	for section, body := range d.f.Set {
+		if err := w.set(section, body); err != nil {
+			return nil, ErrDelta.Wrap(err, "section %q", section)
+		}
 	}
-	next, faults := Decode("delta", body)
-	if err := faults.Err(); err != nil {
-		return nil, ErrDelta.Wrap(err, "delta to %q", d.f.Result)
+	for _, section := range d.f.Remove {
+		if err := w.set(section, nil); err != nil {
+			return nil, ErrDelta.Wrap(err, "section %q", section)
+		}
 	}
+	// The digest stands for the checks of Decode: the submitter's server made it from a body without faults.
+	next := New(toWire(w.fields()).fields())
 	if got := Digest(next); got != d.f.Result {
 		return nil, ErrDelta.New("the delta states digest %q and leads to %q", d.f.Result, got)
 	}
 	return next, nil
 }
 
+// set replaces the section of that name, such as "pool/citation"; a nil body removes it.
+func (w *documentWire) set(section string, body json.RawMessage) error {
+	kind, name, _ := strings.Cut(section, "/")
+	switch kind {
+	case "name":
+		return json.Unmarshal(body, &w.Name)
+	case "weights":
+		return json.Unmarshal(body, &w.Weights)
+	case "zone":
+		return setSection(&w.Zones, name, body, func(z zoneWire) string { return z.Name })
+	case "pool":
+		return setSection(&w.Pools, name, body, func(p poolWire) string { return p.Name })
+	case "service":
+		return setSection(&w.Services, name, body, func(s serviceWire) string { return s.Name })
+	case "team":
+		return setSection(&w.Teams, name, body, func(t teamWire) string { return t.Name })
+	case "job":
+		return setSection(&w.Jobs, name, body, func(j jobWire) string { return j.Name })
+	}
+	return ErrDelta.New("no such kind of section")
+}
+
+func setSection[W any](list *[]W, name string, body json.RawMessage, nameOf func(W) string) error {
+	kept := slices.DeleteFunc(*list, func(w W) bool { return nameOf(w) == name })
+	if body != nil {
+		var w W
+		if err := json.Unmarshal(body, &w); err != nil {
+			return err
+		}
+		kept = append(kept, w)
+	}
+	*list = kept
+	return nil
+}
+
 // The places of the configuration in the platform.
 const (
 	CurrentKey   = "config/current" // table row with a Stored value
--- a/config/diff.go
+++ b/config/diff.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 )
 
 // Kind tells what happened to a section or to one of its fields.
@@ -138,27 +137,3 @@
 	}
 	return all
 }
-
-// joined is the inverse of named; it returns nil for a section that named does not produce.
-func joined(all map[string]json.RawMessage) ([]byte, error) {
-	lists := map[string][]json.RawMessage{"zone": {}, "pool": {}, "service": {}, "team": {}, "job": {}}
-	for _, section := range slices.Sorted(maps.Keys(all)) {
-		kind, _, isNamed := strings.Cut(section, "/")
-		if !isNamed {
-			continue
-		}
-		if _, known := lists[kind]; !known {
-			return nil, ErrDelta.New("section %q is of no known kind", section)
-		}
-		lists[kind] = append(lists[kind], all[section])
-	}
-	return json.Marshal(struct {
-		Name     json.RawMessage   `json:"name,omitempty"`
-		Weights  json.RawMessage   `json:"weights,omitempty"`
-		Zones    []json.RawMessage `json:"zones"`
-		Pools    []json.RawMessage `json:"pools"`
-		Services []json.RawMessage `json:"services"`
-		Teams    []json.RawMessage `json:"teams"`
-		Jobs     []json.RawMessage `json:"jobs"`
-	}{all["name"], all["weights"], lists["zone"], lists["pool"], lists["service"], lists["team"], lists["job"]})
-}
--- a/config/encode.go
+++ b/config/encode.go
@@ -119,8 +119,11 @@
 
 // Digest returns the SHA-256 of the canonical body in lower-case hexadecimal, 64 characters.
 func Digest(c *Configuration) string {
-	sum := sha256.Sum256(Encode(c))
-	return hex.EncodeToString(sum[:])
+	c.digestOnce.Do(func() {
+		sum := sha256.Sum256(Encode(c))
+		c.digest = hex.EncodeToString(sum[:])
+	})
+	return c.digest
 }
 
 // marshal writes compact JSON; the wire types hold nothing that encoding/json cannot write.
@@ -232,11 +235,15 @@
 	return err
 }
 
-// UnmarshalJSON fills the defaults of fields that the section leaves out.
+// UnmarshalJSON fills the defaults of fields that the section leaves out; a deadline that is left out does not exceed
+// the max-deadline.
 func (s *serviceWire) UnmarshalJSON(body []byte) error {
 	type plain serviceWire
-	w := plain{Deadline: duration(DefaultDeadline), MaxDeadline: duration(DefaultMaxDeadline), Urgency: Normal}
+	w := plain{Deadline: -1, MaxDeadline: duration(DefaultMaxDeadline), Urgency: Normal}
 	err := json.Unmarshal(body, &w)
+	if w.Deadline < 0 {
+		w.Deadline = min(duration(DefaultDeadline), w.MaxDeadline)
+	}
 	*s = serviceWire(w)
 	return err
 }
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against a panic, against faults outside the body, and against an accepted body whose canonical form is
+// refused or has another digest. The corpus is in testdata/fuzz/FuzzDecode; "make fuzz" looks for more.
+func FuzzDecode(f *testing.F) {
+	for _, name := range []string{"testdata/eight-faults.json", "../examples/kervan-etki/fleet.json",
+		"../examples/lone-star/fleet.json"} {
+		f.Add(readFile(f, name))
+	}
+	f.Add([]byte(small))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, faults := Decode("fuzz", body)
+		lines := 1 + bytes.Count(body, []byte("\n"))
+		for _, d := range faults.All() {
+			if d.Line() < 0 || d.Line() > lines || d.Text() == "" {
+				t.Errorf("fault got %v, want a place in %d lines", d, lines)
+			}
+		}
+		if (c == nil) != (faults.Len() > 0) {
+			t.Fatalf("got configuration %v with faults %v", c, faults)
+		}
+		if c == nil {
+			return
+		}
+		canonical := Encode(c)
+		again, faults := Decode("canonical", canonical)
+		if faults.Len() > 0 {
+			t.Fatalf("canonical form got %v", faults)
+		}
+		if got := Encode(again); !bytes.Equal(got, canonical) {
+			t.Errorf("second form got %s, want %s", got, canonical)
+		}
+		if got, err := Apply(nil, NewDelta(nil, c)); err != nil || Digest(got) != Digest(c) {
+			t.Errorf("delta got %v, want the same configuration", err)
+		}
+	})
+}
--- a/config/types.go
+++ b/config/types.go
@@ -1,6 +1,10 @@
 package config
 
-import "magnoliaferry/clock"
+import (
+	"sync"
+
+	"magnoliaferry/clock"
+)
 
 // Urgency orders requests and jobs.
 type Urgency string
@@ -107,6 +111,9 @@
 	teams    map[string]Team
 	callers  map[string]string // caller to team
 	jobs     map[string]Job
+
+	digestOnce sync.Once
+	digest     string
 }
 
 // New freezes the fields; Check reports what is wrong with them.
--- a/operator/builder.go
+++ b/operator/builder.go
@@ -60,7 +60,7 @@
 // Service declares one service of a pool.
 type Service struct {
 	Name        string
-	Deadline    clock.Millis   // default 10 s
+	Deadline    clock.Millis   // default 10 s, or MaxDeadline where that is less
 	MaxDeadline clock.Millis   // default 30 s
 	Urgency     config.Urgency // default normal
 	// IdempotentMethods replaces the default of GET, HEAD, OPTIONS, PUT and DELETE unless it is nil.
@@ -119,10 +119,10 @@
 	for _, p := range f.Pools {
 		fields.Pools = append(fields.Pools, f.pool(p))
 		for _, s := range p.Services {
+			longest := cmp.Or(s.MaxDeadline, config.DefaultMaxDeadline)
 			fields.Services = append(fields.Services, config.ServiceFields{Name: s.Name, Pool: p.Name,
-				Deadline:    cmp.Or(s.Deadline, config.DefaultDeadline),
-				MaxDeadline: cmp.Or(s.MaxDeadline, config.DefaultMaxDeadline),
-				Urgency:     cmp.Or(s.Urgency, config.Normal), IdempotentMethods: s.IdempotentMethods})
+				Deadline: cmp.Or(s.Deadline, min(config.DefaultDeadline, longest)), MaxDeadline: longest,
+				Urgency: cmp.Or(s.Urgency, config.Normal), IdempotentMethods: s.IdempotentMethods})
 		}
 		for _, j := range p.Jobs {
 			fields.Jobs = append(fields.Jobs, job(p.Name, j))
