--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
+	"magnoliaferry/platform"
 	"magnoliaferry/result"
 )
 
@@ -125,3 +130,180 @@
 		t.Errorf("platform got %d reads and %d transactions, want none", reads, transactions)
 	}
 }
+
+// fakeFleet records orders and fails with err.
+type fakeFleet struct {
+	orders []string
+	err    error
+}
+
+func (f *fakeFleet) add(order string) error { f.orders = append(f.orders, order); return f.err }
+
+func (f *fakeFleet) Report(context.Context) (StatusFields, error) {
+	return StatusFields{Version: 7, Pools: []PoolStatus{{Name: "deposit", Buffer: 2}}}, f.err
+}
+func (f *fakeFleet) DrainInstance(_ context.Context, operator, instance string, force bool) error {
+	return f.add(fmt.Sprint("drain ", operator, " ", instance, " ", force))
+}
+func (f *fakeFleet) StartWave(_ context.Context, o, p string) error {
+	return f.add("start " + o + " " + p)
+}
+func (f *fakeFleet) PauseWave(_ context.Context, o, p string) error {
+	return f.add("pause " + o + " " + p)
+}
+func (f *fakeFleet) ResumeWave(_ context.Context, o, p string) error {
+	return f.add("resume " + o + " " + p)
+}
+func (f *fakeFleet) StopWave(_ context.Context, o, p string) error {
+	return f.add("stop " + o + " " + p)
+}
+func (f *fakeFleet) ListJobs(context.Context) ([]JobFields, error) {
+	return []JobFields{{Name: "sweep", State: "queued"}}, f.err
+}
+func (f *fakeFleet) ShowJob(_ context.Context, name string) (JobFields, error) {
+	return JobFields{Name: name, State: "parked", Reason: "outcome unknown"}, f.err
+}
+func (f *fakeFleet) CancelJob(_ context.Context, o, j string) error {
+	return f.add("cancel " + o + " " + j)
+}
+
+// orders are all calls that need the fleet.
+func orders(c *Client) []func(ctx context.Context) error {
+	var all []func(ctx context.Context) error
+	all = append(all, func(ctx context.Context) error { _, err := c.Drain(ctx, "worker-1", true); return err })
+	for _, action := range []string{"start", "pause", "resume", "stop"} {
+		all = append(all, func(ctx context.Context) error { _, err := c.Wave(ctx, action, "deposit"); return err })
+	}
+	return append(all,
+		func(ctx context.Context) error { _, err := c.CancelJob(ctx, "sweep"); return err },
+		func(ctx context.Context) error { _, err := c.Status(ctx); return err },
+		func(ctx context.Context) error { _, err := c.ListJobs(ctx); return err },
+		func(ctx context.Context) error { _, err := c.ShowJob(ctx, "sweep"); return err })
+}
+
+// Guards against an order that goes to the wrong place or under another name, and against one given without identity.
+func TestOrders(t *testing.T) {
+	b := newBench(t)
+	fleet := &fakeFleet{}
+	for _, call := range orders(b.client("ada")) {
+		if got, want := problemOf(call(context.Background())).Code(), CodeNotAvailable.Number(); got != want {
+			t.Errorf("call without a fleet got code %d, want %d", got, want)
+		}
+	}
+	b.server.Reporter, b.server.Drainer, b.server.Waves, b.server.Jobs = fleet, fleet, fleet, fleet
+	for _, call := range orders(b.client("")) {
+		if got, want := problemOf(call(context.Background())).Code(), CodeNoIdentity.Number(); got != want {
+			t.Errorf("call without identity got code %d, want %d", got, want)
+		}
+	}
+	for _, call := range orders(b.client("ada")) {
+		if err := call(context.Background()); err != nil {
+			t.Errorf("call got %v, want nil", err)
+		}
+	}
+	want := []string{"drain ada worker-1 true", "start ada deposit", "pause ada deposit", "resume ada deposit",
+		"stop ada deposit", "cancel ada sweep"}
+	if !slices.Equal(fleet.orders, want) {
+		t.Errorf("orders got %q, want %q", fleet.orders, want)
+	}
+	if job, err := b.client("ada").ShowJob(context.Background(), "x"); job.Reason != "outcome unknown" {
+		t.Errorf("ShowJob got %v, %v, want the reason", job, err)
+	}
+}
+
+// Guards against an order that is reported as not run when nobody can know.
+func TestErrorsOfOrders(t *testing.T) {
+	tests := []struct {
+		err  error
+		code int
+		want result.Outcome
+	}{
+		{errors.New("unexpected"), CodeOutcomeUnknown.Number(), result.Unknown},
+		{platform.ErrUnknownOutcome.New("no answer"), CodeOutcomeUnknown.Number(), result.Unknown},
+		{context.DeadlineExceeded, CodeOutcomeUnknown.Number(), result.Unknown},
+		{platform.ErrUnavailable.New("down"), CodeTableUnavailable.Number(), result.NotRun},
+		{platform.ErrNotFound.New("no such instance"), CodeNotFound.Number(), result.NotRun},
+		{result.Refuse(CodeMalformed, "budget 3 of 3 is used", 0).WithContact("ops"), CodeMalformed.Number(), result.NotRun},
+	}
+	b := newBench(t)
+	for _, test := range tests {
+		b.server.Drainer = &fakeFleet{err: test.err}
+		_, err := b.client("ada").Drain(context.Background(), "worker-1", false)
+		if p := problemOf(err); p.Code() != test.code || p.Outcome() != test.want {
+			t.Errorf("%v: got %v, want code %d and %s", test.err, err, test.code, test.want)
+		}
+	}
+	_, err := b.client("ada").Drain(context.Background(), "worker-1", false)
+	if p := problemOf(err).Fields(); p.Contact != "ops" || p.Detail != "budget 3 of 3 is used" || p.Text == "" {
+		t.Errorf("refusal got %+v, want the contact, the rule and the figures", p)
+	}
+}
+
+// Guards against refusals without a number and against calls that are taken for valid.
+func TestRefusals(t *testing.T) {
+	b := newBench(t)
+	tests := []struct {
+		method, path, body string
+		status             int
+		code               *result.Code
+	}{
+		{"POST", "configuration", "{}", 400, CodeMalformed},
+		{"POST", "configuration?seen-version=-1", "{}", 400, CodeMalformed},
+		{"POST", "configuration?seen-version=0&operation=x", "{}", 400, CodeMalformed},
+		{"POST", "configuration?seen-version=0", "{}", 422, CodeInvalidConfiguration},
+		{"POST", "check", "{}", 422, CodeInvalidConfiguration},
+		{"POST", "check", strings.Repeat(" ", config.MaxBody+1), 413, CodeBodyTooLarge},
+		{"POST", "diff", "[", 422, CodeInvalidConfiguration},
+		{"GET", "configuration", "", 404, CodeNoConfiguration},
+		{"POST", "configuration?seen-version=4", string(body(t, nil)), 409, CodeVersionConflict},
+		{"DELETE", "configuration", "", 404, CodeNotFound},
+		{"GET", "nothing", "", 404, CodeNotFound},
+		{"POST", "waves/deposit/reverse", "", 501, CodeNotAvailable},
+	}
+	for _, test := range tests {
+		request, _ := http.NewRequest(test.method, b.url+Prefix+test.path, strings.NewReader(test.body))
+		response, err := b.client("ada").HTTP.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got ProblemFields
+		err = json.NewDecoder(response.Body).Decode(&got)
+		response.Body.Close()
+		if err != nil || response.StatusCode != test.status || got.Code != test.code.Number() || got.Text == "" {
+			t.Errorf("%s %s: got %d %+v, want %d and code %d", test.method, test.path, response.StatusCode, got,
+				test.status, test.code.Number())
+		}
+	}
+	_, err := b.client("ada").Check(context.Background(), "mine.json", []byte("{}"))
+	if list := problemOf(err).Diagnostics(); list.Len() != 3 || list.All()[0].File() != "mine.json" {
+		t.Errorf("diagnostics got %v, want the 3 missing fields of mine.json", list)
+	}
+	if _, transactions := b.memory.Counts(); transactions != 0 {
+		t.Errorf("transactions got %d, want 0", transactions)
+	}
+}
+
+// Guards against an unknown outcome for a call that certainly was not sent.
+func TestUnreachable(t *testing.T) {
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	c := &Client{Address: closed.URL, HTTP: &http.Client{}}
+	_, err := c.Submit(context.Background(), "f", body(t, nil), 0, "")
+	if p := problemOf(err); p.Code() != CodeUnreachable.Number() || p.Outcome() != result.NotRun {
+		t.Errorf("Submit got %v, want server-unreachable and not-run", err)
+	}
+}
+
+// Guards against a difference against the wrong version.
+func TestDiffAgainstServer(t *testing.T) {
+	b := newBench(t)
+	ada := b.client("ada")
+	if version, changes, err := ada.Diff(context.Background(), "f", body(t, nil)); version != 0 || len(changes) < 10 {
+		t.Errorf("Diff without a configuration got %d, %d changes, %v, want 0 and every section", version, len(changes), err)
+	}
+	mustSubmit(t, ada, body(t, nil), 0)
+	version, changes, err := ada.Diff(context.Background(), "f", body(t, queue(3)))
+	if err != nil || version != 1 || len(changes) != 1 || changes[0].String() != "~ pool/crate queue-length: 200 -> 3" {
+		t.Errorf("Diff got %d, %v, %v, want the queue length against version 1", version, changes, err)
+	}
+}
