--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,197 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/operator"
+)
+
+const (
+	kervan = "../examples/kervan-etki/fleet.json"
+	star   = "../examples/lone-star/fleet.json"
+	faulty = "../config/testdata/eight-faults.json"
+)
+
+func run(arguments ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = Run(context.Background(), arguments, Environment{Out: &o, Err: &e, Version: "1.2.3"})
+	return code, o.String(), e.String()
+}
+
+// Guards against an exit code on which a script cannot rely, and against output on the wrong stream.
+func TestLocalCommands(t *testing.T) {
+	tests := []struct {
+		arguments string
+		code      int
+		out, errs string // must occur; "" says that the stream is empty
+	}{
+		{"check " + kervan, ExitOK, "no faults; digest ", ""},
+		{"check --json " + kervan, ExitOK, `"digest": "`, ""},
+		{"check " + faulty, ExitFaults, "", "eight-faults.json:36: MF1119 /teams/1/callers/0: "},
+		{"check --json " + faulty, ExitFaults, `"path": "/teams/1/callers/0"`, ""},
+		{"check missing.json", ExitUsage, "", "missing.json"},
+		{"check", ExitUsage, "", "required argument 'file'"},
+		{"", ExitUsage, "Commands:", ""},
+		{"fly", ExitUsage, "", "fly"},
+		{"--version", ExitOK, "1.2.3\n", ""},
+		{"--help", ExitOK, "submit --seen-version", ""},
+		{"help wave", ExitOK, "resume", ""},
+		{"wave", ExitUsage, "", "subcommand"},
+		{"wave turn x", ExitUsage, "", "turn"},
+		{"diff " + kervan + " " + kervan, ExitOK, "no difference\n", ""},
+		{"diff " + kervan + " " + star, ExitOK, "+ pool/crate\n", ""},
+		{"diff --exit-code " + kervan + " " + star, ExitDifferent, "- pool/citation\n", ""},
+		{"diff --exit-code --json " + kervan + " " + kervan, ExitOK, `"changes": []`, ""},
+		{"diff " + kervan + " " + faulty, ExitFaults, "", "MF1117"},
+		{"diff a b c", ExitUsage, "", "one or two files"},
+		{"submit " + kervan, ExitUsage, "", "seen-version"},
+		{"submit --seen-version 0 " + faulty, ExitFaults, "", "MF1117"},
+		{"submit --seen-version 0 " + kervan, ExitUsage, "", "no server is given"},
+		{"jobs list --json --server https://127.0.0.1:1 --certificate none", ExitUsage, `"error": "client cert`, ""},
+		{"completion bash", ExitOK, "complete -F _magnoliaferry_bash_autocomplete", ""},
+		{"completion zsh", ExitOK, "#compdef magnoliaferry", ""},
+		{"completion fish", ExitUsage, "", "bash,zsh"},
+	}
+	for _, test := range tests {
+		code, out, errs := run(strings.Fields(test.arguments)...)
+		if code != test.code {
+			t.Errorf("%s: exit code got %d, want %d", test.arguments, code, test.code)
+		}
+		for _, stream := range [][2]string{{out, test.out}, {errs, test.errs}} {
+			if !strings.Contains(stream[0], stream[1]) || (stream[1] == "" && stream[0] != "") {
+				t.Errorf("%s: output got %q, want %q", test.arguments, stream[0], stream[1])
+			}
+		}
+	}
+}
+
+type trusting struct{}
+
+func (trusting) Identify(*http.Request) (string, bool) { return "ada", true }
+
+type action func(ctx context.Context, env *Environment) error
+
+// Guards against a command that prints or returns something else than the server's answer says.
+func TestServerCommands(t *testing.T) {
+	c, faults := clock.NewFake(0), &fault.Driver{}
+	view := memory.New(c, faults).View("a")
+	server := &operator.Server{Clock: c, Identity: trusting{},
+		Store: &operator.Store{Clock: c, Table: view.Table(), Objects: view.Objects()}}
+	web := httptest.NewServer(server.Handler())
+	defer web.Close()
+	at := Connection{Server: web.URL, HTTP: web.Client()}
+	tests := []struct {
+		name string
+		run  action
+		code int
+		want string
+	}{
+		{"no version yet", CurrentOptions{Connection: at}.Run, ExitRefused, "MF1110 no-configuration"},
+		{"first", SubmitOptions{Connection: at, File: kervan}.Run, ExitOK, "version 1 is in force"},
+		{"same", SubmitOptions{Connection: at, File: kervan, Seen: 1}.Run, ExitOK, "already"},
+		{"race", SubmitOptions{Connection: at, File: star}.Run, ExitConflict, "+ pool/crate"},
+		{"race, winner", SubmitOptions{Connection: at, File: star}.Run, ExitConflict, "in force: version 1 by ada"},
+		{"diff", DiffOptions{Connection: at, Files: []string{star}, ExitCode: true}.Run, ExitDifferent, "version 1"},
+		{"current", CurrentOptions{Connection: at, Body: true}.Run, ExitOK, `"name": "kervan-etki"`},
+		{"drain", DrainOptions{Connection: at, Instance: "w"}.Run, ExitRefused, "MF1107 not-available"},
+		{"wave", WaveOptions{Connection: at, Action: "start", Pool: "p"}.Run, ExitRefused, "MF1107"},
+		{"jobs", JobsOptions{Connection: at, Action: "list"}.Run, ExitRefused, "MF1107"},
+		{"cancel", JobsOptions{Connection: at, Action: "cancel", Job: "j"}.Run, ExitRefused, "MF1107"},
+		{"status", StatusOptions{Connection: at}.Run, ExitRefused, "MF1107"},
+		{"no server", StatusOptions{Connection{Server: "http://127.0.0.1:1", HTTP: web.Client()}}.Run, ExitUnavailable,
+			"MF1113"},
+	}
+	for _, test := range tests {
+		var printed bytes.Buffer
+		env := &Environment{Out: &printed, Err: &printed}
+		code := env.end(test.run(context.Background(), env))
+		if code != test.code || !strings.Contains(printed.String(), test.want) {
+			t.Errorf("%s: got %d, %q, want %d, %q", test.name, code, printed.String(), test.code, test.want)
+		}
+	}
+	faults.Always(memory.StepCommit, fault.Down, 0)
+	var printed bytes.Buffer
+	env := &Environment{Out: &printed, Err: &printed, JSON: true}
+	if got := env.end(SubmitOptions{Connection: at, File: star, Seen: 1}.Run(context.Background(), env)); got != ExitUnavailable {
+		t.Errorf("table down: got %d, want %d", got, ExitUnavailable)
+	}
+	var problem operator.ProblemFields
+	if err := json.Unmarshal(printed.Bytes(), &problem); err != nil || problem.Outcome != "not-run" {
+		t.Errorf("table down: got %q, want the refusal as JSON", printed.String())
+	}
+}
+
+// Guards against a wave or a job that a command passes on wrongly.
+func TestArgumentsReachTheServer(t *testing.T) {
+	var got string
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Method + " " + strings.TrimSuffix(r.URL.RequestURI(), "?")
+		w.Write([]byte("{}"))
+	}))
+	defer web.Close()
+	at := Connection{Server: web.URL, HTTP: web.Client()}
+	for want, run := range map[string]action{
+		"POST /operator/v1/waves/web/pause":                  WaveOptions{at, "pause", "web"}.Run,
+		"POST /operator/v1/jobs/sweep/cancel":                JobsOptions{at, "cancel", "sweep"}.Run,
+		"GET /operator/v1/jobs/sweep":                        JobsOptions{at, "show", "sweep"}.Run,
+		"GET /operator/v1/status":                            StatusOptions{at}.Run,
+		"POST /operator/v1/instances/a%2Fb/drain?force=true": DrainOptions{at, "a/b", true}.Run,
+	} {
+		var printed bytes.Buffer
+		if err := run(context.Background(), &Environment{Out: &printed}); err != nil || got != want {
+			t.Errorf("request got %q, %v, want %q", got, err, want)
+		}
+	}
+}
+
+// Guards against an exit code that the page for operators leaves out.
+func TestExitCodesTable(t *testing.T) {
+	page, err := os.ReadFile("../docs/exit-codes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := map[string]bool{}
+	for _, match := range regexp.MustCompile(`(?m)^\| (\d+) \|`).FindAllStringSubmatch(string(page), -1) {
+		documented[match[1]] = true
+	}
+	codes := []int{ExitOK, ExitFaults, ExitUsage, ExitConflict, ExitRefused, ExitUnavailable, ExitUnknown, ExitDifferent,
+		ExitFailed}
+	if got, want := len(documented), len(codes); got != want {
+		t.Errorf("table got %d codes, want %d", got, want)
+	}
+	for _, code := range codes {
+		if !documented[strconv.Itoa(code)] {
+			t.Errorf("exit code %d got no row, want one", code)
+		}
+	}
+}
+
+// Guards against a page for operators with a configuration that is refused.
+func TestDocumentedConfiguration(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```json\n")
+	body, _, _ := strings.Cut(rest, "```")
+	file := filepath.Join(t.TempDir(), "fleet.json")
+	if err := os.WriteFile(file, []byte(body), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out, errs := run("check", file); code != ExitOK {
+		t.Errorf("check got %d, %s%s, want %d", code, out, errs, ExitOK)
+	}
+}
