--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -20,6 +20,7 @@
 
 type inForce struct {
 	version       int64
+	digest        string
 	configuration *config.Configuration
 }
 
@@ -34,6 +35,22 @@
 	return nil
 }
 
+// Version returns the number of the version in force, or 0.
+func (c *configurations) Version() int64 {
+	if f := c.current.Load(); f != nil {
+		return f.version
+	}
+	return 0
+}
+
+// Digest returns the digest of the configuration in force, or "".
+func (c *configurations) Digest() string {
+	if f := c.current.Load(); f != nil {
+		return f.digest
+	}
+	return ""
+}
+
 func (c *configurations) zones() []string {
 	var names []string
 	if known := c.Current(); known != nil {
@@ -50,7 +67,7 @@
 		version, configuration, problem := c.store.Current(ctx)
 		known := c.current.Load()
 		if problem == nil && (known == nil || version.Number() > known.version) {
-			c.current.Store(&inForce{version.Number(), configuration})
+			c.current.Store(&inForce{version.Number(), version.Digest(), configuration})
 		}
 		if err := c.clock.Sleep(ctx, configurationPoll); err != nil {
 			return err
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"magnoliaferry/fleet"
+	"magnoliaferry/jobs"
+	"magnoliaferry/operator"
+	"magnoliaferry/planner"
+	"magnoliaferry/result"
+)
+
+// jobPage is how many jobs one read of the table lists, and maxJobs how many one call of an operator shows.
+const (
+	jobPage = 500
+	maxJobs = 5000
+)
+
+// control joins the control loop to the operators' interface.
+type control struct {
+	instance *Instance
+	loop     *fleet.Loop
+}
+
+// asError keeps a nil refusal from becoming an error that is not nil.
+func asError(r *result.Refusal) error {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
+// Report implements operator.Reporter.
+func (c control) Report(ctx context.Context) (operator.StatusFields, error) {
+	fleetStatus, refusal := c.loop.Status(ctx)
+	if refusal != nil {
+		return operator.StatusFields{}, refusal
+	}
+	status := operator.StatusFields{Version: c.instance.configuration.Version(), Digest: c.instance.configuration.Digest()}
+	configuration := c.instance.configuration.Current()
+	for _, f := range fleetStatus.Pools {
+		p := operator.PoolStatus{Name: f.Pool, Contact: f.Contact, Serving: f.Serving, Capacity: f.Capacity,
+			MaxUnavailable: f.MaxUnavailable, Buffer: f.Buffer, BufferReason: f.BufferText,
+			Waits: strings.Join(f.Waits, "; ")}
+		if declared, ok := configuration.Pool(f.Pool); ok {
+			p.Instances = declared.Instances()
+		}
+		for _, r := range f.Away {
+			if r.Phase == planner.Failed {
+				p.Failed++
+			} else {
+				p.Planned++
+			}
+		}
+		if w := f.Wave; w != nil {
+			p.Wave = fmt.Sprintf("%s, %d to go (%s)", w.State, f.ToMaintain, w.Reason)
+		}
+		for _, r := range f.Moves {
+			if r.Home != "" {
+				p.Borrows++
+			}
+		}
+		status.Pools = append(status.Pools, p)
+	}
+	for _, f := range fleetStatus.Pools {
+		for _, r := range f.Moves {
+			for i := range status.Pools {
+				if status.Pools[i].Name == r.Home {
+					status.Pools[i].Lends++
+				}
+			}
+		}
+	}
+	return status, nil
+}
+
+// DrainInstance implements operator.Drainer.
+func (c control) DrainInstance(ctx context.Context, _, instance string, force bool) error {
+	return asError(c.loop.Drain(ctx, instance, force))
+}
+
+// StartWave implements operator.Waves.
+func (c control) StartWave(ctx context.Context, by, pool string) error {
+	return asError(c.loop.Wave(ctx, pool, fleet.WaveStart, by))
+}
+
+// PauseWave implements operator.Waves.
+func (c control) PauseWave(ctx context.Context, by, pool string) error {
+	return asError(c.loop.Wave(ctx, pool, fleet.WavePause, by))
+}
+
+// ResumeWave implements operator.Waves.
+func (c control) ResumeWave(ctx context.Context, by, pool string) error {
+	return asError(c.loop.Wave(ctx, pool, fleet.WaveResume, by))
+}
+
+// StopWave implements operator.Waves.
+func (c control) StopWave(ctx context.Context, by, pool string) error {
+	return asError(c.loop.Wave(ctx, pool, fleet.WaveStop, by))
+}
+
+// ListJobs implements operator.Jobs.
+func (c control) ListJobs(ctx context.Context) ([]operator.JobFields, error) {
+	var all []operator.JobFields
+	after := ""
+	for len(all) < maxJobs {
+		page, refusal := c.loop.Jobs(ctx, after, jobPage)
+		if refusal != nil {
+			return nil, refusal
+		}
+		for _, r := range page {
+			all = append(all, c.job(r))
+			after = r.ID
+		}
+		if len(page) < jobPage {
+			break
+		}
+	}
+	return all, nil
+}
+
+// ShowJob implements operator.Jobs.
+func (c control) ShowJob(ctx context.Context, name string) (operator.JobFields, error) {
+	r, refusal := c.loop.Job(ctx, name)
+	if refusal != nil {
+		return operator.JobFields{}, refusal
+	}
+	return c.job(r), nil
+}
+
+// CancelJob implements operator.Jobs.
+func (c control) CancelJob(ctx context.Context, by, name string) error {
+	return asError(c.loop.CancelJobs(ctx, by, name)[name])
+}
+
+func (c control) job(r jobs.RecordFields) operator.JobFields {
+	f := operator.JobFields{Name: r.ID, Team: r.Team, Pool: r.Pool, State: string(r.State), Urgency: r.Urgency,
+		RunOnce: r.RunOnce, Attempts: r.Token, Instance: r.Worker, Reason: r.Reason}
+	if r.State == jobs.Queued || r.State == jobs.Checkpointed {
+		f.Waited = max(0, c.instance.WallClock()-r.Since)
+	}
+	return f
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -174,7 +174,9 @@
 	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
 		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.queues.demand,
 		Wall: i.WallClock, Seed: i.incarnation, Logger: i.Logger}
-	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Logger: i.Logger}
+	c := control{i, loop}
+	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Reporter: c,
+		Drainer: c, Waves: c, Jobs: c, Logger: i.Logger}
 	modules := []kernel.Module{
 		i.tracer,
 		i.configuration,
@@ -232,3 +234,6 @@
 
 // Run implements kernel.Module.
 func (n named) Run(ctx context.Context) error { return n.run(ctx) }
+
+// Version returns the number of the configuration in force, or 0; it may be called once Address has returned.
+func (i *Instance) Version() int64 { return i.configuration.Version() }
