Name missing units and speed up decoding

Cause: a number where a duration or a size belongs was reported as a wrong type, which does not say what to write; and a body without faults was encoded a second time before it was decoded. Change: diagnostic 1107 for numbers without a unit; whole numbers are checked while they are read; a body without faults is decoded directly. An identity is bounded to 128 bytes, refusals name the contact in a header, and a submission that changes nothing is not logged as accepted.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -88,6 +88,8 @@
 		{`"slots": 8`, `"slots": null`, "1106 6 /pools/0/slots"},
 		{`"a", "region": "r"}`, `"a", "region": "r"}, 7`, "1106 4 /zones/1"},
 		{`"32GB"`, `"32 GB"`, "1107 6 /pools/0/memory"},
+		{`"5s"`, `5`, "1107 7 /services/0/deadline"},
+		{`"8GB"`, `8`, "1107 9 /jobs/0/memory"},
 		{`"5s"`, `"5"`, "1107 7 /services/0/deadline"},
 		{`"slots": 8`, `"slots": 0`, "1108 6 /pools/0/slots"},
 		{`"slots": 8`, `"slots": 1e9999999`, "1108 6 /pools/0/slots"},
@@ -195,6 +197,13 @@
 	if got, want := Encode(New(f)), Encode(c); !bytes.Equal(got, want) {
 		t.Errorf("reversed sections got %s, want %s", got, want)
 	}
+	if faults := Check(f); faults.Len() > 0 {
+		t.Errorf("Check of reversed sections got %v, want no faults", faults)
+	}
+	f.Pools[0].Contact = ""
+	if got, want := places(Check(f)), "/pools/"; len(got) != 1 || !strings.Contains(got[0], want) {
+		t.Errorf("Check without a contact got %q, want one fault under %s", got, want)
+	}
 	for _, spelling := range [][2]string{{"28d", "672h"}, {"32GB", "32768MB"}, {`"2s"`, `"2000ms"`}} {
 		body := bytes.ReplaceAll(Encode(c), []byte(spelling[0]), []byte(spelling[1]))
 		other, faults := Decode("x", body)
--- a/config/decode.go
+++ b/config/decode.go
@@ -65,11 +65,11 @@
 		d.stop(err)
 		return nil, d.list
 	}
-	document = d.validate(document)
+	sound := d.validate(document)
 	var wire documentWire
-	if root, ok := document.(map[string]any); ok {
+	if _, ok := document.(map[string]any); ok {
 		wire.Weights = weightsWire{25, 25, 25, 25}
-		if err := json.Unmarshal(marshal(root), &wire); err != nil {
+		if err := json.Unmarshal(sound, &wire); err != nil {
 			// Every value that the schema refuses was removed, so what is left has the right types.
 			d.report(CodeWrongType, "", "%v", err)
 			return nil, d.list
@@ -226,13 +226,24 @@
 	case '"':
 		return token.String(), nil
 	case '0':
-		return json.Number(token.String()), nil
+		return p.number(path, token.String()), nil
 	case 't', 'f':
 		return token.Bool(), nil
 	}
 	return nil, nil
 }
 
+// number returns an int. Fractions, exponents and numbers of more than 9 digits are reported, because the fields cannot
+// hold them; 1 stands for them, so that the schema does not report them again.
+func (p *parser) number(path, text string) any {
+	if !wholeNumber.MatchString(text) {
+		p.d.report(CodeOutOfRange, path, "%s is not a whole number of at most 9 digits", text)
+		return 1
+	}
+	n, _ := strconv.Atoi(text) // the pattern leaves no error
+	return n
+}
+
 func (p *parser) object(path string, depth int) (any, error) {
 	members := map[string]any{}
 	for p.reader.PeekKind() != '}' {
@@ -276,34 +287,16 @@
 	return elements, err
 }
 
-// validate reports what the schema refuses and returns the document without the refused values.
-func (d *decoder) validate(document any) any {
-	document = d.wholeNumbers("", document)
+// validate reports what the schema refuses and returns the body without the refused values.
+func (d *decoder) validate(document any) []byte {
 	var invalid *jsonschema.ValidationError
 	if errors.As(schema.Validate(document), &invalid) {
 		d.schemaFaults(invalid)
 	}
-	return d.strip("", document)
-}
-
-// wholeNumbers reports fractions, exponents and numbers of more than 9 digits, which the fields cannot hold.
-func (d *decoder) wholeNumbers(path string, value any) any {
-	switch v := value.(type) {
-	case map[string]any:
-		for name, member := range v {
-			v[name] = d.wholeNumbers(path+"/"+escapePointer(name), member)
-		}
-	case []any:
-		for i, element := range v {
-			v[i] = d.wholeNumbers(path+"/"+strconv.Itoa(i), element)
-		}
-	case json.Number:
-		if !wholeNumber.MatchString(string(v)) {
-			d.report(CodeOutOfRange, path, "%s is not a whole number of at most 9 digits", v)
-			return json.Number("1")
-		}
+	if d.list.Len() == 0 {
+		return d.body // every name is exact and given once, so encoding/json reads the same values
 	}
-	return value
+	return marshal(d.strip("", document))
 }
 
 var printer = message.NewPrinter(language.English)
@@ -334,18 +327,19 @@
 			d.report(code, path+"/"+name, "the field %q is missing", name)
 		}
 	case *kind.Type:
+		if unit := unitOf(e); unit != "" {
+			d.report(CodeWrongUnit, path, "a %s without a unit; write %s", k.Got, unit)
+			return
+		}
 		d.report(CodeWrongType, path, "%s", text)
 	case *kind.Minimum, *kind.Maximum, *kind.MinItems, *kind.MaxItems, *kind.MaxLength:
 		d.report(CodeOutOfRange, path, "%s", text)
 	case *kind.Pattern:
-		switch {
-		case strings.Contains(k.Want, "ms|s"):
-			d.report(CodeWrongUnit, path, "%q is not a duration; write a whole number with ms, s, m, h or d", k.Got)
-		case strings.Contains(k.Want, "MB|"):
-			d.report(CodeWrongUnit, path, "%q is not a size; write a whole number with MB, GB or TB", k.Got)
-		default:
-			d.report(CodeInvalidValue, path, "%q is not a valid name", k.Got)
+		if unit := unitOf(e); unit != "" {
+			d.report(CodeWrongUnit, path, "%q is not %s", k.Got, unit)
+			return
 		}
+		d.report(CodeInvalidValue, path, "%q is not a valid name", k.Got)
 	default:
 		d.report(CodeInvalidValue, path, "%s", text)
 	}
@@ -383,6 +377,17 @@
 	return value
 }
 
+// unitOf describes the form of a value with a unit, or returns "" when the schema wants something else.
+func unitOf(e *jsonschema.ValidationError) string {
+	switch {
+	case strings.HasSuffix(e.SchemaURL, "/$defs/duration"):
+		return "a whole number with ms, s, m, h or d"
+	case strings.HasSuffix(e.SchemaURL, "/$defs/size"):
+		return "a whole number with MB, GB or TB"
+	}
+	return ""
+}
+
 func escapePointer(name string) string {
 	return strings.ReplaceAll(strings.ReplaceAll(name, "~", "~0"), "/", "~1")
 }
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -34,13 +34,13 @@
 
 // StatusFields is the JSON form of the state of a fleet.
 type StatusFields struct {
-	Version int64        `json:"version"` // configuration in force in the process that answers
-	Digest  string       `json:"digest"`
-	Pools   []PoolStatus `json:"pools"`
+	Version int64              `json:"version"` // configuration in force in the process that answers
+	Digest  string             `json:"digest"`
+	Pools   []PoolStatusFields `json:"pools"`
 }
 
-// PoolStatus is the JSON form of the state of a pool; all counts are workers.
-type PoolStatus struct {
+// PoolStatusFields is the JSON form of the state of a pool; all counts are workers.
+type PoolStatusFields struct {
 	Name           string `json:"name"`
 	Contact        string `json:"contact"`
 	Instances      int    `json:"instances"` // declared
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -12,22 +12,22 @@
 
 // ProblemFields is the JSON body of a refusal: a result.Refusal with the figures behind it.
 type ProblemFields struct {
-	Code        int               `json:"code"`
-	Name        string            `json:"name"`
-	Outcome     result.Outcome    `json:"outcome"`
-	RetryAfter  clock.Millis      `json:"retry-after-ms"`
-	Contact     string            `json:"contact"`
-	Text        string            `json:"text"` // the rule
-	Detail      string            `json:"detail"`
-	Figures     map[string]int64  `json:"figures,omitempty"`
-	Operation   string            `json:"operation,omitempty"`
-	Current     *VersionFields    `json:"current,omitempty"`     // for a conflict: what is in force
-	Changes     []config.Change   `json:"changes,omitempty"`     // for a conflict: from what is in force to the body
-	Diagnostics []DiagnosticField `json:"diagnostics,omitempty"` // for an invalid configuration
+	Code        int                `json:"code"`
+	Name        string             `json:"name"`
+	Outcome     result.Outcome     `json:"outcome"`
+	RetryAfter  clock.Millis       `json:"retry-after-ms"`
+	Contact     string             `json:"contact"`
+	Text        string             `json:"text"` // the rule
+	Detail      string             `json:"detail"`
+	Figures     map[string]int64   `json:"figures,omitempty"`
+	Operation   string             `json:"operation,omitempty"`
+	Current     *VersionFields     `json:"current,omitempty"`     // for a conflict: what is in force
+	Changes     []config.Change    `json:"changes,omitempty"`     // for a conflict: from what is in force to the body
+	Diagnostics []DiagnosticFields `json:"diagnostics,omitempty"` // for an invalid configuration
 }
 
-// DiagnosticField is the JSON form of a diag.Diagnostic.
-type DiagnosticField struct {
+// DiagnosticFields is the JSON form of a diag.Diagnostic.
+type DiagnosticFields struct {
 	Code diag.Code `json:"code"`
 	File string    `json:"file"`
 	Line int       `json:"line"`
@@ -92,10 +92,10 @@
 	return list
 }
 
-func diagnosticFields(list diag.List) []DiagnosticField {
-	var fields []DiagnosticField
+func diagnosticFields(list diag.List) []DiagnosticFields {
+	var fields []DiagnosticFields
 	for _, d := range list.All() {
-		fields = append(fields, DiagnosticField{d.Code(), d.File(), d.Line(), d.Path(), d.Text()})
+		fields = append(fields, DiagnosticFields{d.Code(), d.File(), d.Line(), d.Path(), d.Text()})
 	}
 	return fields
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -35,9 +35,13 @@
 		return "", false
 	}
 	name := r.TLS.VerifiedChains[0][0].Subject.CommonName
-	return name, name != ""
+	return name, name != "" && len(name) <= maxOperatorName
 }
 
+// maxOperatorName bounds the identity in bytes, because it is stored in the row that every process polls. X.509 allows
+// common names of 64 characters.
+const maxOperatorName = 128
+
 // Server is the HTTP API for operators. Calls to parts that are nil are refused with "not available".
 type Server struct {
 	Clock    *clock.Clock
@@ -89,6 +93,9 @@
 			slog.String("detail", p.f.Detail))
 		w.Header().Set("Magnoliaferry-Result", strconv.Itoa(p.f.Code))
 		w.Header().Set("Magnoliaferry-Outcome", string(p.f.Outcome))
+		if p.f.Contact != "" {
+			w.Header().Set("Magnoliaferry-Contact", p.f.Contact)
+		}
 		if p.f.RetryAfter > 0 {
 			seconds := (p.f.RetryAfter + clock.Second - 1) / clock.Second
 			w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
@@ -179,6 +186,9 @@
 	if p != nil {
 		return nil, p
 	}
+	if v.Unchanged() {
+		return v.f, nil
+	}
 	eventAccepted.Log(c.Context(), s.Logger, slog.Int64("version", v.f.Version), slog.String("digest", v.f.Digest),
 		slog.String("operator", v.f.Operator), slog.String("operation", v.f.Operation))
 	return v.f, nil
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -140,7 +140,7 @@
 func (f *fakeFleet) add(order string) error { f.orders = append(f.orders, order); return f.err }
 
 func (f *fakeFleet) Report(context.Context) (StatusFields, error) {
-	return StatusFields{Version: 7, Pools: []PoolStatus{{Name: "deposit", Buffer: 2}}}, f.err
+	return StatusFields{Version: 7, Pools: []PoolStatusFields{{Name: "deposit", Buffer: 2}}}, f.err
 }
 func (f *fakeFleet) DrainInstance(_ context.Context, operator, instance string, force bool) error {
 	return f.add(fmt.Sprint("drain ", operator, " ", instance, " ", force))
