Decode one submitted body at a time

Cause: several faulty bodies at once would add up to more memory than an entry instance has for control work. Change: the operator API decodes under a lock.

--- a/operator/server.go
+++ b/operator/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
@@ -52,6 +53,9 @@
 	Waves    Waves
 	Jobs     Jobs
 	Logger   *slog.Logger // may be nil
+
+	// decoding lets one body be decoded at a time, because a faulty body can take 79 MB of allocations.
+	decoding sync.Mutex
 }
 
 // Handler returns the handler for every path under Prefix.
@@ -126,7 +130,7 @@
 }
 
 // configuration reads and decodes the body of a call.
-func (c call) configuration() (*config.Configuration, *Problem) {
+func (s *Server) configuration(c call) (*config.Configuration, *Problem) {
 	body, err := io.ReadAll(c.Body)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -140,7 +144,9 @@
 	if file == "" {
 		file = "body"
 	}
+	s.decoding.Lock()
 	decoded, faults := config.Decode(file, body)
+	s.decoding.Unlock()
 	if faults.Len() > 0 {
 		p := refuse(CodeInvalidConfiguration, map[string]int64{"faults": int64(faults.Len())}, "%d faults",
 			faults.Len())
@@ -177,7 +183,7 @@
 	} else if _, err := uuid.Parse(operation); err != nil {
 		return nil, refuse(CodeMalformed, nil, "operation is %q and must be a UUID", operation)
 	}
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
@@ -200,7 +206,7 @@
 }
 
 func (s *Server) check(c call) (any, *Problem) {
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
@@ -214,7 +220,7 @@
 }
 
 func (s *Server) diff(c call) (any, *Problem) {
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
