--- a/operator/server.go
+++ b/operator/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
@@ -35,9 +36,13 @@
 		return "", false
 	}
 	name := r.TLS.VerifiedChains[0][0].Subject.CommonName
-	return name, name != ""
+	return name, name != "" && len(name) <= maxOperatorName
 }
 
+// maxOperatorName bounds the identity in bytes, because it is stored in the row that every process polls. X.509 allows
+// common names of 64 characters.
+const maxOperatorName = 128
+
 // Server is the HTTP API for operators. Calls to parts that are nil are refused with "not available".
 type Server struct {
 	Clock    *clock.Clock
@@ -48,6 +53,9 @@
 	Waves    Waves
 	Jobs     Jobs
 	Logger   *slog.Logger // may be nil
+
+	// decoding lets one body be decoded at a time, because a faulty body can take 79 MB of allocations.
+	decoding sync.Mutex
 }
 
 // Handler returns the handler for every path under Prefix.
@@ -89,6 +97,9 @@
 			slog.String("detail", p.f.Detail))
 		w.Header().Set("Magnoliaferry-Result", strconv.Itoa(p.f.Code))
 		w.Header().Set("Magnoliaferry-Outcome", string(p.f.Outcome))
+		if p.f.Contact != "" {
+			w.Header().Set("Magnoliaferry-Contact", p.f.Contact)
+		}
 		if p.f.RetryAfter > 0 {
 			seconds := (p.f.RetryAfter + clock.Second - 1) / clock.Second
 			w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
@@ -119,7 +130,7 @@
 }
 
 // configuration reads and decodes the body of a call.
-func (c call) configuration() (*config.Configuration, *Problem) {
+func (s *Server) configuration(c call) (*config.Configuration, *Problem) {
 	body, err := io.ReadAll(c.Body)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -133,7 +144,9 @@
 	if file == "" {
 		file = "body"
 	}
+	s.decoding.Lock()
 	decoded, faults := config.Decode(file, body)
+	s.decoding.Unlock()
 	if faults.Len() > 0 {
 		p := refuse(CodeInvalidConfiguration, map[string]int64{"faults": int64(faults.Len())}, "%d faults",
 			faults.Len())
@@ -170,7 +183,7 @@
 	} else if _, err := uuid.Parse(operation); err != nil {
 		return nil, refuse(CodeMalformed, nil, "operation is %q and must be a UUID", operation)
 	}
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
@@ -179,6 +192,9 @@
 	if p != nil {
 		return nil, p
 	}
+	if v.Unchanged() {
+		return v.f, nil
+	}
 	eventAccepted.Log(c.Context(), s.Logger, slog.Int64("version", v.f.Version), slog.String("digest", v.f.Digest),
 		slog.String("operator", v.f.Operator), slog.String("operation", v.f.Operation))
 	return v.f, nil
@@ -190,7 +206,7 @@
 }
 
 func (s *Server) check(c call) (any, *Problem) {
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
@@ -204,7 +220,7 @@
 }
 
 func (s *Server) diff(c call) (any, *Problem) {
-	configuration, p := c.configuration()
+	configuration, p := s.configuration(c)
 	if p != nil {
 		return nil, p
 	}
