--- a/entry/control.go
+++ b/entry/control.go
@@ -41,7 +41,7 @@
 	status := operator.StatusFields{Version: c.instance.configuration.Version(), Digest: c.instance.configuration.Digest()}
 	configuration := c.instance.configuration.Current()
 	for _, f := range fleetStatus.Pools {
-		p := operator.PoolStatus{Name: f.Pool, Contact: f.Contact, Serving: f.Serving, Capacity: f.Capacity,
+		p := operator.PoolStatusFields{Name: f.Pool, Contact: f.Contact, Serving: f.Serving, Capacity: f.Capacity,
 			MaxUnavailable: f.MaxUnavailable, Buffer: f.Buffer, BufferReason: f.BufferText,
 			Waits: strings.Join(f.Waits, "; ")}
 		if declared, ok := configuration.Pool(f.Pool); ok {
