Read settings and configurations by the same strict JSON reader

Cause: strictjson was a copy of the reader inside config. Change: config uses strictjson; the bounds and the shared diagnostics stand there once. Conclusion: a fault of the reader is mended once.

--- a/config/codes.go
+++ b/config/codes.go
@@ -1,19 +1,22 @@
 package config
 
-import "magnoliaferry/diag"
+import (
+	"magnoliaferry/diag"
+	"magnoliaferry/strictjson"
+)
 
 // The diagnostics of a configuration; docs/diagnostics.md explains each.
 const (
-	CodeSyntax          diag.Code = 1100
-	CodeTooLarge        diag.Code = 1101
-	CodeTooDeep         diag.Code = 1102
-	CodeDuplicateField  diag.Code = 1103
-	CodeUnknownField    diag.Code = 1104
-	CodeMissingField    diag.Code = 1105
-	CodeWrongType       diag.Code = 1106
-	CodeWrongUnit       diag.Code = 1107
-	CodeOutOfRange      diag.Code = 1108
-	CodeInvalidValue    diag.Code = 1109
+	CodeSyntax                    = strictjson.CodeSyntax
+	CodeTooLarge                  = strictjson.CodeTooLarge
+	CodeTooDeep                   = strictjson.CodeTooDeep
+	CodeDuplicateField            = strictjson.CodeDuplicateField
+	CodeUnknownField              = strictjson.CodeUnknownField
+	CodeMissingField              = strictjson.CodeMissingField
+	CodeWrongType                 = strictjson.CodeWrongType
+	CodeWrongUnit                 = strictjson.CodeWrongUnit
+	CodeOutOfRange                = strictjson.CodeOutOfRange
+	CodeInvalidValue              = strictjson.CodeInvalidValue
 	CodeDuplicateName   diag.Code = 1110
 	CodeUnknownPool     diag.Code = 1111
 	CodeUnknownTeam     diag.Code = 1112
@@ -30,7 +33,7 @@
 	CodeConnections     diag.Code = 1123
 	CodeRunOnceAttempts diag.Code = 1124
 	CodeReservedName    diag.Code = 1125
-	CodeTooMany         diag.Code = 1126
+	CodeTooMany                   = strictjson.CodeTooMany
 )
 
 // Codes returns the name of every diagnostic by its number, for the table in docs/diagnostics.md.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -16,6 +16,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/diag"
+	"magnoliaferry/strictjson"
 )
 
 func readFile(t testing.TB, name string) []byte {
@@ -159,7 +160,7 @@
 	lists := func(n int) string {
 		var b strings.Builder
 		for i := range n {
-			fmt.Fprintf(&b, "\"l%d\": [%s1],\n", i, strings.Repeat("1,", maxList-1))
+			fmt.Fprintf(&b, "\"l%d\": [%s1],\n", i, strings.Repeat("1,", strictjson.MaxList-1))
 		}
 		return b.String() + `"end": 1`
 	}
@@ -167,9 +168,9 @@
 		{"large", strings.Repeat(" ", MaxBody+1), "1101 1 "},
 		{"deep", strings.Repeat("[", maxDepth+1), "1102 1 /0/0/0/0/0/0/0/0"},
 		{"very deep", strings.Repeat("[", MaxBody), "1102 1 /0/0/0/0/0/0/0/0"},
-		{"list", "[" + strings.Repeat("\n1,", maxList) + "1]", "1101 5001 "},
-		{"values", "{" + lists(maxValues/maxList+1) + "}", "1101 20 /l19/4979"},
-		{"name", `{"` + strings.Repeat("n", maxName+1) + `": 1}`, "1101 1 "},
+		{"list", "[" + strings.Repeat("\n1,", strictjson.MaxList) + "1]", "1101 5001 "},
+		{"values", "{" + lists(strictjson.MaxValues/strictjson.MaxList+1) + "}", "1101 20 /l19/4979"},
+		{"name", `{"` + strings.Repeat("n", strictjson.MaxName+1) + `": 1}`, "1101 1 "},
 	}
 	for _, test := range tests {
 		_, faults := Decode("x", []byte(test.body))
@@ -178,7 +179,7 @@
 		}
 	}
 	_, faults := Decode("x", []byte(fields(5000)))
-	if got, want := faults.Len(), maxFaults+1; got != want {
+	if got, want := faults.Len(), strictjson.MaxFaults+1; got != want {
 		t.Errorf("report got %d faults, want %d", got, want)
 	}
 	if _, again := Decode("x", []byte(fields(5000))); again.Error() != faults.Error() {
--- a/config/encode.go
+++ b/config/encode.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"magnoliaferry/clock"
+	"magnoliaferry/strictjson"
 )
 
 // The defaults of fields that a configuration may leave out.
@@ -54,55 +55,55 @@
 }
 
 type poolWire struct {
-	Name              string       `json:"name"`
-	Contact           string       `json:"contact"`
-	Instances         int          `json:"instances"`
-	Capacity          int          `json:"capacity"`
-	MaxUnavailable    int          `json:"max-unavailable"`
-	Spare             bool         `json:"spare,omitempty"`
-	Slots             int          `json:"slots"`
-	Connections       int          `json:"connections"`
-	Cores             int          `json:"cores"`
-	MemoryMB          size         `json:"memory"`
-	RackSize          int          `json:"rack-size"`
-	MaxInFlight       int          `json:"max-in-flight,omitempty"`
-	QueueLength       int          `json:"queue-length"`
-	QueueWait         duration     `json:"queue-wait"`
-	MaintenancePeriod duration     `json:"maintenance-period"`
-	Survive           failuresWire `json:"survive"`
+	Name              string              `json:"name"`
+	Contact           string              `json:"contact"`
+	Instances         int                 `json:"instances"`
+	Capacity          int                 `json:"capacity"`
+	MaxUnavailable    int                 `json:"max-unavailable"`
+	Spare             bool                `json:"spare,omitempty"`
+	Slots             int                 `json:"slots"`
+	Connections       int                 `json:"connections"`
+	Cores             int                 `json:"cores"`
+	MemoryMB          strictjson.Size     `json:"memory"`
+	RackSize          int                 `json:"rack-size"`
+	MaxInFlight       int                 `json:"max-in-flight,omitempty"`
+	QueueLength       int                 `json:"queue-length"`
+	QueueWait         strictjson.Duration `json:"queue-wait"`
+	MaintenancePeriod strictjson.Duration `json:"maintenance-period"`
+	Survive           failuresWire        `json:"survive"`
 }
 
 type serviceWire struct {
-	Name        string   `json:"name"`
-	Pool        string   `json:"pool"`
-	Deadline    duration `json:"deadline"`
-	MaxDeadline duration `json:"max-deadline"`
-	Urgency     Urgency  `json:"urgency"`
+	Name        string              `json:"name"`
+	Pool        string              `json:"pool"`
+	Deadline    strictjson.Duration `json:"deadline"`
+	MaxDeadline strictjson.Duration `json:"max-deadline"`
+	Urgency     Urgency             `json:"urgency"`
 	// IdempotentMethods is a pointer because an empty list (no method is idempotent) differs from none (the default).
 	IdempotentMethods *[]string `json:"idempotent-methods,omitempty"`
 }
 
 type teamWire struct {
-	Name        string   `json:"name"`
-	Contact     string   `json:"contact"`
-	Callers     []string `json:"callers,omitempty"`
-	MaxInFlight int      `json:"max-in-flight,omitempty"`
-	Cores       int      `json:"cores,omitempty"`
-	MemoryMB    size     `json:"memory,omitempty"`
+	Name        string          `json:"name"`
+	Contact     string          `json:"contact"`
+	Callers     []string        `json:"callers,omitempty"`
+	MaxInFlight int             `json:"max-in-flight,omitempty"`
+	Cores       int             `json:"cores,omitempty"`
+	MemoryMB    strictjson.Size `json:"memory,omitempty"`
 }
 
 type jobWire struct {
-	Name         string   `json:"name"`
-	Team         string   `json:"team"`
-	Pool         string   `json:"pool"`
-	Urgency      Urgency  `json:"urgency"`
-	RunOnce      bool     `json:"run-once,omitempty"`
-	Cores        int      `json:"cores"`
-	MemoryMB     size     `json:"memory"`
-	Accelerators int      `json:"accelerators,omitempty"`
-	RunTime      duration `json:"run-time"`
-	Attempts     int      `json:"attempts"`
-	Command      []string `json:"command"`
+	Name         string              `json:"name"`
+	Team         string              `json:"team"`
+	Pool         string              `json:"pool"`
+	Urgency      Urgency             `json:"urgency"`
+	RunOnce      bool                `json:"run-once,omitempty"`
+	Cores        int                 `json:"cores"`
+	MemoryMB     strictjson.Size     `json:"memory"`
+	Accelerators int                 `json:"accelerators,omitempty"`
+	RunTime      strictjson.Duration `json:"run-time"`
+	Attempts     int                 `json:"attempts"`
+	Command      []string            `json:"command"`
 }
 
 // Encode returns the canonical body: indented JSON in which every default is written out and every list of named
@@ -163,13 +164,13 @@
 func poolToWire(p PoolFields) poolWire {
 	return poolWire{Name: p.Name, Contact: p.Contact, Instances: p.Instances, Capacity: p.Capacity,
 		MaxUnavailable: p.MaxUnavailable, Spare: p.Spare, Slots: p.Slots, Connections: p.Connections, Cores: p.Cores,
-		MemoryMB: size(p.MemoryMB), RackSize: p.RackSize, MaxInFlight: p.MaxInFlight, QueueLength: p.QueueLength,
-		QueueWait: duration(p.QueueWait), MaintenancePeriod: duration(p.MaintenancePeriod),
+		MemoryMB: strictjson.Size(p.MemoryMB), RackSize: p.RackSize, MaxInFlight: p.MaxInFlight, QueueLength: p.QueueLength,
+		QueueWait: strictjson.Duration(p.QueueWait), MaintenancePeriod: strictjson.Duration(p.MaintenancePeriod),
 		Survive: failuresWire(p.Survive)}
 }
 
 func serviceToWire(s ServiceFields) serviceWire {
-	w := serviceWire{Name: s.Name, Pool: s.Pool, Deadline: duration(s.Deadline), MaxDeadline: duration(s.MaxDeadline),
+	w := serviceWire{Name: s.Name, Pool: s.Pool, Deadline: strictjson.Duration(s.Deadline), MaxDeadline: strictjson.Duration(s.MaxDeadline),
 		Urgency: s.Urgency}
 	if s.IdempotentMethods != nil {
 		methods := slices.Sorted(slices.Values(s.IdempotentMethods))
@@ -183,12 +184,12 @@
 
 func teamToWire(t TeamFields) teamWire {
 	return teamWire{Name: t.Name, Contact: t.Contact, Callers: slices.Sorted(slices.Values(t.Callers)),
-		MaxInFlight: t.MaxInFlight, Cores: t.Cores, MemoryMB: size(t.MemoryMB)}
+		MaxInFlight: t.MaxInFlight, Cores: t.Cores, MemoryMB: strictjson.Size(t.MemoryMB)}
 }
 
 func jobToWire(j JobFields) jobWire {
 	return jobWire{Name: j.Name, Team: j.Team, Pool: j.Pool, Urgency: j.Urgency, RunOnce: j.RunOnce, Cores: j.Cores,
-		MemoryMB: size(j.MemoryMB), Accelerators: j.Accelerators, RunTime: duration(j.RunTime), Attempts: j.Attempts,
+		MemoryMB: strictjson.Size(j.MemoryMB), Accelerators: j.Accelerators, RunTime: strictjson.Duration(j.RunTime), Attempts: j.Attempts,
 		Command: j.Command}
 }
 
@@ -228,8 +229,8 @@
 func (p *poolWire) UnmarshalJSON(body []byte) error {
 	type plain poolWire
 	w := plain{Slots: DefaultSlots, Connections: DefaultConnections, RackSize: DefaultRackSize,
-		QueueLength: DefaultQueueLength, QueueWait: duration(DefaultQueueWait),
-		MaintenancePeriod: duration(DefaultMaintenancePeriod)}
+		QueueLength: DefaultQueueLength, QueueWait: strictjson.Duration(DefaultQueueWait),
+		MaintenancePeriod: strictjson.Duration(DefaultMaintenancePeriod)}
 	err := json.Unmarshal(body, &w)
 	*p = poolWire(w)
 	return err
@@ -239,10 +240,10 @@
 // the max-deadline.
 func (s *serviceWire) UnmarshalJSON(body []byte) error {
 	type plain serviceWire
-	w := plain{Deadline: -1, MaxDeadline: duration(DefaultMaxDeadline), Urgency: Normal}
+	w := plain{Deadline: -1, MaxDeadline: strictjson.Duration(DefaultMaxDeadline), Urgency: Normal}
 	err := json.Unmarshal(body, &w)
 	if w.Deadline < 0 {
-		w.Deadline = min(duration(DefaultDeadline), w.MaxDeadline)
+		w.Deadline = min(strictjson.Duration(DefaultDeadline), w.MaxDeadline)
 	}
 	*s = serviceWire(w)
 	return err
@@ -251,7 +252,7 @@
 // UnmarshalJSON fills the defaults of fields that the section leaves out; a run-once job has one attempt.
 func (j *jobWire) UnmarshalJSON(body []byte) error {
 	type plain jobWire
-	w := plain{Urgency: Normal, RunTime: duration(DefaultRunTime)}
+	w := plain{Urgency: Normal, RunTime: strictjson.Duration(DefaultRunTime)}
 	err := json.Unmarshal(body, &w)
 	if w.Attempts == 0 {
 		w.Attempts = DefaultAttempts
--- a/strictjson/strictjson.go
+++ b/strictjson/strictjson.go
@@ -34,12 +34,17 @@
 	CodeTooMany        diag.Code = 1126
 )
 
+// The bounds of every format.
 const (
-	// maxValues and maxName bound the memory for paths: 100,000 paths of at most 8 names of 64 bytes are 51 MB.
-	maxValues = 100_000
-	maxName   = 64
-	// maxFaults bounds the report and maxCollected the faults among which the first ones are found.
-	maxFaults    = 200
+	// MaxValues and MaxName bound the memory for paths: 100,000 paths of at most 8 names of 64 bytes are 51 MB.
+	MaxValues = 100_000
+	MaxName   = 64
+	// MaxList bounds each list, because the schema makes several errors for each faulty element: 98,001 empty pools
+	// took 459 MB and 2 s.
+	MaxList = 5000
+	// MaxFaults bounds the report.
+	MaxFaults = 200
+	// maxCollected bounds the faults among which the first ones are found.
 	maxCollected = 10_000
 	maxText      = 300 // bytes of one explanation, which may quote a value of the body
 )
@@ -73,7 +78,7 @@
 	format *Format
 	file   string
 	body   []byte
-	value  any
+	sound  []byte          // the body without the refused values; nil when it is no object
 	lines  map[string]int  // line of each JSON pointer
 	bad    map[string]bool // pointers with a diagnostic; later checks skip them so that one fault is reported once
 	list   diag.List
@@ -92,21 +97,19 @@
 		d.stop(err)
 		return d
 	}
-	d.value = d.validate(value)
+	sound := d.validate(value)
+	if _, object := value.(map[string]any); object {
+		d.sound = sound
+	}
 	return d
 }
 
 // Unmarshal fills v from the values without faults; it reports false when the body is no object.
 func (d *Document) Unmarshal(v any) bool {
-	root, ok := d.value.(map[string]any)
-	if !ok {
+	if d.sound == nil {
 		return false
 	}
-	encoded, err := json.Marshal(root)
-	if err == nil {
-		err = json.Unmarshal(encoded, v)
-	}
-	if err != nil {
+	if err := json.Unmarshal(d.sound, v); err != nil {
 		// Every value that the schema refuses was left out, so what remains has the right types.
 		d.Report(CodeWrongType, "", "%v", err)
 		return false
@@ -127,14 +130,15 @@
 
 // Diagnostics returns the faults in the order of the body, up to a bound.
 func (d *Document) Diagnostics() diag.List {
-	if d.list.Len() <= maxFaults {
+	if d.list.Len() <= MaxFaults {
 		return d.list
 	}
 	var list diag.List
-	for _, fault := range d.list.All()[:maxFaults] {
+	for _, fault := range d.list.All()[:MaxFaults] {
 		list.Add(fault)
 	}
-	list.Add(diag.New(CodeTooMany, d.file, 0, "", fmt.Sprintf("only the first %d faults are listed", maxFaults)))
+	end := 1 + bytes.Count(d.body, []byte("\n"))
+	list.Add(diag.New(CodeTooMany, d.file, end, "", fmt.Sprintf("only the first %d faults are listed", MaxFaults)))
 	return list
 }
 
@@ -232,8 +236,8 @@
 	if _, named := p.d.lines[path]; !named {
 		p.d.lines[path] = p.line
 	}
-	if len(p.d.lines) > maxValues {
-		return nil, limit{CodeTooLarge, p.line, path, fmt.Sprintf("at most %d values are accepted", maxValues)}
+	if len(p.d.lines) > MaxValues {
+		return nil, limit{CodeTooLarge, p.line, path, fmt.Sprintf("at most %d values are accepted", MaxValues)}
 	}
 	switch token.Kind() {
 	case '{', '[':
@@ -247,13 +251,24 @@
 	case '"':
 		return token.String(), nil
 	case '0':
-		return json.Number(token.String()), nil
+		return p.number(path, token.String()), nil
 	case 't', 'f':
 		return token.Bool(), nil
 	}
 	return nil, nil
 }
 
+// number returns an int. Fractions, exponents and numbers of more than 9 digits are reported, because the fields cannot
+// hold them; 1 stands for them, so that the schema does not report them again.
+func (p *parser) number(path, text string) any {
+	if !wholeNumber.MatchString(text) {
+		p.d.Report(CodeOutOfRange, path, "%s is not a whole number of at most 9 digits", text)
+		return 1
+	}
+	n, _ := strconv.Atoi(text) // the pattern leaves no error
+	return n
+}
+
 func (p *parser) object(path string, depth int) (any, error) {
 	members := map[string]any{}
 	for p.reader.PeekKind() != '}' {
@@ -262,8 +277,8 @@
 			return nil, err
 		}
 		name := token.String()
-		if len(name) > maxName {
-			return nil, limit{CodeTooLarge, p.line, path, fmt.Sprintf("a field name has more than %d bytes", maxName)}
+		if len(name) > MaxName {
+			return nil, limit{CodeTooLarge, p.line, path, fmt.Sprintf("a field name has more than %d bytes", MaxName)}
 		}
 		member := path + "/" + EscapePointer(name)
 		first, twice := members[name]
@@ -287,6 +302,9 @@
 func (p *parser) array(path string, depth int) (any, error) {
 	elements := []any{}
 	for p.reader.PeekKind() != ']' {
+		if len(elements) == MaxList {
+			return nil, limit{CodeTooLarge, p.line, path, fmt.Sprintf("a list has more than %d elements", MaxList)}
+		}
 		element, err := p.value(path+"/"+strconv.Itoa(len(elements)), depth)
 		if err != nil {
 			return nil, err
@@ -297,34 +315,20 @@
 	return elements, err
 }
 
-// validate reports what the schema refuses and returns the document without the refused values.
-func (d *Document) validate(document any) any {
-	document = d.wholeNumbers("", document)
+// validate reports what the schema refuses and returns the body without the refused values.
+func (d *Document) validate(document any) []byte {
 	var invalid *jsonschema.ValidationError
 	if errors.As(d.format.schema.Validate(document), &invalid) {
 		d.schemaFaults(invalid)
 	}
-	return d.strip("", document)
-}
-
-// wholeNumbers reports fractions, exponents and numbers of more than 9 digits, which the fields cannot hold.
-func (d *Document) wholeNumbers(path string, value any) any {
-	switch v := value.(type) {
-	case map[string]any:
-		for name, member := range v {
-			v[name] = d.wholeNumbers(path+"/"+EscapePointer(name), member)
-		}
-	case []any:
-		for i, element := range v {
-			v[i] = d.wholeNumbers(path+"/"+strconv.Itoa(i), element)
-		}
-	case json.Number:
-		if !wholeNumber.MatchString(string(v)) {
-			d.Report(CodeOutOfRange, path, "%s is not a whole number of at most 9 digits", v)
-			return json.Number("1")
-		}
+	if d.list.Len() == 0 {
+		return d.body // every name is exact and given once, so encoding/json reads the same values
 	}
-	return value
+	sound, err := json.Marshal(d.strip("", document))
+	if err != nil {
+		panic(err) // maps, slices, strings, numbers and booleans always encode
+	}
+	return sound
 }
 
 var printer = message.NewPrinter(language.English)
@@ -355,18 +359,19 @@
 			d.Report(code, path+"/"+name, "the field %q is missing", name)
 		}
 	case *kind.Type:
+		if unit := unitOf(e); unit != "" {
+			d.Report(CodeWrongUnit, path, "a %s without a unit; write %s", k.Got, unit)
+			return
+		}
 		d.Report(CodeWrongType, path, "%s", text)
 	case *kind.Minimum, *kind.Maximum, *kind.MinItems, *kind.MaxItems, *kind.MaxLength:
 		d.Report(CodeOutOfRange, path, "%s", text)
 	case *kind.Pattern:
-		switch {
-		case strings.Contains(k.Want, "ms|s"):
-			d.Report(CodeWrongUnit, path, "%q is not a duration; write a whole number with ms, s, m, h or d", k.Got)
-		case strings.Contains(k.Want, "MB|"):
-			d.Report(CodeWrongUnit, path, "%q is not a size; write a whole number with MB, GB or TB", k.Got)
-		default:
-			d.Report(CodeInvalidValue, path, "%q is not a valid name", k.Got)
+		if unit := unitOf(e); unit != "" {
+			d.Report(CodeWrongUnit, path, "%q is not %s", k.Got, unit)
+			return
 		}
+		d.Report(CodeInvalidValue, path, "%q is not a valid name", k.Got)
 	default:
 		d.Report(CodeInvalidValue, path, "%s", text)
 	}
@@ -404,6 +409,17 @@
 	return value
 }
 
+// unitOf describes the form of a value with a unit, or returns "" when the schema wants something else.
+func unitOf(e *jsonschema.ValidationError) string {
+	switch {
+	case strings.HasSuffix(e.SchemaURL, "/$defs/duration"):
+		return "a whole number with ms, s, m, h or d"
+	case strings.HasSuffix(e.SchemaURL, "/$defs/size"):
+		return "a whole number with MB, GB or TB"
+	}
+	return ""
+}
+
 // EscapePointer escapes a field name for use in a JSON pointer.
 func EscapePointer(name string) string {
 	return strings.ReplaceAll(strings.ReplaceAll(name, "~", "~0"), "/", "~1")
--- a/strictjson/units.go
+++ b/strictjson/units.go
@@ -46,6 +46,12 @@
 	return err
 }
 
+// String returns the duration with its unit.
+func (d Duration) String() string { return string(formatUnit(int64(d), durationUnits)) }
+
+// String returns the amount with its unit.
+func (s Size) String() string { return string(formatUnit(int64(s), sizeUnits)) }
+
 func formatUnit(n int64, units []unit) []byte {
 	for _, u := range units {
 		if n != 0 && n%u.factor == 0 {
