List the diagnostics of settings

Cause: serve reports numbered diagnostics that no page explained. Change: docs/diagnostics.md has a table for settings; one test in cmd/generate holds both tables against the code, in place of the one in config that knew only the configuration's. Conclusion: every diagnostic is explained.

--- a/cmd/generate/main_test.go
+++ b/cmd/generate/main_test.go
@@ -1,9 +1,17 @@
 package main
 
 import (
+	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"testing"
+
+	"magnoliaferry/config"
+	"magnoliaferry/diag"
+	"magnoliaferry/settings"
 )
 
 // Guards against result codes and log events that are missing from docs/, or documented and no longer in the code.
@@ -19,3 +27,21 @@
 		}
 	}
 }
+
+// Guards against a diagnostic that the table for operators leaves out or misnames.
+func TestDiagnosticsTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/diagnostics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := map[diag.Code]string{}
+	for _, match := range regexp.MustCompile(`(?m)^\| (\d+) \| ([a-z-]+) \|`).FindAllStringSubmatch(string(page), -1) {
+		number, _ := strconv.Atoi(match[1])
+		documented[diag.Code(number)] = match[2]
+	}
+	declared := config.Codes()
+	maps.Copy(declared, settings.Codes())
+	if got, want := fmt.Sprint(documented), fmt.Sprint(declared); got != want {
+		t.Errorf("docs/diagnostics.md got %s, want %s", got, want)
+	}
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -385,16 +384,3 @@
 		t.Errorf("Diff got %q, want %q", got, want)
 	}
 }
-
-// Guards against a diagnostic that the table for operators leaves out or misnames.
-func TestDiagnosticsTable(t *testing.T) {
-	page := string(readFile(t, "../docs/diagnostics.md"))
-	documented := map[diag.Code]string{}
-	for _, match := range regexp.MustCompile(`(?m)^\| (\d+) \| ([a-z-]+) \|`).FindAllStringSubmatch(page, -1) {
-		number, _ := strconv.Atoi(match[1])
-		documented[diag.Code(number)] = match[2]
-	}
-	if got, want := fmt.Sprint(documented), fmt.Sprint(Codes()); got != want {
-		t.Errorf("docs/diagnostics.md got %s, want %s", got, want)
-	}
-}
