Test the caller interface against failing workers, deadlines, stops and callers that leave

Cause: only the path without failures had a test. Change: tests for each refusal, broken answers with and without permission to run again, a worker that is down, leaving or failing, large bodies with and without room in the memory budget, claims, deadlines in each stage, callers that go away, stop with and without a cut, and quotas.

--- /dev/null
+++ b/caller/failure_test.go
@@ -0,0 +1,504 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+	"magnoliaferry/routing"
+	"magnoliaferry/worker"
+)
+
+func (r reply) is(t *testing.T, code *result.Code) {
+	t.Helper()
+	if r.err != nil || r.refusal.Code != code.Number() || r.status != code.Status() || r.refusal.Outcome != string(code.Outcome()) {
+		t.Fatalf("got status %d, body %q, error %v, want %d %s", r.status, r.body, r.err, code.Number(), code.Name())
+	}
+	if r.refusal.Contact == "" || r.header.Get(HeaderContact) != r.refusal.Contact || r.header.Get(HeaderOutcome) != r.refusal.Outcome {
+		t.Errorf("got header %v, want contact and outcome as in the body", r.header)
+	}
+}
+
+// hijack answers with raw bytes and closes the connection.
+func hijack(w http.ResponseWriter, raw string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, _ = io.WriteString(c, raw)
+		c.Close()
+	}
+}
+
+func until(done func() bool) {
+	for !done() {
+		runtime.Gosched()
+	}
+}
+
+const key = HeaderRequestKey
+
+// Each request that cannot be served must be refused with its code, as not run.
+func TestRefusals(t *testing.T) {
+	var runs atomic.Int64
+	b := newBench(t, newWorker(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	b.handler.MaxBody = 4
+	for _, c := range []struct {
+		path, body string
+		headers    []string
+		code       *result.Code
+	}{
+		{"/other/x", "", nil, CodeNoService},
+		{"/", "", nil, CodeNoService},
+		{"/svc", "", []string{HeaderCaller, "a/b"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderCaller, strings.Repeat("a", 65)}, CodeBadHeader},
+		{"/svc", "", []string{key, "k"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderCaller, "a", key, "a b"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderUrgency, "soon"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderDeadline, "-1"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderDeadline, "0"}, CodeBadHeader},
+		{"/svc", "", []string{HeaderDeadline, "99999999999999999999"}, CodeBadHeader},
+		{"/svc", "12345", nil, CodeBodyTooLarge},
+	} {
+		b.do("POST", c.path, c.body, c.headers...).is(t, c.code)
+	}
+	request, _ := http.NewRequest("POST", b.entry.URL+"/svc", io.MultiReader(strings.NewReader("12345"))) // chunked
+	b.send(request).is(t, CodeBodyTooLarge)
+	request, _ = http.NewRequest("GET", b.entry.URL+"/svc", nil)
+	request.Header[HeaderUrgency] = []string{"urgent", "batch"}
+	b.send(request).is(t, CodeBadHeader)
+	b.queue.refuse = result.Refuse(CodeTooManyRequests, "full", 1500)
+	full := b.do("GET", "/svc", "")
+	full.is(t, CodeTooManyRequests)
+	if got := full.header.Get("Retry-After"); got != "2" {
+		t.Errorf("got Retry-After %q, want 1500 ms rounded up to 2", got)
+	}
+	b.handler.Claims = nil
+	b.do("POST", "/svc", "", HeaderCaller, "a", key, "k").is(t, CodeClaimFailed)
+	b.handler.Configuration = func() *config.Configuration { return nil }
+	b.do("GET", "/svc", "").is(t, CodeNoConfiguration)
+	if got := b.do("GET", HealthPath, ""); got.status != 503 || got.body != "no-configuration\n" {
+		t.Errorf("got health %d %q, want 503 without a configuration", got.status, got.body)
+	}
+	if runs.Load() != 0 {
+		t.Errorf("%d refused requests ran", runs.Load())
+	}
+}
+
+// A broken answer must be retried only where the request may run again, and must never look whole.
+func TestBrokenAnswers(t *testing.T) {
+	short := "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+	for _, c := range []struct {
+		name, method, raw string
+		runs              int64
+		code              *result.Code // nil: the second worker's answer
+	}{
+		{"truncated, idempotent", "GET", short, 1, nil},
+		{"truncated, not idempotent", "POST", short, 1, worker.CodeTruncated},
+		{"killed while it ran, idempotent", "PUT", "", 1, nil},
+		{"killed while it ran, not idempotent", "POST", "", 1, worker.CodeBroken},
+		{"not run, not idempotent", "POST", "HTTP/1.1 503 No\r\nMagnoliaferry-Not-Run: true\r\nContent-Length: 0\r\n\r\n", 1, nil},
+		{"mismatched", "POST", "HTTP/1.1 200 OK\r\nMagnoliaferry-Request-Id: x\r\nContent-Length: 0\r\n\r\n", 1, worker.CodeMismatched},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var bad, good atomic.Int64
+			b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				bad.Add(1)
+				hijack(w, c.raw)
+			}), newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+				good.Add(1)
+				_, _ = io.Copy(w, r.Body)
+			}))
+			got := b.do(c.method, "/svc", "question")
+			if c.code != nil {
+				got.is(t, c.code)
+			} else if got.err != nil || got.status != 200 {
+				t.Fatalf("got %+v, want the second worker's answer", got)
+			}
+			if want := map[bool]int64{true: 1, false: 0}[c.code == nil]; bad.Load() != c.runs || good.Load() != want {
+				t.Errorf("got %d and %d runs, want %d and %d", bad.Load(), good.Load(), c.runs, want)
+			}
+		})
+	}
+}
+
+// A worker that is down before the handover must cost nothing but a try on another one, also without idempotency.
+func TestWorkerDownBefore(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	down := listener.Addr().String()
+	listener.Close()
+	b := newBench(t, down, newWorker(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	if got := b.do("POST", "/svc", "x", HeaderCaller, "alice", key, "k1"); got.body != "ok" {
+		t.Errorf("got %+v, want the answer of the other worker", got)
+	}
+	alone := newBench(t, down)
+	alone.do("POST", "/svc", "x", HeaderCaller, "alice", key, "k2").is(t, worker.CodeNoConnection)
+	if alone.claims.abandoned["alice/k2"] != 1 {
+		t.Error("want the claim of a request that was not run to be abandoned")
+	}
+}
+
+// Large answers and bodies must pass whole within the memory budget, and a cut one must break the caller's connection.
+func TestLargeBodies(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789abcdef"), 3<<16) // 3 MiB
+	var cut atomic.Bool
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Length", fmt.Sprint(len(body)))
+		if r.URL.Path == "/svc/length" {
+			w.Header().Set("Content-Length", fmt.Sprint(len(large)))
+		}
+		if cut.Load() {
+			_, _ = w.Write(large[:2<<20])
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(large)
+	}))
+	for _, budget := range []int64{0, 8 << 10} { // with and without room to buffer
+		for _, path := range []string{"/svc/chunks", "/svc/length"} {
+			cut.Store(false)
+			b.handler.memory.limit = max(budget, 1)
+			if budget == 0 {
+				b.handler.memory.limit = defaultBufferBytes
+			}
+			got := b.do("POST", path, string(large))
+			if got.err != nil || got.body != string(large) || got.header.Get("X-Length") != fmt.Sprint(len(large)) {
+				t.Errorf("%s: got %d bytes, %v, want the whole answer", path, len(got.body), got.err)
+			}
+			cut.Store(true)
+			if got := b.do("GET", path, ""); got.err == nil {
+				t.Errorf("%s: got %d bytes of a cut answer without an error", path, len(got.body))
+			}
+		}
+	}
+	until(func() bool { return b.handler.running.count.Load() == 0 })
+	if used := b.handler.memory.used.Load(); used != 0 {
+		t.Errorf("%d bytes of the budget were not given back", used)
+	}
+	if got := b.handler.counters.aborted.Value(); got != 4 {
+		t.Errorf("got %d aborted answers, want 4", got)
+	}
+}
+
+// A leaving worker must get no request after its answer said so.
+func TestLeavingWorker(t *testing.T) {
+	var late atomic.Int64
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, _ *http.Request) {
+		late.Add(1)
+		w.Header().Set(worker.HeaderState, "leaving")
+	}), newWorker(t, func(http.ResponseWriter, *http.Request) {}))
+	for range 10 {
+		got := b.do("GET", "/svc", "")
+		if got.status != 200 || got.header.Get(worker.HeaderState) != "" {
+			t.Fatalf("got %d %v, want 200 without the worker's header", got.status, got.header)
+		}
+	}
+	if late.Load() != 1 {
+		t.Errorf("the leaving worker ran %d requests, want 1", late.Load())
+	}
+}
+
+// A worker that fails everything must be ejected; when all fail, callers must still get the workers' answers.
+func TestFailingWorkers(t *testing.T) {
+	var all atomic.Bool
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	other := func(w http.ResponseWriter, r *http.Request) {
+		if all.Load() {
+			fail(w, r)
+		}
+	}
+	b := newBench(t, newWorker(t, fail), newWorker(t, other), newWorker(t, other))
+	var states []routing.WorkerState
+	for i, a := range b.addresses {
+		states = append(states, routing.NewWorkerState(fmt.Sprint("w", i), a, "a", &slotAccount{free: 8}, false))
+	}
+	b.handler.Router.Update([]routing.PoolState{routing.NewPoolState("pool", "round-robin", 2, states...)})
+	errorsSeen := 0
+	for range 60 {
+		if b.do("GET", "/svc", "").status == 500 {
+			errorsSeen++
+		}
+	}
+	if serving, _ := b.handler.Router.Serving("pool"); errorsSeen != 5 || serving != 2 {
+		t.Errorf("got %d errors and %d serving, want 5 and 2", errorsSeen, serving)
+	}
+	all.Store(true)
+	for range 20 {
+		if got := b.do("GET", "/svc", ""); got.status != 500 || got.header.Get(HeaderOutcome) != "ran" {
+			t.Fatalf("got %d, want the worker's 500", got.status)
+		}
+	}
+	if serving, failing := b.handler.Router.Serving("pool"); serving != 3 || !failing {
+		t.Errorf("got %d serving, failing %v, want all 3 and a failing pool", serving, failing)
+	}
+}
+
+// A key must make a request run once: repeats get the recorded answer, or the truth about it.
+func TestClaims(t *testing.T) {
+	var runs atomic.Int64
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		switch r.URL.Path {
+		case "/svc/cut":
+			hijack(w, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+		case "/svc/kill":
+			hijack(w, "")
+		case "/svc/large":
+			_, _ = w.Write(make([]byte, maxRecorded+1))
+		default:
+			w.Header().Set("X-Run", fmt.Sprint(runs.Load()))
+			_, _ = io.WriteString(w, "done")
+		}
+	}))
+	twice := func(path, k string) reply {
+		before := runs.Load()
+		b.do("POST", path, "x", HeaderCaller, "alice", key, k)
+		got := b.do("POST", path, "x", HeaderCaller, "alice", key, k)
+		if n := runs.Load() - before; n != 1 {
+			t.Errorf("%s: %d runs, want 1", path, n)
+		}
+		return got
+	}
+	got := twice("/svc/x", "k1")
+	if got.body != "done" || got.header.Get("X-Run") != "1" || got.header.Get(HeaderResult) != "2001" {
+		t.Errorf("got %+v, want the recorded answer", got)
+	}
+	twice("/svc/cut", "k2").is(t, CodeNotKept)
+	twice("/svc/kill", "k3").is(t, CodeOutcomeUnknown)
+	twice("/svc/large", "k4").is(t, CodeNotKept)
+	b.claims.decisions["alice/k5"] = NewDecision(Running, Recorded{})
+	b.do("POST", "/svc", "", HeaderCaller, "alice", key, "k5").is(t, CodeStillRunning)
+	b.claims.err = errors.New("table down")
+	b.do("POST", "/svc", "", HeaderCaller, "alice", key, "k6").is(t, CodeClaimFailed)
+	if got := b.do("POST", "/svc/x", "x"); got.body != "done" {
+		t.Errorf("without a key: got %+v, want no claim", got)
+	}
+	if got := b.do("PUT", "/svc/x", "x", HeaderCaller, "alice", key, "k7"); got.body != "done" {
+		t.Errorf("idempotent: got %+v, want no claim", got)
+	}
+}
+
+// A deadline must end a request in each stage with the truth about its run, and reach the worker in its header.
+func TestDeadlines(t *testing.T) {
+	reached := make(chan string, 1)
+	hold := make(chan struct{})
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/svc/large" {
+			_, _ = w.Write(make([]byte, 2<<20))
+			_ = http.NewResponseController(w).Flush()
+		}
+		reached <- r.Header.Get(HeaderDeadline)
+		select {
+		case <-r.Context().Done():
+		case <-hold:
+		}
+	}))
+	t.Cleanup(func() { close(hold) })
+	pass := func(stage *string) {
+		until(func() bool {
+			found := false
+			b.handler.running.each(func(r *request) { found = found || r.stage.Load() == stage })
+			return found
+		})
+	}
+	run := func(method, path, body string, headers ...string) <-chan reply {
+		ended := make(chan reply, 1)
+		go func() { ended <- b.do(method, path, body, append(headers, HeaderDeadline, "700")...) }()
+		return ended
+	}
+
+	unfinished, feed := io.Pipe()
+	request, _ := http.NewRequest("POST", b.entry.URL+"/svc", unfinished)
+	request.Header.Set(HeaderDeadline, "700")
+	reading := make(chan reply, 1)
+	go func() { reading <- b.send(request) }()
+	_, _ = io.WriteString(feed, "x")
+	pass(&stageReading)
+	b.clock.Advance(700)
+	(<-reading).is(t, CodeBodyIncomplete)
+	feed.Close()
+
+	b.claims.block = make(chan struct{})
+	claiming := run("POST", "/svc", "", HeaderCaller, "alice", key, "k")
+	pass(&stageClaim)
+	b.clock.Advance(700)
+	(<-claiming).is(t, CodeTooLate)
+	b.claims.block = nil
+
+	dispatched := run("GET", "/svc", "")
+	if got := <-reached; got != "700" {
+		t.Errorf("worker was told %q ms, want 700", got)
+	}
+	b.clock.Advance(700)
+	(<-dispatched).is(t, worker.CodeDeadline)
+
+	request, _ = http.NewRequest("GET", b.entry.URL+"/svc/large", nil)
+	request.Header.Set(HeaderDeadline, "700")
+	response, err := b.entry.Client().Do(request) // returns once the answer is streamed
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-reached
+	b.clock.Advance(700)
+	if n, err := io.Copy(io.Discard, response.Body); err == nil {
+		t.Errorf("got %d bytes of an answer that the deadline cut, and no error", n)
+	}
+	response.Body.Close()
+
+	until(func() bool { return b.handler.running.count.Load() == 0 })
+	b.slots[0].mu.Lock()
+	b.slots[0].free = 0
+	b.slots[0].mu.Unlock()
+	waiting := run("GET", "/svc", "")
+	pass(&stageQueue)
+	b.clock.Advance(700)
+	(<-waiting).is(t, CodeTooLate)
+}
+
+// A caller that goes away must end its request at the worker, but not one whose key lets it ask again.
+func TestCallerGone(t *testing.T) {
+	reached, release, gone := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		reached <- struct{}{}
+		if r.Header.Get(key) == "" {
+			<-r.Context().Done()
+			close(gone)
+			return
+		}
+		<-release
+		_, _ = io.WriteString(w, "done")
+	}))
+	call := func(headers ...string) {
+		ctx, cancel := context.WithCancel(t.Context())
+		request, _ := http.NewRequestWithContext(ctx, "POST", b.entry.URL+"/svc", strings.NewReader("x"))
+		for i := 0; i < len(headers); i += 2 {
+			request.Header.Set(headers[i], headers[i+1])
+		}
+		ended := make(chan reply, 1)
+		go func() { ended <- b.send(request) }()
+		<-reached
+		cancel()
+		<-ended
+	}
+	call()
+	<-gone
+	call(HeaderCaller, "alice", key, "k")
+	close(release)
+	until(func() bool { return b.handler.running.count.Load() == 0 })
+	if got := b.do("POST", "/svc", "x", HeaderCaller, "alice", key, "k"); got.body != "done" || got.header.Get(HeaderResult) != "2001" {
+		t.Errorf("got %+v, want the recorded answer", got)
+	}
+}
+
+// A stop must finish what runs, refuse what is new and report what it cut, each with the truth.
+func TestStop(t *testing.T) {
+	reached, release := make(chan struct{}), make(chan struct{})
+	for _, cut := range []bool{false, true} {
+		b := newBench(t, newWorker(t, func(w http.ResponseWriter, _ *http.Request) {
+			reached <- struct{}{}
+			<-release
+			_, _ = io.WriteString(w, "done")
+		}))
+		running := make(chan reply, 1)
+		go func() { running <- b.do("POST", "/svc", "") }()
+		<-reached
+		if got := b.do("GET", HealthPath, ""); got.status != 200 {
+			t.Errorf("got health %d, want 200", got.status)
+		}
+		b.handler.Leave()
+		if got := b.do("GET", HealthPath, ""); got.status != 503 || got.body != "leaving\n" {
+			t.Errorf("got health %d %q, want 503 leaving", got.status, got.body)
+		}
+		ctx, cancel := b.clock.WithTimeout(t.Context(), 3000)
+		defer cancel()
+		cuts := make(chan []Cut, 1)
+		go func() { cuts <- b.handler.Stop(ctx) }()
+		until(func() bool { return b.handler.running.state.Load() == stateStopping })
+		b.do("GET", "/svc", "").is(t, CodeStopping)
+		if !cut {
+			release <- struct{}{}
+			if got := <-running; got.body != "done" || len(<-cuts) != 0 {
+				t.Errorf("got %+v, want the answer and no cut", got)
+			}
+			continue
+		}
+		b.clock.Advance(3000)
+		(<-running).is(t, CodeCut)
+		if got := <-cuts; len(got) != 1 || got[0].Stage() != stageDispatch || got[0].Age() != 3000 || got[0].Service() != "svc" {
+			t.Errorf("got %+v, want one request cut in dispatch after 3000 ms", got)
+		}
+		release <- struct{}{}
+	}
+}
+
+// The module must accept, leave, stop and return without an error.
+func TestServer(t *testing.T) {
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- (&Server{Handler: b.handler, Listener: listener, LeaveFor: 3000}).Run(ctx) }()
+	ask := func() string {
+		response, err := http.Get("http://" + listener.Addr().String() + "/svc")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return string(body)
+	}
+	if got := ask(); got != "ok" {
+		t.Fatalf("got %q", got)
+	}
+	waiters := b.clock.Waiters()
+	cancel()
+	until(func() bool { return b.handler.running.state.Load() == stateLeaving && b.clock.Waiters() > waiters })
+	if got := ask(); got != "ok" {
+		t.Errorf("while leaving: got %q, want an answer", got)
+	}
+	b.clock.Advance(3000)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// The quota of a team and the limit of a pool must bound permits and be given back, also when no worker is free.
+func TestQuotas(t *testing.T) {
+	b := newBench(t, newWorker(t, func(http.ResponseWriter, *http.Request) {}))
+	c := config.New(config.Fields{Pools: []config.PoolFields{{Name: "pool", MaxInFlight: 2}},
+		Teams: []config.TeamFields{{Name: "team", MaxInFlight: 1, Callers: []string{"alice"}}}})
+	b.handler.Configuration = func() *config.Configuration { return c }
+	accounts := map[string]*slotAccount{"pool/pool": {free: 2}, "team/team": {free: 1}}
+	b.handler.Quota = func(resource string) routing.Account { return accounts[resource] }
+	take := func(team string) *Permit { p, _ := b.handler.Acquire("pool", team, clock.Minute); return p }
+	first := take("team")
+	if first == nil || take("team") != nil || take("") == nil || take("") != nil {
+		t.Fatal("want one permit for the team and two in the pool")
+	}
+	first.Release()
+	first.Release()
+	if accounts["team/team"].Free() != 1 || accounts["pool/pool"].Free() != 1 {
+		t.Errorf("got %d and %d free, want 1 and 1", accounts["team/team"].Free(), accounts["pool/pool"].Free())
+	}
+	b.slots[0].free = 0
+	if take("team") != nil || accounts["team/team"].Free() != 1 || accounts["pool/pool"].Free() != 1 {
+		t.Error("want the quotas back when no worker is free")
+	}
+}
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -127,6 +127,9 @@
 	claims  *memoryClaims
 	queue   *directQueue
 	entry   *httptest.Server
+
+	addresses []string
+	slots     []*slotAccount
 }
 
 func testConfiguration(capacity int) *config.Configuration {
@@ -145,13 +148,15 @@
 	router := &routing.Router{Clock: b.clock, Seed: 1}
 	client := &worker.Client{Clock: b.clock}
 	router.Probe = client.Probe
-	b.handler = &Handler{Clock: b.clock, Instance: "entry-1", Configuration: func() *config.Configuration { return configuration },
+	b.handler = &Handler{Clock: b.clock, Instance: "entry-1", Contact: "ops@example.org", Configuration: func() *config.Configuration { return configuration },
 		Claims: b.claims, Router: router, Client: client}
 	b.queue = &directQueue{h: b.handler, pool: "pool", woken: make(chan struct{}, 1)}
 	b.handler.Queue = func(string) Queue { return b.queue }
+	b.addresses = addresses
 	var states []routing.WorkerState
 	for i, address := range addresses {
-		states = append(states, routing.NewWorkerState("w"+string(rune('0'+i)), address, "a", &slotAccount{free: 8}, false))
+		b.slots = append(b.slots, &slotAccount{free: 8})
+		states = append(states, routing.NewWorkerState("w"+string(rune('0'+i)), address, "a", b.slots[i], false))
 	}
 	router.Update([]routing.PoolState{routing.NewPoolState("pool", "round-robin", len(addresses), states...)})
 	b.entry = httptest.NewServer(b.handler)
