--- /dev/null
+++ b/caller/fuzz_test.go
@@ -0,0 +1,43 @@
+package caller
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"magnoliaferry/config"
+)
+
+// Whatever a caller sends in its headers, the values that pass must be within their bounds, safe as a part of a row
+// key, and no header that concerns the connection may reach the worker.
+func FuzzHeaders(f *testing.F) {
+	f.Fuzz(func(t *testing.T, raw string) {
+		request, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /svc HTTP/1.1\r\nHost: h\r\n" + raw + "\r\n\r\n")))
+		if err != nil {
+			return
+		}
+		service, _ := testConfiguration(1).Service("svc")
+		d, err := parseDemand(request.Header, service)
+		removeHop(request.Header)
+		for name := range request.Header {
+			for _, hop := range hopHeaders {
+				if name == hop {
+					t.Errorf("%s reaches the worker", name)
+				}
+			}
+		}
+		if err != nil {
+			return
+		}
+		if d.deadline < 1 || d.deadline > maxDeadline {
+			t.Errorf("got deadline %d ms, want 1 to %d", d.deadline, maxDeadline)
+		}
+		if d.urgency != config.Urgent && d.urgency != config.Normal && d.urgency != config.Batch {
+			t.Errorf("got urgency %q", d.urgency)
+		}
+		if !isName(d.caller, maxCallerLength) || (d.key != "" && (!isName(d.key, maxKeyLength) || d.caller == anonymous)) {
+			t.Errorf("got caller %q and key %q", d.caller, d.key)
+		}
+	})
+}
