Keep trailers of small answers, keep connections after early refusals, bound the stop

Cause: a new test showed that the trailer of a small buffered answer was lost, because the server answers with a length when no trailer is announced. A refusal before the body was looked at closed the caller's connection without need. A claim store that ignores its context could hold up a stop. Tests for HEAD, trailers, and the spans, event and counters of a request.

--- a/caller/body.go
+++ b/caller/body.go
@@ -50,8 +50,8 @@
 // repeatable reports whether the body can be sent once more.
 func (b *body) repeatable() bool { return b.whole || !b.used }
 
-// partly reports whether a part of the body is still unread.
-func (b *body) partly() bool { return b.failed || !b.whole }
+// partly reports whether the body was read in part. Where nothing was read the server skips a small body by itself.
+func (b *body) partly() bool { return b.failed || (b.source != nil && !b.whole) }
 
 // reader returns the body for one attempt; nil for none.
 func (b *body) reader() io.ReadCloser {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,9 +1,18 @@
 package caller
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"io"
+	"log/slog"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
+
+	"magnoliaferry/trace"
 )
 
 // A request must reach the worker unchanged and the whole answer must come back.
@@ -26,3 +35,84 @@
 		t.Errorf("got headers %v, want result 2000, outcome and contact", got.header)
 	}
 }
+
+// A trailer and the length that HEAD announces are parts of an answer.
+func TestHeadAndTrailer(t *testing.T) {
+	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodHead {
+			w.Header().Set("Content-Length", "12345")
+			return
+		}
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "answer")
+		w.Header().Set("X-Sum", "42")
+	}))
+	if got := b.do("HEAD", "/svc", ""); got.status != 200 || got.header.Get("Content-Length") != "12345" {
+		t.Errorf("got %d %v, want the announced length", got.status, got.header)
+	}
+	response, err := b.entry.Client().Get(b.entry.URL + "/svc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if body, err := io.ReadAll(response.Body); string(body) != "answer" || err != nil || response.Trailer.Get("X-Sum") != "42" {
+		t.Errorf("got %q, %v, trailer %v, want the answer with its trailer", body, err, response.Trailer)
+	}
+}
+
+// Each stage of a request must leave a span in the caller's trace, and the request an event and counts.
+func TestObserved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.jsonl")
+	tracer, err := trace.New(t.Context(), trace.Options{Exporter: "file", Target: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan string, 1)
+	b := newBench(t, newWorker(t, func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header.Get("Traceparent") }))
+	b.handler.Tracer = tracer
+	var log bytes.Buffer
+	b.handler.Logger = slog.New(slog.NewJSONHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	b.do("POST", "/svc", "", HeaderCaller, "alice", HeaderRequestKey, "k", "Traceparent", "00-"+id+"-b7ad6b7169203331-01")
+	until(func() bool { return b.handler.running.count.Load() == 0 })
+	b.entry.Close() // the handler has returned and its span has ended
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := tracer.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	names := ""
+	for d := json.NewDecoder(file); ; {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID, SpanID string }
+		}
+		if d.Decode(&span) != nil {
+			break
+		}
+		names += span.Name + " "
+		if span.SpanContext.TraceID != id {
+			t.Errorf("%s: got trace %s, want the caller's", span.Name, span.SpanContext.TraceID)
+		}
+		if span.Name == "dispatch" && !strings.Contains(<-seen, span.SpanContext.SpanID) {
+			t.Error("the worker was not told the span of the dispatch")
+		}
+	}
+	if want := "claim queue dispatch caller "; names != want {
+		t.Errorf("got spans %q, want %q", names, want)
+	}
+	if !strings.Contains(log.String(), `"event":2000`) {
+		t.Errorf("got log %s, want event 2000", log.String())
+	}
+	vars := b.handler.Vars().String()
+	for _, want := range []string{`"requests": 1`, `"answers": 1`, `"in-flight": 0`, `"buffered-bytes": 0`} {
+		if !strings.Contains(vars, want) {
+			t.Errorf("got counters %s, want %s", vars, want)
+		}
+	}
+}
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -151,6 +151,9 @@
 	if whole && !trailers && answer.Length() < 0 && r.in.Method != http.MethodHead {
 		header["Content-Length"] = []string{strconv.Itoa(len(held.data))}
 	}
+	for name := range answer.Trailer() {
+		header.Add("Trailer", name) // announced trailers make the server send chunks
+	}
 	r.writer.WriteHeader(answer.Status())
 	if len(held.data) > 0 {
 		_, err = r.writer.Write(held.data)
@@ -160,7 +163,7 @@
 	}
 	if trailers {
 		for name, values := range answer.Trailer() {
-			header[http.TrailerPrefix+name] = values
+			header[name] = values
 		}
 	}
 	h.counters.answers.Add(1)
--- a/caller/server.go
+++ b/caller/server.go
@@ -188,7 +188,11 @@
 		EventCut.Log(context.Background(), h.Logger, slog.String("request", c.request), slog.String("service", c.service),
 			slog.String("stage", c.stage), slog.Int64("age-ms", int64(c.age)))
 	}
-	<-h.running.ended
+	select {
+	case <-h.running.ended:
+	case <-h.Clock.After(2 * clock.FromDuration(cutWrite)):
+		// A port that does not honour its context must not hold up the process.
+	}
 	return cuts
 }
 
