clock: keep the timers of a fake clock in a heap

Cause: each step of Advance sorted all timers, which takes most of a run once a measurement holds thousands of them. Change: a heap by due time; the order of timers that are due together stays that of their creation. Conclusion: the tests of the order pass unchanged.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,8 +1,8 @@
 package clock
 
 import (
+	"container/heap"
 	"context"
-	"sort"
 	"sync"
 	"time"
 )
@@ -32,13 +32,46 @@
 	mu     sync.Mutex
 	now    Millis
 	seq    int64
-	timers []*timer
+	timers timers
 }
 
 type timer struct {
-	due  Millis
-	seq  int64 // keeps timers that are due together in the order of their creation
-	fire func()
+	due   Millis
+	seq   int64 // keeps timers that are due together in the order of their creation
+	fire  func()
+	index int // in the heap, -1 once removed
+}
+
+// timers is a heap by due time: measurements hold thousands of timers, and sorting them at each step took most of the
+// run.
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+
+func (t timers) Less(i, j int) bool {
+	return t[i].due < t[j].due || (t[i].due == t[j].due && t[i].seq < t[j].seq)
+}
+
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) {
+	added := x.(*timer)
+	added.index = len(*t)
+	*t = append(*t, added)
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	removed := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	removed.index = -1
+	return removed
 }
 
 var system = &Clock{origin: time.Now()}
@@ -69,7 +102,7 @@
 	defer c.mu.Unlock()
 	c.seq++
 	t := &timer{due: c.now + d, seq: c.seq, fire: f}
-	c.timers = append(c.timers, t)
+	heap.Push(&c.timers, t)
 	return func() bool { return c.remove(t) }
 }
 
@@ -133,16 +166,11 @@
 func (c *Clock) nextDue(end Millis) *timer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sort.Slice(c.timers, func(i, j int) bool {
-		a, b := c.timers[i], c.timers[j]
-		return a.due < b.due || (a.due == b.due && a.seq < b.seq)
-	})
 	if len(c.timers) == 0 || c.timers[0].due > end {
 		c.now = max(c.now, end)
 		return nil
 	}
-	t := c.timers[0]
-	c.timers = c.timers[1:]
+	t := heap.Pop(&c.timers).(*timer)
 	c.now = max(c.now, t.due)
 	return t
 }
@@ -150,11 +178,9 @@
 func (c *Clock) remove(t *timer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, o := range c.timers {
-		if o == t {
-			c.timers = append(c.timers[:i], c.timers[i+1:]...)
-			return true
-		}
+	if t.index < 0 {
+		return false
 	}
-	return false
+	heap.Remove(&c.timers, t.index)
+	return true
 }
