admission: offer the wait in two halves that do not block

Cause: measurements run many requests in one goroutine on a fake clock, where Ticket.Wait would block. Change: Start and End are the halves of Wait; Wait consists of them, so that measured and running code are the same. Conclusion: the tests of the queue pass unchanged.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -129,6 +129,7 @@
 	state   ticketState  // under queue.mu, but for statePending, which only the owner sees
 	waiting bool         // the owner is in Wait; under queue.mu
 	decided chan struct{}
+	notify  func() // called after decided is closed; may be nil
 	grant   G
 	refusal *result.Refusal
 }
@@ -159,25 +160,53 @@
 // Wait blocks until the request has its slot or is refused; the context is that of the caller.
 func (t *Ticket[G]) Wait(ctx context.Context) (G, *result.Refusal) {
 	q := t.queue
-	now := q.Clock.Now()
-	if t.state == statePending && t.decided == nil {
-		if grant, ok := t.fast(ctx, now); ok {
-			return grant, nil
-		}
-	}
-	if refusal := t.begin(ctx, now); refusal != nil {
-		var none G
-		return none, refusal
+	grant, refusal, ended := t.start(ctx)
+	if ended {
+		return grant, refusal
 	}
 	expired := make(chan struct{})
-	stop := q.Clock.AfterFunc(t.expiry-now, func() { close(expired) })
+	stop := q.Clock.AfterFunc(t.expiry-q.Clock.Now(), func() { close(expired) })
 	defer stop()
 	select {
 	case <-t.decided:
 	case <-ctx.Done():
 	case <-expired:
 	}
-	return t.end(ctx)
+	return t.End(ctx)
+}
+
+// Start is the first half of Wait, for an owner that must not block. Unless ended is true, the owner calls End once:
+// after notify was called, which happens at most once and with the queue locked, at Expiry, or when the context ends.
+func (t *Ticket[G]) Start(ctx context.Context, notify func()) (grant G, refusal *result.Refusal, ended bool) {
+	if grant, refusal, ended = t.start(ctx); ended {
+		return grant, refusal, true
+	}
+	t.queue.mu.Lock()
+	listed := t.state == stateListed
+	if listed {
+		t.notify = notify
+	}
+	t.queue.mu.Unlock()
+	if listed {
+		return grant, nil, false
+	}
+	grant, refusal = t.End(ctx)
+	return grant, refusal, true
+}
+
+// Expiry returns the point in time at which the wait ends without a slot.
+func (t *Ticket[G]) Expiry() clock.Millis { return t.expiry }
+
+// start takes a slot when nobody is ahead, and otherwise lets the ticket take part in the dispatch.
+func (t *Ticket[G]) start(ctx context.Context) (grant G, refusal *result.Refusal, ended bool) {
+	now := t.queue.Clock.Now()
+	if t.state == statePending && t.decided == nil {
+		if grant, ok := t.fast(ctx, now); ok {
+			return grant, nil, true
+		}
+	}
+	refusal = t.begin(ctx, now)
+	return grant, refusal, refusal != nil
 }
 
 // Leave gives up the place; it has no effect after Wait has returned.
@@ -257,8 +286,8 @@
 	return nil
 }
 
-// end takes the decision, or leaves the queue when there is none.
-func (t *Ticket[G]) end(ctx context.Context) (grant G, refusal *result.Refusal) {
+// End is the second half of Wait: it takes the decision, or leaves the queue when there is none.
+func (t *Ticket[G]) End(ctx context.Context) (grant G, refusal *result.Refusal) {
 	q := t.queue
 	now := q.Clock.Now()
 	q.mu.Lock()
@@ -378,7 +407,15 @@
 	q.unlist(t)
 	t.state = stateRefused
 	t.refusal = refusal
+	t.decide()
+}
+
+// decide tells the owner that there is a decision.
+func (t *Ticket[G]) decide() {
 	close(t.decided)
+	if t.notify != nil {
+		t.notify()
+	}
 }
 
 // dropExpired refuses the listed requests whose time has passed.
@@ -465,7 +502,7 @@
 		q.rate.observe(now)
 		t.state = stateGranted
 		t.grant = grant
-		close(t.decided)
+		t.decide()
 	}
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -177,7 +177,7 @@
 	}
 	last, _ := b.wait("a", "", config.Normal, clock.Minute)
 	b.Clock.Advance(2 * clock.Second)
-	if _, refusal := last.end(context.Background()); refusal == nil || refusal.Code() != CodeWaitExpired {
+	if _, refusal := last.End(context.Background()); refusal == nil || refusal.Code() != CodeWaitExpired {
 		t.Errorf("after the longest wait got %v, want expired", refusal)
 	}
 }
