claim: offer claims and the batch writer without blocking

Cause: measurements run many requests in one goroutine on a fake clock, where Claim and Run would block. Change: Begin and End are the halves of Claim, and Step is the body of Run. Conclusion: the tests of the store pass unchanged.

--- a/claim/store.go
+++ b/claim/store.go
@@ -80,6 +80,7 @@
 	// For a claim that waits.
 	left     bool // nobody waits for the decision any more
 	decided  chan struct{}
+	notify   func() // called after decided is closed; may be nil
 	decision Decision
 	refusal  *result.Refusal
 }
@@ -115,6 +116,44 @@
 	return d, nil
 }
 
+// Pending is a claim without a decision yet.
+type Pending struct {
+	store *Store
+	entry *entry
+}
+
+// Begin is Claim for an owner that must not block. Unless decided is true, it calls notify once with the store locked
+// when there is a decision; the owner calls End once after that, or when the context ends.
+func (s *Store) Begin(caller, key string, deadline clock.Millis, notify func()) (p *Pending, decided bool, refusal *result.Refusal) {
+	e, refusal := s.begin(caller, key, "", deadline)
+	if refusal != nil {
+		return nil, true, refusal
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-e.decided:
+		decided = true
+	default:
+		e.notify = notify
+	}
+	return &Pending{s, e}, decided, nil
+}
+
+// End takes the decision, or gives the claim up when there is none. It does not ask other holders.
+func (p *Pending) End(ctx context.Context) (Decision, *result.Refusal) {
+	d, _, refusal := p.store.end(ctx, p.entry)
+	return d, refusal
+}
+
+// decide tells the owner of a claim that there is a decision.
+func (e *entry) decide() {
+	close(e.decided)
+	if e.notify != nil {
+		e.notify()
+	}
+}
+
 // Finish records the answer of a request that was dispatched. It returns at once; the write follows in a batch.
 func (s *Store) Finish(caller, key string, answer Answer) {
 	s.mu.Lock()
@@ -281,7 +320,24 @@
 	s.claims--
 	e.refusal = refusal
 	delete(s.entries, e.rowKey)
-	close(e.decided)
+	e.decide()
+}
+
+// Step writes one batch and returns the time at which the next may start, or false when nothing waits. It is the body
+// of Run, for an owner that must not block; the two must not be used together.
+func (s *Store) Step(ctx context.Context) (next clock.Millis, waiting bool) {
+	s.step(ctx)
+	return s.next()
+}
+
+// next returns when the next transaction may start, and whether something waits for it.
+func (s *Store) next() (at clock.Millis, waiting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.breaker.open {
+		return s.breaker.until, true
+	}
+	return s.lastStart + or(s.Interval, DefaultInterval), len(s.queue) > 0
 }
 
 // Run writes batches until the context ends. It then refuses the claims that wait and writes the answers that are
@@ -309,20 +365,15 @@
 
 // await returns when the next transaction may start, or false at the end of the context.
 func (s *Store) await(ctx context.Context) bool {
-	s.mu.Lock()
-	open, until, waiting := s.breaker.open, s.breaker.until, len(s.queue) > 0
-	s.mu.Unlock()
-	if open {
-		return s.Clock.Sleep(ctx, max(until-s.Clock.Now(), 0)) == nil
-	}
-	if !waiting {
+	if _, waiting := s.next(); !waiting {
 		select {
 		case <-s.wake():
 		case <-ctx.Done():
 			return false
 		}
 	}
-	pause := s.lastStart + or(s.Interval, DefaultInterval) - s.Clock.Now()
+	at, _ := s.next()
+	pause := at - s.Clock.Now()
 	return pause <= 0 || s.Clock.Sleep(ctx, pause) == nil
 }
 
@@ -578,14 +629,14 @@
 		e.known = false // the commit does not tell the new version
 		if e.left || now >= e.deadline || s.stopped {
 			e.refusal = s.refuseUnwritten(e, now)
-			close(e.decided)
+			e.decide()
 			s.abandon(e)
 			continue
 		}
 		e.phase = phaseHeld
 		e.permit = &Permit{store: s, caller: e.caller, key: e.key, deadline: e.deadline}
 		e.decision = Decision{permit: e.permit}
-		close(e.decided)
+		e.decide()
 	}
 	if s.breaker.succeeded(or(s.MaxPending, DefaultMaxPending)) {
 		eventClosed.Log(context.Background(), s.Logger)
@@ -620,7 +671,7 @@
 		if e.phase == phaseClaim {
 			s.claims--
 			e.refusal = s.refuseUnavailable(s.Clock.Now())
-			close(e.decided)
+			e.decide()
 			e.value.State = stateAbandoned
 			e.phase = phaseAbandon
 		}
