--- /dev/null
+++ b/peer/http_test.go
@@ -0,0 +1,360 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer/peerpb"
+)
+
+// serve runs the peer port for a node of a settled world and returns its address.
+func serve(t *testing.T, node peerpb.Peer, settings *tls.Config) string {
+	t.Helper()
+	s := &Server{Address: "127.0.0.1:0", TLS: settings, Node: node, Clock: clock.System()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("Run got %v, want nil", err)
+		}
+	})
+	bound, err := s.Bound(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bound
+}
+
+func gossip(from *simNode) *peerpb.Gossip { return &peerpb.Gossip{From: from.members.self.wire()} }
+
+// call carries one probe and waits for the outcome.
+func call(h *HTTP, address string, fresh bool, g *peerpb.Gossip) error {
+	done := make(chan error, 1)
+	h.Call(address, fresh, 2*seconds, func(ctx context.Context, p peerpb.Peer) error {
+		_, err := p.Probe(ctx, g)
+		return err
+	}, func(err error) { done <- err })
+	return <-done
+}
+
+// Guards against calls that change anything, or take memory, without being well-formed.
+func TestBadCalls(t *testing.T) {
+	w := settled(t, 20, 3)
+	node := w.order[0]
+	url := "http://" + serve(t, node, nil) + peerpb.PeerPathPrefix
+	good := gossip(w.order[1])
+	with := func(change func(*peerpb.Gossip)) []byte {
+		g := proto.Clone(good).(*peerpb.Gossip)
+		change(g)
+		encoded, err := proto.Marshal(g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return encoded
+	}
+	tests := []struct {
+		name, path, kind string
+		body             []byte
+		want             int
+	}{
+		{"well-formed", "Probe", "application/protobuf", with(func(*peerpb.Gossip) {}), 200},
+		{"json", "Probe", "application/json", []byte("{}"), 415},
+		{"noise", "Probe", "application/protobuf", bytes.Repeat([]byte{0xff}, 1000), 400},
+		{"too long", "Probe", "application/protobuf", make([]byte, maxRequest+1), 413},
+		{"unknown method", "Reboot", "application/protobuf", nil, 404},
+		{"no sender", "Probe", "application/protobuf", nil, 400},
+		{"host name", "Probe", "application/protobuf",
+			with(func(g *peerpb.Gossip) { g.From.Address = "host:1" }), 400},
+		{"no incarnation", "Probe", "application/protobuf",
+			with(func(g *peerpb.Gossip) { g.From.Incarnation = 0 }), 400},
+		{"long id", "Probe", "application/protobuf",
+			with(func(g *peerpb.Gossip) { g.From.Id = string(make([]byte, maxName+1)) }), 400},
+		{"many reports", "Probe", "application/protobuf",
+			with(func(g *peerpb.Gossip) { g.Reports = make([]*peerpb.Report, maxReports+1) }), 400},
+		{"empty push", "Push", "application/protobuf", nil, 400},
+		{"empty relay", "Relay", "application/protobuf", nil, 400},
+		{"empty vouch", "Vouch", "application/protobuf", nil, 400},
+		{"empty confirm", "Confirm", "application/protobuf", nil, 400},
+		{"empty loan", "Borrow", "application/protobuf", nil, 400},
+		{"empty fetch", "Fetch", "application/protobuf", nil, 200},
+	}
+	for _, test := range tests {
+		response, err := http.Post(url+test.path, test.kind, bytes.NewReader(test.body))
+		if err != nil {
+			t.Errorf("%s: got %v", test.name, err)
+			continue
+		}
+		_ = response.Body.Close()
+		if got := response.StatusCode; got != test.want {
+			t.Errorf("%s: status got %d, want %d", test.name, got, test.want)
+		}
+	}
+	if got, want := len(node.Peers()), 2; got != want {
+		t.Errorf("members afterwards got %d, want %d", got, want)
+	}
+}
+
+// Guards against member lists and memories of removals that grow without bound.
+func TestBoundedMembers(t *testing.T) {
+	s := newWorld(t, 21, 1).add(0, 1)
+	for i := range 3 * maxRemoved {
+		m := &peerpb.Member{Id: address(i), Address: address(i), Zone: "z", Incarnation: 1}
+		s.members.merge(m, 0, false)
+		m.State = peerpb.State_FAILED
+		m.Id += "x"
+		s.members.merge(m, 0, false)
+	}
+	for name, size := range map[string]int{"members": len(s.members.all), "news": len(s.members.news)} {
+		if size > maxMembers {
+			t.Errorf("%s got %d, want at most %d", name, size, maxMembers)
+		}
+	}
+	if got := len(s.members.removed); got > maxRemoved || len(s.members.order) != got {
+		t.Errorf("removed got %d in order %d, want at most %d", got, len(s.members.order), maxRemoved)
+	}
+}
+
+// Guards against a flood of calls that is served all at once.
+func TestCallsAtOnce(t *testing.T) {
+	held := make(chan struct{})
+	var open atomic.Int64
+	node := slowPeer{open: &open, held: held}
+	handler := (&Server{Node: node}).Handler()
+	body, _ := proto.Marshal(&peerpb.FetchRequest{})
+	results := make(chan int, 2*maxServed)
+	send := func() {
+		r := httptest.NewRequest(http.MethodPost, peerpb.PeerPathPrefix+"Fetch", bytes.NewReader(body))
+		r.Header.Set("Content-Type", "application/protobuf")
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		results <- w.Code
+	}
+	for range maxServed {
+		go send()
+	}
+	for open.Load() < maxServed {
+		runtime.Gosched()
+	}
+	send()
+	if got, want := <-results, http.StatusServiceUnavailable; got != want {
+		t.Errorf("call beyond the bound got %d, want %d", got, want)
+	}
+	close(held)
+}
+
+type slowPeer struct {
+	peerpb.Peer
+	open *atomic.Int64
+	held chan struct{}
+}
+
+func (p slowPeer) Fetch(context.Context, *peerpb.FetchRequest) (*peerpb.FetchAnswer, error) {
+	p.open.Add(1)
+	<-p.held
+	return &peerpb.FetchAnswer{}, nil
+}
+
+// Guards against a peer port that serves clients without a certificate of the fleet.
+func TestClientCertificates(t *testing.T) {
+	w := settled(t, 22, 3)
+	fleet, other := newAuthority(t), newAuthority(t)
+	server := fleet.settings(t)
+	server.ClientAuth, server.ClientCAs = tls.RequireAndVerifyClientCert, fleet.pool
+	address := serve(t, w.order[0], server)
+	without := fleet.settings(t)
+	without.Certificates = nil
+	foreign := other.settings(t)
+	foreign.RootCAs = fleet.pool
+	for _, test := range []struct {
+		name     string
+		settings *tls.Config
+		want     bool
+	}{{"fleet", fleet.settings(t), true}, {"none", without, false}, {"foreign", foreign, false}, {"plain", nil, false}} {
+		h := &HTTP{TLS: test.settings, Clock: clock.System()}
+		if err := call(h, address, false, gossip(w.order[1])); (err == nil) != test.want {
+			t.Errorf("%s: got %v, want success %v", test.name, err, test.want)
+		}
+		h.Forget(address)
+	}
+	lax := &Server{Address: "127.0.0.1:0", TLS: fleet.settings(t), Node: w.order[0]}
+	if err := lax.Run(context.Background()); err == nil {
+		t.Errorf("a port that asks for no certificate runs")
+	}
+}
+
+// Guards against a fresh call that uses the open connection, and against figures of bytes that leave out more of HTTP
+// than the measurement adds.
+func TestConnections(t *testing.T) {
+	w := settled(t, 23, 3)
+	var conns, read, written atomic.Int64
+	server := httptest.NewUnstartedServer((&Server{Node: w.order[0]}).Handler())
+	server.Listener = countingListener{server.Listener, &conns, &read, &written}
+	server.Start()
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	h := &HTTP{Clock: clock.System()}
+	for _, test := range []struct {
+		fresh bool
+		want  int64
+	}{{false, 1}, {false, 1}, {true, 2}, {false, 2}} {
+		if err := call(h, address, test.fresh, gossip(w.order[1])); err != nil {
+			t.Fatalf("call got %v", err)
+		}
+		if got := conns.Load(); got != test.want {
+			t.Errorf("connections got %d, want %d", got, test.want)
+		}
+	}
+	read.Store(0)
+	written.Store(0)
+	before := w.order[0].message("e001", "z01")
+	if err := call(h, address, false, gossip(w.order[1])); err != nil {
+		t.Fatalf("call got %v", err)
+	}
+	if got := int(read.Load()) - proto.Size(gossip(w.order[1])); got > overheadRequest {
+		t.Errorf("HTTP of a request got %d bytes, want at most %d", got, overheadRequest)
+	}
+	if got := int(written.Load()) - proto.Size(before); got > overheadAnswer {
+		t.Errorf("HTTP of an answer got %d bytes, want at most %d", got, overheadAnswer)
+	}
+	h.Forget(address)
+}
+
+type countingListener struct {
+	net.Listener
+	conns, read, written *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.conns.Add(1)
+	return countingConn{c, l}, err
+}
+
+type countingConn struct {
+	net.Conn
+	l countingListener
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.l.read.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.l.written.Add(int64(n))
+	return n, err
+}
+
+// Guards against answers that exhaust the memory of the caller.
+func TestHugeAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		_, _ = io.CopyN(w, zeros{}, maxAnswer+1)
+	}))
+	defer server.Close()
+	h := &HTTP{Clock: clock.System()}
+	w := settled(t, 24, 3)
+	if err := call(h, server.Listener.Addr().String(), false, gossip(w.order[0])); err == nil {
+		t.Errorf("a huge answer got accepted")
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Guards against a node that does not stop, or serves before it runs.
+func TestRun(t *testing.T) {
+	w := newWorld(t, 25, 1)
+	n := &Node{ID: "a", Address: "127.0.0.1:1", Zone: "z00", Incarnation: 1, Clock: clock.System(),
+		Transport: &HTTP{Clock: clock.System()}, Codec: w.codec, Table: w.store.View("z00").Table(),
+		Objects: w.store.View("z00").Objects(), Rosters: fakeRosters{}, Ledger: &simNode{}}
+	if _, err := n.Probe(context.Background(), gossip(w.add(1, 1))); err == nil {
+		t.Errorf("a node that does not run answers")
+	}
+	n.Accepted(1, "x", nil, []byte("x"))
+	if n.Peers() != nil || n.Usable() {
+		t.Errorf("a node that does not run has peers or slots")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	for !n.Usable() {
+		runtime.Gosched()
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("Run got %v, want nil", err)
+	}
+	if got := w.roster("z00"); len(got) != 0 {
+		t.Errorf("roster afterwards got %v, want none", got)
+	}
+	if err := (&Node{}).Run(ctx); err == nil {
+		t.Errorf("a node without settings runs")
+	}
+}
+
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	pool *x509.CertPool
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour)}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return authority{key, cert, pool}
+}
+
+// settings returns those of a client or server with a certificate of the authority.
+func (a authority) settings(t *testing.T) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{encoded}, PrivateKey: key}},
+		RootCAs: a.pool, MinVersion: tls.VersionTLS13}
+}
--- /dev/null
+++ b/peer/members.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"sort"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer/peerpb"
+)
+
+const (
+	// maxMembers bounds the member list; the target size has 264 entry instances.
+	maxMembers = 1024
+	// maxRemoved bounds how many removed incarnations are remembered. At 920 replaced processes a day in the whole
+	// fleet, 4096 covers more than four days.
+	maxRemoved = 4096
+	// updatesPerMessage keeps a probe below about 300 bytes of updates.
+	updatesPerMessage = 4
+	// suspicionPeriod is how long a suspected member has to refute before it counts as failed.
+	suspicionPeriod = 5 * clock.Second
+	// reconnectPeriod is for how long a failed member is still probed, in case that a partition ends.
+	reconnectPeriod = 10 * clock.Minute
+)
+
+// member is what a node knows about another entry instance.
+type member struct {
+	id, address, zone string
+	incarnation       int64
+	state             peerpb.State
+	since             clock.Millis // of the state
+	heard             clock.Millis // last contact of this node's own; -1 for none
+	version           int64        // of the configuration, as the member or others reported it
+	versionAt         clock.Millis // when that was the case
+	vouched           bool         // another member reached it during the current suspicion
+}
+
+func (m *member) wire() *peerpb.Member {
+	return &peerpb.Member{Id: m.id, Address: m.address, Zone: m.zone, Incarnation: m.incarnation, State: m.state}
+}
+
+func (m *member) live() bool { return m.state == peerpb.State_ALIVE || m.state == peerpb.State_SUSPECT }
+
+// update is a piece of news that is sent along with messages a bounded number of times.
+type update struct {
+	member *peerpb.Member
+	sent   int
+}
+
+// members is the member list of one node, without I/O; the node's lock guards it.
+type members struct {
+	self    member
+	random  *rand.Rand
+	all     map[string]*member
+	removed map[string]int64 // highest incarnation by id that failed or left
+	order   []string         // of removed, oldest first
+	news    []*update
+	round   []string          // the rest of the current round of probes
+	claimed map[string]string // addresses by id of members that others call alive although they failed here
+}
+
+func newMembers(self member, random *rand.Rand) *members {
+	return &members{self: self, random: random, all: map[string]*member{}, removed: map[string]int64{},
+		claimed: map[string]string{}}
+}
+
+// merge takes over one update and reports whether it was news. direct says that the update is the sender's statement
+// about itself.
+func (s *members) merge(u *peerpb.Member, now clock.Millis, direct bool) bool {
+	if u.GetId() == s.self.id {
+		return s.refute(u, now)
+	}
+	known := s.all[u.GetId()]
+	gone := u.GetState() == peerpb.State_FAILED || u.GetState() == peerpb.State_LEFT
+	if removed, ok := s.removed[u.GetId()]; ok && u.GetIncarnation() <= removed {
+		if !gone && known != nil && !known.live() && len(s.claimed) < maxMembers {
+			s.claimed[u.GetId()] = u.GetAddress()
+		}
+		return false
+	}
+	if known == nil {
+		if gone {
+			s.remember(u.GetId(), u.GetIncarnation())
+			return false
+		}
+		if len(s.all) >= maxMembers {
+			return false
+		}
+		known = &member{id: u.GetId(), heard: -1}
+		s.all[u.GetId()] = known
+	} else if u.GetIncarnation() < known.incarnation ||
+		(u.GetIncarnation() == known.incarnation && u.GetState() <= known.state) {
+		return false
+	}
+	state := u.GetState()
+	if state == peerpb.State_FAILED && known.live() && known.incarnation == u.GetIncarnation() {
+		// The failure may be that of a partition which the member was on the other side of: it gets the time to refute.
+		if known.state == peerpb.State_SUSPECT {
+			return false
+		}
+		state = peerpb.State_SUSPECT
+	}
+	if u.GetIncarnation() > known.incarnation {
+		known.heard, known.version, known.versionAt = -1, 0, 0 // a replaced process; nothing of its predecessor holds
+	}
+	known.address, known.zone, known.incarnation = u.GetAddress(), u.GetZone(), u.GetIncarnation()
+	s.set(known, state, now)
+	return true
+}
+
+// refute answers claims about this node: whoever calls it suspected, failed or another process learns a new incarnation.
+func (s *members) refute(u *peerpb.Member, now clock.Millis) bool {
+	same := u.GetIncarnation() == s.self.incarnation
+	if u.GetIncarnation() < s.self.incarnation || s.self.state == peerpb.State_LEFT ||
+		(same && u.GetState() == peerpb.State_ALIVE && u.GetAddress() == s.self.address) {
+		return false
+	}
+	s.raise(u.GetIncarnation()+1, now)
+	return true
+}
+
+// raise gives this node a new incarnation and spreads it.
+func (s *members) raise(incarnation int64, now clock.Millis) {
+	s.self.incarnation = max(incarnation, s.self.incarnation+1)
+	s.self.since = now
+	s.spread(s.self.wire())
+}
+
+// set changes the state of a member and spreads it.
+func (s *members) set(m *member, state peerpb.State, now clock.Millis) {
+	m.state, m.since, m.vouched = state, now, false
+	if !m.live() {
+		s.remember(m.id, m.incarnation)
+	} else {
+		delete(s.claimed, m.id)
+	}
+	s.spread(m.wire())
+}
+
+// remember keeps the highest removed incarnation of an id, so that a late message cannot bring it back.
+func (s *members) remember(id string, incarnation int64) {
+	if old, ok := s.removed[id]; !ok {
+		s.order = append(s.order, id)
+	} else {
+		incarnation = max(incarnation, old)
+	}
+	s.removed[id] = incarnation
+	if len(s.order) > maxRemoved {
+		delete(s.removed, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// spread queues an update and drops an older one about the same member.
+func (s *members) spread(m *peerpb.Member) {
+	for i, u := range s.news {
+		if u.member.GetId() == m.GetId() {
+			s.news = append(s.news[:i], s.news[i+1:]...)
+			break
+		}
+	}
+	s.news = append(s.news, &update{member: m})
+	if len(s.news) > maxMembers {
+		s.news = s.news[1:]
+	}
+}
+
+// updates returns the news for one message to a member, the least sent first, each at most 3 log2(n) times in all.
+func (s *members) updates(to string) []*peerpb.Member {
+	limit := 3 * bits.Len(uint(len(s.all)+1))
+	sort.SliceStable(s.news, func(i, j int) bool { return s.news[i].sent < s.news[j].sent })
+	var chosen []*peerpb.Member
+	if m := s.all[to]; m != nil && m.state != peerpb.State_ALIVE {
+		chosen = append(chosen, m.wire()) // it must learn what is said about it
+	}
+	kept := s.news[:0]
+	for _, u := range s.news {
+		if len(chosen) < updatesPerMessage && u.member.GetId() != to {
+			chosen = append(chosen, u.member)
+			u.sent++
+		}
+		if u.sent < limit {
+			kept = append(kept, u)
+		}
+	}
+	clear(s.news[len(kept):])
+	s.news = kept
+	return chosen
+}
+
+// expire turns suspicions that were not refuted into failures and forgets members that failed long ago.
+func (s *members) expire(now clock.Millis) (failed []*member) {
+	for _, id := range s.ids(func(m *member) bool { return true }) {
+		m := s.all[id]
+		switch {
+		case m.state == peerpb.State_SUSPECT && now-m.since >= suspicionPeriod:
+			s.set(m, peerpb.State_FAILED, now)
+			failed = append(failed, m)
+		case m.state == peerpb.State_FAILED && now-m.since >= reconnectPeriod,
+			m.state == peerpb.State_LEFT && now-m.since >= clock.Minute:
+			delete(s.all, id)
+			delete(s.claimed, id)
+		}
+	}
+	return failed
+}
+
+// next returns the member to probe: every live member once in each round, in random order.
+func (s *members) next() *member {
+	for range 2 {
+		for len(s.round) > 0 {
+			m := s.all[s.round[0]]
+			s.round = s.round[1:]
+			if m != nil && m.live() {
+				return m
+			}
+		}
+		s.round = s.ids((*member).live)
+		s.shuffle(s.round)
+	}
+	return nil
+}
+
+// lost returns a random failed member; those that others call alive come first.
+func (s *members) lost() *member {
+	ids := s.ids(func(m *member) bool { return s.claimed[m.id] != "" && m.state == peerpb.State_FAILED })
+	if len(ids) == 0 {
+		ids = s.ids(func(m *member) bool { return m.state == peerpb.State_FAILED })
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	return s.all[ids[s.random.IntN(len(ids))]]
+}
+
+// sample returns up to n random live members that pass the filter.
+func (s *members) sample(n int, filter func(*member) bool) []*member {
+	ids := s.ids(func(m *member) bool { return m.live() && filter(m) })
+	s.shuffle(ids)
+	chosen := make([]*member, 0, n)
+	for _, id := range ids[:min(n, len(ids))] {
+		chosen = append(chosen, s.all[id])
+	}
+	return chosen
+}
+
+// ids returns the ids of the members that pass the filter, sorted, because the order of a map is not deterministic.
+func (s *members) ids(filter func(*member) bool) []string {
+	ids := make([]string, 0, len(s.all))
+	for id, m := range s.all {
+		if filter(m) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (s *members) shuffle(ids []string) {
+	s.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,517 @@
+package peer
+
+import (
+	"context"
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/peer/peerpb"
+	"magnoliaferry/platform"
+)
+
+const seconds = clock.Second
+
+// settled returns a world of n nodes in three zones that know each other and have version 1 in force.
+func settled(t testing.TB, seed uint64, n int) *world {
+	t.Helper()
+	w := newWorld(t, seed, 3).addAll(n)
+	w.until(20*seconds, "all know all", w.all(knows(n-1)))
+	w.until(5*seconds, "all in the roster", w.all(usable))
+	w.until(5*seconds, "version 1 in force", w.all(inForce(w.submit(w.order[0]))))
+	return w
+}
+
+// Guards against a fleet that does not find together, and a version that does not reach all of it in 5 s.
+func TestSpreadsToAll(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 27} {
+		w := settled(t, 1, n)
+		for range 40 {
+			w.submit(w.order[n-1])
+			w.run(20)
+		}
+		w.until(5*seconds, "version 41 in force", w.all(inForce(41)))
+		for _, s := range w.order {
+			if got, want := len(s.versions.deltas), keptDeltas; got > want {
+				t.Errorf("deltas kept got %d, want at most %d", got, want)
+			}
+		}
+	}
+}
+
+// Guards against spreading that needs the push: the accepting entry instance may stop right after the write.
+func TestPollAlone(t *testing.T) {
+	w := settled(t, 2, 9)
+	for zone := range 3 {
+		w.isolate(w.zone(zone), true)
+	}
+	w.until(5*seconds, "version in force", w.all(inForce(w.submit(nil))))
+}
+
+// Guards against spreading that needs the poll: a zone without the platform hears from the others.
+func TestZoneWithoutPlatform(t *testing.T) {
+	w := settled(t, 3, 9)
+	w.faults.Partition("z01")
+	w.run(3 * seconds)
+	w.until(5*seconds, "push in force", w.all(inForce(w.submit(w.order[0]))))
+	w.until(5*seconds, "news in force without a push", w.all(inForce(w.submit(nil))))
+	if !w.all(usable)() {
+		t.Errorf("a zone without the platform gave up its slots")
+	}
+}
+
+// Guards against a zone that stays behind after its partition from everything has ended, for each zone.
+func TestZoneCutOff(t *testing.T) {
+	for zone := range 3 {
+		w := settled(t, uint64(zone), 9)
+		z := w.zone(zone)
+		w.isolate(z, true)
+		w.faults.Partition(z)
+		w.run(20 * seconds)
+		other := w.order[(zone+1)%3]
+		v := w.submit(other)
+		w.run(10 * seconds)
+		for _, s := range w.order {
+			if want := v - 1; s.Zone == z && s.InForce().Number() != want {
+				t.Errorf("%s: in force during the partition got %d, want %d", s.ID, s.InForce().Number(), want)
+			}
+			if s.Zone == z && !usable(s) {
+				t.Errorf("%s gave up its slots although nobody can have removed it", s.ID)
+			}
+		}
+		w.isolate(z, false) // the platform stays away: the peers have to do
+		w.until(5*seconds, "version in force after the partition", w.all(inForce(v)))
+		w.faults.Heal(z)
+		w.until(60*seconds, "all know all", w.all(knows(8)))
+	}
+}
+
+// Guards against slots that are used after a pause before the membership is confirmed, and against a pause within the
+// lease that costs anything.
+func TestPause(t *testing.T) {
+	tests := []struct {
+		name      string
+		pause     clock.Millis
+		tableAway bool
+		removed   bool
+	}{
+		{"within the lease", 3 * seconds, false, false},
+		{"beyond the lease", 30 * seconds, false, true},
+		{"beyond the lease, table away since", 30 * seconds, true, true},
+	}
+	for _, test := range tests {
+		w := settled(t, 5, 9)
+		s := w.order[4]
+		before := s.roster.incarnation
+		s.pause()
+		w.run(test.pause)
+		w.tableAway(test.tableAway)
+		if got, want := s.Usable(), test.pause <= LeasePeriod; got != want {
+			t.Errorf("%s: usable at the end of the pause got %v, want %v", test.name, got, want)
+		}
+		s.resume()
+		if !test.removed {
+			w.run(2 * seconds)
+			if !usable(s) || s.roster.incarnation != before {
+				t.Errorf("%s: the member has lost its place", test.name)
+			}
+			continue
+		}
+		if s.Usable() {
+			t.Errorf("%s: usable before the attempt to confirm", test.name)
+		}
+		w.run(3 * seconds)
+		if test.tableAway {
+			if s.Usable() {
+				t.Errorf("%s: usable although peers know of the removal", test.name)
+			}
+			w.tableAway(false)
+		}
+		w.until(10*seconds, "member again", w.all(usable))
+		if s.roster.incarnation <= before {
+			t.Errorf("%s: incarnation after the removal got %d, want more than %d", test.name, s.roster.incarnation, before)
+		}
+	}
+}
+
+// Guards against a pause after which the member waits for ever, or goes on at once, when nobody removed it: the table
+// went away before anybody could.
+func TestPauseWithoutTable(t *testing.T) {
+	w := settled(t, 6, 9)
+	s := w.order[4]
+	s.pause()
+	w.run(2 * seconds)
+	w.tableAway(true)
+	w.run(20 * seconds)
+	visits := w.faults.Visits(memory.StepRead)
+	s.resume()
+	if s.Usable() {
+		t.Errorf("usable before the attempt to confirm")
+	}
+	w.until(5*seconds, "usable again", func() bool { return usable(s) })
+	if w.faults.Visits(memory.StepRead) == visits {
+		t.Errorf("the table was not asked")
+	}
+	w.isolate(s.Zone, true)
+	for _, o := range w.order {
+		if o.Zone == s.Zone && o != s {
+			o.pause()
+		}
+	}
+	s.pause()
+	w.run(20 * seconds)
+	s.resume()
+	w.until(5*seconds, "usable when nobody answers", func() bool { return usable(s) })
+}
+
+// Guards against a restarted process that is taken for its predecessor, whatever its incarnation.
+func TestRestart(t *testing.T) {
+	for _, incarnation := range []int64{1, 2, 50} {
+		w := settled(t, 7, 9)
+		s := w.add(4, incarnation)
+		w.until(10*seconds, "version in force", w.all(inForce(1)))
+		w.until(30*seconds, "all know all", w.all(knows(8)))
+		w.until(10*seconds, "member again", w.all(usable))
+		if got, want := w.roster(s.Zone)[s.ID].Incarnation, s.roster.incarnation; got != want {
+			t.Errorf("incarnation in the roster got %d, want %d", got, want)
+		}
+	}
+}
+
+// Guards against a restart that needs the platform, and against one that invents a configuration.
+func TestRestartWithoutPlatform(t *testing.T) {
+	w := settled(t, 8, 9)
+	w.tableAway(true)
+	s := w.add(4, 2)
+	w.until(5*seconds, "version in force", w.all(inForce(1)))
+	if s.Usable() {
+		t.Errorf("slots are used without a place in the roster")
+	}
+	for _, o := range w.order {
+		o.kill()
+	}
+	alone := w.add(4, 3)
+	w.run(20 * seconds)
+	if got := alone.InForce().Number(); got != 0 {
+		t.Errorf("in force without any source got %d, want 0", got)
+	}
+	w.tableAway(false)
+	w.until(5*seconds, "version in force from the object store", func() bool { return inForce(1)(alone) })
+}
+
+// Guards against a replacement of half of the members that leaves the rest without versions or with ghosts.
+func TestHalfReplaced(t *testing.T) {
+	w := settled(t, 9, 12)
+	for i := 1; i < 12; i += 2 {
+		w.nodes[address(i)].kill()
+		w.add(100+i, 1)
+	}
+	w.until(5*seconds, "version in force", w.all(inForce(w.submit(w.order[0]))))
+	w.until(60*seconds, "all know all", w.all(knows(11)))
+	w.until(20*seconds, "member", w.all(usable))
+	for zone := range 3 {
+		for id := range w.roster(w.zone(zone)) {
+			for _, s := range w.order {
+				if s.ID == id && s.dead {
+					t.Errorf("%s has gone and is still in the roster", id)
+				}
+			}
+		}
+	}
+}
+
+// Guards against joins and removals that lose each other, for each fault of the write and for writes that race.
+func TestRosterWrites(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.None, fault.Down, fault.LoseRequest, fault.LoseAnswer} {
+		w := newWorld(t, 10, 1)
+		w.faults.Next(memory.StepCommit, kind, 4)
+		if kind == fault.None {
+			w.faults.Clear(memory.StepCommit)
+		}
+		w.addAll(6)
+		w.until(20*seconds, "all in the roster", w.all(usable))
+		if got, want := len(w.roster("z00")), 6; got != want {
+			t.Errorf("%q: members got %d, want %d", kind, got, want)
+		}
+		w.until(20*seconds, "all know all", w.all(knows(5)))
+		w.order[1].kill()
+		w.order[2].kill()
+		w.faults.Next(memory.StepCommit, kind, 3)
+		if kind == fault.None {
+			w.faults.Clear(memory.StepCommit)
+		}
+		w.add(20, 1)
+		w.until(40*seconds, "dead members removed", func() bool { return len(w.roster("z00")) == 5 })
+		w.run(10 * seconds)
+		if got, want := len(w.roster("z00")), 5; got != want || !w.all(usable)() {
+			t.Errorf("%q: members got %d, want %d", kind, got, want)
+		}
+		for _, s := range w.order {
+			if !s.dead && s.roster.incarnation != 1 {
+				t.Errorf("%q: %s was removed although it ran", kind, s.ID)
+			}
+		}
+	}
+}
+
+// Guards against a member that stays in the roster after it left, or keeps its slots meanwhile.
+func TestLeave(t *testing.T) {
+	w := settled(t, 11, 9)
+	s := w.order[4]
+	left := false
+	s.leave(func() { left = true })
+	w.until(2*seconds, "left", func() bool { return left })
+	if _, in := w.roster(s.Zone)[s.ID]; in || s.Usable() || s.state != "suspended" {
+		t.Errorf("in the roster %v, usable %v, ledger %s", in, s.Usable(), s.state)
+	}
+	s.kill()
+	w.until(5*seconds, "the others know", w.all(knows(7)))
+}
+
+// Guards against a version in force that goes back, in each way in which an old one can be offered.
+func TestOldVersions(t *testing.T) {
+	w := settled(t, 12, 9)
+	old := w.order[8]
+	old.pause()
+	var oldBody []byte
+	for range 40 {
+		oldBody = w.codec.body(w.written)
+		w.submit(w.order[0])
+		w.run(100)
+	}
+	now := w.written
+	w.until(5*seconds, "version in force", w.all(inForce(now)))
+	s := w.order[1]
+	ctx := context.Background()
+	push := &peerpb.PushRequest{From: old.members.self.wire(), Root: old.ID, Delta: &peerpb.Delta{Version: 2,
+		Digest: w.codec.Digest(w.codec.body(2)), Delta: w.codec.delta(2)}}
+	if _, err := s.Push(ctx, push); err != nil {
+		t.Errorf("Push got %v, want nil", err)
+	}
+	s.locked(func() {
+		s.take(&peerpb.FetchAnswer{Version: 2, Digest: w.codec.Digest(w.codec.body(2)), Body: w.codec.body(2)})
+		s.take(&peerpb.FetchAnswer{Version: now - 1, Deltas: []*peerpb.Delta{push.Delta}})
+	})
+	s.Accepted(now-1, w.codec.Digest(oldBody), w.codec.delta(now-1), oldBody)
+	w.stale = true // a lagging read
+	w.run(10 * seconds)
+	w.stale = false
+	// The table loses the row, and somebody starts again from version 1.
+
+	for _, write := range []platform.Write{platform.Delete("config/current", platform.AnyVersion),
+		platform.Put("config/current", []byte(`{"version":1,"digest":"x"}`), 0)} {
+		if err := w.store.View("").Table().Commit(ctx, platform.NewTransaction("loss", write)); err != nil {
+			t.Fatal(err)
+		}
+		w.run(10 * seconds)
+	}
+	old.resume()
+	w.until(5*seconds, "the old neighbour is up to date", w.all(inForce(now)))
+	if got, want := s.InForce().Number(), now; got != want {
+		t.Errorf("in force got %d, want %d", got, want)
+	}
+
+}
+
+// Guards against bodies and deltas that are put in force although they are not what their digest says.
+func TestWrongContent(t *testing.T) {
+	w := settled(t, 13, 3)
+	s := w.order[1]
+	digest := w.codec.Digest(w.codec.body(2))
+	for name, a := range map[string]*peerpb.FetchAnswer{
+		"other body":   {Version: 2, Digest: digest, Body: []byte("2 x")},
+		"empty body":   {Version: 2, Digest: w.codec.Digest(nil)},
+		"huge body":    {Version: 2, Digest: digest, Body: make([]byte, maxBody+1)},
+		"wrong digest": {Version: 2, Deltas: []*peerpb.Delta{{Version: 2, Digest: "x", Delta: w.codec.delta(2)}}},
+		"gap":          {Version: 3, Deltas: []*peerpb.Delta{{Version: 3, Digest: digest, Delta: w.codec.delta(2)}}},
+		"not a delta":  {Version: 2, Deltas: []*peerpb.Delta{{Version: 2, Digest: digest, Delta: []byte("x")}}},
+	} {
+		s.locked(func() { s.take(a) })
+		if got, want := s.InForce().Number(), int64(1); got != want {
+			t.Errorf("%s: in force got %d, want %d", name, got, want)
+		}
+	}
+}
+
+// Guards against catching up that needs the object store, or a peer that is not there, and against a gap of more
+// deltas than are kept.
+func TestCatchUp(t *testing.T) {
+	for _, missed := range []int{2, keptDeltas, keptDeltas + 5} {
+		w := settled(t, 14, 9)
+		w.faults.Always(memory.StepObjectGet, fault.Down, 0)
+		s := w.order[4]
+		s.pause()
+		for range missed {
+			w.submit(w.order[0])
+			w.run(100)
+		}
+		s.resume()
+		w.until(5*seconds, "caught up from peers", w.all(inForce(w.written)))
+		if got := s.got < 30*len(w.codec.body(1)) || missed > keptDeltas; !got {
+			t.Errorf("%d missed versions cost %d bytes", missed, s.got)
+		}
+	}
+}
+
+// Guards against a silent connection for which a member is suspected: a new connection is tried first.
+func TestSilentConnections(t *testing.T) {
+	w := settled(t, 15, 9)
+	for range 5 {
+		for _, a := range w.order {
+			for _, b := range w.order {
+				w.silent[[2]string{a.Address, b.Address}] = true
+			}
+		}
+		w.run(4 * seconds)
+		for _, s := range w.order {
+			if got, want := s.members.self.incarnation, int64(1); got != want {
+				t.Fatalf("%s was suspected: incarnation got %d, want %d", s.ID, got, want)
+			}
+		}
+	}
+	w.until(5*seconds, "version in force", w.all(inForce(w.submit(w.order[0]))))
+}
+
+// Guards against protocols that need each message: every step can lose its request or its answer.
+func TestMessageLoss(t *testing.T) {
+	for _, loss := range []float64{0.05, 0.25} {
+		w := settled(t, 16, 27)
+		w.loss = loss
+		w.faults.Partition("z02")
+		for range 20 {
+			w.until(5*seconds, "version in force", w.all(inForce(w.submit(w.order[0]))))
+			w.run(seconds)
+		}
+	}
+}
+
+// Guards against a slow table that stops the spreading or costs members their place.
+func TestSlowTable(t *testing.T) {
+	w := settled(t, 17, 9)
+	w.latency = 900
+	w.until(5*seconds, "version in force", w.all(inForce(w.submit(w.order[0]))))
+	w.run(30 * seconds)
+	if !w.all(usable)() {
+		t.Errorf("a slow table cost a member its place")
+	}
+}
+
+// Guards against lags that the operator cannot see.
+func TestLag(t *testing.T) {
+	w := settled(t, 18, 9)
+	w.run(20 * seconds)
+	w.isolate("z01", true)
+	w.faults.Partition("z01")
+	w.run(2 * seconds)
+	w.submit(w.order[0])
+	w.submit(w.order[0])
+	w.run(20 * seconds)
+	lags := map[string]int64{}
+	for _, p := range w.order[0].Peers() {
+		lags[p.ID()] = p.Lag(w.order[0].InForce().Number())
+	}
+	if lags["e001"] != 2 || lags["e002"] != 0 {
+		t.Errorf("lags got %v, want 2 for e001 and 0 for e002", lags)
+	}
+}
+
+// fakeLoans lends what it has and records what it borrows.
+type fakeLoans struct {
+	wants []Want
+	free  int
+	got   map[string]int
+	until clock.Millis
+}
+
+func (f *fakeLoans) Wants() []Want { return f.wants }
+
+func (f *fakeLoans) Lend(_, _ string, want int) (int, clock.Millis) {
+	granted := min(want, f.free)
+	f.free -= granted
+	return granted, 10 * seconds
+}
+
+func (f *fakeLoans) Borrow(lender, _ string, granted int, period clock.Millis) {
+	f.got[lender] += granted
+	f.until = period
+	f.wants = nil
+}
+
+// Guards against loans that are granted and not handed over, in another zone than asked for, or for longer than the
+// lender counts.
+func TestLoans(t *testing.T) {
+	w := settled(t, 19, 9)
+	borrower := &fakeLoans{wants: []Want{NewWant("worker/w", "z01", 3)}, got: map[string]int{}}
+	lenders := map[string]*fakeLoans{}
+	for _, s := range w.order[1:] {
+		lenders[s.ID] = &fakeLoans{free: 8}
+		s.Loans = lenders[s.ID]
+	}
+	w.order[0].Loans = borrower
+	w.until(3*seconds, "borrowed", func() bool { return len(borrower.got) > 0 })
+	for id, n := range borrower.got {
+		if s := w.nodes[address(int(id[3]-'0'))]; s.Zone != "z01" || lenders[id].free != 8-n || n != 3 {
+			t.Errorf("%s in %s lent %d and has %d left of 8", id, s.Zone, n, lenders[id].free)
+		}
+	}
+	if borrower.until >= 10*seconds {
+		t.Errorf("period got %d, want less than the lender's", borrower.until)
+	}
+}
+
+// Guards, over random sequences of faults, against versions that go back, removed incarnations that return (both
+// checked by the world at each step), and reachable processes that do not converge within 5 s.
+func TestProperties(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("20261204"); err != nil { // the same sequences in each run
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(rt, "nodes")
+		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"), 3).addAll(n)
+		w.run(5 * seconds)
+		w.submit(w.order[0])
+		incarnations := int64(1)
+		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(rt, "node")
+			s := w.nodes[address(i)]
+			switch rapid.IntRange(0, 8).Draw(rt, "fault") {
+			case 0:
+				s.pause()
+			case 1:
+				s.resume()
+			case 2:
+				incarnations += rapid.Int64Range(0, 1).Draw(rt, "grows")
+				w.add(i, incarnations)
+			case 3:
+				w.isolate(s.Zone, true)
+			case 4:
+				w.isolate(s.Zone, false)
+			case 5:
+				w.tableAway(rapid.Bool().Draw(rt, "away"))
+			case 6:
+				w.loss = rapid.Float64Range(0, 0.3).Draw(rt, "loss")
+			case 7:
+				w.stale = rapid.Bool().Draw(rt, "stale")
+			case 8:
+				w.submit(s)
+			}
+			w.run(clock.Millis(rapid.IntRange(0, 150).Draw(rt, "ticks")) * 100)
+		}
+		for _, s := range w.order {
+			s.resume()
+		}
+		for zone := range 3 {
+			w.isolate(w.zone(zone), false)
+		}
+		w.tableAway(false)
+		w.loss, w.stale = 0, false
+		w.until(5*seconds, "everybody converges", w.all(inForce(w.written)))
+		w.until(30*seconds, "everybody is in the roster", w.all(usable))
+	})
+}
--- /dev/null
+++ b/peer/roster.go
@@ -0,0 +1,406 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer/peerpb"
+	"magnoliaferry/platform"
+)
+
+// RosterMember is one entry of the row roster/<zone>.
+type RosterMember struct {
+	id, address string
+	incarnation int64
+}
+
+// NewRosterMember returns an entry of a roster.
+func NewRosterMember(id, address string, incarnation int64) RosterMember {
+	return RosterMember{id, address, incarnation}
+}
+
+// ID returns the id of the entry instance.
+func (m RosterMember) ID() string { return m.id }
+
+// Address returns the IP address and port of the peer interface.
+func (m RosterMember) Address() string { return m.address }
+
+// Incarnation returns the incarnation under which the entry instance joined.
+func (m RosterMember) Incarnation() int64 { return m.incarnation }
+
+// Rosters computes the value of the row roster/<zone>; the package slots provides it. A nil row is one that does not
+// exist.
+type Rosters interface {
+	Members(row []byte) ([]RosterMember, error)
+	// Join returns the row with the member, in place of an earlier incarnation of the same id.
+	Join(row []byte, m RosterMember) ([]byte, error)
+	// Remove returns the row without the member.
+	Remove(row []byte, id string, incarnation int64) ([]byte, error)
+}
+
+// Ledger shares the slots between the members of the roster.
+type Ledger interface {
+	// SetRoster is told each new row of the own zone, in order.
+	SetRoster(row platform.Row)
+	// Suspend stops the use of slots until Resume; requests in flight go on.
+	Suspend()
+	// Resume follows when the membership is confirmed.
+	Resume()
+}
+
+// roster is the state of the own zone's roster; the node's lock guards it.
+type roster struct {
+	row         platform.Row // the newest one
+	members     []RosterMember
+	incarnation int64 // under which this node joins
+	joined      bool
+	doubt       bool         // paused or not yet confirmed; slots are suspended
+	olderSince  clock.Millis // since when the table shows an older row, 0 for not
+	write       *rosterWrite // in flight or with an unknown outcome
+	writes      int64
+	asking      bool // peers of the zone are asked to confirm
+	turn        int  // of the peer to ask next
+	mates       map[string]*mate
+}
+
+type rosterWrite struct {
+	tx        platform.Transaction
+	ifVersion int64
+	running   bool
+}
+
+// mate is what this node's own calls tell about another member of the roster.
+type mate struct {
+	incarnation int64
+	contact     clock.Millis // last one, or when it was seen first
+	refused     int          // calls on new connections without an answer since then
+}
+
+// Usable reports, with atomics only, whether slots may be used: this entry instance is in the roster and was not
+// paused for longer than the lease period.
+func (n *Node) Usable() bool {
+	return n.usable.Load() && (n.Rosters == nil || n.Clock.Now()-clock.Millis(n.alive.Load()) <= LeasePeriod)
+}
+
+// onRoster takes a reading of the own zone's roster that was asked for at the given time. A reading from before a pause
+// says nothing about what happened during the pause.
+func (n *Node) onRoster(row platform.Row, asked clock.Millis) {
+	r, now := &n.roster, n.Clock.Now()
+	if now-asked > LeasePeriod || n.members.self.state == peerpb.State_LEFT {
+		return
+	}
+	if row.Version() < r.row.Version() {
+		if r.olderSince == 0 {
+			r.olderSince = now
+		}
+		if now-r.olderSince <= LeasePeriod {
+			n.confirmByPeers() // a lagging read confirms nothing
+			return
+		}
+		eventTableLost.Log(context.Background(), n.Logger, slog.String("row", row.Key()))
+	}
+	r.olderSince = 0
+	var value []byte
+	if row.Version() > 0 {
+		value = row.Value()
+	}
+	members, err := n.Rosters.Members(value)
+	if err != nil {
+		eventBadRow.Log(context.Background(), n.Logger, slog.String("row", row.Key()), slog.String("reason", err.Error()))
+		return
+	}
+	if row.Version() != r.row.Version() {
+		n.post(func() { n.Ledger.SetRoster(row) })
+	}
+	r.row, r.members = row, members
+	if w := r.write; w != nil && !w.running && row.Version() != w.ifVersion {
+		r.write = nil // applied, or another writer came first; the members tell which
+	}
+	n.repeatWrite()
+	if n.inRoster() {
+		n.confirmed()
+	} else {
+		n.outOfRoster()
+		n.joinRoster()
+	}
+}
+
+func (n *Node) inRoster() bool {
+	return slices.ContainsFunc(n.roster.members, func(m RosterMember) bool {
+		return m.id == n.ID && m.incarnation == n.roster.incarnation
+	})
+}
+
+// confirmed follows a reading, or the answers of peers, that do not speak against the membership.
+func (n *Node) confirmed() {
+	r := &n.roster
+	if !r.joined {
+		eventRosterIn.Log(context.Background(), n.Logger, slog.Int64("incarnation", r.incarnation))
+	}
+	if !r.joined || r.doubt {
+		n.usable.Store(true)
+		n.post(n.Ledger.Resume)
+	}
+	r.joined, r.doubt = true, false
+}
+
+// outOfRoster stops the use of slots after a removal; the next join needs a new incarnation, because the others may
+// already use the slots of the old one.
+func (n *Node) outOfRoster() {
+	r := &n.roster
+	if !r.joined {
+		return
+	}
+	eventRosterOut.Log(context.Background(), n.Logger, slog.Int64("incarnation", r.incarnation))
+	r.joined, r.doubt = false, false
+	n.suspendSlots()
+	n.members.raise(0, n.Clock.Now())
+	r.incarnation = n.members.self.incarnation
+}
+
+func (n *Node) suspendSlots() {
+	n.usable.Store(false)
+	n.post(n.Ledger.Suspend)
+}
+
+// doubt suspends the slots after a pause until one attempt to confirm is completed.
+func (n *Node) doubt() {
+	if n.Rosters == nil || !n.roster.joined {
+		return
+	}
+	n.roster.doubt = true
+	n.suspendSlots()
+}
+
+func (n *Node) joinRoster() {
+	r := &n.roster
+	if r.write != nil {
+		return
+	}
+	value, err := n.Rosters.Join(r.row.Value(), NewRosterMember(n.ID, n.Address, r.incarnation))
+	n.writeRoster(value, err)
+}
+
+// writeRoster commits a new value of the row, conditional on the version that it was computed from.
+func (n *Node) writeRoster(value []byte, err error) {
+	r := &n.roster
+	if err != nil {
+		eventBadRow.Log(context.Background(), n.Logger, slog.String("row", rosterKeyPrefix+n.Zone),
+			slog.String("reason", err.Error()))
+		return
+	}
+	r.writes++
+	operation := fmt.Sprintf("roster-%s-%d-%d", n.ID, n.members.self.incarnation, r.writes)
+	r.write = &rosterWrite{ifVersion: r.row.Version(), tx: platform.NewTransaction(operation,
+		platform.Put(rosterKeyPrefix+n.Zone, value, r.row.Version()))}
+	n.repeatWrite()
+}
+
+// repeatWrite sends the write; one with an unknown outcome is repeated under its operation id as long as the row has
+// the version that it depends on.
+func (n *Node) repeatWrite() {
+	w := n.roster.write
+	if w == nil || w.running {
+		return
+	}
+	w.running = true
+	var err error
+	n.Background(func() {
+		ctx, cancel := n.Clock.WithTimeout(context.Background(), bodyTimeout)
+		defer cancel()
+		err = n.Table.Commit(ctx, w.tx)
+	}, func() {
+		n.locked(func() {
+			w.running = false
+			if !errorx.IsOfType(err, platform.ErrUnknownOutcome) && n.roster.write == w {
+				n.roster.write = nil
+			}
+			if err == nil || errorx.IsOfType(err, platform.ErrConflict) {
+				n.pollSoon()
+			}
+		})
+	})
+}
+
+// watchRoster removes members of the zone that were silent for the lease period, also on new connections. Members
+// that the others hear from are not silent.
+func (n *Node) watchRoster(now clock.Millis) {
+	r := &n.roster
+	if !r.joined || r.doubt {
+		return
+	}
+	seen := map[string]bool{n.ID: true}
+	for _, rm := range r.members {
+		if rm.id == n.ID {
+			continue
+		}
+		seen[rm.id] = true
+		t := r.mates[rm.id]
+		if t == nil || t.incarnation != rm.incarnation {
+			t = &mate{incarnation: rm.incarnation, contact: now}
+			r.mates[rm.id] = t
+		}
+		m := n.members.all[rm.id]
+		if m != nil && (m.state == peerpb.State_ALIVE || m.heard > t.contact) {
+			t.contact, t.refused = now, 0
+			continue
+		}
+		if m != nil && m.state == peerpb.State_LEFT && now-m.since < LeasePeriod {
+			continue // it removes itself
+		}
+		if now-t.contact >= LeasePeriod && t.refused >= 3 {
+			n.removeMate(rm)
+			continue
+		}
+		n.probe(rm.id, rm.address, n.Zone, true, true, func(err error) {
+			if err != nil {
+				t.refused++
+			}
+		})
+	}
+	for id := range r.mates {
+		if !seen[id] {
+			delete(r.mates, id)
+		}
+	}
+}
+
+func (n *Node) removeMate(m RosterMember) {
+	r := &n.roster
+	if r.write != nil || n.pollFails > 0 || r.olderSince != 0 {
+		return
+	}
+	eventRosterCut.Log(context.Background(), n.Logger, slog.String("peer", m.id),
+		slog.Int64("incarnation", m.incarnation))
+	value, err := n.Rosters.Remove(r.row.Value(), m.id, m.incarnation)
+	n.writeRoster(value, err)
+}
+
+// confirmByPeers asks peers of the zone while the table is away: after a pause all of them at once, otherwise one a
+// second in turn. The node goes on when none of them says that it was removed.
+func (n *Node) confirmByPeers() {
+	r := &n.roster
+	if n.Rosters == nil || !r.joined || r.asking {
+		return
+	}
+	mates := slices.DeleteFunc(slices.Clone(r.members), func(m RosterMember) bool { return m.id == n.ID })
+	if len(mates) == 0 {
+		if r.doubt {
+			n.confirmed()
+		}
+		return
+	}
+	if !r.doubt {
+		r.turn++
+		n.confirmWith(mates[r.turn%len(mates)].address, nil)
+		return
+	}
+	r.asking = true
+	open, asked := len(mates), n.Clock.Now()
+	for _, m := range mates {
+		n.confirmWith(m.address, func() {
+			if open--; open > 0 {
+				return
+			}
+			r.asking = false
+			if r.joined && r.doubt && n.Clock.Now()-asked <= LeasePeriod {
+				n.confirmed()
+			}
+		})
+	}
+}
+
+// confirmWith asks one peer whether this node is still in the roster; done may be nil.
+func (n *Node) confirmWith(address string, done func()) {
+	r := &n.roster
+	request := &peerpb.ConfirmRequest{Id: n.ID, Zone: n.Zone, Incarnation: r.incarnation}
+	var answer *peerpb.ConfirmAnswer
+	n.Transport.Call(address, r.doubt, callTimeout, func(ctx context.Context, p peerpb.Peer) (err error) {
+		answer, err = p.Confirm(ctx, request)
+		return err
+	}, func(err error) {
+		n.locked(func() {
+			// An answer that relies on an older row than the one that this node joined with says nothing.
+			if err == nil && !answer.GetMember() && answer.GetEpoch() > r.row.Version() &&
+				request.GetIncarnation() == r.incarnation {
+				n.outOfRoster()
+			}
+			if done != nil {
+				done()
+			}
+		})
+	})
+}
+
+// Confirm implements peerpb.Peer.
+func (n *Node) Confirm(ctx context.Context, q *peerpb.ConfirmRequest) (*peerpb.ConfirmAnswer, error) {
+	if q.GetId() == "" || len(q.GetId()) > maxName || q.GetIncarnation() <= 0 {
+		return nil, n.refuse(ctx, fmt.Errorf("the member is malformed"))
+	}
+	n.mu.Lock()
+	defer n.unlock()
+	if q.GetZone() != n.Zone {
+		return &peerpb.ConfirmAnswer{}, nil
+	}
+	return &peerpb.ConfirmAnswer{Epoch: n.roster.row.Version(),
+		Member: slices.ContainsFunc(n.roster.members, func(m RosterMember) bool {
+			return m.id == q.GetId() && m.incarnation == q.GetIncarnation()
+		})}, nil
+}
+
+// leave removes this node from the roster and tells a few members, and then calls done.
+func (n *Node) leave(done func()) {
+	n.mu.Lock()
+	defer n.unlock()
+	n.members.self.state = peerpb.State_LEFT
+	for _, m := range n.members.sample(pushFanOut, func(m *member) bool { return m.state == peerpb.State_ALIVE }) {
+		n.probe(m.id, m.address, m.zone, false, false, func(error) {}) // the others notice by themselves
+	}
+	if n.Rosters == nil || !n.roster.joined {
+		n.post(done)
+		return
+	}
+	n.suspendSlots()
+	n.roster.joined = false
+	n.leaveRoster(leaveAttempts, done)
+}
+
+func (n *Node) leaveRoster(attempts int, done func()) {
+	key := rosterKeyPrefix + n.Zone
+	operation := fmt.Sprintf("roster-%s-%d-leave-%d", n.ID, n.roster.incarnation, attempts)
+	incarnation := n.roster.incarnation
+	left := false
+	n.Background(func() {
+		ctx, cancel := n.Clock.WithTimeout(context.Background(), leaveTime)
+		defer cancel()
+		rows, err := n.Table.Read(ctx, key)
+		if err != nil {
+			return
+		}
+		members, err := n.Rosters.Members(rows[0].Value())
+		if err != nil || !slices.ContainsFunc(members, func(m RosterMember) bool {
+			return m.id == n.ID && m.incarnation == incarnation
+		}) {
+			left = err == nil
+			return
+		}
+		value, err := n.Rosters.Remove(rows[0].Value(), n.ID, incarnation)
+		if err == nil {
+			err = n.Table.Commit(ctx, platform.NewTransaction(operation, platform.Put(key, value, rows[0].Version())))
+			left = err == nil
+		}
+	}, func() {
+		n.locked(func() {
+			if left || attempts <= 1 {
+				n.post(done)
+				return
+			}
+			n.leaveRoster(attempts-1, done)
+		})
+	})
+}
--- /dev/null
+++ b/peer/sim_test.go
@@ -0,0 +1,497 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/peer/peerpb"
+	"magnoliaferry/platform"
+	"magnoliaferry/platformhttp"
+)
+
+// Bytes of HTTP around a message; TestOverhead compares them with real calls.
+const (
+	overheadRequest = 150
+	overheadAnswer  = 110
+)
+
+var errLost = errors.New("no answer")
+
+// world runs nodes on one fake clock with a network and a platform that fail on request. All of it runs in one
+// goroutine, so a seed determines everything.
+type world struct {
+	t       testing.TB
+	clock   *clock.Clock
+	random  *rand.Rand
+	faults  *fault.Driver
+	store   *memory.Store
+	codec   fakeCodec
+	nodes   map[string]*simNode // by address
+	order   []*simNode
+	zones   int
+	cut     map[[2]string]bool // pairs of zones
+	silent  map[[2]string]bool // directed pairs of addresses whose open connection is silent
+	loss    float64
+	latency clock.Millis // of the table, each way
+	stale   bool         // reads show the rows before their last write
+	before  map[string]platform.Row
+	latest  map[string]platform.Row
+	written int64
+}
+
+type simNode struct {
+	*Node
+	w       *world
+	paused  bool
+	dead    bool
+	late    []func() // what runs when the pause ends
+	applied []int64
+	rows    []platform.Row
+	state   string // of the ledger
+	sent    int    // bytes of calls and answers
+	got     int
+	calls   int
+	table   int // bytes of the table's protocol
+	gone    map[string]int64
+}
+
+func newWorld(t testing.TB, seed uint64, zones int) *world {
+	c := clock.NewFake(1_000_000)
+	w := &world{t: t, clock: c, random: rand.New(rand.NewPCG(seed, 1)), faults: &fault.Driver{}, zones: zones,
+		nodes: map[string]*simNode{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}, latency: 5,
+		before: map[string]platform.Row{}, latest: map[string]platform.Row{}, codec: fakeCodec{padding: 300}}
+	w.store = memory.New(c, w.faults)
+	return w
+}
+
+func (w *world) zone(i int) string { return fmt.Sprintf("z%02d", i%w.zones) }
+
+// add starts a node; its seeds are the first three addresses.
+func (w *world) add(i int, incarnation int64) *simNode {
+	s := &simNode{w: w, gone: map[string]int64{}, state: "none"}
+	s.Node = &Node{ID: fmt.Sprintf("e%03d", i), Address: address(i), Zone: w.zone(i), Incarnation: incarnation,
+		Seeds: []string{address(0), address(1), address(2)}, Random: w.random.Uint64(), Clock: w.clock,
+		Transport: simTransport{s}, Codec: w.codec, Table: simTable{w.store.View(w.zone(i)).Table(), s},
+		Objects: w.store.View(w.zone(i)).Objects(), Rosters: fakeRosters{}, Ledger: s,
+		after: func(d clock.Millis, f func()) { w.clock.AfterFunc(d, s.guard(f)) }}
+	s.Apply = s.apply
+	s.Background = func(work, done func()) {
+		w.clock.AfterFunc(w.latency, func() {
+			work()
+			w.clock.AfterFunc(w.latency, s.guard(done))
+		})
+	}
+	if old := w.nodes[s.Address]; old != nil {
+		old.kill()
+		for j := range w.order {
+			if w.order[j] == old {
+				w.order = append(w.order[:j], w.order[j+1:]...)
+				break
+			}
+		}
+	}
+	w.nodes[s.Address] = s
+	w.order = append(w.order, s)
+	s.start()
+	return s
+}
+
+func (w *world) addAll(n int) *world {
+	for i := range n {
+		w.add(i, 1)
+	}
+	return w
+}
+
+func address(i int) string { return fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250) }
+
+// guard delays what a paused process would have done and drops what a dead one would.
+func (s *simNode) guard(f func()) func() {
+	return func() {
+		switch {
+		case s.dead:
+		case s.paused:
+			s.late = append(s.late, f)
+		default:
+			f()
+		}
+	}
+}
+
+func (s *simNode) kill() { s.dead = true; s.stop() }
+
+func (s *simNode) pause() { s.paused = true }
+
+func (s *simNode) resume() {
+	s.paused = false
+	late := s.late
+	s.late = nil
+	for _, f := range late {
+		s.guard(f)()
+	}
+}
+
+// apply checks that versions only grow and that the body is the one of its digest.
+func (s *simNode) apply(v Version) {
+	if n := len(s.applied); n > 0 && v.Number() <= s.applied[n-1] {
+		s.w.t.Errorf("%s: version %d came after version %d", s.ID, v.Number(), s.applied[n-1])
+	}
+	if got := s.w.codec.Digest(v.Body()); got != v.Digest() {
+		s.w.t.Errorf("%s: version %d got digest %s, want %s", s.ID, v.Number(), got, v.Digest())
+	}
+	s.applied = append(s.applied, v.Number())
+}
+
+func (s *simNode) SetRoster(row platform.Row) { s.rows = append(s.rows, row) }
+func (s *simNode) Suspend()                   { s.state = "suspended" }
+func (s *simNode) Resume()                    { s.state = "in use" }
+
+// run advances the clock and checks after each step that no node shows a removed incarnation as a member.
+func (w *world) run(d clock.Millis) {
+	const step = 50
+	for ; d > 0; d -= step {
+		w.clock.Advance(min(step, d))
+		for _, s := range w.order {
+			for id, m := range s.members.all {
+				switch {
+				case m.live() && m.incarnation <= s.gone[id]:
+					w.t.Fatalf("%s: incarnation %d of %s is back after its removal", s.ID, m.incarnation, id)
+				case !m.live():
+					s.gone[id] = max(s.gone[id], m.incarnation)
+				}
+			}
+		}
+	}
+}
+
+// until runs for at most d until the condition holds, and returns the time that it took.
+func (w *world) until(d clock.Millis, what string, condition func() bool) clock.Millis {
+	w.t.Helper()
+	start := w.clock.Now()
+	for w.clock.Now()-start < d {
+		if condition() {
+			return w.clock.Now() - start
+		}
+		w.run(50)
+	}
+	if !condition() {
+		for _, s := range w.order {
+			w.t.Logf("%s in force %d usable %v state %s peers %d", s.ID, s.InForce().Number(), s.Usable(), s.state,
+				len(s.Peers()))
+		}
+		w.t.Fatalf("after %d ms: not yet: %s", d, what)
+	}
+	return d
+}
+
+// all reports whether the condition holds for every node that runs.
+func (w *world) all(condition func(*simNode) bool) func() bool {
+	return func() bool {
+		for _, s := range w.order {
+			if !s.dead && !s.paused && !condition(s) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func inForce(number int64) func(*simNode) bool {
+	return func(s *simNode) bool { return s.InForce().Number() == number }
+}
+
+func usable(s *simNode) bool { return s.Usable() && s.state == "in use" }
+
+func knows(n int) func(*simNode) bool {
+	return func(s *simNode) bool {
+		alive := 0
+		for _, p := range s.Peers() {
+			if p.Alive() {
+				alive++
+			}
+		}
+		return alive == n
+	}
+}
+
+// submit writes the next version to the platform as an accepting entry instance would, past all faults.
+func (w *world) submit(by *simNode) int64 {
+	w.written++
+	body := w.codec.body(w.written)
+	digest := w.codec.Digest(body)
+	delta := w.codec.delta(w.written)
+	direct := w.store.View("")
+	faults := w.store.Faults
+	w.store.Faults = nil
+	defer func() { w.store.Faults = faults }()
+	ctx := context.Background()
+	if err := direct.Objects().Put(ctx, "config/"+digest, body); err != nil {
+		w.t.Fatal(err)
+	}
+	row, err := json.Marshal(fakeRow{w.written, digest, delta})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.before["config/current"] = w.latest["config/current"]
+	if err := direct.Table().Commit(ctx, platform.NewTransaction(digest,
+		platform.Put("config/current", row, platform.AnyVersion))); err != nil {
+		w.t.Fatal(err)
+	}
+	rows, err := direct.Table().Read(ctx, "config/current")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.latest["config/current"] = rows[0]
+	if by != nil {
+		by.Accepted(w.written, digest, delta, body)
+	}
+	return w.written
+}
+
+// tableAway makes the table and the object store refuse every call.
+func (w *world) tableAway(away bool) {
+	for _, step := range []string{memory.StepRead, memory.StepCommit, memory.StepObjectGet} {
+		if away {
+			w.faults.Always(step, fault.Down, 0)
+		} else {
+			w.faults.Clear(step)
+		}
+	}
+}
+
+// isolate cuts a zone off from the other zones.
+func (w *world) isolate(zone string, cut bool) {
+	for i := range w.zones {
+		if o := w.zone(i); o != zone {
+			w.cut[[2]string{zone, o}], w.cut[[2]string{o, zone}] = cut, cut
+		}
+	}
+}
+
+// simTransport carries encoded messages with delay and loss.
+type simTransport struct{ from *simNode }
+
+func (t simTransport) Forget(string) {}
+
+func (t simTransport) Call(to string, fresh bool, timeout clock.Millis,
+	call func(context.Context, peerpb.Peer) error, done func(error)) {
+	w, from := t.from.w, t.from
+	finished := false
+	end := func(err error) {
+		from.guard(func() {
+			if !finished {
+				finished = true
+				done(err)
+			}
+		})()
+	}
+	from.calls++
+	delay := func() clock.Millis { return 1 + clock.Millis(w.random.IntN(5)) }
+	lost := func() bool { return w.loss > 0 && w.random.Float64() < w.loss }
+	w.clock.AfterFunc(timeout, func() { end(errLost) })
+	pair := [2]string{from.Address, to}
+	if fresh {
+		delete(w.silent, pair)
+	}
+	target := w.nodes[to]
+	if w.silent[pair] || lost() || (target != nil && w.cut[[2]string{from.Zone, target.Zone}]) {
+		return
+	}
+	w.clock.AfterFunc(delay(), func() {
+		if target == nil || target.dead {
+			end(errLost)
+			return
+		}
+		target.guard(func() {
+			err := call(context.Background(), &simPeer{from, target})
+			if !lost() && !w.cut[[2]string{from.Zone, target.Zone}] {
+				w.clock.AfterFunc(delay(), func() { end(err) })
+			}
+		})()
+	})
+}
+
+// simPeer encodes and decodes each message, and counts the bytes at both ends.
+type simPeer struct{ from, to *simNode }
+
+func exchange[Q, A proto.Message](p *simPeer, q Q, handle func(context.Context, Q) (A, error), emptyQ Q, emptyA A) (A, error) {
+	carry := func(from, to *simNode, m, into proto.Message, overhead int) error {
+		encoded, err := proto.Marshal(m)
+		if err != nil {
+			return err
+		}
+		from.sent += len(encoded) + overhead
+		to.got += len(encoded) + overhead
+		return proto.Unmarshal(encoded, into)
+	}
+	if err := carry(p.from, p.to, q, emptyQ, overheadRequest); err != nil {
+		return emptyA, err
+	}
+	a, err := handle(context.Background(), emptyQ)
+	if err != nil {
+		return emptyA, err
+	}
+	return emptyA, carry(p.to, p.from, a, emptyA, overheadAnswer)
+}
+
+func (p *simPeer) Probe(_ context.Context, q *peerpb.Gossip) (*peerpb.Gossip, error) {
+	return exchange(p, q, p.to.Probe, &peerpb.Gossip{}, &peerpb.Gossip{})
+}
+
+func (p *simPeer) Relay(_ context.Context, q *peerpb.RelayRequest) (*peerpb.RelayAnswer, error) {
+	return exchange(p, q, p.to.Relay, &peerpb.RelayRequest{}, &peerpb.RelayAnswer{})
+}
+
+func (p *simPeer) Vouch(_ context.Context, q *peerpb.VouchRequest) (*peerpb.VouchAnswer, error) {
+	return exchange(p, q, p.to.Vouch, &peerpb.VouchRequest{}, &peerpb.VouchAnswer{})
+}
+
+func (p *simPeer) Push(_ context.Context, q *peerpb.PushRequest) (*peerpb.PushAnswer, error) {
+	return exchange(p, q, p.to.Push, &peerpb.PushRequest{}, &peerpb.PushAnswer{})
+}
+
+func (p *simPeer) Fetch(_ context.Context, q *peerpb.FetchRequest) (*peerpb.FetchAnswer, error) {
+	return exchange(p, q, p.to.Fetch, &peerpb.FetchRequest{}, &peerpb.FetchAnswer{})
+}
+
+func (p *simPeer) Confirm(_ context.Context, q *peerpb.ConfirmRequest) (*peerpb.ConfirmAnswer, error) {
+	return exchange(p, q, p.to.Confirm, &peerpb.ConfirmRequest{}, &peerpb.ConfirmAnswer{})
+}
+
+func (p *simPeer) Borrow(_ context.Context, q *peerpb.BorrowRequest) (*peerpb.BorrowAnswer, error) {
+	return exchange(p, q, p.to.Borrow, &peerpb.BorrowRequest{}, &peerpb.BorrowAnswer{})
+}
+
+// simTable counts the bytes that platformhttp sends, and can show old rows.
+type simTable struct {
+	platform.Table
+	node *simNode
+}
+
+func (t simTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := t.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	fields := make([]platformhttp.RowFields, len(rows))
+	for i, r := range rows {
+		if old, ok := t.node.w.before[r.Key()]; ok && t.node.w.stale {
+			rows[i] = old
+		}
+		fields[i] = platformhttp.RowFields{Key: r.Key(), Value: r.Value(), Version: r.Version(), Operation: r.Operation()}
+	}
+	q, _ := json.Marshal(platformhttp.Call{Keys: keys})
+	a, _ := json.Marshal(platformhttp.Answer{Rows: fields})
+	t.node.table += len(q) + len(a) + overheadRequest + overheadAnswer
+	return rows, nil
+}
+
+// fakeCodec has bodies that are a number with padding, and deltas that lead from one number to the next.
+type fakeCodec struct{ padding int }
+
+type fakeRow struct {
+	Version int64  `json:"version"`
+	Digest  string `json:"digest"`
+	Delta   []byte `json:"delta"`
+}
+
+func (c fakeCodec) body(number int64) []byte {
+	return fmt.Appendf(nil, "%d %s", number, strings.Repeat("b", 10*c.padding))
+}
+
+func (c fakeCodec) delta(number int64) []byte {
+	return fmt.Appendf(nil, "%d %s", number, strings.Repeat("d", c.padding))
+}
+
+func (c fakeCodec) Current(row []byte) (int64, string, []byte, error) {
+	var r fakeRow
+	err := json.Unmarshal(row, &r)
+	return r.Version, r.Digest, r.Delta, err
+}
+
+func (c fakeCodec) Apply(body, delta []byte) ([]byte, error) {
+	var from, to int64
+	if _, err := fmt.Sscan(string(body), &from); err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Sscan(string(delta), &to); err != nil {
+		return nil, err
+	}
+	if to != from+1 {
+		return nil, fmt.Errorf("the delta leads to %d, the body is %d", to, from)
+	}
+	return c.body(to), nil
+}
+
+func (c fakeCodec) Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// fakeRosters keeps a roster as a JSON object of incarnations and addresses by id.
+type fakeRosters struct{}
+
+type fakeMember struct {
+	Address     string `json:"address"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+func (fakeRosters) decode(row []byte) map[string]fakeMember {
+	all := map[string]fakeMember{}
+	if len(row) > 0 {
+		if err := json.Unmarshal(row, &all); err != nil {
+			return nil
+		}
+	}
+	return all
+}
+
+func (f fakeRosters) Members(row []byte) (list []RosterMember, err error) {
+	for id, m := range f.decode(row) {
+		list = append(list, NewRosterMember(id, m.Address, m.Incarnation))
+	}
+	// The order of a map is not deterministic, and a roster is.
+	for i := range list {
+		for j := i; j > 0 && list[j].id < list[j-1].id; j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
+	}
+	return list, nil
+}
+
+func (f fakeRosters) Join(row []byte, m RosterMember) ([]byte, error) {
+	all := f.decode(row)
+	all[m.ID()] = fakeMember{m.Address(), m.Incarnation()}
+	return json.Marshal(all)
+}
+
+func (f fakeRosters) Remove(row []byte, id string, incarnation int64) ([]byte, error) {
+	all := f.decode(row)
+	if all[id].Incarnation == incarnation {
+		delete(all, id)
+	}
+	return json.Marshal(all)
+}
+
+func (w *world) roster(zone string) map[string]fakeMember {
+	faults := w.store.Faults
+	w.store.Faults = nil
+	defer func() { w.store.Faults = faults }()
+	rows, err := w.store.View("").Table().Read(context.Background(), "roster/"+zone)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return fakeRosters{}.decode(rows[0].Value())
+}
--- /dev/null
+++ b/peer/spread.go
@@ -0,0 +1,376 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sort"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer/peerpb"
+	"magnoliaferry/platform"
+)
+
+// source tells where a version came from, which decides whether it is handed on.
+type source string
+
+const (
+	fromHere    source = "accepted-here"
+	fromTable   source = "table"
+	fromPush    source = "push"
+	fromFetch   source = "peer"
+	fromObjects source = "object-store"
+)
+
+// Accepted puts a version in force that this entry instance has stored, and spreads it. An empty delta spreads the
+// whole body.
+func (n *Node) Accepted(number int64, digest string, delta, body []byte) {
+	n.mu.Lock()
+	defer n.unlock()
+	if !n.running || number <= n.versions.current.number {
+		return // the poll was faster, or will tell the others
+	}
+	d := &peerpb.Delta{Version: number, Digest: digest, Delta: delta}
+	if len(delta) > maxDelta || n.versions.step(d) != nil {
+		if err := n.versions.replace(number, digest, body); err != nil {
+			eventBadDelta.Log(context.Background(), n.Logger, slog.String("reason", err.Error()))
+			return
+		}
+	}
+	n.changed(fromHere)
+}
+
+// changed announces the version in force and hands it on: over a tree of all members after an acceptance or a push,
+// over a tree of the zone when a peer was asked for it. What the table told needs no push, because the others read it.
+func (n *Node) changed(from source) {
+	v := n.versions.current
+	eventVersion.Log(context.Background(), n.Logger, slog.Int64("version", v.number), slog.String("source", string(from)))
+	counters.Add("versions-"+string(from), 1)
+	if n.Apply != nil {
+		n.post(func() { n.Apply(v) })
+	}
+	switch {
+	case n.pending != nil && n.pending.GetDelta().GetVersion() <= v.number:
+		n.handOn(n.pending.GetRoot(), n.pending.GetZone())
+		n.pending = nil
+	case from == fromHere:
+		n.handOn(n.ID, "")
+	case from == fromFetch:
+		n.handOn(n.ID, n.Zone)
+	}
+}
+
+// want notes that a newer version exists and starts to fetch it.
+func (n *Node) want(number int64, address, digest string) {
+	if number > n.wanted || (number == n.wanted && digest != "") {
+		n.wanted, n.wantedBy, n.wantedSum = number, address, digest
+	}
+	n.catchUp()
+}
+
+// learn puts the version of a delta in force, or starts to fetch what is missing.
+func (n *Node) learn(d *peerpb.Delta, from source, address string) {
+	if d.GetVersion() <= n.versions.current.number {
+		return
+	}
+	if err := n.versions.step(d); err != nil {
+		digest := ""
+		if from == fromTable {
+			digest = d.GetDigest()
+		}
+		n.want(d.GetVersion(), address, digest)
+		return
+	}
+	n.changed(from)
+}
+
+// catchUp fetches the wanted version: from the peer that told of it, from others, and at last from the object store.
+// What fails is tried again after the next poll or probe that tells of the version.
+func (n *Node) catchUp() {
+	if n.catching || n.wanted <= n.versions.current.number {
+		return
+	}
+	n.catching = true
+	var addresses []string
+	if n.wantedBy != "" {
+		addresses = append(addresses, n.wantedBy)
+	}
+	for _, m := range n.members.sample(2, func(m *member) bool { return m.version >= n.wanted && m.address != n.wantedBy }) {
+		addresses = append(addresses, m.address)
+	}
+	for _, m := range n.members.sample(max(0, 3-len(addresses)), func(m *member) bool {
+		return m.version > n.versions.current.number && m.version < n.wanted
+	}) {
+		addresses = append(addresses, m.address)
+	}
+	if len(addresses) == 0 && n.wantedSum != "" {
+		// Nothing is known about the others yet, for example after a restart.
+		for _, m := range n.members.sample(1, func(*member) bool { return true }) {
+			addresses = append(addresses, m.address)
+		}
+	}
+	n.fetch(addresses)
+}
+
+func (n *Node) fetch(addresses []string) {
+	switch {
+	case n.wanted <= n.versions.current.number:
+		n.catching = false
+		return
+	case len(addresses) == 0:
+		n.fetchObject()
+		return
+	}
+	address, rest := addresses[0], addresses[1:]
+	request := &peerpb.FetchRequest{Version: n.versions.current.number}
+	var answer *peerpb.FetchAnswer
+	n.Transport.Call(address, false, bodyTimeout, func(ctx context.Context, p peerpb.Peer) (err error) {
+		answer, err = p.Fetch(ctx, request)
+		return err
+	}, func(err error) {
+		n.locked(func() {
+			if err == nil {
+				n.take(answer)
+			}
+			n.fetch(rest)
+		})
+	})
+}
+
+// take puts in force what a peer sent; every delta and body is checked by its digest.
+func (n *Node) take(a *peerpb.FetchAnswer) {
+	before := n.versions.current.number
+	var err error
+	for _, d := range a.GetDeltas() {
+		if d.GetVersion() <= n.versions.current.number {
+			continue // another answer was faster
+		}
+		if err = n.versions.step(d); err != nil {
+			break
+		}
+	}
+	if len(a.GetBody()) > 0 && a.GetVersion() > n.versions.current.number {
+		err = n.versions.replace(a.GetVersion(), a.GetDigest(), a.GetBody())
+	}
+	if err != nil {
+		eventBadDelta.Log(context.Background(), n.Logger, slog.String("reason", err.Error()))
+	}
+	if n.versions.current.number > before {
+		n.changed(fromFetch)
+	}
+}
+
+func (n *Node) fetchObject() {
+	number, digest := n.wanted, n.wantedSum
+	end := func() {
+		n.catching, n.wanted, n.wantedBy, n.wantedSum = false, n.versions.current.number, "", ""
+	}
+	if digest == "" {
+		end()
+		return
+	}
+	var body []byte
+	var err error
+	n.Background(func() {
+		ctx, cancel := n.Clock.WithTimeout(context.Background(), bodyTimeout)
+		defer cancel()
+		body, err = n.Objects.Get(ctx, objectKeyPrefix+digest)
+	}, func() {
+		n.locked(func() {
+			if err == nil && number > n.versions.current.number {
+				if err = n.versions.replace(number, digest, body); err == nil {
+					n.changed(fromObjects)
+				}
+			}
+			if err != nil {
+				eventBadDelta.Log(context.Background(), n.Logger, slog.String("reason", err.Error()))
+			}
+			end()
+		})
+	})
+}
+
+// Fetch implements peerpb.Peer.
+func (n *Node) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.FetchAnswer, error) {
+	if r.GetVersion() < 0 {
+		return nil, n.refuse(ctx, fmt.Errorf("the version is negative"))
+	}
+	n.mu.Lock()
+	defer n.unlock()
+	return n.versions.since(r.GetVersion()), nil
+}
+
+// tree returns the members that a version is spread over, the root first and the others in an order that differs from
+// version to version. Members agree on it as far as their member lists agree; probes repair what they miss.
+func (n *Node) tree(version int64, root, zone string) []*member {
+	all := []*member{&n.members.self}
+	for _, id := range n.members.ids((*member).live) {
+		if m := n.members.all[id]; zone == "" || m.zone == zone {
+			all = append(all, m)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if (all[i].id == root) != (all[j].id == root) {
+			return all[i].id == root
+		}
+		return hashOrder(version, all[i].id) < hashOrder(version, all[j].id)
+	})
+	return all
+}
+
+// handOn sends the version in force to the children of this node in the tree, once for each version and scope.
+func (n *Node) handOn(root, zone string) {
+	number := n.versions.current.number
+	if number <= n.pushed[zone] {
+		return
+	}
+	n.pushed[zone] = number
+	tree := n.tree(number, root, zone)
+	for i, m := range tree {
+		if m.id == n.ID {
+			n.pushChildren(tree, i, &peerpb.PushRequest{From: n.members.self.wire(), Root: root, Zone: zone,
+				Delta: n.versions.last()})
+			return
+		}
+	}
+}
+
+// pushChildren pushes to the children of a position; a child that does not answer is replaced by its own children.
+func (n *Node) pushChildren(tree []*member, position int, request *peerpb.PushRequest) {
+	for child := pushFanOut*position + 1; child <= pushFanOut*(position+1) && child < len(tree); child++ {
+		m := tree[child]
+		if m.id == n.ID {
+			continue
+		}
+		var answer *peerpb.PushAnswer
+		counters.Add("pushes", 1)
+		n.Transport.Call(m.address, false, callTimeout, func(ctx context.Context, p peerpb.Peer) (err error) {
+			answer, err = p.Push(ctx, request)
+			return err
+		}, func(err error) {
+			n.locked(func() {
+				if err != nil {
+					n.pushChildren(tree, child, request)
+				} else if answer.GetVersion() >= m.version {
+					m.version, m.versionAt = answer.GetVersion(), n.Clock.Now()
+				}
+			})
+		})
+	}
+}
+
+// Push implements peerpb.Peer.
+func (n *Node) Push(ctx context.Context, r *peerpb.PushRequest) (*peerpb.PushAnswer, error) {
+	d := r.GetDelta()
+	if !validMember(r.GetFrom()) || d.GetVersion() <= 0 || len(d.GetDelta()) > maxDelta ||
+		len(d.GetDigest()) > maxName || d.GetDigest() == "" || len(r.GetRoot()) > maxName ||
+		(r.GetZone() != "" && r.GetZone() != n.Zone) {
+		return nil, n.refuse(ctx, fmt.Errorf("the push is malformed"))
+	}
+	n.mu.Lock()
+	defer n.unlock()
+	if !n.running {
+		return nil, errNotRunning
+	}
+	n.members.merge(r.GetFrom(), n.Clock.Now(), true)
+	own := n.versions.current.number
+	switch {
+	case d.GetVersion() > own:
+		if n.pending == nil || n.pending.GetDelta().GetVersion() < d.GetVersion() {
+			n.pending = r
+		}
+		n.learn(d, fromPush, r.GetFrom().GetAddress())
+	case d.GetVersion() == own && d.GetDigest() != n.versions.current.digest:
+		eventConflict.Log(ctx, n.Logger, slog.String("peer", r.GetFrom().GetId()), slog.Int64("version", own))
+	case d.GetVersion() == own:
+		// The poll was faster, but the members below this one in the tree may be cut off from the table.
+		n.handOn(r.GetRoot(), r.GetZone())
+	}
+	return &peerpb.PushAnswer{Version: n.versions.current.number}, nil
+}
+
+// poll reads all rows of interest in one Read.
+func (n *Node) poll() {
+	if n.polling {
+		return // a slow table gets no second read
+	}
+	n.polling = true
+	keys := []string{currentKey}
+	if n.Rosters != nil {
+		keys = append(keys, rosterKeyPrefix+n.Zone)
+	}
+	own := len(keys)
+	for key := range n.Rows {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys[own:])
+	var rows []platform.Row
+	var err error
+	asked := n.Clock.Now()
+	n.Background(func() {
+		ctx, cancel := n.Clock.WithTimeout(context.Background(), bodyTimeout)
+		defer cancel()
+		rows, err = n.Table.Read(ctx, keys...)
+	}, func() {
+		n.locked(func() {
+			n.polling = false
+			n.polled(err)
+			if err == nil {
+				n.onCurrent(rows[0])
+				if n.Rosters != nil {
+					n.onRoster(rows[1], asked)
+				}
+				for _, row := range rows[own:] {
+					n.post(func() { n.Rows[row.Key()](row) })
+				}
+			}
+		})
+	})
+}
+
+func (n *Node) polled(err error) {
+	if err == nil {
+		if n.pollFails > 0 {
+			eventTableBack.Log(context.Background(), n.Logger)
+		}
+		n.pollFails = 0
+		return
+	}
+	counters.Add("polls-failed", 1)
+	if n.pollFails++; n.pollFails == 1 {
+		eventTableAway.Log(context.Background(), n.Logger, slog.String("reason", err.Error()))
+	}
+	n.confirmByPeers()
+}
+
+// onCurrent takes the row config/current. A reading that shows an older version, or none, changes nothing: it is a
+// lagging read, or the table has lost the row, and a version in force never goes back.
+func (n *Node) onCurrent(row platform.Row) {
+	own := n.versions.current
+	var number int64
+	var digest string
+	var delta []byte
+	if row.Version() > 0 {
+		var err error
+		if number, digest, delta, err = n.Codec.Current(row.Value()); err != nil {
+			eventBadRow.Log(context.Background(), n.Logger, slog.String("row", currentKey),
+				slog.String("reason", err.Error()))
+			return
+		}
+	}
+	switch {
+	case number > own.number:
+		n.learn(&peerpb.Delta{Version: number, Digest: digest, Delta: delta}, fromTable, "")
+	case number < own.number && n.oldReported != own.number:
+		n.oldReported = own.number
+		eventOld.Log(context.Background(), n.Logger, slog.Int64("version", number),
+			slog.Int64("in-force", own.number))
+	case number == own.number && number > 0 && digest != own.digest:
+		eventConflict.Log(context.Background(), n.Logger, slog.Int64("version", number))
+	}
+}
+
+// pollSoon polls again after a short jittered pause, for a write that lost a race.
+func (n *Node) pollSoon() {
+	n.after(50+clock.Millis(n.random.Int64N(150)), func() { n.locked(n.poll) })
+}
