slots: count a quarantine only while the table answers

Cause: a property test over joins, leaves, removals, pauses, crashes, loans and table faults found 11 requests on a worker of 8 slots. A member was paused while it was removed, woke up during an outage of the table while the others were paused, and went on because nobody told it otherwise; the others then grew by time alone. Change: the lease period of a quarantine counts only while the table answers without a gap, and after a pause longer than the lease period an attempt to confirm counts only if the table answered, or a peer that was not suspended meanwhile. Ledger.Confirm takes both, and Ledger.Unbroken is what a peer answers with. The property test and focused tests of each rule are added.

--- a/slots/doc.go
+++ b/slots/doc.go
@@ -8,9 +8,10 @@
 //   - At start it reads roster/<zone>, commits Roster.Join conditional on the version of the row, and repeats both
 //     after a conflict.
 //   - Once a second it notes the time, reads the row, calls SetRoster, commits what Ledger.Propose returns (if it
-//     says that the row changes) conditional on the version, and calls Confirm with the noted time. While the table
-//     does not answer it asks the peers of the zone for their roster (Roster.Encode and Version) instead, and calls
-//     Confirm once the attempt is complete, also when nobody answered. An attempt takes at most 3 s.
+//     says that the row changes) conditional on the version, and calls Confirm with the noted time and true. While the
+//     table does not answer it asks the peers of the zone for their roster (Roster.Encode and Version) and their
+//     Ledger.Unbroken instead, and calls Confirm with false and the greatest answer once the attempt is complete, also
+//     when nobody answered. An attempt takes at most 3 s.
 //   - When Ledger.Member reports that the instance is no longer in the roster it joins again with a greater
 //     incarnation, after Ledger.Rejoin.
 //   - A member that was silent for the lease period is removed with Roster.Remove.
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -35,11 +35,29 @@
 	incarnation int64
 	used        map[int64]bool // incarnations of this process
 	rosters     map[string]Roster
-	departed    map[identity]clock.Millis // of the own zone, with the time when they were first seen
-	free        map[identity]bool         // departed members whose slots are certainly not in use
-	withLoans   map[*Account]bool         // accounts that expire has to visit
+	departed    map[identity]*quarantine // of the own zone
+	free        map[identity]bool        // departed members whose slots are certainly not in use
+	table       reach
+	unbroken    clock.Millis      // since when every attempt to confirm followed the one before within the lease period
+	withLoans   map[*Account]bool // accounts that expire has to visit
 }
 
+// quarantine is the time during which the slots of a departed member stay unused.
+type quarantine struct {
+	seen    clock.Millis // when this instance learned of the departure
+	stopped clock.Millis // by when the member had certainly stopped dispatching
+	settled bool         // stopped holds a time
+}
+
+// reach is the period for which the table answered without a gap.
+type reach struct {
+	since, last clock.Millis // beginnings of the first and of the last attempt
+	answers     bool
+}
+
+// maxGap is the longest time between two attempts of a period without a gap: one poll a second may fail to run.
+const maxGap = 2 * clock.Second
+
 // Want is a resource of which the instance is short.
 type Want struct {
 	resource string
@@ -86,16 +104,16 @@
 	l.rosters[zone] = roster
 	now := l.Clock.Now()
 	if zone == l.Zone {
-		departed := make(map[identity]clock.Millis)
+		departed := make(map[identity]*quarantine)
 		for _, m := range roster.members {
 			if m.f.State == Active {
 				continue
 			}
-			seen, known := l.departed[m.identity()]
-			if !known {
-				seen = now
+			q := l.departed[m.identity()]
+			if q == nil {
+				q = &quarantine{seen: now}
 			}
-			departed[m.identity()] = seen
+			departed[m.identity()] = q
 		}
 		l.departed = departed
 		for m := range l.free {
@@ -133,20 +151,50 @@
 }
 
 // Confirm says that an attempt to confirm the membership, begun at the given time, is complete: the table or a peer
-// answered and SetRoster was called, or nobody answered. Without a call the instance dispatches nothing once the lease
-// period has passed since the beginning of the last attempt.
-func (l *Ledger) Confirm(started clock.Millis) {
+// answered and SetRoster was called, or nobody answered. The flag says whether the table answered, and unbroken is the
+// greatest value of Unbroken that a peer of the zone answered with, or 0. Without a call the instance dispatches nothing
+// once the lease period has passed since the beginning of the last attempt.
+//
+// After a pause longer than the lease period the attempt counts only when the table answered, or a peer that was not
+// suspended meanwhile itself. Otherwise the instance could have been removed, and its slots be in use elsewhere, while
+// it and every peer that knows of it were paused.
+func (l *Ledger) Confirm(started clock.Millis, table bool, unbroken clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin()
-	now := l.Clock.Now()
-	l.updateAll(now)
-	if !l.started.Load() || started > clock.Millis(l.confirmed.Load()) {
+	if table {
+		if !l.table.answers || started-l.table.last > maxGap {
+			l.table.since = started
+		}
+		l.table.last = max(l.table.last, started)
+	}
+	l.table.answers = table
+	l.updateAll(l.Clock.Now())
+	last := clock.Millis(l.confirmed.Load())
+	if !l.started.Load() || started-last > LeasePeriod {
+		if l.started.Load() && !table && unbroken < started-last {
+			return
+		}
+		l.unbroken = started
+	}
+	if !l.started.Load() || started > last {
 		l.confirmed.Store(int64(started))
 		l.started.Store(true)
 	}
 }
 
+// Unbroken returns for how long the instance has confirmed its membership without a pause longer than the lease period,
+// or 0 while it is suspended. It goes with the roster to a peer that asks because the table does not answer.
+func (l *Ledger) Unbroken() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if !l.live(now) {
+		return 0
+	}
+	return now - l.unbroken
+}
+
 // Propose returns the roster row that follows from the newest known one and from the slots in use here: the own
 // confirmation of the current generation, and the release of departed members whose slots are certainly free. It
 // reports false when there is nothing to write. The row is written conditional on Roster.Version.
@@ -247,7 +295,7 @@
 	l.incarnation = l.Incarnation
 	l.used = map[int64]bool{l.Incarnation: true}
 	l.rosters = make(map[string]Roster)
-	l.departed = make(map[identity]clock.Millis)
+	l.departed = make(map[identity]*quarantine)
 	l.free = make(map[identity]bool)
 }
 
@@ -322,9 +370,16 @@
 
 // release notes the departed members whose slots are certainly free: the quarantine has passed, or the member was an
 // earlier incarnation of this process and nothing of the own share is in use.
+//
+// A removed member that reaches neither the table nor a peer goes on, so the lease period counts only while the table
+// answers here without a gap: then the member could read of its removal as well. After an outage of the table during
+// which the others were paused, time alone would say nothing.
 func (l *Ledger) release(now clock.Millis) {
-	for m, seen := range l.departed {
-		if now-seen >= Quarantine || (m.ID == l.ID && l.used[m.Incarnation] && l.idle()) {
+	for m, q := range l.departed {
+		if !q.settled && l.table.answers && l.table.last-max(l.table.since, q.seen) >= LeasePeriod {
+			q.settled, q.stopped = true, l.table.last
+		}
+		if (q.settled && now-q.stopped >= LongestDeadline) || (m.ID == l.ID && l.used[m.Incarnation] && l.idle()) {
 			l.free[m] = true
 		}
 	}
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -43,7 +43,7 @@
 	for range 2 {
 		for _, l := range ledgers {
 			l.SetRoster("z", r)
-			l.Confirm(l.Clock.Now())
+			l.Confirm(l.Clock.Now(), true, 0)
 			if next, changed := l.Propose(); changed {
 				next.version = r.version + 1
 				r = next
@@ -96,7 +96,11 @@
 	removed, _ := r.Remove("b", 1)
 	removed.version++
 	r = exchange(removed, a)
-	c.Advance(Quarantine - 1)
+	for range Quarantine/clock.Second - 1 {
+		c.Advance(clock.Second)
+		r = exchange(r, a)
+	}
+	c.Advance(clock.Second - 1)
 	r = exchange(r, a)
 	if got := a.Account("worker/w").Free(); got != 4 {
 		t.Errorf("within the quarantine got %d free, want 4", got)
@@ -110,7 +114,7 @@
 		t.Errorf("members after the release got %d, want 1", got)
 	}
 	// A removed process learns of it, stops, and releases its old incarnation itself once nothing is in use.
-	b.Confirm(c.Now())
+	b.Confirm(c.Now(), true, 0)
 	b.Account("worker/w").TryAcquire(c.Now() + 1)
 	removed, _ = join(r, "b").Remove("b", 1)
 	removed.version = r.version + 2
@@ -128,18 +132,97 @@
 	}
 }
 
-// Guards against a dispatch after a pause before one attempt to confirm is complete.
+// Guards against a dispatch after a pause before an attempt to confirm has an answer of someone who knows.
 func TestPauseSuspends(t *testing.T) {
 	c := clock.NewFake(0)
 	a := member(c, "a")
 	exchange(join(Roster{}, "a"), a)
-	c.Advance(LeasePeriod + 1)
-	if a.Account("worker/w").TryAcquire(c.Now()+1) || a.Account("worker/w").Free() != 0 {
-		t.Errorf("after a pause got a slot, want none")
+	pause := LeasePeriod + 2
+	c.Advance(pause)
+	for _, test := range []struct {
+		name              string
+		started, unbroken clock.Millis
+		table, want       bool
+	}{
+		{"no attempt", 0, 0, true, false},
+		{"attempt from before the pause", 1, 0, true, false},
+		{"nobody answers", pause, 0, false, false},
+		{"a peer that was paused as well answers", pause, pause - 2, false, false},
+		{"a peer answers", pause, pause, false, true},
+		{"the table answers", pause, 0, true, true},
+	} {
+		l := member(c, "a")
+		l.SetRoster("z", a.Roster("z"))
+		l.Confirm(0, true, 0)
+		l.Confirm(test.started, test.table, test.unbroken)
+		if got := l.Account("worker/w").TryAcquire(c.Now() + 1); got != test.want || (l.Unbroken() > 0) {
+			t.Errorf("%s: got a slot %v, want %v; unbroken %d, want 0", test.name, got, test.want, l.Unbroken())
+		}
 	}
-	a.Confirm(c.Now())
-	if !a.Account("worker/w").TryAcquire(c.Now() + 1) {
-		t.Errorf("after the attempt got no slot, want one")
+}
+
+// Guards against a quarantine that ends by time alone, while the table was away and the removed member, which cannot
+// read of its removal, goes on; found by TestSlotsInUseNeverExceedTheWorker.
+func TestQuarantineNeedsTheTable(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	r := exchange(join(join(Roster{}, "a"), "b"), a, b)
+	removed, _ := r.Remove("b", 1)
+	removed.version++
+	a.SetRoster("z", removed)
+	poll := func(d clock.Millis, table bool) {
+		for range d / clock.Second {
+			c.Advance(clock.Second)
+			a.Confirm(c.Now(), table, 0)
+		}
+	}
+	poll(2*Quarantine, false)
+	if next, _ := a.Propose(); len(next.Members()) != 2 {
+		t.Errorf("after an outage Propose got members %v, want the removed one kept", next.Members())
+	}
+	poll(Quarantine, true)
+	if got := a.Account("worker/w").Free(); got != 4 {
+		t.Errorf("before the end of the quarantine got %d free, want 4", got)
+	}
+	poll(clock.Second, true)
+	exchange(removed, a)
+	if got := a.Account("worker/w").Free(); got != 8 {
+		t.Errorf("after the quarantine got %d free, want 8", got)
+	}
+}
+
+// Guards against the use of slots that a crashed predecessor may still use.
+func TestPredecessorIsQuarantined(t *testing.T) {
+	c := clock.NewFake(0)
+	a := member(c, "a")
+	r := exchange(join(Roster{}, "a"), a)
+	next, _ := r.Join("a", 2)
+	next.version++
+	successor := &Ledger{Clock: c, ID: "a", Incarnation: 2, Zone: "z"}
+	successor.SetCapacity("worker/w", "z", 8)
+	exchange(next, successor)
+	if got := successor.Account("worker/w").Free(); got != 0 {
+		t.Errorf("successor got %d free, want 0", got)
+	}
+}
+
+// Guards against a release that frees an own slot while the request that ended used the loan: the long requests that go
+// on would use more than the own share after the loan.
+func TestReleaseGoesToTheLoan(t *testing.T) {
+	c := clock.NewFake(0)
+	a := member(c, "a")
+	exchange(join(Roster{}, "a"), a)
+	account := a.Account("worker/w")
+	for range 8 {
+		account.TryAcquire(LongestDeadline)
+	}
+	a.Borrow("x", "worker/w", 1, LoanPeriod)
+	if !account.TryAcquire(LoanPeriod) {
+		t.Fatalf("short request got no slot, want that of the loan")
+	}
+	account.Release()
+	if account.TryAcquire(LongestDeadline) {
+		t.Errorf("ninth long request got a slot, want none")
 	}
 }
 
@@ -148,7 +231,7 @@
 	c := clock.NewFake(0)
 	a, b := member(c, "a"), member(c, "b")
 	exchange(join(Roster{}, "a"), a)
-	b.Confirm(0)
+	b.Confirm(0, true, 0)
 	granted, period := a.Lend("b", "worker/w", 5)
 	if granted != 5 || period != LoanPeriod || a.Account("worker/w").Free() != 3 {
 		t.Fatalf("Lend got %d for %d ms, want 5 for %d", granted, period, LoanPeriod)
@@ -165,16 +248,55 @@
 		t.Errorf("Wants got %v, want one unit of worker/w", got)
 	}
 	c.Advance(LoanPeriod)
-	b.Confirm(c.Now())
-	a.Confirm(c.Now())
+	b.Confirm(c.Now(), true, 0)
+	a.Confirm(c.Now(), true, 0)
 	if account.Free() != 0 || account.Used() != 1 || a.Account("worker/w").Free() != 3 {
 		t.Errorf("at the end of the loan got %d free here and %d there, want 0 and 3", account.Free(),
 			a.Account("worker/w").Free())
 	}
 	account.Release()
 	c.Advance(loanMargin)
-	a.Confirm(c.Now())
+	a.Confirm(c.Now(), true, 0)
 	if got := a.Account("worker/w").Free(); got != 8 {
 		t.Errorf("lender after the margin got %d free, want 8", got)
 	}
 }
+
+// Guards against a confirmation of a smaller share while more than it is lent.
+func TestLentSlotsDelayTheConfirmation(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	r := exchange(join(Roster{}, "a"), a)
+	a.Lend("x", "worker/w", 5)
+	r = exchange(join(r, "b"), a, b)
+	if got := b.Account("worker/w").Free(); got != 0 {
+		t.Errorf("new member while 5 slots are lent got %d free, want 0", got)
+	}
+	c.Advance(LoanPeriod + loanMargin)
+	exchange(r, a, b)
+	if got := b.Account("worker/w").Free(); got != 4 {
+		t.Errorf("new member after the loan got %d free, want 4", got)
+	}
+}
+
+// Guards against a roster that changes on its way through the table, and against a repeated join.
+func TestRosterJSON(t *testing.T) {
+	r := join(join(Roster{}, "a"), "b")
+	r, _ = r.Leave("a", 1)
+	got := string(r.Encode())
+	want := `{"generation":3,"members":[` +
+		`{"id":"a","incarnation":1,"state":"leaving","confirmed-generation":1},` +
+		`{"id":"b","incarnation":1,"state":"active","confirmed-generation":2}],"past":[` +
+		`{"generation":1,"members":[{"id":"a","incarnation":1}]},` +
+		`{"generation":2,"members":[{"id":"a","incarnation":1},{"id":"b","incarnation":1}]}]}`
+	if got != want {
+		t.Errorf("Encode got %s, want %s", got, want)
+	}
+	decoded, err := DecodeRoster([]byte(got), 7)
+	if err != nil || string(decoded.Encode()) != want || decoded.Version() != 7 {
+		t.Errorf("DecodeRoster got %s and %v, want the same roster", decoded.Encode(), err)
+	}
+	if _, ok := decoded.Join("b", 1); ok {
+		t.Errorf("a second Join with one incarnation got true, want false")
+	}
+}
--- /dev/null
+++ b/slots/property_test.go
@@ -0,0 +1,330 @@
+package slots
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/platform"
+)
+
+// TestMain fixes the seed and the size of the property test, so that every run gives the same verdict; the flags
+// -rapid.seed and -rapid.checks come after these values and override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const (
+	worker = "worker/w"
+	units  = 8
+)
+
+// process is one start of an entry instance, with the peer module played by the test.
+type process struct {
+	*Ledger
+	incarnation          int64
+	paused, dead, leaves bool
+	due                  int // releases that a paused process makes when it wakes
+	poll                 *poll
+}
+
+// poll is an attempt to confirm between its beginning and its end.
+type poll struct {
+	started  clock.Millis
+	roster   Roster
+	table    bool
+	unbroken clock.Millis
+}
+
+type running struct {
+	process  *process
+	deadline clock.Millis
+}
+
+// fleet is a zone of entry instances, one instance of another zone that only borrows, and one worker.
+type fleet struct {
+	clock       *clock.Clock
+	faults      *fault.Driver
+	table       platform.Table
+	processes   []*process
+	requests    []running
+	operations  int
+	incarnation int64
+}
+
+func newFleet() *fleet {
+	f := &fleet{clock: clock.NewFake(0), faults: &fault.Driver{}}
+	f.table = memory.New(f.clock, f.faults).View("z").Table()
+	for i, zone := range []string{"z", "z", "z", "y"} {
+		f.processes = append(f.processes, f.start(string(rune('a'+i)), zone))
+	}
+	return f
+}
+
+func (f *fleet) start(id, zone string) *process {
+	f.incarnation++
+	p := &process{Ledger: &Ledger{Clock: f.clock, ID: id, Incarnation: f.incarnation, Zone: zone},
+		incarnation: f.incarnation}
+	p.SetCapacity(worker, "z", units)
+	return p
+}
+
+func (f *fleet) read() (Roster, bool) {
+	rows, err := f.table.Read(context.Background(), "roster/z")
+	if err != nil {
+		return Roster{}, false
+	}
+	r, err := DecodeRoster(rows[0].Value(), rows[0].Version())
+	return r, err == nil
+}
+
+func (f *fleet) write(r Roster, changed bool) {
+	if changed {
+		f.operations++
+		// The outcome is ignored: the next read of the row shows it.
+		_ = f.table.Commit(context.Background(), platform.NewTransaction(fmt.Sprint(f.operations),
+			platform.Put("roster/z", r.Encode(), r.Version())))
+	}
+}
+
+// beginPoll reads the table, or the rosters of the peers that answer.
+func (f *fleet) beginPoll(p *process) {
+	p.poll = &poll{started: f.clock.Now()}
+	if p.poll.roster, p.poll.table = f.read(); p.poll.table {
+		return
+	}
+	for _, o := range f.processes {
+		if o == p || o.Zone != "z" || o.paused {
+			continue
+		}
+		p.poll.unbroken = max(p.poll.unbroken, o.Unbroken())
+		if r := o.Roster("z"); r.Version() > p.poll.roster.Version() {
+			p.poll.roster = r
+		}
+	}
+}
+
+func (f *fleet) endPoll(p *process) {
+	q := p.poll
+	p.poll = nil
+	p.SetRoster("z", q.roster)
+	p.Confirm(q.started, q.table, q.unbroken)
+	if p.Zone != "z" || !q.table {
+		return
+	}
+	if !p.Member() && !p.leaves {
+		if m, known := q.roster.Member(p.ID, p.incarnation); known && m.State() != Active {
+			f.incarnation++
+			p.incarnation = f.incarnation
+			p.Rejoin(p.incarnation)
+		}
+		f.write(q.roster.Join(p.ID, p.incarnation))
+		return
+	}
+	f.write(p.Propose())
+}
+
+// tick advances the time in small steps, in which every process that can polls once a second.
+func (f *fleet) tick(d clock.Millis) {
+	for ; d > 0; d -= clock.Second {
+		f.advance(min(d, clock.Second))
+		for _, p := range f.processes {
+			if !p.paused && !p.dead {
+				f.beginPoll(p)
+				f.endPoll(p)
+			}
+		}
+	}
+}
+
+// advance moves the time; requests end at their deadline, and a paused process notices when it wakes.
+func (f *fleet) advance(d clock.Millis) {
+	f.clock.Advance(d)
+	var rest []running
+	for _, r := range f.requests {
+		if f.clock.Now() < r.deadline {
+			rest = append(rest, r)
+		} else if r.process.paused {
+			r.process.due++
+		} else if !r.process.dead {
+			r.process.Account(worker).Release()
+		}
+	}
+	f.requests = rest
+}
+
+func (f *fleet) wake(p *process) {
+	p.paused = false
+	for ; p.due > 0; p.due-- {
+		p.Account(worker).Release()
+	}
+	if p.poll != nil {
+		f.endPoll(p)
+	}
+}
+
+// finish ends the requests that the function names, unless their process is paused.
+func (f *fleet) finish(which func(running) bool) {
+	var rest []running
+	for _, r := range f.requests {
+		if !r.process.paused && !r.process.dead && which(r) {
+			r.process.Account(worker).Release()
+		} else {
+			rest = append(rest, r)
+		}
+	}
+	f.requests = rest
+}
+
+func (f *fleet) acquire(p *process, d clock.Millis) {
+	if deadline := f.clock.Now() + d; !p.paused && !p.dead && p.Account(worker).TryAcquire(deadline) {
+		f.requests = append(f.requests, running{p, deadline})
+	}
+}
+
+// Guards against more requests on a worker than it has slots, under joins, leaves, removals, pauses, crashes, loans and
+// a table that is cut off or loses answers; and against slots that stay unused once everything works again.
+func TestSlotsInUseNeverExceedTheWorker(t *testing.T) { rapid.Check(t, checkSlots) }
+
+func checkSlots(t *rapid.T) {
+	f := newFleet()
+	f.tick(5 * clock.Second)
+	pick := func(t *rapid.T) *process { return rapid.SampledFrom(f.processes).Draw(t, "process") }
+	with := func(act func(t *rapid.T, p *process)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			if p := pick(t); !p.paused && !p.dead {
+				act(t, p)
+			}
+		}
+	}
+	// Every process takes all it can get, so that a share that is too large shows at once.
+	greedy := func(t *rapid.T) {
+		first := rapid.IntRange(0, 3).Draw(t, "first")
+		d := rapid.SampledFrom([]clock.Millis{500, 8 * clock.Second, LongestDeadline, 2 * LongestDeadline}).Draw(t, "d")
+		for i := range 4 * units {
+			f.acquire(f.processes[(first+i/units)%4], d)
+		}
+	}
+	tick := func(t *rapid.T) {
+		f.tick(rapid.SampledFrom([]clock.Millis{50, clock.Second, 6 * clock.Second, 11 * clock.Second,
+			31 * clock.Second}).Draw(t, "tick"))
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"tick": tick, "tick again": tick,
+		"sleep": func(t *rapid.T) { f.advance(clock.Millis(rapid.IntRange(1, 40000).Draw(t, "sleep"))) },
+		"finish": func(t *rapid.T) {
+			from, every := rapid.IntRange(0, units).Draw(t, "from"), rapid.IntRange(1, units).Draw(t, "every")
+			f.finish(func(running) bool { from++; return from%every == 0 })
+		},
+		"poll":             with(func(t *rapid.T, p *process) { f.beginPoll(p); f.endPoll(p) }),
+		"pause":            with(func(t *rapid.T, p *process) { p.paused = true }),
+		"pause in a poll":  with(func(t *rapid.T, p *process) { f.beginPoll(p); p.paused = true }),
+		"wake":             func(t *rapid.T) { f.wake(pick(t)) },
+		"crash":            with(func(t *rapid.T, p *process) { f.crash(p) }),
+		"cut the table":    func(t *rapid.T) { f.faults.Partition("z") },
+		"table is back":    func(t *rapid.T) { f.faults.Heal("z") },
+		"lose the answer":  func(t *rapid.T) { f.faults.Next(memory.StepCommit, fault.LoseAnswer, 1) },
+		"lose the request": func(t *rapid.T) { f.faults.Next(memory.StepCommit, fault.LoseRequest, 1) },
+		"leave": with(func(t *rapid.T, p *process) {
+			if r, ok := f.read(); ok {
+				p.leaves = true
+				f.write(r.Leave(p.ID, p.incarnation))
+			}
+		}),
+		"stay": with(func(t *rapid.T, p *process) { p.leaves = false }),
+		"remove": with(func(t *rapid.T, p *process) {
+			if r, ok := f.read(); ok {
+				o := pick(t)
+				f.write(r.Remove(o.ID, o.incarnation))
+			}
+		}),
+		"lapse": with(func(t *rapid.T, p *process) { // is removed during a pause, which may lie inside a poll
+			f.faults.ClearAll()
+			if rapid.Bool().Draw(t, "in a poll") {
+				f.beginPoll(p)
+			}
+			p.paused = true
+			if r, ok := f.read(); ok {
+				f.write(r.Remove(p.ID, p.incarnation))
+			}
+			tick(t)
+			if rapid.Bool().Draw(t, "outage") { // of the table, during which the others are paused as well
+				f.faults.Partition("z")
+				for _, o := range f.processes {
+					o.paused = o != p
+				}
+				f.wake(p)
+				tick(t)
+				greedy(t)
+				for _, o := range f.processes {
+					f.wake(o)
+				}
+				f.tick(clock.Second)
+			} else {
+				tick(t)
+				f.wake(p)
+			}
+		}),
+		"lend": with(func(t *rapid.T, p *process) {
+			o, delay := pick(t), clock.Millis(rapid.IntRange(0, 2000).Draw(t, "delay"))
+			if o.paused || o.dead {
+				return
+			}
+			f.finish(func(r running) bool { return r.process == o })
+			granted, period := o.Lend(p.ID, worker, rapid.IntRange(1, units).Draw(t, "want"))
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				return
+			}
+			f.advance(delay)
+			p.Borrow(o.ID, worker, granted, period-delay)
+			greedy(t)
+			if rapid.Bool().Draw(t, "use up") {
+				f.tick(LoanPeriod + loanMargin - delay)
+			}
+		}),
+		"": func(t *rapid.T) {
+			if rapid.Bool().Draw(t, "greedy") {
+				greedy(t)
+			}
+			if got := len(f.requests); got > units {
+				t.Fatalf("requests on the worker got %d, want at most %d", got, units)
+			}
+		},
+	})
+	f.faults.ClearAll()
+	for _, p := range f.processes {
+		p.leaves = false
+		f.wake(p)
+	}
+	f.tick(2 * clock.Minute)
+	total := 0
+	for _, p := range f.processes {
+		total += p.Account(worker).Free()
+	}
+	if total != units || len(f.requests) != 0 {
+		t.Fatalf("free slots at the end got %d with %d requests, want %d and 0", total, len(f.requests), units)
+	}
+}
+
+// crash ends a process and starts its successor; the requests that it sent go on until their deadline.
+func (f *fleet) crash(p *process) {
+	p.dead = true
+	for i, o := range f.processes {
+		if o == p {
+			f.processes[i] = f.start(p.ID, p.Zone)
+		}
+	}
+}
--- a/slots/roster.go
+++ b/slots/roster.go
@@ -14,8 +14,8 @@
 const (
 	LeasePeriod     = 5 * clock.Second
 	LongestDeadline = 30 * clock.Second
-	// Quarantine is how long the slots of a departed member stay unused. The member dispatches for at most the lease
-	// period after its removal, and what it dispatched ends by the longest deadline.
+	// Quarantine is how long the slots of a departed member stay unused, if the table answers. The member dispatches
+	// for at most the lease period after its removal, and what it dispatched ends by the longest deadline.
 	Quarantine = LeasePeriod + LongestDeadline
 )
 
