--- a/admission/queue.go
+++ b/admission/queue.go
@@ -408,10 +408,7 @@
 			above, furthest = over, i
 		}
 	}
-	if q.classes[r.class].length < q.guaranteed(r.class) {
-		if furthest < 0 {
-			return nil
-		}
+	if furthest >= 0 && q.classes[r.class].length < q.guaranteed(r.class) {
 		return q.classes[furthest].longest().newest()
 	}
 	c := &q.classes[r.class]
@@ -425,8 +422,10 @@
 	return nil
 }
 
-// guaranteed returns the part of the queue that a class keeps under a flood of the other classes.
-func (q *Queue[G]) guaranteed(class int) int { return max(1, q.MaxLength*weights[class]/weightTotal) }
+// guaranteed returns the part of the lists that a class keeps under a flood of the other classes.
+func (q *Queue[G]) guaranteed(class int) int {
+	return max(1, (q.MaxLength-int(q.pending.Load()))*weights[class]/weightTotal)
+}
 
 func (c *class[G]) longest() *line[G] {
 	var found *line[G]
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -134,6 +134,9 @@
 					displaced++
 				}
 			}
+			if newest := tickets[len(tickets)-1]; newest.state != stateRefused {
+				t.Errorf("%s under a flood of %s: newest request got state %v, want refused", small, flood, newest.state)
+			}
 			b.serve(append(tickets, ticket), 13)
 			if displaced != 1 || b.Length() > 26 || ticket.state != stateGranted {
 				t.Errorf("%s under a flood of %s: displaced %d, length %d, state %v; want 1, at most 26, granted",
@@ -199,3 +202,18 @@
 		t.Errorf("third got state %v with %d in the queue, want granted and 0", third.state, b.Length())
 	}
 }
+
+// Guards against a newcomer that takes a slot between its release and the wake-up of those who wait.
+func TestNewcomerDoesNotOvertake(t *testing.T) {
+	b := newBench(0, 200, 0)
+	first, _ := b.wait("a", "", config.Normal, clock.Minute)
+	b.free++
+	newcomer, _ := b.Enter(NewRequest("b", "", config.Normal, clock.Minute))
+	if _, ok := newcomer.fast(context.Background(), 0); ok {
+		t.Errorf("newcomer got a slot, want none")
+	}
+	b.Wake()
+	if first.state != stateGranted {
+		t.Errorf("first got state %v, want granted", first.state)
+	}
+}
