Find entry instances through the platform's list

Cause: instances without seeds never met. Change: module discovery hands the entry instances of the list to the peer module.

--- a/command/demo.go
+++ b/command/demo.go
@@ -144,16 +144,30 @@
 			ClaimInterval: settings.DefaultClaimInterval, Leave: clock.Second, Stop: settings.DefaultStop}
 		e := &entry.Instance{Settings: s, Clock: d.clock, Logger: d.logger, Platform: d.store.View(zone)}
 		d.entries = append(d.entries, e)
-		modules = append(modules, entryModule{e})
+		modules = append(modules, entryModule{e, d.store})
 	}
 	return modules
 }
 
-type entryModule struct{ *entry.Instance }
+type entryModule struct {
+	*entry.Instance
+	store *memory.Store
+}
 
 // Name implements kernel.Module.
 func (e entryModule) Name() string { return e.Settings.Name }
 
+// Run runs the instance and puts it on the platform's list, where the others find it.
+func (e entryModule) Run(ctx context.Context) error {
+	go func() {
+		if address, err := e.Address(ctx, "peers"); err == nil {
+			e.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: e.Settings.Name, Address: address,
+				Zone: e.Settings.Zone, Role: platform.RoleEntry, State: platform.Live}))
+		}
+	}()
+	return e.Instance.Run(ctx)
+}
+
 // registration puts a worker on the platform's list once it listens.
 type registration struct {
 	demo   *demo
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -195,6 +195,7 @@
 		i.node,
 		&httpServer{name: "peers", listener: i.listeners["peers"],
 			handler: (&peer.Server{Node: i.node, Clock: i.Clock, Logger: i.Logger}).Handler()},
+		discovery{i},
 		i.assignments,
 		&workers{instance: i},
 		named{"claims", i.claims.Run},
