--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -223,7 +223,7 @@
 	b := newBench(t, newWorker(t, fail), newWorker(t, other), newWorker(t, other))
 	var states []routing.WorkerState
 	for i, a := range b.addresses {
-		states = append(states, routing.NewWorkerState(fmt.Sprint("w", i), a, "a", &slotAccount{free: 8}, false))
+		states = append(states, routing.NewWorkerState(fmt.Sprint("w", i), a, "a", newSlots(8), false))
 	}
 	b.handler.Router.Update([]routing.PoolState{routing.NewPoolState("pool", "round-robin", 2, states...)})
 	errorsSeen := 0
@@ -294,19 +294,14 @@
 // A deadline must end a request in each stage with the truth about its run, and reach the worker in its header.
 func TestDeadlines(t *testing.T) {
 	reached := make(chan string, 1)
-	hold := make(chan struct{})
 	b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/svc/large" {
 			_, _ = w.Write(make([]byte, 2<<20))
 			_ = http.NewResponseController(w).Flush()
 		}
 		reached <- r.Header.Get(HeaderDeadline)
-		select {
-		case <-r.Context().Done():
-		case <-hold:
-		}
+		<-r.Context().Done()
 	}))
-	t.Cleanup(func() { close(hold) })
 	pass := func(stage *string) {
 		until(func() bool {
 			found := false
@@ -331,12 +326,12 @@
 	(<-reading).is(t, CodeBodyIncomplete)
 	feed.Close()
 
-	b.claims.block = make(chan struct{})
+	b.claims.block = true
 	claiming := run("POST", "/svc", "", HeaderCaller, "alice", key, "k")
 	pass(&stageClaim)
 	b.clock.Advance(700)
 	(<-claiming).is(t, CodeTooLate)
-	b.claims.block = nil
+	b.claims.block = false
 
 	dispatched := run("GET", "/svc", "")
 	if got := <-reached; got != "700" {
@@ -359,9 +354,7 @@
 	response.Body.Close()
 
 	until(func() bool { return b.handler.running.count.Load() == 0 })
-	b.slots[0].mu.Lock()
-	b.slots[0].free = 0
-	b.slots[0].mu.Unlock()
+	b.slots[0].free.Store(0)
 	waiting := run("GET", "/svc", "")
 	pass(&stageQueue)
 	b.clock.Advance(700)
@@ -485,7 +478,7 @@
 	c := config.New(config.Fields{Pools: []config.PoolFields{{Name: "pool", MaxInFlight: 2}},
 		Teams: []config.TeamFields{{Name: "team", MaxInFlight: 1, Callers: []string{"alice"}}}})
 	b.handler.Configuration = func() *config.Configuration { return c }
-	accounts := map[string]*slotAccount{"pool/pool": {free: 2}, "team/team": {free: 1}}
+	accounts := map[string]*slotAccount{"pool/pool": newSlots(2), "team/team": newSlots(1)}
 	b.handler.Quota = func(resource string) routing.Account { return accounts[resource] }
 	take := func(team string) *Permit { p, _ := b.handler.Acquire("pool", team, clock.Minute); return p }
 	first := take("team")
@@ -497,7 +490,7 @@
 	if accounts["team/team"].Free() != 1 || accounts["pool/pool"].Free() != 1 {
 		t.Errorf("got %d and %d free, want 1 and 1", accounts["team/team"].Free(), accounts["pool/pool"].Free())
 	}
-	b.slots[0].free = 0
+	b.slots[0].free.Store(0)
 	if take("team") != nil || accounts["team/team"].Free() != 1 || accounts["pool/pool"].Free() != 1 {
 		t.Error("want the quotas back when no worker is free")
 	}
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"magnoliaferry/clock"
@@ -18,27 +19,23 @@
 )
 
 // slotAccount is an account with a fixed number of slots.
-type slotAccount struct {
-	mu   sync.Mutex
-	free int
-}
+type slotAccount struct{ free atomic.Int64 }
+
+func newSlots(n int64) *slotAccount { a := &slotAccount{}; a.free.Store(n); return a }
 
 func (a *slotAccount) TryAcquire(clock.Millis) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.free == 0 {
+	if a.free.Add(-1) < 0 {
+		a.free.Add(1)
 		return false
 	}
-	a.free--
 	return true
 }
-func (a *slotAccount) Release()  { a.mu.Lock(); a.free++; a.mu.Unlock() }
-func (a *slotAccount) Free() int { a.mu.Lock(); defer a.mu.Unlock(); return a.free }
+func (a *slotAccount) Release()  { a.free.Add(1) }
+func (a *slotAccount) Free() int { return int(a.free.Load()) }
 
-// directQueue admits at once when a permit is free; otherwise a ticket waits until the test calls Wake.
+// directQueue admits at once when a permit is free; otherwise a ticket waits for Wake.
 type directQueue struct {
 	h      *Handler
-	pool   string
 	refuse *result.Refusal
 	woken  chan struct{}
 }
@@ -48,12 +45,7 @@
 	d Demand
 }
 
-func (q *directQueue) Enter(d Demand) (Ticket, *result.Refusal) {
-	if q.refuse != nil {
-		return nil, q.refuse
-	}
-	return &directTicket{q, d}, nil
-}
+func (q *directQueue) Enter(d Demand) (Ticket, *result.Refusal) { return directTicket{q, d}, q.refuse }
 
 func (q *directQueue) Wake() {
 	select {
@@ -62,9 +54,11 @@
 	}
 }
 
-func (t *directTicket) Wait(ctx context.Context) (*Permit, *result.Refusal) {
+func (t directTicket) Leave() {}
+
+func (t directTicket) Wait(ctx context.Context) (*Permit, *result.Refusal) {
 	for {
-		if p, ok := t.q.h.Acquire(t.q.pool, t.d.Team(), t.d.Deadline()); ok {
+		if p, ok := t.q.h.Acquire("pool", t.d.Team(), t.d.Deadline()); ok {
 			return p, nil
 		}
 		select {
@@ -75,35 +69,27 @@
 	}
 }
 
-func (t *directTicket) Leave() {}
-
 // memoryClaims is a claim store in memory.
 type memoryClaims struct {
 	mu        sync.Mutex
 	decisions map[string]Decision
 	abandoned map[string]int
 	err       error
-	block     chan struct{} // Claim waits for it when set
+	block     bool // Claim waits for the end of its context
 }
 
 func (c *memoryClaims) Claim(ctx context.Context, caller, key string, _ clock.Millis) (Decision, error) {
-	if c.block != nil {
-		select {
-		case <-c.block:
-		case <-ctx.Done():
-			return Decision{}, ctx.Err()
-		}
+	if c.block {
+		<-ctx.Done()
+		return Decision{}, ctx.Err()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil {
-		return Decision{}, c.err
-	}
-	if d, ok := c.decisions[caller+"/"+key]; ok {
-		return d, nil
+	d, known := c.decisions[caller+"/"+key]
+	if !known && c.err == nil {
+		c.decisions[caller+"/"+key] = NewDecision(Claimed, Recorded{})
 	}
-	c.decisions[caller+"/"+key] = NewDecision(Claimed, Recorded{})
-	return NewDecision(Granted, Recorded{}), nil
+	return d, c.err // the zero value is Granted
 }
 
 func (c *memoryClaims) Finish(caller, key string, answer Recorded) {
@@ -150,12 +136,12 @@
 	router.Probe = client.Probe
 	b.handler = &Handler{Clock: b.clock, Instance: "entry-1", Contact: "ops@example.org", Configuration: func() *config.Configuration { return configuration },
 		Claims: b.claims, Router: router, Client: client}
-	b.queue = &directQueue{h: b.handler, pool: "pool", woken: make(chan struct{}, 1)}
+	b.queue = &directQueue{h: b.handler, woken: make(chan struct{}, 1)}
 	b.handler.Queue = func(string) Queue { return b.queue }
 	b.addresses = addresses
 	var states []routing.WorkerState
 	for i, address := range addresses {
-		b.slots = append(b.slots, &slotAccount{free: 8})
+		b.slots = append(b.slots, newSlots(8))
 		states = append(states, routing.NewWorkerState("w"+string(rune('0'+i)), address, "a", b.slots[i], false))
 	}
 	router.Update([]routing.PoolState{routing.NewPoolState("pool", "round-robin", len(addresses), states...)})
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -309,6 +309,9 @@
 		t.Error("want the pool to be well after answers from all")
 	}
 	failOn(r, r.workers["w0"], 5)
+	if got, want := r.Vars().String(), `{"p":{"serving":3,"ejected":1,"leaving":0}}`; got != want {
+		t.Errorf("got gauges %s, want %s", got, want)
+	}
 	r.MarkLeaving(r.workers["w3"])
 	if r.workers["w0"].Ejected() {
 		t.Error("want the ejected worker back when another one leaves and the capacity would not be kept")
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -115,6 +115,24 @@
 	return string(body), failure
 }
 
+// answered sends a request and wants this answer.
+func (f *fixture) answered(want string) {
+	f.t.Helper()
+	if got, failure := f.exchange(f.t.Context(), ""); failure != nil || got != want {
+		f.t.Fatalf("got %q, %v, want %q", got, failure, want)
+	}
+}
+
+// open sends a request and leaves its answer unread.
+func (f *fixture) open() *Answer {
+	f.t.Helper()
+	a, failure := f.target.Do(f.request(f.t.Context(), "GET", nil), "", true)
+	if failure != nil {
+		f.t.Fatal(failure)
+	}
+	return a
+}
+
 func (f *fixture) want(failure *Failure, code *result.Code) {
 	f.t.Helper()
 	if failure == nil || failure.Code() != code {
@@ -174,12 +192,12 @@
 		p.say("HTTP/1.1 503 No\r\nMagnoliaferry-Worker-State: leaving\r\nMagnoliaferry-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
 		p.next()
 	})
-	a, failure := f.target.Do(f.request(t.Context(), "GET", nil), "", true)
-	if failure != nil || !a.Leaving() {
-		t.Fatalf("got %v, want an answer of a leaving worker", failure)
+	a := f.open()
+	if !a.Leaving() {
+		t.Error("want an answer of a leaving worker")
 	}
 	a.Close()
-	_, failure = f.exchange(t.Context(), "")
+	_, failure := f.exchange(t.Context(), "")
 	f.want(failure, CodeRefused)
 	if !failure.Leaving() || failure.Blames() {
 		t.Error("want leaving and no blame")
@@ -198,10 +216,7 @@
 		closed <- struct{}{}
 	})
 	for i := range 6 {
-		got, failure := f.exchange(t.Context(), "")
-		if want := fmt.Sprint(i / 3); failure != nil || got != want {
-			t.Fatalf("request %d: got %q and %v, want connection %s", i, got, failure, want)
-		}
+		f.answered(fmt.Sprint(i / 3))
 		if i%3 == 2 {
 			<-closed
 			f.until(func() bool { open, _ := f.target.Connections(); return open == 0 })
@@ -358,9 +373,7 @@
 	}
 	f.clock.Advance(1)
 	f.want(<-failed, CodeSilent)
-	if got, failure := f.exchange(t.Context(), ""); got != "answer" {
-		t.Errorf("on the new connection: got %q, %v", got, failure)
-	}
+	f.answered("answer") // on a new connection
 	if f.client.Silences() != 1 {
 		t.Errorf("got %d silences, want 1", f.client.Silences())
 	}
@@ -373,10 +386,7 @@
 		p.say("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nans")
 		p.next()
 	})
-	a, failure := f.target.Do(f.request(t.Context(), "GET", nil), "", true)
-	if failure != nil {
-		t.Fatal(failure)
-	}
+	a := f.open()
 	buf := make([]byte, 3)
 	if _, err := io.ReadFull(a, buf); err != nil {
 		t.Fatal(err)
@@ -387,8 +397,8 @@
 	go func() { _, err := a.Read(buf); ended <- err }()
 	f.settle()
 	f.clock.Advance(5000)
-	err := <-ended
-	errors.As(err, &failure)
+	var failure *Failure
+	errors.As(<-ended, &failure)
 	f.want(failure, CodeCutAnswer)
 }
 
@@ -464,11 +474,7 @@
 	})
 	var open []*Answer
 	for range ConnectionsPerSlot {
-		a, failure := f.target.Do(f.request(t.Context(), "GET", nil), "", true)
-		if failure != nil {
-			t.Fatal(failure)
-		}
-		open = append(open, a)
+		open = append(open, f.open())
 	}
 	_, failure := f.exchange(t.Context(), "")
 	f.want(failure, CodeConnections)
@@ -504,9 +510,7 @@
 			}
 		}
 	})
-	if _, failure := f.exchange(t.Context(), ""); failure != nil {
-		t.Fatal(failure)
-	}
+	f.answered("answer")
 	for range 2 {
 		f.clock.Advance(5000)
 		if got, want := <-probes, "OPTIONS * on 0"; got != want {
