Hold a claim as a value that is used, undone, abandoned or finished

Cause: the claim package next door gives out a permit that must be used directly before the dispatch and finished, also with an unknown outcome; Finish and Abandon by key cannot express that. Change: Claims.Claim returns a Claim with Use, Undo, Abandon and Finish, or the recorded answer; what an earlier run left is a refusal of the claim package, so that three result codes of caller are gone. A fingerprint of method, target and body tells different requests with one key apart. Conclusion: go test -race ./caller passes.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -32,11 +32,21 @@
 		header["User-Agent"] = []string{""} // keeps the transport from adding its own
 	}
 	for attempt := 1; ; attempt++ {
+		if r.claim != nil {
+			if err := r.claim.Use(); err != nil {
+				r.claim.Abandon()
+				r.refuse(refusalOf(err))
+				return
+			}
+		}
 		failure := r.attempt(ctx, permit.grant, header)
 		if failure == nil {
 			return
 		}
 		code := failure.Code()
+		if r.claim != nil && code.Outcome() == result.NotRun {
+			r.claim.Undo()
+		}
 		failed := permit.Worker()
 		if attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
 			r.body.repeatable() && r.route.budget.Retry() {
@@ -65,12 +75,14 @@
 			code = CodeCut
 		}
 	}
-	if r.claimed {
+	if r.claim != nil {
 		switch code.Outcome() {
 		case result.NotRun:
-			r.handler.Claims.Abandon(r.demand.caller, r.demand.key)
+			r.claim.Abandon()
 		case result.Ran:
-			r.handler.Claims.Finish(r.demand.caller, r.demand.key, Recorded{status: code.Status()})
+			r.claim.Finish(Recorded{status: code.Status(), state: NotKept})
+		default:
+			r.claim.Finish(Recorded{})
 		}
 	}
 	after := clock.Millis(0)
@@ -80,6 +92,15 @@
 	r.refuse(result.Refuse(code, failure.Error(), after))
 }
 
+// refusalOf returns the refusal that err is, or one that says that the claim failed.
+func refusalOf(err error) *result.Refusal {
+	var refusal *result.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return result.Refuse(CodeClaimFailed, err.Error(), clock.Second)
+}
+
 // attempt sends the request to one worker. Without a failure the caller has been answered.
 func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header) *worker.Failure {
 	h := r.handler
@@ -179,16 +200,16 @@
 
 // record keeps the answer with the claim.
 func (r *request) record(answer *worker.Answer, header http.Header, data []byte, whole bool) {
-	if !r.claimed {
+	if r.claim == nil {
 		return
 	}
-	recorded := Recorded{status: answer.Status()}
+	recorded := Recorded{status: answer.Status(), state: NotKept}
 	if whole && len(data) <= maxRecorded {
-		recorded.kept = true
+		recorded.state = Kept
 		recorded.header = header.Clone()
 		recorded.body = append([]byte(nil), data...)
 	}
-	r.handler.Claims.Finish(r.demand.caller, r.demand.key, recorded)
+	r.claim.Finish(recorded)
 }
 
 // stream passes on the rest of a large answer. When that ends early, the caller's connection is aborted, so that the
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -150,7 +153,7 @@
 	shard   uint64
 	started clock.Millis
 	due     clock.Millis
-	claimed bool
+	claim   Claim // nil without one
 	span    trace.Span
 	cancel  context.CancelCauseFunc
 	stage   atomic.Pointer[string]
@@ -301,7 +304,7 @@
 		return nil, refusal
 	}
 	if needsClaim {
-		granted, refusal := r.claim(ctx)
+		granted, refusal := r.storeClaim(ctx)
 		if !granted {
 			ticket.Leave()
 			r.wake(nil)
@@ -316,8 +319,8 @@
 	}
 	if refusal != nil {
 		span.Fail(refusal.Code().Name())
-		if r.claimed {
-			h.Claims.Abandon(r.demand.caller, r.demand.key)
+		if r.claim != nil {
+			r.claim.Abandon()
 		}
 		return nil, refusal
 	}
@@ -335,39 +338,41 @@
 	return result.Refuse(CodeGone, "the caller closed its connection", 0)
 }
 
-// claim stores the claim of the request, or answers or refuses it by what an earlier run left.
-func (r *request) claim(ctx context.Context) (granted bool, refusal *result.Refusal) {
+// storeClaim stores the claim of the request, or answers or refuses it by what an earlier run left.
+func (r *request) storeClaim(ctx context.Context) (granted bool, refusal *result.Refusal) {
 	h := r.handler
 	r.setStage(&stageClaim)
 	ctx, span := h.Tracer.Start(ctx, trace.HopClaim)
 	defer span.End()
-	decision, err := h.Claims.Claim(ctx, r.demand.caller, r.demand.key, r.due)
+	decision, err := h.Claims.Claim(ctx, r.demand.caller, r.demand.key, r.fingerprint(), r.due)
 	if err != nil {
 		span.Fail("claim failed")
-		var known *result.Refusal
-		if errors.As(err, &known) {
-			return false, known
+		refusal = refusalOf(err)
+		if refusal.Code() == CodeClaimFailed && ctx.Err() != nil {
+			refusal = r.ended(ctx)
 		}
-		if ctx.Err() != nil {
-			return false, r.ended(ctx)
-		}
-		return false, result.Refuse(CodeClaimFailed, err.Error(), clock.Second)
-	}
-	switch decision.State() {
-	case Granted:
-		r.claimed = true
-		r.setStage(&stageQueue)
-		return true, nil
-	case Done:
-		if !decision.Answer().Kept() {
-			return false, result.Refuse(CodeNotKept, "the answer was larger than 64 KiB", 0)
-		}
-		r.replay(decision.Answer())
+		return false, refusal
+	}
+	if decision.claim == nil {
+		r.replay(decision.answer)
 		return false, nil
-	case Running:
-		return false, result.Refuse(CodeStillRunning, "repeat the request later for its answer", clock.Second)
 	}
-	return false, result.Refuse(CodeOutcomeUnknown, "the entry instance that ran the request did not record its end", 0)
+	r.claim = decision.claim
+	r.setStage(&stageQueue)
+	return true, nil
+}
+
+// fingerprint tells requests that use the same key by mistake apart.
+func (r *request) fingerprint() string {
+	if !r.body.whole {
+		return ""
+	}
+	sum := sha256.New()
+	for _, part := range []string{r.in.Method, r.in.URL.RequestURI()} {
+		_, _ = io.WriteString(sum, part+"\n")
+	}
+	sum.Write(r.body.held.data)
+	return hex.EncodeToString(sum.Sum(nil))
 }
 
 // replay answers with a recorded answer.
--- a/caller/ports.go
+++ b/caller/ports.go
@@ -47,68 +47,71 @@
 
 // Claims keeps a request with a key from running twice.
 type Claims interface {
-	// Claim returns once the claim is certainly stored, or with what is known of an earlier run.
-	Claim(ctx context.Context, caller, key string, deadline clock.Millis) (Decision, error)
-	// Finish records the answer.
-	Finish(caller, key string, answer Recorded)
-	// Abandon records that the request was certainly not run.
-	Abandon(caller, key string)
+	// Claim returns once the claim is certainly stored, or with the recorded answer of an earlier run. Every other
+	// end is an error, and a *result.Refusal among them is given to the caller. The fingerprint tells different
+	// requests with one key apart; it is empty for a body too large to be held in memory.
+	Claim(ctx context.Context, caller, key, fingerprint string, deadline clock.Millis) (Decision, error)
 }
 
-// State is what a claim found.
-type State int
-
-// The states of a claim.
-const (
-	Granted State = iota // stored now; the request may be dispatched once
-	Done                 // ran before, with a recorded answer
-	Claimed              // started before with an unknown outcome
-	Running              // started before and its holder says that it still runs
-)
+// Claim is a stored claim; a request ends it by exactly one call of Abandon or Finish.
+type Claim interface {
+	// Use allows one dispatch, which follows directly; a *result.Refusal forbids it.
+	Use() error
+	// Undo takes Use back when the request was certainly not run.
+	Undo()
+	// Abandon records that the request was not run.
+	Abandon()
+	// Finish records the answer, or that there is none.
+	Finish(answer Recorded)
+}
 
-// Decision is the answer of Claims.Claim.
+// Decision is what a claim led to: the claim itself, or the recorded answer of an earlier run.
 type Decision struct {
-	state  State
+	claim  Claim
 	answer Recorded
 }
 
-// NewDecision returns a decision; the answer has a meaning for Done only.
-func NewDecision(state State, answer Recorded) Decision { return Decision{state, answer} }
+// Granted is the decision that the request may be dispatched once.
+func Granted(claim Claim) Decision { return Decision{claim: claim} }
 
-// State returns what the claim found.
-func (d Decision) State() State { return d.state }
-
-// Answer returns the recorded answer.
-func (d Decision) Answer() Recorded { return d.answer }
+// Replay is the decision that the request ran before with this answer.
+func Replay(status int, header http.Header, body []byte) Decision {
+	return Decision{answer: Recorded{status: status, header: header, body: body, state: Kept}}
+}
 
 // maxRecorded is the largest body that is kept with a claim.
 const maxRecorded = 64 << 10
 
+// State is what is kept of an answer.
+type State int
+
+// The states of an answer.
+const (
+	Unknown State = iota // the request may have run and there is no answer
+	NotKept              // the request ran; its answer was too large or did not arrive whole
+	Kept
+)
+
 // Recorded is an answer as it is kept with a claim.
 type Recorded struct {
 	status int
 	header http.Header
 	body   []byte
-	kept   bool
+	state  State
 }
 
-// NewRecorded returns an answer; kept is false for one that was too large, and then the body is empty.
-func NewRecorded(status int, header http.Header, body []byte, kept bool) Recorded {
-	return Recorded{status, header, body, kept}
-}
+// State returns what is kept.
+func (a Recorded) State() State { return a.state }
 
-// Status returns the HTTP status.
+// Status returns the HTTP status, 0 for Unknown.
 func (a Recorded) Status() int { return a.status }
 
-// Header returns the header, which must not be changed.
+// Header returns the header, which must not be changed; nil unless Kept.
 func (a Recorded) Header() http.Header { return a.header }
 
-// Body returns the body, which must not be changed.
+// Body returns the body, which must not be changed; nil unless Kept.
 func (a Recorded) Body() []byte { return a.body }
 
-// Kept reports whether the body was kept.
-func (a Recorded) Kept() bool { return a.kept }
-
 // Permit lets one request run: a slot on a worker, within the quota of the team and the limit of the pool.
 type Permit struct {
 	grant *routing.Grant
