Keep idle connections within the slots held, tell free slots and open connections

Cause: after a share shrank, idle connections beyond 8 for each slot held stayed open; the ledger asks for the open connections of a worker and the queue for the free slots of a pool. Change: a connection that ends a request or is due for a probe is closed when there are too many; Client.Connections and Router.Free. A test shrinks a share while 16 requests run.

--- a/routing/router.go
+++ b/routing/router.go
@@ -205,6 +205,21 @@
 	return serving, p.failing.Load()
 }
 
+// Free returns how many slots of the pool this entry instance could use now.
+func (r *Router) Free(pool string) int {
+	s := r.snapshot.Load()
+	if s == nil || s.pools[pool] == nil {
+		return 0
+	}
+	free := 0
+	for _, w := range s.pools[pool].workers {
+		if w.usable() || w.trial.Load() {
+			free += max(w.account.Free(), 0)
+		}
+	}
+	return free
+}
+
 // Acquire takes a slot on a worker of the pool until the deadline, or reports that none is free. It avoids one worker
 // (nil for none) unless no other has a free slot. It takes no lock.
 func (r *Router) Acquire(pool string, deadline clock.Millis, avoid *Worker) (*Grant, bool) {
--- a/worker/client.go
+++ b/worker/client.go
@@ -131,6 +131,19 @@
 	return r.WithContext(ctx)
 }
 
+// Connections returns how many connections to the worker with this instance id are open, busy or idle.
+func (c *Client) Connections(id string) int {
+	total := 0
+	c.targets.Range(func(w, t any) bool {
+		if w.(*routing.Worker).ID() == id {
+			open, _ := t.(*Target).Connections()
+			total += open
+		}
+		return true
+	})
+	return total
+}
+
 // Close closes every idle connection, at the end of the process.
 func (c *Client) Close() {
 	c.targets.Range(func(_, t any) bool {
@@ -177,7 +190,7 @@
 
 // open opens a connection; only a probe may exceed the limit, by one.
 func (t *Target) open(ctx context.Context, probe bool) (*conn, *Failure) {
-	limit := ConnectionsPerSlot * max(t.worker.Held(), 1)
+	limit := t.limit()
 	t.mu.Lock()
 	if t.size >= limit && !probe {
 		t.mu.Unlock()
@@ -204,15 +217,25 @@
 	return c, nil
 }
 
-// put keeps a connection for the next request.
+// limit returns how many connections the slots held on the worker allow.
+func (t *Target) limit() int { return ConnectionsPerSlot * max(t.worker.Held(), 1) }
+
+// put keeps a connection for the next request, unless there are more than the slots held allow now.
 func (t *Target) put(c *conn) {
 	if !c.usable() || t.worker.Leaving() || c.http.Available() == 0 {
 		t.discard(c)
 		return
 	}
+	limit := t.limit()
 	t.mu.Lock()
-	t.idle = append(t.idle, c)
+	fits := t.size <= limit
+	if fits {
+		t.idle = append(t.idle, c)
+	}
 	t.mu.Unlock()
+	if !fits {
+		t.discard(c)
+	}
 }
 
 func (t *Target) discard(c *conn) {
@@ -278,7 +301,8 @@
 		return
 	}
 	client := t.client
-	if client.Clock.Now()-clock.Millis(c.used.Load()) >= idleLife || t.worker.Leaving() {
+	open, _ := t.Connections()
+	if client.Clock.Now()-clock.Millis(c.used.Load()) >= idleLife || t.worker.Leaving() || open > t.limit() {
 		t.discard(c)
 		return
 	}
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -18,11 +18,11 @@
 	"magnoliaferry/routing"
 )
 
-type slots struct{ free int }
+type slots struct{ free atomic.Int64 }
 
-func (s slots) TryAcquire(clock.Millis) bool { return true }
-func (s slots) Release()                     {}
-func (s slots) Free() int                    { return s.free }
+func (s *slots) TryAcquire(clock.Millis) bool { return true }
+func (s *slots) Release()                     {}
+func (s *slots) Free() int                    { return int(s.free.Load()) }
 
 // peer is one connection at a scripted worker.
 type peer struct {
@@ -52,6 +52,7 @@
 	worker *routing.Worker
 	router *routing.Router
 	last   atomic.Pointer[conn] // opened last
+	slots  slots                // held on the worker
 }
 
 // newFixture runs script for each connection to the worker; the connection is closed when it returns.
@@ -74,6 +75,7 @@
 		}
 	}()
 	f := &fixture{t: t, clock: clock.NewFake(0)}
+	f.slots.free.Store(1)
 	f.client = &Client{Clock: f.clock}
 	f.client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		f.last.Store(ctx.Value(dialing{}).(*conn))
@@ -81,7 +83,7 @@
 	}
 	f.router = &routing.Router{Clock: f.clock, Seed: 1}
 	f.router.Update([]routing.PoolState{routing.NewPoolState("p", "", 1,
-		routing.NewWorkerState("w", listener.Addr().String(), "a", slots{1}, false))})
+		routing.NewWorkerState("w", listener.Addr().String(), "a", &f.slots, false))})
 	g, _ := f.router.Acquire("p", 0, nil)
 	f.worker = g.Worker()
 	g.Release(routing.Neutral, 0)
@@ -468,9 +470,9 @@
 // Connections must stay within 8 for each slot held.
 func TestConnectionLimit(t *testing.T) {
 	f := newFixture(t, func(p *peer) {
-		p.next()
-		p.say(whole)
-		p.next()
+		for p.next() != nil {
+			p.say(whole)
+		}
 	})
 	var open []*Answer
 	for range ConnectionsPerSlot {
@@ -487,9 +489,21 @@
 	for _, a := range open[1:] {
 		a.Close()
 	}
-	if n, _ := f.target.Connections(); n != 1 {
+	if n := f.client.Connections("w"); n != 1 {
 		t.Errorf("got %d open, want 1 after answers that were not read", n)
 	}
+	f.slots.free.Store(2)
+	open = nil
+	for range 2 * ConnectionsPerSlot {
+		open = append(open, f.open())
+	}
+	f.slots.free.Store(1) // the share shrinks while the requests run
+	for _, a := range open {
+		_, _ = io.Copy(io.Discard, a)
+	}
+	if n, idle := f.target.Connections(); n != ConnectionsPerSlot || idle != n {
+		t.Errorf("got %d open and %d idle, want %d of each after the share shrank", n, idle, ConnectionsPerSlot)
+	}
 }
 
 // An idle connection must be probed every 5 s on itself, and closed when it does not answer within 1 s or is unused.
