--- a/entry/peers.go
+++ b/entry/peers.go
@@ -138,17 +138,28 @@
 
 // Load implements peer.Status.
 func (r *reports) Load() []peer.PoolLoad {
-	flying, queued := r.instance.router.Loads(), r.instance.queues.lengths()
-	var loads []peer.PoolLoad
-	for pool, n := range flying {
-		loads = append(loads, peer.NewPoolLoad(pool, n, queued[pool]))
+	loads, queued := map[string]int{}, r.instance.queues.lengths()
+	for _, h := range r.instance.router.Health() {
+		loads[h.Pool()] += h.InFlight()
 	}
-	sort.Slice(loads, func(i, j int) bool { return loads[i].Pool() < loads[j].Pool() })
-	return loads
+	list := make([]peer.PoolLoad, 0, len(loads))
+	for pool, n := range loads {
+		list = append(list, peer.NewPoolLoad(pool, n, queued[pool]))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Pool() < list[j].Pool() })
+	return list
 }
 
 // Unhealthy implements peer.Status.
-func (r *reports) Unhealthy() []string { return r.instance.router.Ejected() }
+func (r *reports) Unhealthy() []string {
+	var ids []string
+	for _, h := range r.instance.router.Health() {
+		if h.Ejected() {
+			ids = append(ids, h.Worker())
+		}
+	}
+	return ids
+}
 
 // Heard implements peer.Status.
 func (r *reports) Heard(from, zone string, loads []peer.PoolLoad, unhealthy []string) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"sync/atomic"
 
@@ -206,29 +205,19 @@
 	return serving, p.failing.Load()
 }
 
-// Loads returns the requests in flight at workers, by pool.
-func (r *Router) Loads() map[string]int {
-	loads := map[string]int{}
-	if s := r.snapshot.Load(); s != nil {
-		for w, p := range s.homes {
-			loads[p.name] += w.InFlight()
-		}
+// Free returns how many slots of the pool this entry instance could use now.
+func (r *Router) Free(pool string) int {
+	s := r.snapshot.Load()
+	if s == nil || s.pools[pool] == nil {
+		return 0
 	}
-	return loads
-}
-
-// Ejected returns the ids of the workers that are ejected, in alphabetical order.
-func (r *Router) Ejected() []string {
-	var ids []string
-	if s := r.snapshot.Load(); s != nil {
-		for w := range s.homes {
-			if w.Ejected() {
-				ids = append(ids, w.ID())
-			}
+	free := 0
+	for _, w := range s.pools[pool].workers {
+		if w.usable() || w.trial.Load() {
+			free += max(w.account.Free(), 0)
 		}
 	}
-	sort.Strings(ids)
-	return ids
+	return free
 }
 
 // Acquire takes a slot on a worker of the pool until the deadline, or reports that none is free. It avoids one worker
