measure: scenarios of the request path

Cause: the choices of selection, admission, slots and claims rest on figures that nobody has measured.

--- a/measure/report.go
+++ b/measure/report.go
@@ -253,7 +253,7 @@
 
 // charts lists for each group the figures that are drawn.
 var charts = map[string][]string{
-	"requests": {"answered whole", "p99 ms", "other work kept %"},
+	"requests": {"answered whole %", "p99 ms", "other work kept %"},
 	"fleet":    {"roll-out s", "buffer workers", "moves"},
 }
 
--- /dev/null
+++ b/measure/requests.go
@@ -0,0 +1,315 @@
+package measure
+
+import (
+	"sync"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+)
+
+// parallelRuns bounds the runs at the same time; each is deterministic by itself.
+const parallelRuns = 6
+
+// drainTime lets every request end after the last arrival: its deadline with its repeats.
+const drainTime = 40 * clock.Second
+
+// requestScenario is one situation on the request path.
+type requestScenario struct {
+	text     string
+	duration clock.Millis
+	user     user
+	variants []variant
+	setUp    func(s *sim) // loads and faults
+	flood    func(s *sim) // a load that is left out for the comparison; nil for none
+}
+
+// Group implements Scenario.
+func (r requestScenario) Group() string { return "requests" }
+
+// Text implements Scenario.
+func (r requestScenario) Text() string { return r.text }
+
+// Run implements Scenario.
+func (r requestScenario) Run(seed uint64, runs int) []Row {
+	results := make([]Row, len(r.variants)*runs)
+	var done sync.WaitGroup
+	places := make(chan struct{}, parallelRuns)
+	for i := range results {
+		done.Add(1)
+		places <- struct{}{}
+		go func() {
+			defer done.Done()
+			results[i] = r.once(r.variants[i/runs], seed+uint64(i%runs))
+			<-places
+		}()
+	}
+	done.Wait()
+	rows := make([]Row, 0, len(r.variants))
+	for i, v := range r.variants {
+		sum := NewRow(v.name)
+		for _, one := range results[i*runs : (i+1)*runs] {
+			for _, name := range one.names {
+				sum.Add(name, one.figures[name])
+			}
+		}
+		sum.Scale(1 / float64(runs))
+		rows = append(rows, sum)
+	}
+	return rows
+}
+
+func (r requestScenario) once(v variant, seed uint64) Row {
+	run := func(flooded bool) *sim {
+		s := newSim(r.user, v, seed, r.duration)
+		r.setUp(s)
+		if flooded {
+			r.flood(s)
+		}
+		s.clock.Advance(r.duration + drainTime)
+		return s
+	}
+	s := run(r.flood != nil)
+	row := s.row()
+	if r.flood != nil {
+		row.Add("other work kept %", 100*float64(s.answered)/float64(max(run(false).answered, 1)))
+	}
+	return row
+}
+
+func init() {
+	for _, u := range users {
+		registerRequests(u, policyVariants())
+	}
+	uneven := users[0]
+	uneven.name, uneven.unequal = "kervan-unequal", true
+	registerRequests(uneven, policyVariants(), "surges", "flood-urgent")
+	ablated := users[0]
+	ablated.name = "ablation"
+	registerRequests(ablated, ablationVariants())
+}
+
+// registerRequests registers the scenarios for a user, or only the named ones.
+func registerRequests(u user, variants []variant, names ...string) {
+	for _, s := range requestScenarios() {
+		wanted := len(names) == 0
+		for _, n := range names {
+			wanted = wanted || n == s.name
+		}
+		if !wanted {
+			continue
+		}
+		r := s.scenario
+		r.user, r.variants = u, variants
+		Scenarios.Register(s.name+"/"+u.name, r)
+	}
+}
+
+// policyVariants are the selection policies with magnoliaferry's admission and slots, and the baselines.
+func policyVariants() []variant {
+	var all []variant
+	for _, policy := range []string{"round-robin", "random", "two-choices", "least-used", "least-used-distance", "weighted"} {
+		v := ours()
+		v.name, v.policy = policy, policy
+		all = append(all, v)
+	}
+	return append(all,
+		with("first come first served", func(v *variant) { v.fifo = true }),
+		with("base shares, no loans", func(v *variant) { v.slots = "base" }),
+		with("equal shares, no loans", func(v *variant) { v.slots = "equal" }),
+		with("no slot limit", func(v *variant) { v.slots = "unlimited" }))
+}
+
+// ablationVariants each switch one mechanism off.
+func ablationVariants() []variant {
+	return []variant{
+		ours(),
+		with("no class weights", func(v *variant) { v.classes = false }),
+		with("no fairness", func(v *variant) { v.fairness = false }),
+		with("no loans", func(v *variant) { v.slots = "base" }),
+		with("no ejection", func(v *variant) { v.ejection = false }),
+		with("no retry budget", func(v *variant) { v.budget = false }),
+		with("no retries", func(v *variant) { v.retries = false }),
+	}
+}
+
+func with(name string, change func(*variant)) variant {
+	v := ours()
+	v.name = name
+	change(&v)
+	return v
+}
+
+func constant(rate float64) func(clock.Millis) float64 {
+	return func(clock.Millis) float64 { return rate }
+}
+
+// during gives the rate between two points in time and 0 otherwise.
+func during(from, to clock.Millis, rate float64) func(clock.Millis) float64 {
+	return func(now clock.Millis) float64 {
+		if now < from || now >= to {
+			return 0
+		}
+		return rate
+	}
+}
+
+// steady sends a constant load from 20 callers to the first pool, of which 3 in 10 are not idempotent.
+func steady(rate float64) func(s *sim) {
+	return func(s *sim) { s.arrive(0, load{rate: constant(rate), callers: 20, name: "c", idempotent: 0.7}) }
+}
+
+// steadyAnd adds faults, by time, to a steady load.
+func steadyAnd(rate float64, faults func(s *sim)) func(s *sim) {
+	return func(s *sim) {
+		steady(rate)(s)
+		faults(s)
+	}
+}
+
+// at runs f at a point in time.
+func (s *sim) at(t clock.Millis, f func()) { s.clock.AfterFunc(t-s.clock.Now(), f) }
+
+type namedScenario struct {
+	name     string
+	scenario requestScenario
+}
+
+// requestScenarios describes every situation once, without user and variants.
+func requestScenarios() []namedScenario {
+	const second = clock.Second
+	return []namedScenario{
+		{"surges", requestScenario{duration: 20 * second,
+			text: "Each of the five pools requests five times its mean of 30% for 4 s in turn, and a twentieth of it between.",
+			setUp: func(s *sim) {
+				for p := range s.workers {
+					s.arrive(p, load{callers: 20, name: "c", idempotent: 0.7, rate: func(now clock.Millis) float64 {
+						if int(now/(4*second)) == p {
+							return 5 * 0.3
+						}
+						return 0.3 / 20
+					}})
+				}
+			}}},
+		{"flood-batch", requestScenario{duration: 20 * second,
+			text:  "At 50% load one caller sends 4 times what the pool can serve as batch work for 10 s.",
+			setUp: steady(0.5),
+			flood: func(s *sim) {
+				s.arrive(0, load{rate: during(5*second, 15*second, 4), callers: 1, name: "flood", urgency: config.Batch,
+					idempotent: 1, flood: true})
+			}}},
+		{"flood-urgent", requestScenario{duration: 20 * second,
+			text:  "At 50% load one caller sends 4 times what the pool can serve as urgent work for 10 s.",
+			setUp: steady(0.5),
+			flood: func(s *sim) {
+				s.arrive(0, load{rate: during(5*second, 15*second, 4), callers: 1, name: "flood", urgency: config.Urgent,
+					idempotent: 1, flood: true})
+			}}},
+		{"slow-worker", requestScenario{duration: 20 * second,
+			text: "At 50% load one worker takes ten times as long from 2 s on.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(2*second, func() { s.workers[0][0].slowness = 10 })
+			})}},
+		{"failing-worker", requestScenario{duration: 20 * second,
+			text: "At 50% load one worker answers every request with an error within 5 ms from 2 s to 12 s.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(2*second, func() { s.workers[0][0].state = fails })
+				s.at(12*second, func() { s.workers[0][0].state = works })
+			})}},
+		{"rack-lost", requestScenario{duration: 20 * second,
+			text: "At 50% load a rack of 4 workers is lost at 5 s without closing its connections.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() { s.loseRack() })
+			})}},
+		{"silent-connections", requestScenario{duration: 20 * second,
+			text: "At 50% load the connections of one worker after the other go silent, one worker every 1.5 s.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				for i, w := range s.workers[0] {
+					s.at(2*second+clock.Millis(i)*1500, func() {
+						for _, e := range s.entries {
+							s.silence(e, w)
+						}
+					})
+				}
+			})}},
+		{"zone-cut", requestScenario{duration: 20 * second,
+			text: "At 50% load zone b is cut off from the other zones and from the platform from 5 s to 15 s; callers still reach it.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() {
+					s.cut = "b"
+					s.faults.Partition("b")
+					for _, pool := range s.workers {
+						for _, w := range pool {
+							s.lose(w)
+						}
+					}
+				})
+				s.at(15*second, func() { s.cut = ""; s.faults.Heal("b") })
+			})}},
+		{"table-down", requestScenario{duration: 20 * second,
+			text: "At 50% load the table is down from 5 s to 15 s; 3 in 10 requests are not idempotent.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() { s.table(fault.Down) })
+				s.at(15*second, func() { s.faults.ClearAll() })
+			})}},
+		{"table-slow", requestScenario{duration: 20 * second,
+			text: "At 50% load each access to the table takes 400 ms from 5 s to 10 s and more than its timeout until 15 s.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() { s.slow = 400 })
+				s.at(10*second, func() { s.slow = 2 * second })
+				s.at(15*second, func() { s.slow = 0 })
+			})}},
+		{"table-loses-answers", requestScenario{duration: 20 * second,
+			text: "At 50% load the answers of the table's writes are lost from 5 s to 15 s.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() { s.faults.Always(memory.StepCommit, fault.LoseAnswer, 0) })
+				s.at(15*second, func() { s.faults.ClearAll() })
+			})}},
+		{"entry-killed", requestScenario{duration: 45 * second,
+			text: "At 50% load an entry instance is killed at 5 s and replaced at 8 s, and another one at 20 s and 23 s.",
+			setUp: steadyAnd(0.5, func(s *sim) {
+				s.at(5*second, func() { s.kill(s.entries[0], 3*second, 1) })
+				s.at(20*second, func() { s.kill(s.entries[1], 3*second, 2) })
+			})}},
+		{"pool-failing", requestScenario{duration: 20 * second,
+			text: "At 30% load 7 of 10 workers answer every request with an error from 5 s to 15 s.",
+			setUp: steadyAnd(0.3, func(s *sim) {
+				for _, w := range s.workers[0][:7] {
+					s.at(5*second, func() { w.state = fails })
+					s.at(15*second, func() { w.state = works })
+				}
+			})}},
+	}
+}
+
+// loseRack loses the rack that holds most workers of the first pool.
+func (s *sim) loseRack() {
+	type rack struct {
+		zone   string
+		number int
+	}
+	count := map[rack]int{}
+	best := rack{}
+	for _, w := range s.workers[0] {
+		r := rack{w.zone, w.rack}
+		if count[r]++; count[r] > count[best] {
+			best = r
+		}
+	}
+	for _, pool := range s.workers {
+		for _, w := range pool {
+			if (rack{w.zone, w.rack}) == best {
+				w.state = lost
+				s.lose(w)
+			}
+		}
+	}
+}
+
+// table injects a fault into every access to the table.
+func (s *sim) table(kind fault.Kind) {
+	for _, step := range []string{memory.StepRead, memory.StepCommit, memory.StepScan} {
+		s.faults.Always(step, kind, 0)
+	}
+}
--- /dev/null
+++ b/measure/requests_queue.go
@@ -0,0 +1,134 @@
+package measure
+
+import (
+	"context"
+
+	"magnoliaferry/admission"
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/result"
+	"magnoliaferry/routing"
+)
+
+// admitter is the queue of a pool: magnoliaferry's own or a baseline.
+type admitter interface {
+	enter(r *request) (place, *result.Refusal)
+	Wake()
+}
+
+// place is the part of admission.Ticket that a run in one goroutine uses.
+type place interface {
+	Start(ctx context.Context, notify func()) (*routing.Grant, *result.Refusal, bool)
+	End(ctx context.Context) (*routing.Grant, *result.Refusal)
+	Expiry() clock.Millis
+	Leave()
+}
+
+func (e *entry) newQueue(pool string) admitter {
+	v := e.sim.variant
+	acquire := func(due clock.Millis) (*routing.Grant, bool) { return e.router.Acquire(pool, due, nil) }
+	if v.fifo {
+		return &fifo{clock: e.sim.clock, acquire: acquire}
+	}
+	return &queue{variant: v, Queue: admission.Queue[*routing.Grant]{
+		Clock: e.sim.clock, MaxLength: queueLength, MaxWait: queueWait,
+		Acquire: func(r admission.Request) (*routing.Grant, bool) { return acquire(r.Deadline()) },
+		Release: func(g *routing.Grant) { g.Release(routing.Neutral, 0) },
+	}}
+}
+
+// queue is magnoliaferry's own queue; urgency and callers are hidden from it where a variant says so.
+type queue struct {
+	admission.Queue[*routing.Grant]
+	variant variant
+}
+
+func (q *queue) enter(r *request) (place, *result.Refusal) {
+	urgency, caller := r.urgency, r.caller
+	if !q.variant.classes {
+		urgency = config.Normal
+	}
+	if !q.variant.fairness {
+		caller = "all"
+	}
+	t, refusal := q.Enter(admission.NewRequest(caller, "", urgency, r.due))
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// fifo is the baseline: the order of arrival, the same bounds, no early refusal.
+type fifo struct {
+	clock   *clock.Clock
+	acquire func(due clock.Millis) (*routing.Grant, bool)
+	waiting []*fifoPlace
+}
+
+type fifoPlace struct {
+	queue  *fifo
+	due    clock.Millis
+	expiry clock.Millis
+	grant  *routing.Grant
+	notify func()
+	left   bool
+}
+
+func (q *fifo) enter(r *request) (place, *result.Refusal) {
+	now := q.clock.Now()
+	if len(q.waiting) >= queueLength {
+		return nil, result.Refuse(admission.CodeQueueFull, "", 0)
+	}
+	return &fifoPlace{queue: q, due: r.due, expiry: min(r.due, now+queueWait)}, nil
+}
+
+// Wake hands out slots in the order of arrival.
+func (q *fifo) Wake() {
+	for len(q.waiting) > 0 {
+		p := q.waiting[0]
+		if !p.left {
+			grant, ok := q.acquire(p.due)
+			if !ok {
+				return
+			}
+			p.grant = grant
+			p.notify()
+		}
+		q.waiting = q.waiting[1:]
+	}
+}
+
+// Start implements place.
+func (p *fifoPlace) Start(_ context.Context, notify func()) (*routing.Grant, *result.Refusal, bool) {
+	p.notify = notify
+	if len(p.queue.waiting) == 0 {
+		if grant, ok := p.queue.acquire(p.due); ok {
+			return grant, nil, true
+		}
+	}
+	p.queue.waiting = append(p.queue.waiting, p)
+	return nil, nil, false
+}
+
+// End implements place.
+func (p *fifoPlace) End(context.Context) (*routing.Grant, *result.Refusal) {
+	if p.grant != nil {
+		return p.grant, nil
+	}
+	p.Leave()
+	return nil, result.Refuse(admission.CodeWaitExpired, "", 0)
+}
+
+// Expiry implements place.
+func (p *fifoPlace) Expiry() clock.Millis { return p.expiry }
+
+// Leave implements place.
+func (p *fifoPlace) Leave() {
+	p.left = true
+	for i, o := range p.queue.waiting {
+		if o == p {
+			p.queue.waiting = append(p.queue.waiting[:i], p.queue.waiting[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/measure/requests_sim.go
@@ -0,0 +1,866 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"magnoliaferry/claim"
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/platform"
+	"magnoliaferry/result"
+	"magnoliaferry/routing"
+	"magnoliaferry/slots"
+	"magnoliaferry/worker"
+)
+
+// Values that the decision code takes from its surroundings, design section 9.1, and those of the fakes.
+const (
+	longDeadline     = 10 * clock.Second // the default
+	shortDeadline    = 4 * clock.Second  // what a service or a caller may ask for; half of the requests do
+	queueLength      = 200
+	queueWait        = 2 * clock.Second
+	progressDeadline = 5 * clock.Second
+	connectTimeout   = 1 * clock.Second
+	idleProbe        = 6 * clock.Second // the probe after 5 s plus its answer due within 1 s
+	maxAttempts      = 3
+	rosterPeriod     = 1 * clock.Second
+	wakePeriod       = clock.Second / 2
+	// askPeriod is how often an instance asks its peers for loans; the design names no value.
+	askPeriod = 100 * clock.Millis(1)
+	// tableTime is how long an access to the table takes when nothing is wrong.
+	tableTime = 5 * clock.Millis(1)
+	// balancerLag is how long the balancer sends requests to an instance that is gone.
+	balancerLag = 1 * clock.Second
+	// repeats is how often a caller repeats a non-idempotent request that was not answered, with the same key.
+	repeats     = 2
+	repeatAfter = 1 * clock.Second
+)
+
+// variant is one row of a table: what is replaced or switched off.
+type variant struct {
+	name     string
+	policy   string
+	fifo     bool   // admission in order of arrival without early refusal
+	slots    string // "" for base shares and loans, "base", "equal", "unlimited"
+	ejection bool
+	budget   bool // retries are bounded
+	retries  bool
+	classes  bool // urgency counts
+	fairness bool // callers share a class
+	noClaims bool // non-idempotent requests are not claimed; only to see the check fail
+}
+
+// ours is what magnoliaferry runs with.
+func ours() variant {
+	return variant{name: "weighted", policy: "weighted", ejection: true, budget: true, retries: true, classes: true,
+		fairness: true}
+}
+
+// load describes the requests for one pool.
+type load struct {
+	rate       func(now clock.Millis) float64 // of what the pool can serve
+	urgency    config.Urgency                 // "" for a mix
+	callers    int
+	name       string  // prefix of the callers
+	idempotent float64 // share
+	flood      bool
+}
+
+// sim is one run.
+type sim struct {
+	user    user
+	variant variant
+	clock   *clock.Clock
+	random  *rand.Rand
+	store   *memory.Store
+	faults  *fault.Driver
+	slow    clock.Millis // delay of the table
+	cut     string       // zone without contact to others
+	workers [][]*fakeWorker
+	byID    map[string]*fakeWorker
+	entries []*entry
+	numbers int
+	end     clock.Millis
+	keys    map[string]int // runs of non-idempotent requests
+	context context.Context
+
+	answered, refused, unknown, errors int
+	retries, over, twice, sent         int
+	latencies, queued                  []float64
+	distance                           float64
+}
+
+// entry is one entry instance.
+type entry struct {
+	sim         *sim
+	id, zone    string
+	number      int
+	incarnation int64
+	alive       bool
+	balanced    bool
+	weight      int
+	ledger      *slots.Ledger
+	router      *routing.Router
+	queues      []admitter
+	budgets     []*worker.Budget
+	claims      *claim.Store
+	stepping    bool
+	sequence    int
+	lines       map[string]*line
+	live        map[int]*request
+}
+
+// line is the idle connections of an entry instance to a worker.
+type line struct{ idle, silent int }
+
+// request is one attempt of a caller.
+type request struct {
+	number, pool int
+	caller       string
+	key          string
+	urgency      config.Urgency
+	idempotent   bool
+	flood        bool
+	hurried      bool // has the short deadline
+	repeat       int
+	born, first  clock.Millis // of this attempt and of the first one
+	entered      clock.Millis
+	due          clock.Millis
+	entry        *entry
+	permit       *claim.Permit // nil without a claim
+	tries        int
+	ended        bool
+}
+
+// attempt is one request on one worker.
+type attempt struct {
+	request *request
+	worker  *fakeWorker
+	line    *line
+	started clock.Millis // at the entry instance
+	grant   *routing.Grant
+	stop    func() bool
+	running bool
+}
+
+func newSim(u user, v variant, seed uint64, end clock.Millis) *sim {
+	s := &sim{user: u, variant: v, clock: clock.NewFake(0), random: rand.New(rand.NewPCG(seed, 1)), end: end,
+		faults: &fault.Driver{}, byID: map[string]*fakeWorker{}, keys: map[string]int{}, context: context.Background()}
+	s.store = memory.New(s.clock, s.faults)
+	s.placeWorkers()
+	for i := range entryCount {
+		zone := zoneName(i % u.zones)
+		weight := 1
+		if u.unequal && i < u.zones {
+			weight = 3
+		}
+		s.addEntry(i, zone, weight, 1, seed)
+	}
+	for range 3 { // each member confirms the shares of the others
+		for _, e := range s.entries {
+			e.pollRoster()
+		}
+	}
+	for _, e := range s.entries {
+		e.run()
+	}
+	return s
+}
+
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+// placeWorkers spreads each pool over the zones and fills the racks of a zone pool by pool, so that a rack holds
+// workers of few pools.
+func (s *sim) placeWorkers() {
+	count := map[string]int{}
+	for p, size := range poolSizes {
+		var pool []*fakeWorker
+		for i := range size {
+			zone := zoneName((i + p) % s.user.zones)
+			w := &fakeWorker{id: fmt.Sprintf("%s-%d", s.user.poolUsed[p], i), zone: zone, rack: count[zone] / rackSize,
+				slowness: 1, attempts: map[*attempt]bool{}}
+			count[zone]++
+			pool = append(pool, w)
+			s.byID[w.id] = w
+		}
+		s.workers = append(s.workers, pool)
+	}
+}
+
+func (s *sim) addEntry(number int, zone string, weight int, incarnation int64, seed uint64) *entry {
+	e := &entry{sim: s, id: fmt.Sprint("e", number), zone: zone, number: number, incarnation: incarnation, alive: true,
+		balanced: true, weight: weight, lines: map[string]*line{}, live: map[int]*request{}}
+	e.ledger = &slots.Ledger{Clock: s.clock, ID: e.id, Incarnation: incarnation, Zone: zone}
+	e.router = &routing.Router{Clock: s.clock, Seed: seed*100 + uint64(number) + 1}
+	e.claims = &claim.Store{Clock: s.clock, Table: table{s.store.View(zone).Table(), s}, Holder: e.id,
+		Incarnation: incarnation, WallClock: s.clock.Now}
+	var pools []routing.PoolState
+	for p, pool := range s.workers {
+		var states []routing.WorkerState
+		for _, w := range pool {
+			states = append(states, routing.NewWorkerState(w.id, w.id, w.zone, e.account(w), false))
+		}
+		capacity := len(pool) - rackSize // the pool declares to survive a rack
+		if !s.variant.ejection {
+			capacity = len(pool)
+		}
+		pools = append(pools, routing.NewPoolState(s.user.poolUsed[p], s.variant.policy, capacity, states...))
+		e.budgets = append(e.budgets, &worker.Budget{Clock: s.clock})
+		e.queues = append(e.queues, e.newQueue(s.user.poolUsed[p]))
+	}
+	e.router.Update(pools)
+	s.entries = append(s.entries, e)
+	return e
+}
+
+func (e *entry) account(w *fakeWorker) routing.Account {
+	switch e.sim.variant.slots {
+	case "equal":
+		a := &equalAccount{limit: slotsPerWorker / entryCount}
+		if (len(w.id)+int(w.id[len(w.id)-1])+e.number)%entryCount < slotsPerWorker%entryCount {
+			a.limit++
+		}
+		return a
+	case "unlimited":
+		return &unlimitedAccount{}
+	}
+	resource := "worker/" + w.id
+	e.ledger.SetCapacity(resource, w.zone, slotsPerWorker)
+	return e.ledger.Account(resource)
+}
+
+// run starts what an entry instance does by time.
+func (e *entry) run() {
+	s := e.sim
+	every := func(period clock.Millis, work func()) {
+		var next func()
+		next = func() {
+			if !e.alive || s.clock.Now() > s.end {
+				return
+			}
+			work()
+			s.clock.AfterFunc(period, next)
+		}
+		s.clock.AfterFunc(1+clock.Millis(s.random.IntN(int(period))), next)
+	}
+	every(rosterPeriod, e.pollRoster)
+	every(wakePeriod, e.wakeAll)
+	if s.variant.slots == "" {
+		every(askPeriod, e.askLoans)
+	}
+}
+
+func (e *entry) wakeAll() {
+	for _, q := range e.queues {
+		q.Wake()
+	}
+}
+
+// pollRoster does what entry's roster loop does in a second. While the table does not answer, the peers have nothing
+// newer, and the attempt is complete.
+func (e *entry) pollRoster() {
+	s := e.sim
+	now := s.clock.Now()
+	key := "roster/" + e.zone
+	t := s.store.View(e.zone).Table()
+	rows, err := t.Read(s.context, key)
+	if err == nil {
+		roster, err := slots.DecodeRoster(rows[0].Value(), rows[0].Version())
+		if err != nil {
+			panic(err) // only this program writes the row
+		}
+		e.ledger.SetRoster(e.zone, roster)
+		next, changed := e.ledger.Propose()
+		if !e.ledger.Member() {
+			next, changed = roster.Join(e.id, e.incarnation)
+		}
+		if changed {
+			e.writeRoster(next, roster.Version())
+		}
+	}
+	e.ledger.Confirm(now)
+}
+
+func (e *entry) writeRoster(next slots.Roster, version int64) {
+	e.sequence++
+	operation := fmt.Sprintf("%s/%d/roster/%d", e.id, e.incarnation, e.sequence)
+	// A conflict or an outage leaves the change to the next second.
+	_ = e.sim.store.View(e.zone).Table().Commit(e.sim.context, platform.NewTransaction(operation,
+		platform.Put("roster/"+e.zone, next.Encode(), version)))
+}
+
+// askLoans asks the members of the zone of each resource that is short, one question per zone and resource.
+func (e *entry) askLoans() {
+	s := e.sim
+	for _, want := range e.ledger.Wants() {
+		if s.separated(e.zone, want.Zone()) {
+			continue
+		}
+		there := s.oneWay(e.zone, want.Zone())
+		back := s.roundTrip(e.zone, want.Zone()) - there
+		s.clock.AfterFunc(there, func() {
+			missing := want.Units()
+			for i := range s.entries {
+				o := s.entries[(i+e.number)%len(s.entries)]
+				if o == e || !o.alive || o.zone != want.Zone() || missing <= 0 {
+					continue
+				}
+				granted, period := o.ledger.Lend(e.id, want.Resource(), missing)
+				if granted == 0 {
+					continue
+				}
+				missing -= granted
+				s.clock.AfterFunc(back, func() {
+					e.ledger.Borrow(o.id, want.Resource(), granted, period-there-back)
+					e.wakeAll()
+				})
+			}
+		})
+	}
+}
+
+func (s *sim) roundTrip(a, b string) clock.Millis {
+	if a == b {
+		return 0
+	}
+	return s.user.rtt
+}
+
+func (s *sim) oneWay(a, b string) clock.Millis { return s.roundTrip(a, b) / 2 }
+
+func (s *sim) separated(a, b string) bool { return a != b && (s.cut == a || s.cut == b) }
+
+// arrive sends the requests of a load to a pool until the end of the run.
+func (s *sim) arrive(pool int, l load) {
+	capacity := float64(len(s.workers[pool]) * meanRate)
+	at := 0.0
+	var next func()
+	next = func() {
+		now := s.clock.Now()
+		if now >= s.end {
+			return
+		}
+		rate := l.rate(now) * capacity / 1000
+		if rate <= 0 {
+			at = float64(now) + 10
+		} else {
+			// An interval is cut at 50 ms so that a change of the rate takes effect.
+			step := s.random.ExpFloat64() / rate
+			if step <= 50 {
+				at += step
+				s.clock.AfterFunc(max(0, clock.Millis(math.Ceil(at))-now), func() { s.request(pool, l); next() })
+				return
+			}
+			at = float64(now) + 50
+		}
+		s.clock.AfterFunc(max(1, clock.Millis(at)-now), next)
+	}
+	next()
+}
+
+func (s *sim) request(pool int, l load) {
+	s.numbers++
+	r := &request{number: s.numbers, pool: pool, caller: l.name + strconv.Itoa(s.random.IntN(l.callers)), urgency: l.urgency,
+		idempotent: s.random.Float64() < l.idempotent, flood: l.flood, first: s.clock.Now()}
+	if r.urgency == "" {
+		// Half of the work is normal; the rest is split evenly.
+		r.urgency = []config.Urgency{config.Urgent, config.Normal, config.Normal, config.Batch}[s.random.IntN(4)]
+	}
+	r.hurried = s.random.IntN(2) == 0
+	r.key = strconv.Itoa(r.number)
+	s.send(r)
+}
+
+// send is one attempt of the caller through the balancer.
+func (s *sim) send(r *request) {
+	r.born = s.clock.Now()
+	total := 0
+	for _, e := range s.entries {
+		if e.balanced {
+			total += e.weight
+		}
+	}
+	draw := s.random.IntN(total)
+	for _, e := range s.entries {
+		if !e.balanced {
+			continue
+		}
+		if draw -= e.weight; draw < 0 {
+			r.entry = e
+			break
+		}
+	}
+	s.clock.AfterFunc(callerDistance, r.receive)
+}
+
+func (r *request) receive() {
+	e := r.entry
+	s := e.sim
+	if !e.alive {
+		r.finish(notRun) // the caller could not connect
+		return
+	}
+	r.entered = s.clock.Now()
+	r.due = r.entered + longDeadline
+	if r.hurried {
+		r.due = r.entered + shortDeadline
+	}
+	e.live[r.number] = r
+	place, refusal := e.queues[r.pool].enter(r)
+	if refusal != nil {
+		r.finish(notRun)
+		return
+	}
+	if r.idempotent || s.variant.noClaims {
+		r.wait(place)
+		return
+	}
+	var pending *claim.Pending
+	ended := false
+	end := func() {
+		if ended || r.ended {
+			return
+		}
+		ended = true
+		decision, refusal := pending.End(s.context)
+		r.claimEnded(place, decision, refusal)
+	}
+	pending, decided, refusal := e.claims.Begin(r.caller, r.key, r.due, func() { s.clock.AfterFunc(0, end) })
+	if refusal != nil {
+		r.claimEnded(place, claim.Decision{}, refusal)
+		return
+	}
+	e.step(tableTime)
+	if decided {
+		end()
+		return
+	}
+	s.clock.AfterFunc(r.due-r.entered, end)
+}
+
+func (r *request) claimEnded(place place, d claim.Decision, refusal *result.Refusal) {
+	if refusal != nil {
+		place.Leave()
+		r.entry.queues[r.pool].Wake()
+		if refusal.Code().Outcome() == result.NotRun {
+			r.finish(notRun)
+		} else {
+			r.finish(outcomeUnknown)
+		}
+		return
+	}
+	if _, recorded := d.Answer(); recorded {
+		place.Leave()
+		r.entry.queues[r.pool].Wake()
+		r.finish(whole)
+		return
+	}
+	permit, _ := d.Permit()
+	r.permit = permit
+	r.wait(place)
+}
+
+// step runs the batch writer of the claims when it is due.
+func (e *entry) step(after clock.Millis) {
+	s := e.sim
+	if e.stepping {
+		return
+	}
+	e.stepping = true
+	s.clock.AfterFunc(after+s.slow, func() {
+		if !e.alive {
+			return
+		}
+		e.stepping = false
+		next, waiting := e.claims.Step(s.context)
+		if waiting {
+			e.step(max(next-s.clock.Now(), tableTime))
+		}
+	})
+}
+
+func (r *request) wait(place place) {
+	e := r.entry
+	s := e.sim
+	ended := false
+	var expiry func() bool
+	end := func() {
+		if ended || r.ended {
+			return
+		}
+		ended = true
+		if expiry != nil {
+			expiry()
+		}
+		grant, refusal := place.End(s.context)
+		r.granted(grant, refusal)
+	}
+	grant, refusal, done := place.Start(s.context, func() { s.clock.AfterFunc(0, end) })
+	if done {
+		r.granted(grant, refusal)
+		return
+	}
+	expiry = s.clock.AfterFunc(place.Expiry()-s.clock.Now(), end)
+}
+
+func (r *request) granted(grant *routing.Grant, refusal *result.Refusal) {
+	e := r.entry
+	s := e.sim
+	if refusal != nil {
+		r.abandon()
+		r.finish(notRun)
+		return
+	}
+	if r.permit != nil && r.permit.Use() != nil {
+		grant.Release(routing.Neutral, 0)
+		e.queues[r.pool].Wake()
+		r.finish(notRun)
+		return
+	}
+	s.queued = append(s.queued, float64(s.clock.Now()-r.entered))
+	e.budgets[r.pool].Request()
+	r.attempt(grant)
+}
+
+// abandon makes the key of a request that was certainly not run free again.
+func (r *request) abandon() {
+	if r.permit != nil {
+		r.entry.claims.Abandon(r.caller, r.key)
+		r.entry.step(tableTime)
+	}
+}
+
+// outcome is what the caller is told.
+type outcome int
+
+const (
+	whole outcome = iota
+	notRun
+	outcomeUnknown
+	workerError
+)
+
+// finish counts what the caller is told, or lets it repeat a non-idempotent request with the same key.
+func (r *request) finish(o outcome) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	s := r.entry.sim
+	delete(r.entry.live, r.number)
+	if (o == notRun || o == outcomeUnknown) && !r.idempotent && r.repeat < repeats {
+		again := &request{number: r.number, pool: r.pool, caller: r.caller, key: r.key, urgency: r.urgency,
+			repeat: r.repeat + 1, flood: r.flood, hurried: r.hurried, first: r.first}
+		s.clock.AfterFunc(callerDistance+repeatAfter, func() { s.send(again) })
+		return
+	}
+	if !r.flood {
+		s.sent++
+	}
+	switch o {
+	case whole:
+		if r.flood {
+			break
+		}
+		s.answered++
+		s.latencies = append(s.latencies, float64(s.clock.Now()+callerDistance-r.born))
+	case notRun:
+		if !r.flood {
+			s.refused++
+		}
+	case outcomeUnknown:
+		if !r.flood {
+			s.unknown++
+		}
+	case workerError:
+		if !r.flood {
+			s.errors++
+		}
+	}
+}
+
+func (e *entry) line(w *fakeWorker) *line {
+	l := e.lines[w.id]
+	if l == nil {
+		l = &line{}
+		e.lines[w.id] = l
+	}
+	return l
+}
+
+func (s *sim) unreachable(e *entry, w *fakeWorker) bool {
+	return w.state == lost || s.separated(e.zone, w.zone)
+}
+
+// attempt sends the request to the worker of the grant.
+func (r *request) attempt(grant *routing.Grant) {
+	e := r.entry
+	s := e.sim
+	now := s.clock.Now()
+	w := s.byID[grant.Worker().ID()]
+	a := &attempt{request: r, worker: w, line: e.line(w), started: now, grant: grant}
+	r.tries++
+	rtt := s.roundTrip(e.zone, w.zone)
+	s.distance += float64(rtt) / 2
+	if a.line.idle > 0 {
+		a.line.idle--
+		if a.line.silent > 0 {
+			a.line.silent--
+			a.hang()
+			return
+		}
+	} else if s.unreachable(e, w) {
+		a.after(connectTimeout, func() { a.fail(notRun) })
+		return
+	} else {
+		// The time that a connection takes to open is measured finer than a millisecond; inside a zone it is 0.2 ms.
+		grant.Worker().ObserveRTT(max(rtt.Duration(), 200*time.Microsecond))
+	}
+	w.attempts[a] = true
+	s.clock.AfterFunc(rtt/2, a.run)
+}
+
+// after calls f after d, or ends the attempt at the deadline of the request.
+func (a *attempt) after(d clock.Millis, f func()) {
+	s := a.request.entry.sim
+	left := a.request.due - s.clock.Now()
+	if left <= d {
+		d, f = max(left, 0), func() { a.fail(outcomeUnknown) }
+	}
+	a.stop = s.clock.AfterFunc(d, f)
+}
+
+// hang waits for an answer that never comes.
+func (a *attempt) hang() {
+	a.after(progressDeadline, func() {
+		a.line.idle, a.line.silent = 0, 0 // closes the idle connections as well
+		a.fail(outcomeUnknown)
+	})
+}
+
+// run begins the work on the worker.
+func (a *attempt) run() {
+	r, w := a.request, a.worker
+	s := r.entry.sim
+	if !w.attempts[a] {
+		return // the connection was lost on the way
+	}
+	w.running++
+	a.running = true
+	if w.running > slotsPerWorker {
+		s.over++
+	}
+	if !r.idempotent {
+		s.keys[r.key]++
+		if s.keys[r.key] > 1 {
+			s.twice++
+		}
+	}
+	back := s.roundTrip(r.entry.zone, w.zone) - s.oneWay(r.entry.zone, w.zone)
+	if w.state == fails {
+		a.after(failTime+back, func() { a.answer(false) })
+		return
+	}
+	took := w.serviceTime(s.random) + back
+	if took >= progressDeadline {
+		a.hang()
+		return
+	}
+	a.after(took, func() { a.answer(true) })
+}
+
+func (a *attempt) leaveWorker() {
+	delete(a.worker.attempts, a)
+	if a.running {
+		a.worker.running--
+		a.running = false
+	}
+}
+
+// answer is the worker's answer at the entry instance.
+func (a *attempt) answer(good bool) {
+	r := a.request
+	e := r.entry
+	a.leaveWorker()
+	if !e.alive {
+		return
+	}
+	a.line.idle++
+	o, seen := whole, routing.Answered
+	if !good {
+		o, seen = workerError, routing.Failed
+	}
+	a.grant.Release(seen, e.sim.clock.Now()-a.started)
+	if r.permit != nil {
+		e.claims.Finish(r.caller, r.key, claim.NewAnswer(200, nil, nil))
+		e.step(tableTime)
+	}
+	r.finish(o)
+	e.queues[r.pool].Wake()
+}
+
+// fail ends an attempt that brought no answer; the request goes to another worker where that is allowed.
+func (a *attempt) fail(o outcome) {
+	r := a.request
+	e := r.entry
+	s := e.sim
+	a.leaveWorker()
+	if !e.alive {
+		return
+	}
+	failed := a.grant.Worker()
+	a.grant.Release(routing.Failed, 0)
+	defer e.queues[r.pool].Wake()
+	if s.variant.retries && r.tries < maxAttempts && s.clock.Now() < r.due && (r.idempotent || o == notRun) &&
+		(!s.variant.budget || e.budgets[r.pool].Retry()) {
+		if next, ok := e.router.Acquire(s.user.poolUsed[r.pool], r.due, failed); ok {
+			s.retries++
+			r.attempt(next)
+			return
+		}
+	}
+	switch {
+	case r.permit == nil:
+	case o == notRun:
+		r.permit.Undo()
+		r.abandon()
+	default:
+		e.claims.Finish(r.caller, r.key, claim.UnknownAnswer())
+		e.step(tableTime)
+	}
+	r.finish(o)
+}
+
+// lose makes the connections between a worker and the entry instances that cannot reach it any more silent.
+func (s *sim) lose(w *fakeWorker) {
+	for _, e := range s.entries {
+		if !s.unreachable(e, w) {
+			continue
+		}
+		s.silence(e, w)
+	}
+}
+
+// silence makes every connection of an entry instance to a worker silent.
+func (s *sim) silence(e *entry, w *fakeWorker) {
+	l := e.line(w)
+	l.silent = l.idle
+	s.clock.AfterFunc(idleProbe, func() {
+		l.idle -= min(l.idle, l.silent)
+		l.silent = 0
+	})
+	var struck []*attempt
+	for a := range w.attempts {
+		if a.request.entry == e {
+			struck = append(struck, a)
+		}
+	}
+	sort.Slice(struck, func(i, j int) bool { return struck[i].request.number < struck[j].request.number })
+	for _, a := range struck {
+		if a.stop != nil {
+			a.stop()
+		}
+		delete(w.attempts, a)
+		if w.state == lost {
+			a.leaveWorker()
+		}
+		a.hang()
+	}
+}
+
+// kill ends an entry instance: its callers are cut off, its workers run on, and a member of its zone removes it once it
+// was silent for the lease period. A new one with a greater incarnation takes its place.
+func (s *sim) kill(e *entry, replaced clock.Millis, seed uint64) {
+	e.alive = false
+	var numbers []int
+	for n := range e.live {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	for _, n := range numbers {
+		e.live[n].finish(outcomeUnknown)
+	}
+	s.clock.AfterFunc(balancerLag, func() { e.balanced = false })
+	s.clock.AfterFunc(slots.LeasePeriod, func() {
+		for _, o := range s.entries {
+			if o.alive && o.zone == e.zone {
+				if next, ok := o.ledger.Roster(e.zone).Remove(e.id, e.incarnation); ok {
+					o.writeRoster(next, o.ledger.Roster(e.zone).Version())
+				}
+				return
+			}
+		}
+	})
+	s.clock.AfterFunc(replaced, func() {
+		n := s.addEntry(e.number, e.zone, e.weight, e.incarnation+1, seed+17)
+		n.pollRoster()
+		n.run()
+	})
+}
+
+// table answers as the platform's table does, without blocking: a slow access that would pass the timeout ends without
+// an answer, and a shorter delay is in the time at which the batch writer runs.
+type table struct {
+	platform.Table
+	sim *sim
+}
+
+// Commit implements platform.Table.
+func (t table) Commit(ctx context.Context, tx platform.Transaction) error {
+	err := t.Table.Commit(ctx, tx)
+	if err == nil && t.sim.slow >= claim.DefaultTimeout {
+		return platform.ErrUnknownOutcome.New("the table is slow")
+	}
+	return err
+}
+
+// Read implements platform.Table.
+func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if t.sim.slow >= claim.DefaultTimeout {
+		return nil, platform.ErrUnavailable.New("the table is slow")
+	}
+	return t.Table.Read(ctx, keys...)
+}
+
+// row returns the figures of the run.
+func (s *sim) row() Row {
+	r := NewRow(s.variant.name)
+	percent := func(n int) float64 { return 100 * float64(n) / float64(max(s.sent, 1)) }
+	r.Add("answered whole %", percent(s.answered))
+	r.Add("refused %", percent(s.refused))
+	r.Add("unknown %", percent(s.unknown))
+	r.Add("worker error %", percent(s.errors))
+	r.Add("p50 ms", quantile(s.latencies, 0.5))
+	r.Add("p99 ms", quantile(s.latencies, 0.99))
+	r.Add("queueing ms", mean(s.queued))
+	r.Add("retries per 1000", 1000*float64(s.retries)/float64(max(len(s.queued), 1)))
+	r.Add("distance ms", s.distance/float64(max(len(s.queued), 1)))
+	r.Add("overcommitted", float64(s.over))
+	r.Add("run twice", float64(s.twice))
+	return r
+}
+
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
