routing: let policies choose only workers with a free slot

Cause: a policy that chose by load or at random often chose a worker of another zone, where this instance holds no slot; two such choices led to a scan in random order, and each failed attempt counted as a shortage that asked for a loan. Change: a policy sees only workers with a free slot. Loans still answer less than base shares, which is looked into next.

--- a/routing/policy.go
+++ b/routing/policy.go
@@ -9,7 +9,7 @@
 )
 
 // Policy chooses a worker of a pool; Pick is called by many goroutines at once and must not lock. It returns nil when
-// it finds none; the router checks that the worker has a free slot and asks again.
+// it finds none; the router checks that the worker still has a free slot and asks again.
 type Policy interface {
 	Pick(p *Pool) *Worker
 }
@@ -41,7 +41,7 @@
 	n := uint64(len(p.workers))
 	start := r.cursor.Add(1) - 1
 	for i := range n {
-		if w := p.workers[(start+i)%n]; w.usable() {
+		if w := p.workers[(start+i)%n]; w.open() {
 			return w
 		}
 	}
@@ -58,7 +58,7 @@
 	n := len(p.workers)
 	start := p.Random(n)
 	for i := range n {
-		if w := p.workers[(start+i)%n]; w.usable() {
+		if w := p.workers[(start+i)%n]; w.open() {
 			return w
 		}
 	}
@@ -94,7 +94,7 @@
 	for i := range n {
 		index := (start + i) % n
 		w := p.workers[index]
-		if !w.usable() {
+		if !w.open() {
 			continue
 		}
 		used, far := w.inFlight.Load(), time.Duration(0)
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -94,3 +94,7 @@
 
 // usable reports whether a policy may choose the worker.
 func (w *Worker) usable() bool { return !w.leaving.Load() && !w.ejected.Load() }
+
+// open reports whether a policy may choose the worker and could get a slot there. A policy that chose by load alone
+// would choose the workers of other zones first, on which this instance has nothing in use and no slot either.
+func (w *Worker) open() bool { return w.usable() && w.account.Free() > 0 }
