routing, slots, admission: ask for loans only where a request is short and can use one

Cause: a failed Acquire counted a shortage on every worker, the queue repeated it for each caller, and requests whose deadline is beyond the end of any loan (the default deadline is as long as a loan) counted as well. The instances lent each other most of their slots, which requests of 10 s could then not use. Change: a failed Acquire counts on one worker, the queue stops its search after a failure when no slot is free at all, and a request that no loan could serve counts nowhere. TestLoan expected a loan for such a request; it now expects none, and one for a shorter request.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -482,15 +482,16 @@
 	now := q.Clock.Now()
 	var blocked map[string]bool // quota groups that Acquire turned down in this search
 	for q.ready.Load() > 0 {
-		if q.Free != nil && q.Free() <= 0 {
-			return
-		}
 		t := q.pick(now, blocked)
 		if t == nil {
 			return
 		}
 		grant, ok := q.Acquire(t.request)
 		if !ok {
+			// Free is asked after a failure only, so that the failure is seen by those who lend slots.
+			if q.Free != nil && q.Free() <= 0 {
+				return
+			}
 			if blocked == nil {
 				blocked = make(map[string]bool)
 			}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -35,6 +35,7 @@
 			return q.instance.handler.Acquire(pool, r.Team(), r.Deadline())
 		},
 		Release: (*caller.Permit).Release,
+		Free:    func() int { return q.instance.router.Free(pool) },
 	}}
 	if p, ok := q.pool(pool); ok {
 		fresh.MaxLength = orDefault(p.QueueLength(), defaultQueueLength)
--- a/measure/requests_queue.go
+++ b/measure/requests_queue.go
@@ -34,6 +34,7 @@
 		Clock: e.sim.clock, MaxLength: queueLength, MaxWait: queueWait,
 		Acquire: func(r admission.Request) (*routing.Grant, bool) { return acquire(r.Deadline()) },
 		Release: func(g *routing.Grant) { g.Release(routing.Neutral, 0) },
+		Free:    func() int { return e.router.Free(pool) },
 	}}
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -239,7 +239,7 @@
 	start := p.Random(n)
 	for i := range n {
 		w := p.workers[(start+i)%n]
-		if w != avoid && w.usable() {
+		if w != avoid && w.open() {
 			if g, ok := r.take(w, deadline, false); ok {
 				return g, true
 			}
@@ -248,9 +248,31 @@
 	if avoid != nil && avoid.usable() && s.homes[avoid] == p {
 		return r.take(avoid, deadline, false)
 	}
+	// The request is short of one slot, so it asks one worker, whose account counts the shortage; asking all of them
+	// would borrow a slot on each for one request.
+	for i := range n {
+		if w := p.workers[(start+i)%n]; w != avoid && w.usable() {
+			return r.take(w, deadline, false)
+		}
+	}
 	return nil, false
 }
 
+// Free returns how many slots of the pool a request with a short deadline could take now.
+func (r *Router) Free(pool string) int {
+	s := r.snapshot.Load()
+	if s == nil || s.pools[pool] == nil {
+		return 0
+	}
+	free := 0
+	for _, w := range s.pools[pool].workers {
+		if w.usable() {
+			free += w.account.Free()
+		}
+	}
+	return free
+}
+
 // try gives an ejected worker whose time has come one request.
 func (r *Router) try(w *Worker, deadline clock.Millis) (*Grant, bool) {
 	if w.leaving.Load() || !w.ejected.Load() || !r.setTrial(w, false) {
--- a/slots/account.go
+++ b/slots/account.go
@@ -115,7 +115,9 @@
 	if a.base.acquire() {
 		return true
 	}
-	a.missed.Add(1)
+	if deadline <= now+LoanPeriod-loanTransit {
+		a.missed.Add(1)
+	}
 	return false
 }
 
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -15,6 +15,9 @@
 	// loanMargin is how much longer the lender keeps lent slots back. The borrower counts the period from before its
 	// question, so the margin only has to cover clocks that run at different rates: 1% of the period.
 	loanMargin = LoanPeriod / 100
+	// loanTransit is the part of a loan that has passed when the borrower uses it. A request that ends later could not
+	// use the loan, so it does not ask for one.
+	loanTransit = clock.Second
 )
 
 // Ledger holds the shares and loans of one entry instance. The exported fields are set before the first call.
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -153,17 +153,23 @@
 	if granted != 5 || period != LoanPeriod || a.Account("worker/w").Free() != 3 {
 		t.Fatalf("Lend got %d for %d ms, want 5 for %d", granted, period, LoanPeriod)
 	}
-	b.Borrow("a", "worker/w", granted, period)
 	account := b.Account("worker/w")
+	// A request that no loan could serve must not ask for one.
+	account.TryAcquire(LoanPeriod + 1)
+	if got := b.Wants(); len(got) != 0 {
+		t.Errorf("Wants after a request longer than a loan got %v, want none", got)
+	}
+	account.TryAcquire(LoanPeriod / 2)
+	if got := b.Wants(); len(got) != 1 || got[0].Resource() != "worker/w" || got[0].Units() != 1 {
+		t.Errorf("Wants got %v, want one unit of worker/w", got)
+	}
+	b.Borrow("a", "worker/w", granted, period)
 	if account.TryAcquire(LoanPeriod + 1) {
 		t.Errorf("a request that ends after the loan got a slot, want none")
 	}
 	if !account.TryAcquire(LoanPeriod) || account.Free() != 4 || account.Connections() != 40 {
 		t.Errorf("borrower got %d free and %d connections, want 4 and 40", account.Free(), account.Connections())
 	}
-	if got := b.Wants(); len(got) != 1 || got[0].Resource() != "worker/w" || got[0].Units() != 1 {
-		t.Errorf("Wants got %v, want one unit of worker/w", got)
-	}
 	c.Advance(LoanPeriod)
 	b.Confirm(c.Now())
 	a.Confirm(c.Now())
