slots: lend at most half of the free slots

Cause: a lender kept one free slot of a resource in use and none of another; it was short itself soon, and requests with the default deadline of 10 s cannot use a loan of 10 s to replace what was lent. Change: Lend gives at most half of the free slots.

--- a/slots/account.go
+++ b/slots/account.go
@@ -50,16 +50,12 @@
 	}
 }
 
-// take lowers the limit by at most want, leaving reserve unused slots while any is in use, and returns by how much.
-func (c *count) take(want, reserve int) int {
+// take lowers the limit by at most want and at most half of the unused slots, and returns by how much.
+func (c *count) take(want int) int {
 	for {
 		word := c.word.Load()
 		limit, used := unpack(word)
-		free := limit - used
-		if used > 0 {
-			free -= reserve
-		}
-		taken := min(want, free)
+		taken := min(want, (limit-used)/2)
 		if taken <= 0 {
 			return 0
 		}
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -193,8 +193,9 @@
 		return 0, 0
 	}
 	l.update(a, now)
-	// A resource that is in use here keeps one free slot for the next request of its own.
-	granted = a.base.take(want, 1)
+	// Half of the free slots stay for the own requests: a lender that gave all but one was short itself soon, and
+	// requests that end after a loan can use own slots only.
+	granted = a.base.take(want)
 	if granted == 0 {
 		return 0, 0
 	}
