measure: compare weighted without each of its terms, and each mechanism switched off

Cause: only mechanisms whose removal makes a figure worse are worth their code. Change: the policy weighted is exported with switches for its terms, the queue can be told not to predict, and the group requests has ablation tables.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -85,6 +85,9 @@
 	// Acquire would only fail for each team in turn.
 	Free func() int
 
+	// NoPrediction lets hopeless requests wait as well; measurements use it to see what early refusal is worth.
+	NoPrediction bool
+
 	pending atomic.Int32 // tickets between Enter and Wait that are in no list
 	listed  atomic.Int32 // tickets in the lists; changes under mu
 	ready   atomic.Int32 // listed tickets whose owner is in Wait; changes under mu
@@ -572,7 +575,7 @@
 // predict returns how long r would wait at the observed rate.
 func (q *Queue[G]) predict(r Request, now clock.Millis) (wait clock.Millis, known bool) {
 	interval, known := q.rate.interval(now)
-	if !known || q.ready.Load() == 0 {
+	if !known || q.ready.Load() == 0 || q.NoPrediction {
 		return 0, false
 	}
 	c := &q.classes[r.class]
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -1,12 +1,15 @@
 package measure
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
+	"magnoliaferry/routing"
 )
 
 // parallelRuns bounds the runs at the same time; each is deterministic by itself.
@@ -121,17 +124,31 @@
 		with("no slot limit", func(v *variant) { v.slots = "unlimited" }))
 }
 
+// terms are the variants of "weighted" that leave one term of its score out or draw another number of workers.
+var terms = map[string]routing.Weighted{
+	"weighted, no load":     {Choices: 3, NoLoad: true},
+	"weighted, no latency":  {Choices: 3, NoLatency: true},
+	"weighted, no distance": {Choices: 3, NoDistance: true},
+	"weighted, no failures": {Choices: 3, NoFailures: true},
+	"weighted, 2 choices":   {Choices: 2},
+	"weighted, 5 choices":   {Choices: 5},
+}
+
 // ablationVariants each switch one mechanism off.
 func ablationVariants() []variant {
-	return []variant{
-		ours(),
+	all := []variant{ours()}
+	for _, name := range slices.Sorted(maps.Keys(terms)) {
+		routing.Policies.Register(name, func() routing.Policy { return terms[name] })
+		all = append(all, with(name, func(v *variant) { v.policy = name }))
+	}
+	return append(all,
+		with("no early refusal", func(v *variant) { v.predicts = false }),
 		with("no class weights", func(v *variant) { v.classes = false }),
 		with("no fairness", func(v *variant) { v.fairness = false }),
 		with("no loans", func(v *variant) { v.slots = "base" }),
 		with("no ejection", func(v *variant) { v.ejection = false }),
 		with("no retry budget", func(v *variant) { v.budget = false }),
-		with("no retries", func(v *variant) { v.retries = false }),
-	}
+		with("no retries", func(v *variant) { v.retries = false }))
 }
 
 func with(name string, change func(*variant)) variant {
--- a/measure/requests_queue.go
+++ b/measure/requests_queue.go
@@ -31,7 +31,7 @@
 		return &fifo{clock: e.sim.clock, acquire: acquire}
 	}
 	return &queue{variant: v, Queue: admission.Queue[*routing.Grant]{
-		Clock: e.sim.clock, MaxLength: queueLength, MaxWait: queueWait,
+		Clock: e.sim.clock, MaxLength: queueLength, MaxWait: queueWait, NoPrediction: !v.predicts,
 		Acquire: func(r admission.Request) (*routing.Grant, bool) { return acquire(r.Deadline()) },
 		Release: func(g *routing.Grant) { g.Release(routing.Neutral, 0) },
 		Free:    func() int { return e.router.Free(pool) },
--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -56,13 +56,14 @@
 	retries  bool
 	classes  bool // urgency counts
 	fairness bool // callers share a class
+	predicts bool // hopeless requests are refused early
 	noClaims bool // non-idempotent requests are not claimed; only to see the check fail
 }
 
 // ours is what magnoliaferry runs with.
 func ours() variant {
 	return variant{name: "weighted", policy: "weighted", ejection: true, budget: true, retries: true, classes: true,
-		fairness: true}
+		fairness: true, predicts: true}
 }
 
 // load describes the requests for one pool.
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -23,7 +23,7 @@
 	Policies.Register("two-choices", func() Policy { return twoChoices{} })
 	Policies.Register("least-used", func() Policy { return &leastUsed{} })
 	Policies.Register("least-used-distance", func() Policy { return &leastUsed{byDistance: true} })
-	Policies.Register("weighted", func() Policy { return weighted{} })
+	Policies.Register("weighted", func() Policy { return Weighted{Choices: weightedChoices} })
 }
 
 func newPolicy(name string) Policy {
@@ -117,24 +117,32 @@
 	return distanceStep * time.Duration(math.Round(float64(rtt/2)/float64(distanceStep)))
 }
 
-// weighted draws weightedChoices workers and takes the one with the lowest expected time to an answer.
-type weighted struct{}
+// Weighted is the policy "weighted": it draws some workers and takes the one with the lowest expected time to an
+// answer. Measurements leave terms of the score out to see what each is worth.
+type Weighted struct {
+	Choices    int
+	NoLoad     bool
+	NoLatency  bool
+	NoDistance bool
+	NoFailures bool
+}
 
 // weightedChoices is small because each choice costs one random number and one score, whatever the size of the pool.
 const weightedChoices = 3
 
-func (weighted) Pick(p *Pool) *Worker {
+// Pick implements Policy.
+func (o Weighted) Pick(p *Pool) *Worker {
 	best := randomUsable(p)
 	if best == nil {
 		return nil
 	}
-	lowest := score(best)
-	for range min(weightedChoices, len(p.workers)) - 1 {
+	lowest := o.score(best)
+	for range min(o.Choices, len(p.workers)) - 1 {
 		w := randomUsable(p)
 		if w == nil || w == best {
 			continue
 		}
-		if s := score(w); s < lowest {
+		if s := o.score(w); s < lowest {
 			best, lowest = w, s
 		}
 	}
@@ -148,10 +156,21 @@
 //
 // For example a worker with 1 of 4 slots in use, 20 ms and no failure has 2/4 x 20 = 10 and comes before one with
 // 0 of 2 slots in use and 40 ms, which has 1/2 x 40 = 20.
-func score(w *Worker) float64 {
-	used := w.InFlight()
-	held := used + max(w.account.Free(), 0)
-	load := float64(used+1) / float64(max(held, 1))
-	expected := w.Latency() + 2*float64(distance(w.RTT()))/float64(time.Millisecond) + 1
-	return load * expected * float64(1+w.Failures())
+func (o Weighted) score(w *Worker) float64 {
+	score := 1.0
+	if !o.NoLatency {
+		score += w.Latency()
+	}
+	if !o.NoDistance {
+		score += 2 * float64(distance(w.RTT())) / float64(time.Millisecond)
+	}
+	if !o.NoLoad {
+		used := w.InFlight()
+		held := used + max(w.account.Free(), 0)
+		score *= float64(used+1) / float64(max(held, 1))
+	}
+	if !o.NoFailures {
+		score *= float64(1 + w.Failures())
+	}
+	return score
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -146,8 +146,8 @@
 		a, b := &Worker{account: withSlots(4)}, &Worker{account: withSlots(4)}
 		c.better(a)
 		c.then(b)
-		if score(a) >= score(b) {
-			t.Errorf("%s: got scores %v and %v, want the first lower", c.name, score(a), score(b))
+		if x, y := (Weighted{}).score(a), (Weighted{}).score(b); x >= y {
+			t.Errorf("%s: got scores %v and %v, want the first lower", c.name, x, y)
 		}
 	}
 }
