--- a/admission/queue.go
+++ b/admission/queue.go
@@ -85,6 +85,9 @@
 	// Acquire would only fail for each team in turn.
 	Free func() int
 
+	// NoPrediction lets hopeless requests wait as well; measurements use it to see what early refusal is worth.
+	NoPrediction bool
+
 	pending atomic.Int32 // tickets between Enter and Wait that are in no list
 	listed  atomic.Int32 // tickets in the lists; changes under mu
 	ready   atomic.Int32 // listed tickets whose owner is in Wait; changes under mu
@@ -481,15 +484,16 @@
 	now := q.Clock.Now()
 	var blocked map[string]bool // quota groups that Acquire turned down in this search
 	for q.ready.Load() > 0 {
-		if q.Free != nil && q.Free() <= 0 {
-			return
-		}
 		t := q.pick(now, blocked)
 		if t == nil {
 			return
 		}
 		grant, ok := q.Acquire(t.request)
 		if !ok {
+			// Free is asked after a failure only, so that the failure is seen by those who lend slots.
+			if q.Free != nil && q.Free() <= 0 {
+				return
+			}
 			if blocked == nil {
 				blocked = make(map[string]bool)
 			}
@@ -570,7 +574,7 @@
 // predict returns how long r would wait at the observed rate.
 func (q *Queue[G]) predict(r Request, now clock.Millis) (wait clock.Millis, known bool) {
 	interval, known := q.rate.interval(now)
-	if !known || q.ready.Load() == 0 {
+	if !known || q.ready.Load() == 0 || q.NoPrediction {
 		return 0, false
 	}
 	c := &q.classes[r.class]
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -52,6 +52,7 @@
 			return permit, ok
 		},
 		Release: (*caller.Permit).Release,
+		Free:    func() int { return q.instance.router.Free(pool) },
 	}}
 	if p, ok := q.pool(pool); ok {
 		fresh.MaxLength = orDefault(p.QueueLength(), defaultQueueLength)
--- a/routing/router.go
+++ b/routing/router.go
@@ -254,7 +254,7 @@
 	start := p.Random(n)
 	for i := range n {
 		w := p.workers[(start+i)%n]
-		if w != avoid && w.usable() {
+		if w != avoid && w.open() {
 			if g, ok := r.take(w, deadline, false); ok {
 				return g, true
 			}
@@ -263,6 +263,13 @@
 	if avoid != nil && avoid.usable() && s.homes[avoid] == p {
 		return r.take(avoid, deadline, false)
 	}
+	// The request is short of one slot, so it asks one worker, whose account counts the shortage; asking all of them
+	// would borrow a slot on each for one request.
+	for i := range n {
+		if w := p.workers[(start+i)%n]; w != avoid && w.usable() {
+			return r.take(w, deadline, false)
+		}
+	}
 	return nil, false
 }
 
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -15,6 +15,9 @@
 	// loanMargin is how much longer the lender keeps lent slots back. The borrower counts the period from before its
 	// question, so the margin only has to cover clocks that run at different rates: 1% of the period.
 	loanMargin = LoanPeriod / 100
+	// loanTransit is the part of a loan that has passed when the borrower uses it. A request that ends later could not
+	// use the loan, so it does not ask for one.
+	loanTransit = clock.Second
 )
 
 // Ledger holds the shares and loans of one entry instance. The exported fields are set before the first call.
@@ -238,8 +241,9 @@
 		return 0, 0
 	}
 	l.update(a, now)
-	// A resource that is in use here keeps one free slot for the next request of its own.
-	granted = a.base.take(want, 1)
+	// Half of the free slots stay for the own requests: a lender that gave all but one was short itself soon, and
+	// requests that end after a loan can use own slots only.
+	granted = a.base.take(want)
 	if granted == 0 {
 		return 0, 0
 	}
