Test what single faults in the peer module were not noticed

New tests cover relays, the precedence of updates, lagging readings of the table and of peers, readings from before a pause, removals of a running member, repeats under the same operation id, and the zone of a lender; others are stricter. The simulated network moves out of the test files, because the measurement of the spreading uses it too.

--- a/peer/http_test.go
+++ b/peer/http_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -225,15 +226,19 @@
 	}
 	read.Store(0)
 	written.Store(0)
-	before := w.order[0].message("e001", "z01")
-	if err := call(h, address, false, gossip(w.order[1])); err != nil {
+	done := make(chan error, 1)
+	h.Call(address, false, 2*seconds, func(ctx context.Context, p peerpb.Peer) error {
+		_, err := p.Fetch(ctx, &peerpb.FetchRequest{Version: 1})
+		return err
+	}, func(err error) { done <- err })
+	if err := <-done; err != nil {
 		t.Fatalf("call got %v", err)
 	}
-	if got := int(read.Load()) - proto.Size(gossip(w.order[1])); got > overheadRequest {
-		t.Errorf("HTTP of a request got %d bytes, want at most %d", got, overheadRequest)
+	if got := int(read.Load()) - proto.Size(&peerpb.FetchRequest{Version: 1}); got > OverheadRequest {
+		t.Errorf("HTTP of a request got %d bytes, want at most %d", got, OverheadRequest)
 	}
-	if got := int(written.Load()) - proto.Size(before); got > overheadAnswer {
-		t.Errorf("HTTP of an answer got %d bytes, want at most %d", got, overheadAnswer)
+	if got := int(written.Load()) - proto.Size(w.order[0].versions.since(1)); got > OverheadAnswer {
+		t.Errorf("HTTP of an answer got %d bytes, want at most %d", got, OverheadAnswer)
 	}
 	h.Forget(address)
 }
@@ -275,8 +280,9 @@
 	defer server.Close()
 	h := &HTTP{Clock: clock.System()}
 	w := settled(t, 24, 3)
-	if err := call(h, server.Listener.Addr().String(), false, gossip(w.order[0])); err == nil {
-		t.Errorf("a huge answer got accepted")
+	if err := call(h, server.Listener.Addr().String(), false, gossip(w.order[0])); err == nil ||
+		!strings.Contains(err.Error(), "longer than") {
+		t.Errorf("a huge answer got %v, want a refusal for its length", err)
 	}
 }
 
--- /dev/null
+++ b/peer/network.go
@@ -0,0 +1,195 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer/peerpb"
+)
+
+// Bytes of HTTP around a message, counted without TLS and TCP; a test compares them with real calls.
+const (
+	OverheadRequest = 150
+	OverheadAnswer  = 130
+)
+
+var errNoAnswer = errors.New("peer: no answer")
+
+// Network carries calls between nodes of one process, for measurements and tests. It encodes every message, counts
+// bytes, and delays, loses and cuts off calls on request. On a fake clock the seed determines everything; it is to be
+// used by one goroutine.
+type Network struct {
+	// Loss is the probability that a request or an answer is lost.
+	Loss float64
+	// Delay bounds the time of a message, in milliseconds; it takes at least 1.
+	Delay clock.Millis
+
+	clock  *clock.Clock
+	random *rand.Rand
+	links  map[string]*Link   // by address
+	cut    map[[2]string]bool // pairs of zones or of addresses
+	open   map[[2]string]int  // the round of silence in which a connection was opened
+	round  int
+}
+
+// NewNetwork returns a network without nodes.
+func NewNetwork(c *clock.Clock, seed uint64) *Network {
+	return &Network{Delay: 5, clock: c, random: rand.New(rand.NewPCG(seed, 2)), links: map[string]*Link{},
+		cut: map[[2]string]bool{}, open: map[[2]string]int{}}
+}
+
+// Link is the Transport of one node and counts its traffic.
+type Link struct {
+	network        *Network
+	address, zone  string
+	peer           peerpb.Peer
+	guard          func(func()) func()
+	calls          int
+	sent, received int
+}
+
+// Attach adds a node, in place of an earlier one with the same address. guard wraps what the node does, so that a
+// pause can delay it.
+func (n *Network) Attach(address, zone string, p peerpb.Peer, guard func(func()) func()) *Link {
+	l := &Link{network: n, address: address, zone: zone, peer: p, guard: guard}
+	n.links[address] = l
+	return l
+}
+
+// Detach removes the node with the address.
+func (n *Network) Detach(address string) { delete(n.links, address) }
+
+// Cut cuts the connection between two zones or two addresses, or heals it.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
+}
+
+// Silence makes every open connection go silent for good; new ones work.
+func (n *Network) Silence() { n.round++ }
+
+// Calls returns the number of calls that the node started.
+func (l *Link) Calls() int { return l.calls }
+
+// Sent returns the bytes that the node sent, HTTP included.
+func (l *Link) Sent() int { return l.sent }
+
+// Received returns the bytes that the node received, HTTP included.
+func (l *Link) Received() int { return l.received }
+
+// Forget implements Transport.
+func (l *Link) Forget(string) {}
+
+func (n *Network) lost() bool { return n.Loss > 0 && n.random.Float64() < n.Loss }
+
+func (n *Network) delay() clock.Millis { return 1 + clock.Millis(n.random.Int64N(int64(n.Delay))) }
+
+func (n *Network) isCut(a, b *Link) bool {
+	return n.cut[[2]string{a.zone, b.zone}] || n.cut[[2]string{a.address, b.address}]
+}
+
+// Call implements Transport.
+func (l *Link) Call(to string, fresh bool, timeout clock.Millis, call func(context.Context, peerpb.Peer) error,
+	done func(error)) {
+	n := l.network
+	ended := false
+	end := func(err error) {
+		l.guard(func() {
+			if !ended {
+				ended = true
+				done(err)
+			}
+		})()
+	}
+	l.calls++
+	n.clock.AfterFunc(timeout, func() { end(errNoAnswer) })
+	pair := [2]string{l.address, to}
+	if opened, ok := n.open[pair]; fresh || !ok {
+		n.open[pair] = n.round
+	} else if opened < n.round {
+		return
+	}
+	target := n.links[to]
+	if n.lost() || (target != nil && n.isCut(l, target)) {
+		return
+	}
+	n.clock.AfterFunc(n.delay(), func() {
+		if target == nil || n.links[to] != target {
+			end(errNoAnswer) // nobody listens
+			return
+		}
+		target.guard(func() {
+			err := call(context.Background(), exchange{l, target})
+			if !n.lost() && !n.isCut(l, target) {
+				n.clock.AfterFunc(n.delay(), func() { end(err) })
+			}
+		})()
+	})
+}
+
+// exchange is the peer at the other end of a call.
+type exchange struct{ from, to *Link }
+
+// carry encodes a message, counts it at both ends and decodes it.
+func carry(from, to *Link, m, into proto.Message, overhead int) error {
+	encoded, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	from.sent += len(encoded) + overhead
+	to.received += len(encoded) + overhead
+	return proto.Unmarshal(encoded, into)
+}
+
+// pass carries a request to its handler and the answer back.
+func pass[Q, A proto.Message](x exchange, q Q, handle func(context.Context, Q) (A, error)) (A, error) {
+	var none A
+	request := q.ProtoReflect().New().Interface().(Q)
+	if err := carry(x.from, x.to, q, request, OverheadRequest); err != nil {
+		return none, err
+	}
+	a, err := handle(context.Background(), request)
+	if err != nil {
+		return none, err
+	}
+	answer := a.ProtoReflect().New().Interface().(A)
+	return answer, carry(x.to, x.from, a, answer, OverheadAnswer)
+}
+
+// Probe implements peerpb.Peer.
+func (x exchange) Probe(_ context.Context, q *peerpb.Gossip) (*peerpb.Gossip, error) {
+	return pass(x, q, x.to.peer.Probe)
+}
+
+// Relay implements peerpb.Peer.
+func (x exchange) Relay(_ context.Context, q *peerpb.RelayRequest) (*peerpb.RelayAnswer, error) {
+	return pass(x, q, x.to.peer.Relay)
+}
+
+// Vouch implements peerpb.Peer.
+func (x exchange) Vouch(_ context.Context, q *peerpb.VouchRequest) (*peerpb.VouchAnswer, error) {
+	return pass(x, q, x.to.peer.Vouch)
+}
+
+// Push implements peerpb.Peer.
+func (x exchange) Push(_ context.Context, q *peerpb.PushRequest) (*peerpb.PushAnswer, error) {
+	return pass(x, q, x.to.peer.Push)
+}
+
+// Fetch implements peerpb.Peer.
+func (x exchange) Fetch(_ context.Context, q *peerpb.FetchRequest) (*peerpb.FetchAnswer, error) {
+	return pass(x, q, x.to.peer.Fetch)
+}
+
+// Confirm implements peerpb.Peer.
+func (x exchange) Confirm(_ context.Context, q *peerpb.ConfirmRequest) (*peerpb.ConfirmAnswer, error) {
+	return pass(x, q, x.to.peer.Confirm)
+}
+
+// Borrow implements peerpb.Peer.
+func (x exchange) Borrow(_ context.Context, q *peerpb.BorrowRequest) (*peerpb.BorrowAnswer, error) {
+	return pass(x, q, x.to.peer.Borrow)
+}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -258,6 +259,17 @@
 	}
 }
 
+// Guards against a repeat of a write with an unknown outcome under another operation id.
+func TestUnknownOutcome(t *testing.T) {
+	w := newWorld(t, 30, 1)
+	w.faults.Next(memory.StepCommit, fault.LoseRequest, 2)
+	s := w.add(0, 1)
+	w.until(10*seconds, "member", w.all(usable))
+	if c := s.commits; len(c) != 3 || c[0] != c[1] || c[1] != c[2] {
+		t.Errorf("operations got %v, want the same three times", c)
+	}
+}
+
 // Guards against a member that stays in the roster after it left, or keeps its slots meanwhile.
 func TestLeave(t *testing.T) {
 	w := settled(t, 11, 9)
@@ -322,6 +334,9 @@
 	w := settled(t, 13, 3)
 	s := w.order[1]
 	digest := w.codec.Digest(w.codec.body(2))
+	if s.versions.replace(1, s.versions.current.digest, s.versions.current.body) == nil {
+		t.Errorf("the version in force replaces itself")
+	}
 	for name, a := range map[string]*peerpb.FetchAnswer{
 		"other body":   {Version: 2, Digest: digest, Body: []byte("2 x")},
 		"empty body":   {Version: 2, Digest: w.codec.Digest(nil)},
@@ -351,8 +366,8 @@
 		}
 		s.resume()
 		w.until(5*seconds, "caught up from peers", w.all(inForce(w.written)))
-		if got := s.got < 30*len(w.codec.body(1)) || missed > keptDeltas; !got {
-			t.Errorf("%d missed versions cost %d bytes", missed, s.got)
+		if got := s.link.Received() < 30*len(w.codec.body(1)) || missed > keptDeltas; !got {
+			t.Errorf("%d missed versions cost %d bytes", missed, s.link.Received())
 		}
 	}
 }
@@ -361,11 +376,7 @@
 func TestSilentConnections(t *testing.T) {
 	w := settled(t, 15, 9)
 	for range 5 {
-		for _, a := range w.order {
-			for _, b := range w.order {
-				w.silent[[2]string{a.Address, b.Address}] = true
-			}
-		}
+		w.net.Silence()
 		w.run(4 * seconds)
 		for _, s := range w.order {
 			if got, want := s.members.self.incarnation, int64(1); got != want {
@@ -380,7 +391,7 @@
 func TestMessageLoss(t *testing.T) {
 	for _, loss := range []float64{0.05, 0.25} {
 		w := settled(t, 16, 27)
-		w.loss = loss
+		w.net.Loss = loss
 		w.faults.Partition("z02")
 		for range 20 {
 			w.until(5*seconds, "version in force", w.all(inForce(w.submit(w.order[0]))))
@@ -445,21 +456,137 @@
 // lender counts.
 func TestLoans(t *testing.T) {
 	w := settled(t, 19, 9)
-	borrower := &fakeLoans{wants: []Want{NewWant("worker/w", "z01", 3)}, got: map[string]int{}}
+	borrower := &fakeLoans{got: map[string]int{}}
 	lenders := map[string]*fakeLoans{}
 	for _, s := range w.order[1:] {
 		lenders[s.ID] = &fakeLoans{free: 8}
 		s.Loans = lenders[s.ID]
 	}
 	w.order[0].Loans = borrower
-	w.until(3*seconds, "borrowed", func() bool { return len(borrower.got) > 0 })
+	for range 5 {
+		borrower.wants = []Want{NewWant("worker/w", "z01", 1)}
+		w.until(3*seconds, "borrowed", func() bool { return len(borrower.wants) == 0 })
+	}
+	lent := 0
 	for id, n := range borrower.got {
-		if s := w.nodes[address(int(id[3]-'0'))]; s.Zone != "z01" || lenders[id].free != 8-n || n != 3 {
+		s := w.nodes[address(int(id[3]-'0'))]
+		if lent += n; s.Zone != "z01" || lenders[id].free != 8-n {
 			t.Errorf("%s in %s lent %d and has %d left of 8", id, s.Zone, n, lenders[id].free)
 		}
 	}
-	if borrower.until >= 10*seconds {
-		t.Errorf("period got %d, want less than the lender's", borrower.until)
+	if lent != 5 || borrower.until >= 10*seconds {
+		t.Errorf("lent %d for %d ms, want 5 for less than the lender's period", lent, borrower.until)
+	}
+}
+
+// Guards against a suspicion between two members that cannot reach each other while the others reach both.
+func TestRelays(t *testing.T) {
+	w := settled(t, 26, 9)
+	a, b := w.order[3].Address, w.order[4].Address
+	w.net.Cut(a, b, true)
+	w.run(60 * seconds)
+	for _, s := range w.order {
+		if got, want := s.members.self.incarnation, int64(1); got != want {
+			t.Errorf("%s was suspected: incarnation got %d, want %d", s.ID, got, want)
+		}
+	}
+}
+
+// Guards against updates that bring back a removed incarnation, or remove a member without time to refute.
+func TestMerge(t *testing.T) {
+	const alive, suspect, failed, left = peerpb.State_ALIVE, peerpb.State_SUSPECT, peerpb.State_FAILED, peerpb.State_LEFT
+	type u struct {
+		incarnation int64
+		state       peerpb.State
+	}
+	for _, test := range []struct {
+		updates []u
+		want    u
+	}{
+		{[]u{{2, alive}, {1, left}}, u{2, alive}},
+		{[]u{{2, alive}, {2, failed}}, u{2, suspect}},
+		{[]u{{2, alive}, {2, failed}, {2, failed}}, u{2, suspect}},
+		{[]u{{2, suspect}, {2, alive}}, u{2, suspect}},
+		{[]u{{2, suspect}, {3, alive}}, u{3, alive}},
+		{[]u{{2, alive}, {2, left}, {2, alive}}, u{2, left}},
+		{[]u{{2, alive}, {2, left}, {3, alive}}, u{3, alive}},
+		{[]u{{2, left}, {2, alive}}, u{}},
+		{[]u{{5, left}, {4, alive}, {6, alive}}, u{6, alive}},
+	} {
+		s := newWorld(t, 27, 1).add(0, 1)
+		for _, x := range test.updates {
+			s.members.merge(&peerpb.Member{Id: "m", Address: "10.0.0.9:1", Incarnation: x.incarnation, State: x.state}, 0, false)
+		}
+		var got u
+		if m := s.members.all["m"]; m != nil {
+			got = u{m.incarnation, m.state}
+		}
+		if got != test.want {
+			t.Errorf("%v got %v, want %v", test.updates, got, test.want)
+		}
+	}
+}
+
+// Guards against a removed member that joins under the incarnation whose slots others may already use, and against
+// lagging answers of the table or of peers that are taken for a removal.
+func TestRosterReadings(t *testing.T) {
+	w := settled(t, 28, 9)
+	s, key := w.order[4], "roster/z01"
+	ctx := context.Background()
+	rows, _ := w.store.View("").Table().Read(ctx, key)
+	value, _ := fakeRosters{}.Remove(rows[0].Value(), s.ID, 1)
+	w.before[key] = platform.NewRow(key, value, rows[0].Version()-1, "before")
+	w.stale = true
+	w.run(4 * seconds)
+	w.stale = false
+	w.run(2 * seconds)
+	for _, o := range w.order { // as if they had not read the row since this member joined
+		if o != s {
+			o.roster.row, o.roster.members = w.before[key], nil
+		}
+	}
+	w.tableAway(true)
+	w.run(10 * seconds)
+	if got, want := s.roster.incarnation, int64(1); got != want || !usable(s) {
+		t.Errorf("after lagging answers: incarnation got %d, want %d", got, want)
+	}
+	w.tableAway(false)
+	w.run(3 * seconds)
+	s.locked(func() {
+		s.members.set(s.members.all["e001"], peerpb.State_SUSPECT, w.clock.Now())
+		s.members.all["e001"].heard = 0
+		s.roster.mates["e001"] = &mate{incarnation: 1, contact: w.clock.Now() - LeasePeriod + 1, refused: 9}
+		s.watchRoster(w.clock.Now())
+		if s.roster.write != nil {
+			t.Errorf("a member is removed before the lease period is over")
+		}
+	})
+	if err := w.store.View("").Table().Commit(ctx, platform.NewTransaction("removal",
+		platform.Put(key, value, platform.AnyVersion))); err != nil {
+		t.Fatal(err)
+	}
+	w.until(2*seconds, "removal noticed", func() bool { return s.state == "suspended" })
+	w.until(5*seconds, "member again", func() bool { return usable(s) })
+	if got := w.roster("z01")[s.ID].Incarnation; got <= 1 {
+		t.Errorf("incarnation after the removal got %d, want more than 1", got)
+	}
+}
+
+// Guards against a reading from before a pause that confirms the membership after it.
+func TestReadingBeforePause(t *testing.T) {
+	w := settled(t, 29, 9)
+	s := w.order[4]
+	for !s.polling {
+		w.clock.Advance(1)
+	}
+	w.clock.Advance(w.latency + 1) // the table has answered
+	s.pause()
+	w.run(30 * seconds)
+	w.tableAway(true)
+	slices.Reverse(s.late) // the tick notices the pause first
+	s.resume()
+	if s.Usable() {
+		t.Errorf("usable through a reading from before the pause")
 	}
 }
 
@@ -495,7 +622,7 @@
 			case 5:
 				w.tableAway(rapid.Bool().Draw(rt, "away"))
 			case 6:
-				w.loss = rapid.Float64Range(0, 0.3).Draw(rt, "loss")
+				w.net.Loss = rapid.Float64Range(0, 0.3).Draw(rt, "loss")
 			case 7:
 				w.stale = rapid.Bool().Draw(rt, "stale")
 			case 8:
@@ -510,7 +637,7 @@
 			w.isolate(w.zone(zone), false)
 		}
 		w.tableAway(false)
-		w.loss, w.stale = 0, false
+		w.net.Loss, w.stale = 0, false
 		w.until(5*seconds, "everybody converges", w.all(inForce(w.written)))
 		w.until(30*seconds, "everybody is in the roster", w.all(usable))
 	})
--- a/peer/sim_test.go
+++ b/peer/sim_test.go
@@ -5,30 +5,18 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
-
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/peer/peerpb"
 	"magnoliaferry/platform"
 	"magnoliaferry/platformhttp"
 )
 
-// Bytes of HTTP around a message; TestOverhead compares them with real calls.
-const (
-	overheadRequest = 150
-	overheadAnswer  = 110
-)
-
-var errLost = errors.New("no answer")
-
 // world runs nodes on one fake clock with a network and a platform that fail on request. All of it runs in one
 // goroutine, so a seed determines everything.
 type world struct {
@@ -41,9 +29,7 @@
 	nodes   map[string]*simNode // by address
 	order   []*simNode
 	zones   int
-	cut     map[[2]string]bool // pairs of zones
-	silent  map[[2]string]bool // directed pairs of addresses whose open connection is silent
-	loss    float64
+	net     *Network
 	latency clock.Millis // of the table, each way
 	stale   bool         // reads show the rows before their last write
 	before  map[string]platform.Row
@@ -60,17 +46,16 @@
 	applied []int64
 	rows    []platform.Row
 	state   string // of the ledger
-	sent    int    // bytes of calls and answers
-	got     int
-	calls   int
+	link    *Link
 	table   int // bytes of the table's protocol
+	commits []string
 	gone    map[string]int64
 }
 
 func newWorld(t testing.TB, seed uint64, zones int) *world {
 	c := clock.NewFake(1_000_000)
 	w := &world{t: t, clock: c, random: rand.New(rand.NewPCG(seed, 1)), faults: &fault.Driver{}, zones: zones,
-		nodes: map[string]*simNode{}, cut: map[[2]string]bool{}, silent: map[[2]string]bool{}, latency: 5,
+		nodes: map[string]*simNode{}, latency: 5, net: NewNetwork(c, seed),
 		before: map[string]platform.Row{}, latest: map[string]platform.Row{}, codec: fakeCodec{padding: 300}}
 	w.store = memory.New(c, w.faults)
 	return w
@@ -83,10 +68,12 @@
 	s := &simNode{w: w, gone: map[string]int64{}, state: "none"}
 	s.Node = &Node{ID: fmt.Sprintf("e%03d", i), Address: address(i), Zone: w.zone(i), Incarnation: incarnation,
 		Seeds: []string{address(0), address(1), address(2)}, Random: w.random.Uint64(), Clock: w.clock,
-		Transport: simTransport{s}, Codec: w.codec, Table: simTable{w.store.View(w.zone(i)).Table(), s},
+		Codec: w.codec, Table: simTable{w.store.View(w.zone(i)).Table(), s},
 		Objects: w.store.View(w.zone(i)).Objects(), Rosters: fakeRosters{}, Ledger: s,
 		after: func(d clock.Millis, f func()) { w.clock.AfterFunc(d, s.guard(f)) }}
 	s.Apply = s.apply
+	s.link = w.net.Attach(s.Address, s.Zone, s.Node, s.guard)
+	s.Transport = s.link
 	s.Background = func(work, done func()) {
 		w.clock.AfterFunc(w.latency, func() {
 			work()
@@ -94,7 +81,8 @@
 		})
 	}
 	if old := w.nodes[s.Address]; old != nil {
-		old.kill()
+		old.dead = true
+		old.stop()
 		for j := range w.order {
 			if w.order[j] == old {
 				w.order = append(w.order[:j], w.order[j+1:]...)
@@ -130,7 +118,13 @@
 	}
 }
 
-func (s *simNode) kill() { s.dead = true; s.stop() }
+func (s *simNode) kill() {
+	s.dead = true
+	s.stop()
+	if s.w.nodes[s.Address] == s {
+		s.w.net.Detach(s.Address)
+	}
+}
 
 func (s *simNode) pause() { s.paused = true }
 
@@ -275,103 +269,9 @@
 func (w *world) isolate(zone string, cut bool) {
 	for i := range w.zones {
 		if o := w.zone(i); o != zone {
-			w.cut[[2]string{zone, o}], w.cut[[2]string{o, zone}] = cut, cut
-		}
-	}
-}
-
-// simTransport carries encoded messages with delay and loss.
-type simTransport struct{ from *simNode }
-
-func (t simTransport) Forget(string) {}
-
-func (t simTransport) Call(to string, fresh bool, timeout clock.Millis,
-	call func(context.Context, peerpb.Peer) error, done func(error)) {
-	w, from := t.from.w, t.from
-	finished := false
-	end := func(err error) {
-		from.guard(func() {
-			if !finished {
-				finished = true
-				done(err)
-			}
-		})()
-	}
-	from.calls++
-	delay := func() clock.Millis { return 1 + clock.Millis(w.random.IntN(5)) }
-	lost := func() bool { return w.loss > 0 && w.random.Float64() < w.loss }
-	w.clock.AfterFunc(timeout, func() { end(errLost) })
-	pair := [2]string{from.Address, to}
-	if fresh {
-		delete(w.silent, pair)
-	}
-	target := w.nodes[to]
-	if w.silent[pair] || lost() || (target != nil && w.cut[[2]string{from.Zone, target.Zone}]) {
-		return
-	}
-	w.clock.AfterFunc(delay(), func() {
-		if target == nil || target.dead {
-			end(errLost)
-			return
-		}
-		target.guard(func() {
-			err := call(context.Background(), &simPeer{from, target})
-			if !lost() && !w.cut[[2]string{from.Zone, target.Zone}] {
-				w.clock.AfterFunc(delay(), func() { end(err) })
-			}
-		})()
-	})
-}
-
-// simPeer encodes and decodes each message, and counts the bytes at both ends.
-type simPeer struct{ from, to *simNode }
-
-func exchange[Q, A proto.Message](p *simPeer, q Q, handle func(context.Context, Q) (A, error), emptyQ Q, emptyA A) (A, error) {
-	carry := func(from, to *simNode, m, into proto.Message, overhead int) error {
-		encoded, err := proto.Marshal(m)
-		if err != nil {
-			return err
+			w.net.Cut(zone, o, cut)
 		}
-		from.sent += len(encoded) + overhead
-		to.got += len(encoded) + overhead
-		return proto.Unmarshal(encoded, into)
-	}
-	if err := carry(p.from, p.to, q, emptyQ, overheadRequest); err != nil {
-		return emptyA, err
 	}
-	a, err := handle(context.Background(), emptyQ)
-	if err != nil {
-		return emptyA, err
-	}
-	return emptyA, carry(p.to, p.from, a, emptyA, overheadAnswer)
-}
-
-func (p *simPeer) Probe(_ context.Context, q *peerpb.Gossip) (*peerpb.Gossip, error) {
-	return exchange(p, q, p.to.Probe, &peerpb.Gossip{}, &peerpb.Gossip{})
-}
-
-func (p *simPeer) Relay(_ context.Context, q *peerpb.RelayRequest) (*peerpb.RelayAnswer, error) {
-	return exchange(p, q, p.to.Relay, &peerpb.RelayRequest{}, &peerpb.RelayAnswer{})
-}
-
-func (p *simPeer) Vouch(_ context.Context, q *peerpb.VouchRequest) (*peerpb.VouchAnswer, error) {
-	return exchange(p, q, p.to.Vouch, &peerpb.VouchRequest{}, &peerpb.VouchAnswer{})
-}
-
-func (p *simPeer) Push(_ context.Context, q *peerpb.PushRequest) (*peerpb.PushAnswer, error) {
-	return exchange(p, q, p.to.Push, &peerpb.PushRequest{}, &peerpb.PushAnswer{})
-}
-
-func (p *simPeer) Fetch(_ context.Context, q *peerpb.FetchRequest) (*peerpb.FetchAnswer, error) {
-	return exchange(p, q, p.to.Fetch, &peerpb.FetchRequest{}, &peerpb.FetchAnswer{})
-}
-
-func (p *simPeer) Confirm(_ context.Context, q *peerpb.ConfirmRequest) (*peerpb.ConfirmAnswer, error) {
-	return exchange(p, q, p.to.Confirm, &peerpb.ConfirmRequest{}, &peerpb.ConfirmAnswer{})
-}
-
-func (p *simPeer) Borrow(_ context.Context, q *peerpb.BorrowRequest) (*peerpb.BorrowAnswer, error) {
-	return exchange(p, q, p.to.Borrow, &peerpb.BorrowRequest{}, &peerpb.BorrowAnswer{})
 }
 
 // simTable counts the bytes that platformhttp sends, and can show old rows.
@@ -394,10 +294,16 @@
 	}
 	q, _ := json.Marshal(platformhttp.Call{Keys: keys})
 	a, _ := json.Marshal(platformhttp.Answer{Rows: fields})
-	t.node.table += len(q) + len(a) + overheadRequest + overheadAnswer
+	t.node.table += len(q) + len(a) + OverheadRequest + OverheadAnswer
 	return rows, nil
 }
 
+// Commit records the operation ids.
+func (t simTable) Commit(ctx context.Context, tx platform.Transaction) error {
+	t.node.commits = append(t.node.commits, tx.Operation())
+	return t.Table.Commit(ctx, tx)
+}
+
 // fakeCodec has bodies that are a number with padding, and deltas that lead from one number to the next.
 type fakeCodec struct{ padding int }
 
