--- a/command/demo.go
+++ b/command/demo.go
@@ -27,6 +27,7 @@
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
 	"magnoliaferry/platform"
+	"magnoliaferry/result"
 	"magnoliaferry/settings"
 	"magnoliaferry/standin"
 )
@@ -316,7 +317,7 @@
 		outcome = "connection cut"
 	}
 	d.outcomes[outcome]++
-	if outcome == "ran" {
+	if outcome == string(result.Ran) {
 		d.durations = append(d.durations, took)
 		if key != "" {
 			d.keys[key] = true
@@ -339,7 +340,11 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Header.Get(caller.HeaderOutcome), err
+	outcome = response.Header.Get(caller.HeaderOutcome)
+	if outcome != string(result.Ran) {
+		outcome += ", result " + response.Header.Get(caller.HeaderResult)
+	}
+	return response.StatusCode, outcome, err
 }
 
 // change submits another configuration and waits until each entry instance has it in force.
