Tell the truth about a request that ran in an earlier attempt

Change: the attempt that says most about a run decides the result code: ran before unknown before not-run.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -31,6 +31,7 @@
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // keeps the transport from adding its own
 	}
+	var known *worker.Failure // of the attempts so far, the one that says most about a run
 	for attempt := 1; ; attempt++ {
 		if r.claim != nil {
 			if err := r.claim.Use(); err != nil {
@@ -44,6 +45,10 @@
 			return
 		}
 		code := failure.Code()
+		// An attempt that was not run takes nothing back from an earlier one that ran or may have.
+		if known == nil || certainty(code) >= certainty(known.Code()) {
+			known = failure
+		}
 		if r.claim != nil && code.Outcome() == result.NotRun {
 			r.claim.Undo()
 		}
@@ -59,11 +64,22 @@
 				continue
 			}
 		}
-		r.fail(ctx, failure)
+		r.fail(ctx, known)
 		return
 	}
 }
 
+// certainty orders codes by how certain it is that the request ran.
+func certainty(code *result.Code) int {
+	switch code.Outcome() {
+	case result.Ran:
+		return 2
+	case result.Unknown:
+		return 1
+	}
+	return 0
+}
+
 // fail records and reports a request that got no whole answer.
 func (r *request) fail(ctx context.Context, failure *worker.Failure) {
 	code := failure.Code()
