--- a/entry/instance.go
+++ b/entry/instance.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	eventStopped = event.New(1001, "stopped", slog.LevelInfo, "the entry instance has stopped")
 )
 
+// workerResource begins the names of the accounts of workers in the ledger.
+const workerResource = "worker/"
+
 // Instance is one entry instance; the exported fields are set before Run.
 type Instance struct {
 	Settings settings.Settings
@@ -168,8 +172,15 @@
 	i.configuration = &configurations{codec: &codec{}, store: &operator.Store{Clock: i.Clock, Table: i.Platform.Table(),
 		Objects: i.Platform.Objects(), Accepted: i.accepted}}
 	i.reports = &reports{instance: i}
-	i.ledger = &slots.Ledger{Clock: i.Clock, ID: s.Name, Incarnation: i.incarnation, Zone: s.Zone}
 	i.client = &worker.Client{Clock: i.Clock, Logger: i.Logger}
+	i.ledger = &slots.Ledger{Clock: i.Clock, ID: s.Name, Incarnation: i.incarnation, Zone: s.Zone,
+		OpenConnections: func(resource string) int {
+			id, isWorker := strings.CutPrefix(resource, workerResource)
+			if !isWorker {
+				return 0
+			}
+			return i.client.Connections(id)
+		}}
 	i.router = &routing.Router{Clock: i.Clock, Logger: i.Logger, Probe: i.client.Probe}
 	i.claims = &claim.Store{Clock: i.Clock, Table: i.Platform.Table(), Holder: s.Name, Incarnation: i.incarnation,
 		Interval: s.ClaimInterval, WallClock: i.WallClock, Logger: i.Logger}
@@ -252,6 +263,7 @@
 // metrics serves the counters of this instance and of the process.
 func (i *Instance) metrics() http.Handler {
 	vars := i.handler.Vars()
+	vars.Set("workers", i.router.Vars())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -41,7 +41,7 @@
 		if !known || a.Address() == "" {
 			continue
 		}
-		resource := "worker/" + a.Instance()
+		resource := workerResource + a.Instance()
 		i.ledger.SetCapacity(resource, a.Zone(), p.Slots())
 		leaving := a.Leaving() || a.Phase() != planner.Serving
 		members[a.Pool()] = append(members[a.Pool()], routing.NewWorkerState(a.Instance(), a.Address(), a.Zone(),
