slots: visit only accounts with an own share each second

Cause: Confirm, Propose and Wants took 6.0 ms a second at 16,000 workers, a third of the budget for control work. Change: the accounts stand in a slice, and the passes leave out workers of other zones without loans.

--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -32,6 +32,7 @@
 	started   atomic.Bool // confirmed holds a time
 
 	mu          sync.Mutex
+	all         []*Account // the same accounts
 	incarnation int64
 	used        map[int64]bool // incarnations of this process
 	rosters     map[string]Roster
@@ -79,7 +80,12 @@
 	if a, ok := l.accounts.Load(resource); ok {
 		return a.(*Account)
 	}
-	a, _ := l.accounts.LoadOrStore(resource, &Account{ledger: l, resource: resource})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, known := l.accounts.LoadOrStore(resource, &Account{ledger: l, resource: resource})
+	if !known {
+		l.all = append(l.all, a.(*Account))
+	}
 	return a.(*Account)
 }
 
@@ -273,11 +279,14 @@
 	defer l.mu.Unlock()
 	l.expireAll(l.Clock.Now())
 	var wants []Want
-	l.each(func(a *Account) {
-		if missed := int(a.missed.Swap(0)); missed > 0 && a.units > 0 {
+	for _, a := range l.all {
+		if a.missed.Load() == 0 {
+			continue
+		}
+		if missed := int(a.missed.Swap(0)); a.units > 0 {
 			wants = append(wants, Want{a.resource, a.zone, min(missed, a.units)})
 		}
-	})
+	}
 	sort.Slice(wants, func(i, j int) bool { return wants[i].resource < wants[j].resource })
 	return wants
 }
@@ -304,11 +313,13 @@
 	return ok && m.f.State == Active
 }
 
+// each visits the accounts of which the instance can have an own share. At the target size that is one in 33.
 func (l *Ledger) each(visit func(*Account)) {
-	l.accounts.Range(func(_, a any) bool {
-		visit(a.(*Account))
-		return true
-	})
+	for _, a := range l.all {
+		if a.zone == "" || a.zone == l.Zone {
+			visit(a)
+		}
+	}
 }
 
 func (l *Ledger) visit(a *Account) {
@@ -329,6 +340,7 @@
 }
 
 func (l *Ledger) updateAll(now clock.Millis) {
+	l.expireAll(now)
 	l.release(now)
 	l.each(func(a *Account) { l.update(a, now) })
 }
--- a/slots/property_test.go
+++ b/slots/property_test.go
@@ -328,3 +328,35 @@
 		}
 	}
 }
+
+// BenchmarkTryAcquire measures one TryAcquire and Release on an account that all threads share.
+func BenchmarkTryAcquire(b *testing.B) {
+	l := &Ledger{Clock: clock.System(), ID: "a", Incarnation: 1, Zone: "z"}
+	l.SetCapacity(worker, "z", 1000)
+	r, _ := Roster{}.Join("a", 1)
+	r.version = 1
+	l.SetRoster("z", r)
+	l.Confirm(l.Clock.Now()+clock.Hour, true, 0)
+	a := l.Account(worker)
+	b.RunParallel(func(pb *testing.PB) {
+		deadline := l.Clock.Now() + LongestDeadline
+		for pb.Next() {
+			if a.TryAcquire(deadline) {
+				a.Release()
+			}
+		}
+	})
+}
+
+// BenchmarkConfirm measures the work of the ledger once a second for 500 workers of its zone and 15,500 of others.
+func BenchmarkConfirm(b *testing.B) {
+	l := &Ledger{Clock: clock.System(), ID: "a", Incarnation: 1, Zone: "z"}
+	for i := range 16000 {
+		l.SetCapacity(fmt.Sprint("worker/", i), map[bool]string{true: "z", false: "y"}[i < 500], units)
+	}
+	for b.Loop() {
+		l.Confirm(l.Clock.Now(), true, 0)
+		l.Propose()
+		l.Wants()
+	}
+}
