admission: search a waiting queue without building strings

Change: quota groups are compared as structs, and the benchmark shows the effect of the optional Free function.

--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -220,7 +220,15 @@
 
 // BenchmarkQueued measures the same while 100 requests wait, and so the search under the lock.
 func BenchmarkQueued(b *testing.B) {
+	b.Run("without-free", func(b *testing.B) { benchmarkQueued(b, false) })
+	b.Run("with-free", func(b *testing.B) { benchmarkQueued(b, true) })
+}
+
+func benchmarkQueued(b *testing.B, withFree bool) {
 	q, free := slotsQueue(clock.System(), 0, 200)
+	if withFree {
+		q.Free = func() int { return int(free.Load()) }
+	}
 	tickets := make([]*Ticket[int], 0, 101)
 	enter := func(i int) {
 		urgency := []config.Urgency{config.Urgent, config.Normal, config.Batch}[i%3]
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,11 +63,13 @@
 }
 
 // quotaGroup names the requests that share a quota: the team, or the caller when it belongs to none.
-func (r Request) quotaGroup() string {
+type quotaGroup struct{ team, caller string }
+
+func (r Request) quotaGroup() quotaGroup {
 	if r.team != "" {
-		return "team/" + r.team
+		return quotaGroup{team: r.team}
 	}
-	return "caller/" + r.caller
+	return quotaGroup{caller: r.caller}
 }
 
 // Queue is the queue of one pool; G is what a request receives when its turn comes. The exported fields are set before
@@ -442,7 +444,7 @@
 // dispatch hands out slots until none is left or nobody waits.
 func (q *Queue[G]) dispatch() {
 	now := q.Clock.Now()
-	var blocked map[string]bool // quota groups that Acquire turned down in this search
+	var blocked map[quotaGroup]bool // quota groups that Acquire turned down in this search
 	for q.ready.Load() > 0 {
 		if q.Free != nil && q.Free() <= 0 {
 			return
@@ -454,7 +456,7 @@
 		grant, ok := q.Acquire(t.request)
 		if !ok {
 			if blocked == nil {
-				blocked = make(map[string]bool)
+				blocked = make(map[quotaGroup]bool)
 			}
 			blocked[t.request.quotaGroup()] = true
 			continue
@@ -470,7 +472,7 @@
 
 // pick returns the next request in turn whose owner waits and whose quota group is not blocked. It refuses expired
 // requests on the way. Classes with credit come first; when none of them has such a request, the round is over.
-func (q *Queue[G]) pick(now clock.Millis, blocked map[string]bool) *Ticket[G] {
+func (q *Queue[G]) pick(now clock.Millis, blocked map[quotaGroup]bool) *Ticket[G] {
 	var next *Ticket[G]
 	for i := range q.classes {
 		if next != nil && q.classes[i].credit <= 0 {
@@ -487,7 +489,7 @@
 	return next
 }
 
-func (q *Queue[G]) pickInClass(index int, now clock.Millis, blocked map[string]bool) *Ticket[G] {
+func (q *Queue[G]) pickInClass(index int, now clock.Millis, blocked map[quotaGroup]bool) *Ticket[G] {
 	c := &q.classes[index]
 	for i := 0; i < len(c.order); {
 		l := c.order[(c.next+i)%len(c.order)]
