--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -300,3 +300,33 @@
 		t.Errorf("a second Join with one incarnation got true, want false")
 	}
 }
+
+// Guards against quotas of the whole fleet that do not add up over zones and members, and a capacity change without
+// effect.
+func TestQuotaOverZones(t *testing.T) {
+	c := clock.NewFake(0)
+	rosters, ledgers := map[string]Roster{}, []*Ledger{}
+	for _, zone := range []string{"y", "z"} {
+		r := Roster{version: 1}
+		for _, id := range []string{"a", "b"} {
+			r, _ = r.Join(zone+id, 1)
+			ledgers = append(ledgers, &Ledger{Clock: c, ID: zone + id, Incarnation: 1, Zone: zone})
+		}
+		r, _ = r.Confirm(zone+"a", 1, 2)
+		rosters[zone] = r
+	}
+	for _, units := range []int{10, 3, 17} {
+		total := 0
+		for _, l := range ledgers {
+			for zone, r := range rosters {
+				l.SetRoster(zone, r)
+			}
+			l.Confirm(0, true, 0)
+			l.SetCapacity("team/t", "", units)
+			total += l.Account("team/t").Free()
+		}
+		if total != units {
+			t.Errorf("shares of %d units got a sum of %d", units, total)
+		}
+	}
+}
