--- a/claim/store.go
+++ b/claim/store.go
@@ -315,6 +315,9 @@
 	close(e.decided)
 }
 
+// Name returns the name of the module.
+func (s *Store) Name() string { return "claim" }
+
 // Run writes batches until the context ends. It then refuses the claims that wait and writes the answers that are
 // finished by then, for at most the timeout of one access.
 func (s *Store) Run(ctx context.Context) error {
@@ -322,7 +325,7 @@
 		if !s.await(ctx) {
 			break
 		}
-		s.step(ctx)
+		s.step(context.WithoutCancel(ctx)) // a transaction in flight ends by its timeout, not by the shutdown
 	}
 	s.mu.Lock()
 	s.stopped = true
