admission, slots, claim: count what happens and log lost memberships

Cause: an operator could not see how many requests give way, how many claims the table refuses, or that an instance dispatches nothing because nobody confirms its membership. Change: cumulative counters in expvar under "admission", "slots" and "claim"; events 2400 to 2402 of the ledger.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -303,6 +303,7 @@
 // list adds a ticket to the line of its caller; in a full queue another ticket gives way or the request is refused.
 func (q *Queue[G]) list(t *Ticket[G], now clock.Millis) *result.Refusal {
 	if wait, known := q.predict(t.request, now); known && now+wait >= t.expiry {
+		countTooLong.Add(1)
 		detail := fmt.Sprintf("%d requests wait, and the predicted wait is %d ms", q.Length(), wait)
 		return result.Refuse(CodeWaitTooLong, detail, retryAfter(wait-(t.expiry-now)))
 	}
@@ -313,10 +314,12 @@
 	if q.Length() > q.MaxLength {
 		victim := q.victim(t.request)
 		if victim == nil {
+			countFull.Add(1)
 			q.listed.Add(-1)
 			detail := fmt.Sprintf("%d requests wait", q.MaxLength)
 			return result.Refuse(CodeQueueFull, detail, q.retryTime(now))
 		}
+		countDisplaced.Add(1)
 		q.refuse(victim, result.Refuse(CodeDisplaced, fmt.Sprintf("caller %q has the most requests waiting",
 			victim.request.caller), q.retryTime(now)))
 	}
@@ -335,6 +338,7 @@
 		c.next = (c.next + 1) % len(c.order)
 	}
 	l.tickets = append(l.tickets, t)
+	countQueued.Add(1)
 	c.length++
 	t.state = stateListed
 	t.decided = make(chan struct{})
@@ -464,6 +468,7 @@
 		q.served(t)
 		q.unlist(t)
 		q.rate.observe(now)
+		countDispatched.Add(1)
 		t.state = stateGranted
 		t.grant = grant
 		close(t.decided)
@@ -569,6 +574,7 @@
 func retryAfter(d clock.Millis) clock.Millis { return min(max(d, minRetryAfter), maxRetryAfter) }
 
 func (t *Ticket[G]) refuseExpired(now clock.Millis) *result.Refusal {
+	countExpired.Add(1)
 	if now >= t.request.deadline {
 		return refuseDeadline(t.request, now)
 	}
--- /dev/null
+++ b/claim/metrics.go
@@ -0,0 +1,20 @@
+package claim
+
+import "expvar"
+
+// The counters under "claim" in expvar, each since the start of the process.
+var (
+	metrics           = expvar.NewMap("claim")
+	countStored       = counter("claims-stored")
+	countRefused      = counter("claims-refused")
+	countAnswers      = counter("answers-and-abandonments-recorded")
+	countTransactions = counter("transactions")
+	countConflicts    = counter("conflicts")
+	countUnsettled    = counter("transactions-unsettled")
+)
+
+func counter(name string) *expvar.Int {
+	i := new(expvar.Int)
+	metrics.Set(name, i)
+	return i
+}
--- a/claim/store.go
+++ b/claim/store.go
@@ -100,6 +100,7 @@
 	Decision, error) {
 	e, refusal := s.begin(caller, key, fingerprint, deadline)
 	if refusal != nil {
+		countRefused.Add(1)
 		return Decision{}, refusal
 	}
 	ctx, cancel := s.Clock.WithTimeout(ctx, deadline-s.Clock.Now())
@@ -114,6 +115,7 @@
 		refusal = result.Refuse(CodeStillRunning, "entry instance "+holder.Holder+" runs it", clock.Second)
 	}
 	if refusal != nil {
+		countRefused.Add(1)
 		return Decision{}, refusal
 	}
 	return d, nil
@@ -454,6 +456,7 @@
 			s.applied(batch)
 			return
 		case platformConflict(err):
+			countConflicts.Add(1)
 			s.forget(batch)
 			continue
 		case platformUnavailable(err):
@@ -603,9 +606,11 @@
 	now := s.Clock.Now()
 	for _, e := range batch {
 		if e.phase != phaseClaim {
+			countAnswers.Add(1)
 			s.drop(e)
 			continue
 		}
+		countStored.Add(1)
 		s.claims--
 		e.known = false // the commit does not tell the new version
 		if e.left || now >= e.deadline || s.stopped {
@@ -644,6 +649,7 @@
 // unsettled says that nobody knows whether the batch is stored. Its claims are refused, which is certain, because they
 // were not dispatched; they are abandoned in the table as soon as it answers.
 func (s *Store) unsettled(batch []*entry) {
+	countUnsettled.Add(1)
 	s.fail()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -675,6 +681,7 @@
 func (s *Store) commit(ctx context.Context, tx platform.Transaction) error {
 	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
 	defer cancel()
+	countTransactions.Add(1)
 	return s.Table.Commit(ctx, tx)
 }
 
--- /dev/null
+++ b/slots/events.go
@@ -0,0 +1,30 @@
+package slots
+
+import (
+	"expvar"
+	"log/slog"
+
+	"magnoliaferry/event"
+)
+
+var (
+	eventSuspended = event.New(2400, "membership-unconfirmed", slog.LevelWarn,
+		"nobody who can know answered after a pause; the instance dispatches nothing")
+	eventResumed = event.New(2401, "membership-confirmed", slog.LevelInfo,
+		"the membership is confirmed after a pause")
+	eventLost = event.New(2402, "membership-lost", slog.LevelWarn,
+		"the instance is no longer in the roster of its zone")
+)
+
+// The counters under "slots" in expvar, each since the start of the process.
+var (
+	metrics       = expvar.NewMap("slots")
+	countLent     = counter("lent")
+	countBorrowed = counter("borrowed")
+)
+
+func counter(name string) *expvar.Int {
+	i := new(expvar.Int)
+	metrics.Set(name, i)
+	return i
+}
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"context"
+	"log/slog"
 	"slices"
 	"sort"
 	"sync"
@@ -26,6 +28,7 @@
 	// OpenConnections returns the connections that are open to a resource, busy or idle. A smaller share is confirmed
 	// only once they fit it. Optional.
 	OpenConnections func(resource string) int
+	Logger          *slog.Logger // nil: no log
 
 	accounts  sync.Map // resource to *Account
 	confirmed atomic.Int64
@@ -40,6 +43,7 @@
 	free        map[identity]bool        // departed members whose slots are certainly not in use
 	table       reach
 	unbroken    clock.Millis      // since when every attempt to confirm followed the one before within the lease period
+	waiting     bool              // the last attempt after a pause did not count
 	withLoans   map[*Account]bool // accounts that expire has to visit
 }
 
@@ -107,7 +111,11 @@
 	if known, ok := l.rosters[zone]; ok && known.version >= roster.version {
 		return
 	}
+	was := l.active()
 	l.rosters[zone] = roster
+	if was && !l.active() {
+		eventLost.Log(context.Background(), l.Logger, slog.Int64("incarnation", l.incarnation))
+	}
 	now := l.Clock.Now()
 	if zone == l.Zone {
 		departed := make(map[identity]*quarantine)
@@ -179,9 +187,16 @@
 	last := clock.Millis(l.confirmed.Load())
 	if !l.started.Load() || started-last > LeasePeriod {
 		if l.started.Load() && !table && unbroken < started-last {
+			if !l.waiting {
+				eventSuspended.Log(context.Background(), l.Logger, slog.Int64("pause-ms", int64(started-last)))
+			}
+			l.waiting = true
 			return
 		}
-		l.unbroken = started
+		if l.waiting {
+			eventResumed.Log(context.Background(), l.Logger, slog.Int64("pause-ms", int64(started-last)))
+		}
+		l.unbroken, l.waiting = started, false
 	}
 	if !l.started.Load() || started > last {
 		l.confirmed.Store(int64(started))
@@ -249,6 +264,7 @@
 	if granted == 0 {
 		return 0, 0
 	}
+	countLent.Add(int64(granted))
 	a.lent = append(a.lent, lent{granted, now + LoanPeriod + loanMargin})
 	l.visit(a)
 	return granted, LoanPeriod
@@ -267,6 +283,7 @@
 	a.expire(now)
 	b := &loan{end: now + min(period, LoanPeriod)}
 	b.setLimit(granted)
+	countBorrowed.Add(int64(granted))
 	loans := append(slices.Clone(a.borrowed()), b)
 	sort.SliceStable(loans, func(i, j int) bool { return loans[i].end < loans[j].end })
 	a.loans.Store(&loans)
