--- a/claim/store.go
+++ b/claim/store.go
@@ -17,7 +17,11 @@
 const (
 	// DefaultInterval gives at most 20 transactions a second for each entry instance, 180 for the 9 of a user; the
 	// platform sustains several hundred.
-	DefaultInterval   = 50 * clock.Millis(1)
+	DefaultInterval = 50 * clock.Millis(1)
+	// burst is how many transactions may follow each other at once after a quiet time, so that a single caller does not
+	// wait for the interval.
+	burst = 4
+
 	DefaultTimeout    = clock.Second
 	DefaultMaxBatch   = 256
 	DefaultBatchBytes = 1 << 20
@@ -33,7 +37,7 @@
 	Holder      string // id of the entry instance
 	Incarnation int64  // differs for each start of the process
 
-	Interval   clock.Millis // between the starts of two transactions
+	Interval   clock.Millis // between two transactions, on average
 	Timeout    clock.Millis // of one access to the table
 	MaxBatch   int          // claims and answers in a transaction
 	BatchBytes int          // values in a transaction; a single answer may exceed it
@@ -44,16 +48,17 @@
 	HolderRuns func(ctx context.Context, holder string, incarnation int64, caller, key string) bool
 	Logger     *slog.Logger // nil: no log
 
-	mu        sync.Mutex
-	entries   map[string]*entry // by row key
-	queue     []*entry          // entries with something to write, oldest first
-	claims    int               // claims in the queue or in the transaction in flight
-	breaker   breaker
-	sequence  int64 // of the operation ids
-	stopped   bool
-	wakeOnce  sync.Once
-	wakeup    chan struct{}
-	lastStart clock.Millis
+	mu       sync.Mutex
+	entries  map[string]*entry // by row key
+	queue    []*entry          // entries with something to write, oldest first
+	claims   int               // claims in the queue or in the transaction in flight
+	breaker  breaker
+	sequence int64 // of the operation ids
+	attempts int64
+	stopped  bool
+	wakeOnce sync.Once
+	wakeup   chan struct{}
+	due      clock.Millis // when the transactions so far have used up their intervals
 }
 
 // phase says what an entry has to write next.
@@ -72,8 +77,8 @@
 	deadline clock.Millis
 	value    row // as it is written next
 	phase    phase
-	version  int64 // of the row that the next write replaces
-	known    bool  // version is known
+	version  int64 // of the row that the next write replaces, see known
+	known    bool  // version may be used
 	permit   *Permit
 
 	// For a claim that waits.
@@ -96,6 +101,7 @@
 	Decision, error) {
 	e, refusal := s.begin(caller, key, fingerprint, deadline)
 	if refusal != nil {
+		countRefused.Add(1)
 		return Decision{}, refusal
 	}
 	ctx, cancel := s.Clock.WithTimeout(ctx, deadline-s.Clock.Now())
@@ -110,6 +116,7 @@
 		refusal = result.Refuse(CodeStillRunning, "entry instance "+holder.Holder+" runs it", clock.Second)
 	}
 	if refusal != nil {
+		countRefused.Add(1)
 		return Decision{}, refusal
 	}
 	return d, nil
@@ -179,6 +186,9 @@
 		return
 	}
 	e.value = e.value.withAnswer(answer)
+	// The commit of the claim did not tell the version of its row, and the answer needs none: nobody else writes the row
+	// of a claim that is certainly stored, and a delayed copy of the answer writes what is there already.
+	e.version, e.known = platform.AnyVersion, true
 	s.enqueue(e, phaseDone)
 }
 
@@ -232,8 +242,10 @@
 	case len(s.entries) >= or(s.MaxPending, DefaultMaxPending):
 		return nil, result.Refuse(CodeTooManyClaims, fmt.Sprintf("%d claims are open", len(s.entries)), clock.Second)
 	}
+	s.attempts++
 	e := &entry{rowKey: id, deadline: deadline, decided: make(chan struct{}), known: true,
-		value: row{State: stateClaimed, Holder: s.Holder, Incarnation: s.Incarnation, Fingerprint: fingerprint}}
+		value: row{State: stateClaimed, Holder: s.Holder, Incarnation: s.Incarnation, Attempt: s.attempts,
+			Fingerprint: fingerprint}}
 	if s.entries == nil {
 		s.entries = make(map[string]*entry)
 	}
@@ -358,9 +370,12 @@
 	if s.breaker.open {
 		return s.breaker.until, true
 	}
-	return s.lastStart + or(s.Interval, DefaultInterval), len(s.queue) > 0
+	return s.due - (burst-1)*or(s.Interval, DefaultInterval), len(s.queue) > 0
 }
 
+// Name returns the name of the module.
+func (s *Store) Name() string { return "claim" }
+
 // Run writes batches until the context ends. It then refuses the claims that wait and writes the answers that are
 // finished by then, for at most the timeout of one access.
 func (s *Store) Run(ctx context.Context) error {
@@ -368,7 +383,7 @@
 		if !s.await(ctx) {
 			break
 		}
-		s.step(ctx)
+		s.step(context.WithoutCancel(ctx)) // a transaction in flight ends by its timeout, not by the shutdown
 	}
 	s.mu.Lock()
 	s.stopped = true
@@ -400,7 +415,7 @@
 
 // step writes one batch, after a probe when the breaker is open.
 func (s *Store) step(ctx context.Context) {
-	s.lastStart = s.Clock.Now()
+	s.due = max(s.due, s.Clock.Now()) + or(s.Interval, DefaultInterval)
 	s.mu.Lock()
 	open := s.breaker.open
 	s.mu.Unlock()
@@ -492,6 +507,7 @@
 			s.applied(batch)
 			return
 		case platformConflict(err):
+			countConflicts.Add(1)
 			s.forget(batch)
 			continue
 		case platformUnavailable(err):
@@ -545,17 +561,14 @@
 func (s *Store) decide(e *entry, r platform.Row) bool {
 	found, err := decodeRow(r.Value())
 	free := r.Version() == 0 || (err == nil && found.State == stateAbandoned)
-	own := err == nil && found.State == stateClaimed && found.Holder == s.Holder && found.Incarnation == s.Incarnation
+	own := err == nil && found.State == stateClaimed && found.sameAttempt(e.value)
 	if e.phase != phaseClaim {
-		// A claim whose fate was unknown may be absent; its abandonment is written all the same, because it makes a
+		// An abandonment. A claim whose fate was unknown may be absent; this is written all the same, because it makes a
 		// delayed copy of the claim fail.
-		if own || (e.phase == phaseAbandon && free) {
+		if own || free {
 			return false
 		}
-		if e.phase != phaseDone || err != nil || found.State != stateDone || found.Holder != s.Holder {
-			eventForeign.Log(context.Background(), s.Logger, slog.String("key", e.rowKey))
-		}
-		s.drop(e)
+		s.drop(e) // another attempt has the key
 		return true
 	}
 	if free {
@@ -607,7 +620,8 @@
 		written, changed := false, false
 		for i, r := range rows {
 			written = written || r.Operation() == operation
-			changed = changed || r.Version() != tx.Writes()[i].IfVersion()
+			condition := tx.Writes()[i].IfVersion()
+			changed = changed || (condition != platform.AnyVersion && condition != r.Version())
 		}
 		if written {
 			s.applied(batch)
@@ -629,10 +643,10 @@
 	return true
 }
 
-// forget marks the versions of a batch as unknown.
+// forget marks the versions of a batch as unknown; answers are written whatever the version is.
 func (s *Store) forget(batch []*entry) {
 	for _, e := range batch {
-		e.known = false
+		e.known = e.phase == phaseDone
 	}
 }
 
@@ -643,9 +657,11 @@
 	now := s.Clock.Now()
 	for _, e := range batch {
 		if e.phase != phaseClaim {
+			countAnswers.Add(1)
 			s.drop(e)
 			continue
 		}
+		countStored.Add(1)
 		s.claims--
 		e.known = false // the commit does not tell the new version
 		if e.left || now >= e.deadline || s.stopped {
@@ -675,15 +691,16 @@
 			s.refuse(e, s.refuseUnavailable(s.Clock.Now()))
 			continue
 		}
-		e.known = false
 		rest = append(rest, e)
 	}
+	s.forget(rest)
 	s.queue = append(rest, s.queue...)
 }
 
 // unsettled says that nobody knows whether the batch is stored. Its claims are refused, which is certain, because they
 // were not dispatched; they are abandoned in the table as soon as it answers.
 func (s *Store) unsettled(batch []*entry) {
+	countUnsettled.Add(1)
 	s.fail()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -696,9 +713,9 @@
 			e.value.State = stateAbandoned
 			e.phase = phaseAbandon
 		}
-		e.known = false
 		rest = append(rest, e)
 	}
+	s.forget(rest)
 	s.queue = append(rest, s.queue...)
 }
 
@@ -715,6 +732,7 @@
 func (s *Store) commit(ctx context.Context, tx platform.Transaction) error {
 	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
 	defer cancel()
+	countTransactions.Add(1)
 	return s.Table.Commit(ctx, tx)
 }
 
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"context"
+	"log/slog"
 	"slices"
 	"sort"
 	"sync"
@@ -29,12 +31,14 @@
 	// OpenConnections returns the connections that are open to a resource, busy or idle. A smaller share is confirmed
 	// only once they fit it. Optional.
 	OpenConnections func(resource string) int
+	Logger          *slog.Logger // nil: no log
 
 	accounts  sync.Map // resource to *Account
 	confirmed atomic.Int64
 	started   atomic.Bool // confirmed holds a time
 
 	mu          sync.Mutex
+	all         []*Account // the same accounts
 	incarnation int64
 	used        map[int64]bool // incarnations of this process
 	rosters     map[string]Roster
@@ -42,6 +46,7 @@
 	free        map[identity]bool        // departed members whose slots are certainly not in use
 	table       reach
 	unbroken    clock.Millis      // since when every attempt to confirm followed the one before within the lease period
+	waiting     bool              // the last attempt after a pause did not count
 	withLoans   map[*Account]bool // accounts that expire has to visit
 }
 
@@ -82,7 +87,12 @@
 	if a, ok := l.accounts.Load(resource); ok {
 		return a.(*Account)
 	}
-	a, _ := l.accounts.LoadOrStore(resource, &Account{ledger: l, resource: resource})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, known := l.accounts.LoadOrStore(resource, &Account{ledger: l, resource: resource})
+	if !known {
+		l.all = append(l.all, a.(*Account))
+	}
 	return a.(*Account)
 }
 
@@ -104,7 +114,11 @@
 	if known, ok := l.rosters[zone]; ok && known.version >= roster.version {
 		return
 	}
+	was := l.active()
 	l.rosters[zone] = roster
+	if was && !l.active() {
+		eventLost.Log(context.Background(), l.Logger, slog.Int64("incarnation", l.incarnation))
+	}
 	now := l.Clock.Now()
 	if zone == l.Zone {
 		departed := make(map[identity]*quarantine)
@@ -176,9 +190,16 @@
 	last := clock.Millis(l.confirmed.Load())
 	if !l.started.Load() || started-last > LeasePeriod {
 		if l.started.Load() && !table && unbroken < started-last {
+			if !l.waiting {
+				eventSuspended.Log(context.Background(), l.Logger, slog.Int64("pause-ms", int64(started-last)))
+			}
+			l.waiting = true
 			return
 		}
-		l.unbroken = started
+		if l.waiting {
+			eventResumed.Log(context.Background(), l.Logger, slog.Int64("pause-ms", int64(started-last)))
+		}
+		l.unbroken, l.waiting = started, false
 	}
 	if !l.started.Load() || started > last {
 		l.confirmed.Store(int64(started))
@@ -247,6 +268,7 @@
 	if granted == 0 {
 		return 0, 0
 	}
+	countLent.Add(int64(granted))
 	a.lent = append(a.lent, lent{granted, now + LoanPeriod + loanMargin})
 	l.visit(a)
 	return granted, LoanPeriod
@@ -265,6 +287,7 @@
 	a.expire(now)
 	b := &loan{end: now + min(period, LoanPeriod)}
 	b.setLimit(granted)
+	countBorrowed.Add(int64(granted))
 	loans := append(slices.Clone(a.borrowed()), b)
 	sort.SliceStable(loans, func(i, j int) bool { return loans[i].end < loans[j].end })
 	a.loans.Store(&loans)
@@ -277,11 +300,14 @@
 	defer l.mu.Unlock()
 	l.expireAll(l.Clock.Now())
 	var wants []Want
-	l.each(func(a *Account) {
-		if missed := int(a.missed.Swap(0)); missed > 0 && a.units > 0 {
+	for _, a := range l.all {
+		if a.missed.Load() == 0 {
+			continue
+		}
+		if missed := int(a.missed.Swap(0)); a.units > 0 {
 			wants = append(wants, Want{a.resource, a.zone, min(missed, a.units)})
 		}
-	})
+	}
 	sort.Slice(wants, func(i, j int) bool { return wants[i].resource < wants[j].resource })
 	return wants
 }
@@ -308,11 +334,13 @@
 	return ok && m.f.State == Active
 }
 
+// each visits the accounts of which the instance can have an own share. At the target size that is one in 33.
 func (l *Ledger) each(visit func(*Account)) {
-	l.accounts.Range(func(_, a any) bool {
-		visit(a.(*Account))
-		return true
-	})
+	for _, a := range l.all {
+		if a.zone == "" || a.zone == l.Zone {
+			visit(a)
+		}
+	}
 }
 
 func (l *Ledger) visit(a *Account) {
@@ -333,6 +361,7 @@
 }
 
 func (l *Ledger) updateAll(now clock.Millis) {
+	l.expireAll(now)
 	l.release(now)
 	l.each(func(a *Account) { l.update(a, now) })
 }
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"sync"
 	"testing"
 
 	"magnoliaferry/clock"
@@ -307,3 +308,66 @@
 		t.Errorf("a second Join with one incarnation got true, want false")
 	}
 }
+
+// Guards against quotas of the whole fleet that do not add up over zones and members, and a capacity change without
+// effect.
+func TestQuotaOverZones(t *testing.T) {
+	c := clock.NewFake(0)
+	rosters, ledgers := map[string]Roster{}, []*Ledger{}
+	for _, zone := range []string{"y", "z"} {
+		r := Roster{version: 1}
+		for _, id := range []string{"a", "b"} {
+			r, _ = r.Join(zone+id, 1)
+			ledgers = append(ledgers, &Ledger{Clock: c, ID: zone + id, Incarnation: 1, Zone: zone})
+		}
+		r, _ = r.Confirm(zone+"a", 1, 2)
+		rosters[zone] = r
+	}
+	for _, units := range []int{10, 3, 17} {
+		total := 0
+		for _, l := range ledgers {
+			for zone, r := range rosters {
+				l.SetRoster(zone, r)
+			}
+			l.Confirm(0, true, 0)
+			l.SetCapacity("team/t", "", units)
+			total += l.Account("team/t").Free()
+		}
+		if total != units {
+			t.Errorf("shares of %d units got a sum of %d", units, total)
+		}
+	}
+}
+
+// Guards against counts that get lost between TryAcquire, Release and loans that begin and end at the same time.
+func TestConcurrentCounts(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	exchange(join(Roster{}, "a"), a)
+	b.Confirm(0, true, 0)
+	var all sync.WaitGroup
+	for i := range 8 {
+		l := []*Ledger{a, b}[i%2]
+		all.Go(func() {
+			for range 3000 {
+				if l.Account("worker/w").TryAcquire(c.Now()) {
+					l.Account("worker/w").Release()
+				}
+			}
+		})
+	}
+	all.Go(func() {
+		for range 300 {
+			granted, period := a.Lend("b", "worker/w", 3)
+			b.Borrow("a", "worker/w", granted, period)
+			c.Advance(clock.Second)
+			a.Confirm(c.Now(), true, 0)
+			b.Confirm(c.Now(), true, 0)
+		}
+	})
+	all.Wait()
+	used := a.Account("worker/w").Used() + b.Account("worker/w").Used()
+	if used != 0 {
+		t.Errorf("slots in use at the end got %d, want 0", used)
+	}
+}
