slots: give back borrowed slots that are not used

Cause: a loan kept its slots for 10 s, also when the shortage lasted a fraction of a second; lenders were short meanwhile. Change: a borrower gives back what was unused at two calls of GiveBack in a row, and the lender takes it back. Loans carry numbers and a message names what is kept, so that a late or repeated one changes no other loan. Lend and Borrow stay as they are; their loans are not given back.

--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -35,7 +35,8 @@
 	rosterPeriod     = 1 * clock.Second
 	wakePeriod       = clock.Second / 2
 	// askPeriod is how often an instance asks its peers for loans; the design names no value.
-	askPeriod = 100 * clock.Millis(1)
+	askPeriod  = 100 * clock.Millis(1)
+	givePeriod = clock.Second / 2
 	// tableTime is how long an access to the table takes when nothing is wrong.
 	tableTime = 5 * clock.Millis(1)
 	// balancerLag is how long the balancer sends requests to an instance that is gone.
@@ -257,6 +258,7 @@
 	every(wakePeriod, e.wakeAll)
 	if s.variant.slots == "" {
 		every(askPeriod, e.askLoans)
+		every(givePeriod, e.giveBack)
 	}
 }
 
@@ -315,13 +317,15 @@
 				if o == e || !o.alive || o.zone != want.Zone() || missing <= 0 {
 					continue
 				}
-				granted, period := o.ledger.Lend(e.id, want.Resource(), missing)
-				if granted == 0 {
+				loan := o.ledger.Grant(e.id, want.Resource(), missing)
+				if loan.Units() == 0 {
 					continue
 				}
-				missing -= granted
+				missing -= loan.Units()
+				incarnation, number := loan.Numbers()
 				s.clock.AfterFunc(back, func() {
-					e.ledger.Borrow(o.id, want.Resource(), granted, period-there-back)
+					e.ledger.Accept(o.id, want.Resource(),
+						slots.NewLoan(incarnation, number, loan.Units(), loan.Period()-there-back))
 					e.wakeAll()
 				})
 			}
@@ -329,6 +333,22 @@
 	}
 }
 
+// giveBack tells the lenders which slots are not needed any more.
+func (e *entry) giveBack() {
+	s := e.sim
+	for _, u := range e.ledger.GiveBack() {
+		for _, o := range s.entries {
+			if o.id != u.Lender() || !o.alive || s.separated(e.zone, o.zone) {
+				continue
+			}
+			s.clock.AfterFunc(s.oneWay(e.zone, o.zone), func() {
+				o.ledger.TakeBack(e.id, u)
+				o.wakeAll()
+			})
+		}
+	}
+}
+
 func (s *sim) roundTrip(a, b string) clock.Millis {
 	if a == b {
 		return 0
--- a/slots/account.go
+++ b/slots/account.go
@@ -65,16 +65,33 @@
 	}
 }
 
+// withdraw lowers the limit by at most want and at most the unused slots, and returns the new limit.
+func (c *count) withdraw(want int) (limit int) {
+	for {
+		word := c.word.Load()
+		limit, used := unpack(word)
+		limit -= min(want, max(limit-used, 0))
+		if c.word.CompareAndSwap(word, pack(limit, used)) {
+			return limit
+		}
+	}
+}
+
 // loan is a number of slots borrowed until end.
 type loan struct {
 	count
-	end clock.Millis
+	end    clock.Millis
+	lender string
+	terms  Loan
+	unused int // at the last call of Unused
 }
 
 // lent is a number of slots that others use until end.
 type lent struct {
-	units int
-	end   clock.Millis
+	units    int
+	end      clock.Millis
+	borrower string
+	terms    Loan
 }
 
 // Account is the part of one resource that this entry instance may use; its methods take no lock.
--- a/slots/doc.go
+++ b/slots/doc.go
@@ -16,6 +16,7 @@
 //   - A member that was silent for the lease period is removed with Roster.Remove.
 //   - At shutdown it commits Roster.Leave, calls SetRoster with the result, and commits what Propose returns until
 //     Ledger.Drained.
-//   - For each Want it asks members with free slots for a loan. It calls Borrow with the period reduced by the time
-//     since the question was sent.
+//   - For each Want it asks members with free slots for a loan, which they Grant. It calls Accept with the period reduced
+//     by the time since the question was sent.
+//   - Twice a second it tells the lenders what GiveBack returns, and they call TakeBack.
 package slots
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -41,6 +41,7 @@
 	departed    map[identity]clock.Millis // of the own zone, with the time when they were first seen
 	free        map[identity]bool         // departed members whose slots are certainly not in use
 	withLoans   map[*Account]bool         // accounts that expire has to visit
+	loans       int64                     // granted so far
 }
 
 // Want is a resource of which the instance is short.
@@ -182,32 +183,86 @@
 	return l.idle()
 }
 
-// Lend gives slots that are free here to a borrower and returns how many and for how long. They are subtracted before
-// it returns.
+// Loan is what a lender grants. Its numbers identify it, so that a late or repeated message about one loan does not
+// change another.
+type Loan struct {
+	incarnation int64
+	number      int64
+	units       int
+	period      clock.Millis
+}
+
+// NewLoan returns a loan as it was received from a lender; the numbers are those of Loan.Numbers there.
+func NewLoan(incarnation, number int64, units int, period clock.Millis) Loan {
+	return Loan{incarnation, number, units, period}
+}
+
+// Numbers returns what identifies the loan at its lender.
+func (l Loan) Numbers() (incarnation, number int64) { return l.incarnation, l.number }
+
+// Units returns how many slots were granted; 0 says none.
+func (l Loan) Units() int { return l.units }
+
+// Period returns how long the loan lasts, in milliseconds from the question.
+func (l Loan) Period() clock.Millis { return l.period }
+
+// Unused is a loan of which the borrower gives slots back.
+type Unused struct {
+	lender, resource string
+	loan             Loan
+}
+
+// NewUnused returns a message as it was received from a borrower; the units of the loan are what the borrower keeps.
+func NewUnused(lender, resource string, loan Loan) Unused { return Unused{lender, resource, loan} }
+
+// Lender returns the id of the member that gets its slots back.
+func (u Unused) Lender() string { return u.lender }
+
+// Resource returns the name of the resource.
+func (u Unused) Resource() string { return u.resource }
+
+// Loan returns the loan with the units that the borrower keeps.
+func (u Unused) Loan() Loan { return u.loan }
+
+// Lend gives slots that are free here to a borrower and returns how many and for how long; they come back only at the
+// end. See Grant.
 func (l *Ledger) Lend(borrower, resource string, want int) (granted int, period clock.Millis) {
+	loan := l.Grant(borrower, resource, want)
+	return loan.units, loan.period
+}
+
+// Grant gives slots that are free here to a borrower. They are subtracted before it returns.
+func (l *Ledger) Grant(borrower, resource string, want int) Loan {
 	a := l.Account(resource)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	if borrower == l.ID || !l.live(now) {
-		return 0, 0
+		return Loan{}
 	}
 	l.update(a, now)
 	// Half of the free slots stay for the own requests: a lender that gave all but one was short itself soon, and
 	// requests that end after a loan can use own slots only.
-	granted = a.base.take(want)
+	granted := a.base.take(want)
 	if granted == 0 {
-		return 0, 0
+		return Loan{}
 	}
-	a.lent = append(a.lent, lent{granted, now + LoanPeriod + loanMargin})
+	l.loans++
+	loan := Loan{l.incarnation, l.loans, granted, LoanPeriod}
+	a.lent = append(a.lent, lent{granted, now + LoanPeriod + loanMargin, borrower, loan})
 	l.visit(a)
-	return granted, LoanPeriod
+	return loan
 }
 
-// Borrow takes over a loan. The period counts from now, so the caller reduces the lender's period by the time since it
-// sent its question.
+// Borrow takes over a loan that is not given back before its end; see Accept.
 func (l *Ledger) Borrow(lender, resource string, granted int, period clock.Millis) {
-	if granted <= 0 || period <= 0 || lender == l.ID {
+	l.Accept(lender, resource, Loan{units: granted, period: period})
+}
+
+// Accept takes over a loan. The period counts from now, so the caller reduces the lender's period by the time since it
+// sent its question.
+func (l *Ledger) Accept(lender, resource string, terms Loan) {
+	if terms.units <= 0 || terms.period <= 0 || lender == l.ID {
 		return
 	}
 	a := l.Account(resource)
@@ -215,14 +270,57 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	a.expire(now)
-	b := &loan{end: now + min(period, LoanPeriod)}
-	b.setLimit(granted)
+	b := &loan{end: now + min(terms.period, LoanPeriod), lender: lender, terms: terms}
+	b.setLimit(terms.units)
 	loans := append(slices.Clone(a.borrowed()), b)
 	sort.SliceStable(loans, func(i, j int) bool { return loans[i].end < loans[j].end })
 	a.loans.Store(&loans)
 	l.visit(a)
 }
 
+// GiveBack ends the borrowed slots that were unused at this call and at the one before, and returns what their lenders
+// have to be told; call it twice a second. A message that is lost only delays the return until the end of the loan.
+func (l *Ledger) GiveBack() []Unused {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Unused
+	for a := range l.withLoans {
+		for _, b := range a.borrowed() {
+			limit, used := b.load()
+			free := max(limit-used, 0)
+			idle := min(free, b.unused)
+			b.unused = free
+			if idle == 0 || b.terms.number == 0 {
+				continue
+			}
+			kept := b.terms
+			kept.units = b.withdraw(idle)
+			b.unused = 0
+			all = append(all, Unused{b.lender, a.resource, kept})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].resource < all[j].resource ||
+			(all[i].resource == all[j].resource && all[i].loan.number < all[j].loan.number)
+	})
+	return all
+}
+
+// TakeBack restores the slots of a loan that the borrower no longer keeps. The message names what it keeps, which only
+// shrinks, so a repeated or overtaken one does no harm.
+func (l *Ledger) TakeBack(borrower string, u Unused) {
+	a := l.Account(u.resource)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range a.lent {
+		o := &a.lent[i]
+		if o.borrower == borrower && o.terms.incarnation == u.loan.incarnation && o.terms.number == u.loan.number {
+			o.units = max(0, min(o.units, u.loan.units))
+		}
+	}
+	l.update(a, l.Clock.Now())
+}
+
 // Wants returns the resources of which requests found no slot since the last call.
 func (l *Ledger) Wants() []Want {
 	l.mu.Lock()
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -184,3 +184,35 @@
 		t.Errorf("lender after the margin got %d free, want 8", got)
 	}
 }
+
+// Guards against a return that gives the lender slots still in use, or that changes a later loan when it comes twice.
+func TestGiveBack(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	exchange(join(Roster{}, "a"), a)
+	b.Confirm(0)
+	b.Accept("a", "worker/w", a.Grant("b", "worker/w", 4))
+	account := b.Account("worker/w")
+	account.TryAcquire(LoanPeriod)
+	if got := b.GiveBack(); len(got) != 0 {
+		t.Errorf("GiveBack of slots that were just borrowed got %v, want none", got)
+	}
+	given := b.GiveBack()
+	if len(given) != 1 || given[0].Lender() != "a" || given[0].Loan().Units() != 1 || account.Free() != 0 {
+		t.Fatalf("GiveBack got %v and %d free, want one message that keeps 1 and none free", given, account.Free())
+	}
+	a.TakeBack("b", given[0])
+	if got := a.Account("worker/w").Free(); got != 7 {
+		t.Errorf("lender got %d free, want 7 of 8 while one is in use", got)
+	}
+	account.Release()
+	b.GiveBack()
+	for _, u := range b.GiveBack() {
+		a.TakeBack("b", u)
+	}
+	a.Grant("b", "worker/w", 4)
+	a.TakeBack("b", given[0])
+	if got := a.Account("worker/w").Free(); got != 4 {
+		t.Errorf("after a repeated message about an earlier loan got %d free, want 4", got)
+	}
+}
