measure: slow and failing workers at a low load, and fewer ablation tables

Cause: at 50% load an instance has few free slots to choose from, so the policies differ little. Change: both scenarios also run at 20% load; ablations run where a mechanism can matter; a chart without data is left out.

--- a/measure/report.go
+++ b/measure/report.go
@@ -195,6 +195,9 @@
 	chart.Y.Label.Text = figure
 	chart.Legend.Top = true
 	scenarios, policies := r.charted(figure)
+	if len(scenarios) == 0 {
+		return nil
+	}
 	const barWidth = 6 // points
 	for i, policy := range policies {
 		bars, err := plotter.NewBarChart(r.values(figure, policy, scenarios), vg.Points(barWidth))
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -90,7 +90,9 @@
 	registerRequests(uneven, policyVariants(), "surges", "flood-urgent")
 	ablated := users[0]
 	ablated.name = "ablation"
-	registerRequests(ablated, ablationVariants())
+	// Scenarios in which a mechanism can make a difference.
+	registerRequests(ablated, ablationVariants(), "surges", "flood-batch", "flood-urgent", "slow-worker", "slow-worker-quiet",
+		"failing-worker", "failing-worker-quiet", "rack-lost", "silent-connections", "entry-killed")
 }
 
 // registerRequests registers the scenarios for a user, or only the named ones.
@@ -234,6 +236,17 @@
 				s.at(2*second, func() { s.workers[0][0].state = fails })
 				s.at(12*second, func() { s.workers[0][0].state = works })
 			})}},
+		{"slow-worker-quiet", requestScenario{duration: 20 * second,
+			text: "At 20% load one worker takes ten times as long from 2 s on.",
+			setUp: steadyAnd(0.2, func(s *sim) {
+				s.at(2*second, func() { s.workers[0][0].slowness = 10 })
+			})}},
+		{"failing-worker-quiet", requestScenario{duration: 20 * second,
+			text: "At 20% load one worker answers every request with an error within 5 ms from 2 s to 12 s.",
+			setUp: steadyAnd(0.2, func(s *sim) {
+				s.at(2*second, func() { s.workers[0][0].state = fails })
+				s.at(12*second, func() { s.workers[0][0].state = works })
+			})}},
 		{"rack-lost", requestScenario{duration: 20 * second,
 			text: "At 50% load a rack of 4 workers is lost at 5 s without closing its connections.",
 			setUp: steadyAnd(0.5, func(s *sim) {
