routing: leave the distance out of the score of weighted

Cause: the latency that an instance observes contains the way to the worker already, so the term counted it twice.

--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -97,6 +97,7 @@
 
 	answered, refused, unknown, errors int
 	retries, over, twice, sent         int
+	refusals                           []float64 // time until a caller learned that a request was not run
 	latencies, queued                  []float64
 	distance                           float64
 }
@@ -597,6 +598,7 @@
 	case notRun:
 		if !r.flood {
 			s.refused++
+			s.refusals = append(s.refusals, float64(s.clock.Now()+callerDistance-r.born))
 		}
 	case outcomeUnknown:
 		if !r.flood {
@@ -863,6 +865,7 @@
 	r.Add("p50 ms", quantile(s.latencies, 0.5))
 	r.Add("p99 ms", quantile(s.latencies, 0.99))
 	r.Add("queueing ms", mean(s.queued))
+	r.Add("refusal ms", mean(s.refusals))
 	r.Add("retries per 1000", 1000*float64(s.retries)/float64(max(len(s.queued), 1)))
 	r.Add("distance ms", s.distance/float64(max(len(s.queued), 1)))
 	r.Add("overcommitted", float64(s.over))
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -123,7 +123,6 @@
 	Choices    int
 	NoLoad     bool
 	NoLatency  bool
-	NoDistance bool
 	NoFailures bool
 }
 
@@ -151,7 +150,7 @@
 
 // score estimates in milliseconds how long a new request takes on w; lower is better. It is the product of
 //   - load: the requests there with this one, per slot held, so that a worker with a larger share gets more,
-//   - time: recent latency plus distance; a worker without answers yet has no latency and is tried early,
+//   - time: recent latency, which contains the distance; a worker without answers yet has none and is tried early,
 //   - failures: one failure doubles the score, two triple it, so that a failing worker loses work before ejection.
 //
 // For example a worker with 1 of 4 slots in use, 20 ms and no failure has 2/4 x 20 = 10 and comes before one with
@@ -161,9 +160,6 @@
 	if !o.NoLatency {
 		score += w.Latency()
 	}
-	if !o.NoDistance {
-		score += 2 * float64(distance(w.RTT())) / float64(time.Millisecond)
-	}
 	if !o.NoLoad {
 		used := w.InFlight()
 		held := used + max(w.account.Free(), 0)
