Leave out row values that the client of the table already holds

A poll reads config/current, roster/<zone> and changes/<zone> once a second. With 64 changes of 60 bytes the last row alone is 5.1 KB in base64, above the 3 KB/s that a process may use for control work. A Read now names the version and the operation of the rows that the client remembers (at most 32 rows of 64 KB), and the server leaves out their values when both still hold. The operation tells apart two rows of one version, which a table can have after it lost rows.

--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -55,6 +55,9 @@
 	once  sync.Once
 	http  *http.Client
 	parts map[string]*Backoff // by the second path segment: the table can be down while the object store works
+
+	rowsMu sync.Mutex
+	rows   map[string]platform.Row // read last, by key
 }
 
 // Table implements platform.Platform.
--- a/platformhttp/client_test.go
+++ b/platformhttp/client_test.go
@@ -80,6 +80,52 @@
 	}
 }
 
+// Guards against a row that is served from what the client remembers although it has changed, also when a table that
+// lost rows gives the same version to another value; and against values that are sent again.
+func TestRowsAreNotSentAgain(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	large := strings.Repeat("v", 10_000)
+	write := func(store *memory.Store, operation, value string) {
+		if err := store.View("").Table().Commit(ctx, platform.NewTransaction(operation,
+			platform.Put("x", []byte(value), platform.AnyVersion))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(f.store, "one", large)
+	server := &standin.Platform{Clock: f.client.Clock, Store: f.store, Faults: f.faults}
+	var sent atomic.Int64
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, r)
+		sent.Add(int64(recorder.Body.Len()))
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer front.Close()
+	client := &platformhttp.Client{Address: front.URL, Clock: f.client.Clock}
+	defer client.Close()
+	read := func(want string) {
+		t.Helper()
+		rows, err := client.Table().Read(ctx, "none", "x")
+		if err != nil || string(rows[1].Value()) != want {
+			t.Errorf("Read got %d rows (%v), want a value of %d bytes", len(rows), err, len(want))
+		}
+	}
+	read(large)
+	sent.Store(0)
+	read(large)
+	if got, want := sent.Load(), int64(200); got > want {
+		t.Errorf("second read got %d bytes, want at most %d", got, want)
+	}
+	write(f.store, "two", "small")
+	read("small")
+	lost := memory.New(f.client.Clock, f.faults)
+	write(lost, "other", "old")
+	write(lost, "other", "old")
+	server = &standin.Platform{Clock: f.client.Clock, Store: lost, Faults: f.faults}
+	read("old")
+}
+
 // normal makes rows comparable: JSON does not tell an empty value from none.
 func normal(v any) any {
 	rows, ok := v.([]platform.Row)
--- a/platformhttp/parts.go
+++ b/platformhttp/parts.go
@@ -8,21 +8,36 @@
 
 type table struct{ c *Client }
 
-// Read implements platform.Table.
+// Read implements platform.Table. A row that is read again and has not changed comes without its value: a poll once a
+// second would otherwise carry each value about 86,400 times a day.
 func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	answer, err := t.c.call(ctx, PathRead, false, Call{Keys: keys})
+	held := t.c.held(keys)
+	call := Call{Keys: keys}
+	for _, r := range held {
+		call.Known = append(call.Known, KnownFields{r.Version(), r.Operation()})
+	}
+	answer, err := t.c.call(ctx, PathRead, false, call)
 	if err != nil {
 		return nil, err
 	}
 	if len(answer.Rows) != len(keys) {
 		return nil, platform.ErrUnavailable.New("%s: %d rows for %d keys", PathRead, len(answer.Rows), len(keys))
 	}
+	read := rows(answer)
 	for i, r := range answer.Rows {
 		if r.Key != keys[i] {
 			return nil, platform.ErrUnavailable.New("%s: row %q in place of %q", PathRead, r.Key, keys[i])
 		}
+		if !r.Same {
+			continue
+		}
+		if held == nil || held[i].Version() == 0 || held[i].Version() != r.Version || held[i].Operation() != r.Operation {
+			return nil, platform.ErrUnavailable.New("%s: row %q is not the one that is held", PathRead, r.Key)
+		}
+		read[i] = held[i]
 	}
-	return rows(answer), nil
+	t.c.hold(read)
+	return read, nil
 }
 
 // Scan implements platform.Table.
@@ -53,6 +68,51 @@
 	return frozen
 }
 
+const (
+	// maxHeld bounds the rows that a client remembers; a process polls fewer than ten.
+	maxHeld = 32
+	// maxHeldValue bounds the value of a remembered row in bytes.
+	maxHeldValue = 64 << 10
+)
+
+// held returns what is remembered of the rows, or nil when it is nothing.
+func (c *Client) held(keys []string) []platform.Row {
+	c.rowsMu.Lock()
+	defer c.rowsMu.Unlock()
+	known := false
+	held := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		held[i] = c.rows[key]
+		known = known || held[i].Version() > 0
+	}
+	if !known {
+		return nil
+	}
+	return held
+}
+
+// hold remembers rows; when there are too many, any one makes room, because the polled rows return with the next poll.
+func (c *Client) hold(read []platform.Row) {
+	c.rowsMu.Lock()
+	defer c.rowsMu.Unlock()
+	if c.rows == nil {
+		c.rows = map[string]platform.Row{}
+	}
+	for _, r := range read {
+		if r.Version() == 0 || len(r.Value()) > maxHeldValue {
+			delete(c.rows, r.Key())
+			continue
+		}
+		if _, known := c.rows[r.Key()]; !known && len(c.rows) >= maxHeld {
+			for key := range c.rows {
+				delete(c.rows, key)
+				break
+			}
+		}
+		c.rows[r.Key()] = r
+	}
+}
+
 type objects struct{ c *Client }
 
 // Put implements platform.ObjectStore.
--- a/platformhttp/wire.go
+++ b/platformhttp/wire.go
@@ -35,6 +35,15 @@
 	Value     []byte `json:"value,omitempty"`
 	Version   int64  `json:"version"`
 	Operation string `json:"operation,omitempty"`
+	// Same says that version and operation are those that the call named; the value is left out.
+	Same bool `json:"same,omitempty"`
+}
+
+// KnownFields names the state of a row that the caller holds. The operation tells apart two rows of one version, which a
+// table can have after it lost rows.
+type KnownFields struct {
+	Version   int64  `json:"version"`
+	Operation string `json:"operation"`
 }
 
 // Row freezes the fields.
@@ -51,6 +60,7 @@
 // Call is the body of every request; each path uses some of the fields.
 type Call struct {
 	Keys      []string             `json:"keys,omitempty"`
+	Known     []KnownFields        `json:"known,omitempty"` // in the order of Keys, or empty
 	Prefix    string               `json:"prefix,omitempty"`
 	After     string               `json:"after,omitempty"`
 	Limit     int                  `json:"limit,omitempty"`
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -101,6 +101,11 @@
 			a *platformhttp.Answer) error {
 			rows, err := v.Table().Read(ctx, c.Keys...)
 			a.Rows = encodeRows(rows)
+			for i, k := range c.Known[:min(len(c.Known), len(rows))] {
+				if r := rows[i]; r.Version() > 0 && r.Version() == k.Version && r.Operation() == k.Operation {
+					a.Rows[i].Value, a.Rows[i].Same = nil, true
+				}
+			}
 			return err
 		},
 		platformhttp.PathScan: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
