jobs, fleet: make a pass cheap enough for 16,000 workers

Cause: placement looked up the quota of each team at each start, the loop sorted all instances at each pass and read the leases and waves of pools that it does not hold. Change: the used part of a quota is kept for each team; Assignments keeps the order between passes; leases of others are read once in a lease period and waves only for held pools; FarPeriod lets other zones be read less often; a loop takes over what it wrote itself.

--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"sync"
 
@@ -49,16 +50,22 @@
 	Platform platform.Platform
 	Zone     string          // of this process; its part of the platform's list is read at every poll
 	Zones    func() []string // further zones to follow, for example those of the configuration; may be nil
-	Logger   *slog.Logger
+	// FarPeriod is how often the changes of other zones are read; 0 for every poll. With 33 zones, reading all of them each
+	// second exceeds the 3 KB/s of a process, and 10 s does not.
+	FarPeriod clock.Millis
+	Logger    *slog.Logger
 
 	mu        sync.Mutex
 	sequences map[string]int64 // by zone
 	entries   map[string]entry
 	listed    map[string]platform.Instance
 	listedAll clock.Millis
+	farPolled clock.Millis
 	hasList   bool
 	current   []Assignment // rebuilt by Current after a change
 	valid     bool
+	order     []string // ids of all instances as planner sorts them, so that a pass need not sort them again
+	ordered   bool
 }
 
 type entry struct {
@@ -84,7 +91,7 @@
 	if err := a.pollList(ctx); err != nil {
 		return err
 	}
-	zones := a.zones()
+	zones := a.due()
 	keys := make([]string, len(zones))
 	for i, zone := range zones {
 		keys[i] = changesPrefix + zone
@@ -104,9 +111,40 @@
 	if complete {
 		return nil
 	}
+	if all := a.zones(); len(all) != len(zones) { // a scan starts over in every zone
+		zones, keys = all, nil
+		for _, zone := range all {
+			keys = append(keys, changesPrefix+zone)
+		}
+		if rows, err = a.Platform.Table().Read(ctx, keys...); err != nil {
+			return err
+		}
+	}
 	return a.scan(ctx, zones, rows)
 }
 
+// due returns the zones whose changes this poll reads.
+func (a *Assignments) due() []string {
+	zones := a.zones()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	if _, followed := a.sequences[a.Zone]; followed && now-a.farPolled < a.FarPeriod {
+		return []string{a.Zone}
+	}
+	a.farPolled = now
+	return zones
+}
+
+// learn takes over records that this process has just written; the changes of the zone repeat them later.
+func (a *Assignments) learn(records []planner.RecordFields) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range records {
+		a.store(r)
+	}
+}
+
 // Apply takes over a row changes/<zone> that the caller has read; false says that changes were missed, so that Poll has
 // to read all instance rows.
 func (a *Assignments) Apply(zone string, row platform.Row) (complete bool, err error) {
@@ -136,12 +174,17 @@
 // store takes over one record; the caller holds the lock.
 func (a *Assignments) store(r planner.RecordFields) {
 	a.valid = false
+	before, known := a.entries[r.ID]
 	if r.Phase == "" {
 		delete(a.entries, r.ID)
+		a.ordered = false
 		return
 	}
+	if before.record.Pool != r.Pool {
+		a.ordered = false
+	}
 	e := entry{r, a.Clock.Now()}
-	if before, known := a.entries[r.ID]; known && before.record.Phase == r.Phase && before.record.Since == r.Since {
+	if known && before.record.Phase == r.Phase && before.record.Since == r.Since {
 		e.seen = before.seen
 	}
 	a.entries[r.ID] = e
@@ -185,6 +228,7 @@
 	for id := range a.entries {
 		if _, exists := records[id]; !exists {
 			delete(a.entries, id)
+			a.ordered = false
 		}
 	}
 	for _, r := range records {
@@ -215,13 +259,13 @@
 	for _, i := range list {
 		present[i.ID()] = true
 		if a.listed[i.ID()] != i {
-			a.listed[i.ID()], a.valid = i, false
+			a.listed[i.ID()], a.valid, a.ordered = i, false, false
 		}
 	}
 	for id, i := range a.listed {
 		if !present[id] && (zone == "" || i.Zone() == zone) {
 			delete(a.listed, id)
-			a.valid = false
+			a.valid, a.ordered = false, false
 		}
 	}
 	if zone == "" {
@@ -276,23 +320,43 @@
 	return current
 }
 
-// instances returns what planner needs: every record, and every listed worker without one.
+// instances returns what planner needs, sorted: every record, and every listed worker without one.
 func (a *Assignments) instances(healthy func(string) bool) []planner.InstanceFields {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock.Now()
-	all := make([]planner.InstanceFields, 0, max(len(a.entries), len(a.listed)))
-	for id, e := range a.entries {
+	all := make([]planner.InstanceFields, 0, len(a.order))
+	add := func(id string) {
+		e, known := a.entries[id]
 		i, listed := a.listed[id]
-		all = append(all, planner.InstanceFields{RecordFields: e.record, Age: now - e.seen, Listed: listed,
-			Leaving: listed && i.State() == platform.Leaving, Healthy: listed && (healthy == nil || healthy(id))})
+		if !known && (!listed || i.Role() != platform.RoleWorker) {
+			return
+		}
+		m := planner.InstanceFields{RecordFields: e.record, Age: now - e.seen, Listed: listed,
+			Leaving: listed && i.State() == platform.Leaving, Healthy: listed && (healthy == nil || healthy(id))}
+		if !known {
+			m.RecordFields, m.Age = planner.RecordFields{ID: id, Zone: i.Zone(), Rack: i.Rack()}, 0
+		}
+		all = append(all, m)
 	}
-	for id, i := range a.listed {
-		if _, known := a.entries[id]; !known && i.Role() == platform.RoleWorker {
-			all = append(all, planner.InstanceFields{
-				RecordFields: planner.RecordFields{ID: id, Zone: i.Zone(), Rack: i.Rack()}, Listed: true,
-				Leaving: i.State() == platform.Leaving, Healthy: healthy == nil || healthy(id)})
+	if a.ordered {
+		for _, id := range a.order {
+			add(id)
 		}
+		return all
+	}
+	for id := range a.entries {
+		add(id)
+	}
+	for id := range a.listed {
+		if _, known := a.entries[id]; !known {
+			add(id)
+		}
+	}
+	slices.SortFunc(all, planner.Compare)
+	a.order, a.ordered = make([]string, len(all)), true
+	for i := range all {
+		a.order[i] = all[i].ID
 	}
 	return all
 }
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -47,15 +47,16 @@
 	Period               clock.Millis               // between passes; 0 for 2 s
 	Logger               *slog.Logger
 
-	mu       sync.Mutex // guards what operators' actions read
-	trends   map[string]planner.Trend
-	leases   map[string]*lease
-	waves    map[string]wave
-	steps    map[string][]planner.Step // of the last pass, by pool, for the status
-	random   *rand.Rand
-	away     bool
-	resumeAt clock.Millis
-	jobs     map[string]*poolJobs // by pool
+	mu         sync.Mutex // guards what operators' actions read
+	trends     map[string]planner.Trend
+	leases     map[string]*lease
+	waves      map[string]wave
+	steps      map[string][]planner.Step // of the last pass, by pool, for the status
+	random     *rand.Rand
+	away       bool
+	resumeAt   clock.Millis
+	leasesRead clock.Millis
+	jobs       map[string]*poolJobs // by pool
 }
 
 type lease struct {
@@ -144,12 +145,19 @@
 	if l.leases == nil {
 		l.leases, l.waves = map[string]*lease{}, map[string]wave{}
 	}
-	keys := make([]string, 0, 2*len(pools))
+	// Leases of other processes are looked at once in a lease period, which is enough to see that one has lapsed, and
+	// waves only where this process plans.
+	all := l.Clock.Now()-l.leasesRead >= leasePeriod || len(l.leases) == 0
+	var asked []string
+	var keys []string
 	for _, p := range pools {
-		keys = append(keys, leasePrefix+p.Name())
+		if known := l.leases[p.Name()]; all || known != nil && known.held {
+			asked = append(asked, p.Name())
+			keys = append(keys, leasePrefix+p.Name())
+		}
 	}
-	for _, p := range pools {
-		keys = append(keys, wavePrefix+p.Name())
+	if all {
+		l.leasesRead = l.Clock.Now()
 	}
 	rows, err := l.Platform.Table().Read(ctx, keys...)
 	if err != nil {
@@ -157,24 +165,30 @@
 	}
 	// A process takes a part of the free leases in a pass, so that the pools spread over the entry instances.
 	quota := (len(pools) + 3) / 4
-	for i, p := range pools {
-		took, err := l.renew(ctx, p.Name(), rows[i], quota > 0)
+	keys = nil
+	for i, pool := range asked {
+		took, err := l.renew(ctx, pool, rows[i], quota > 0)
 		if err != nil {
 			return nil, err
 		}
 		if took {
 			quota--
 		}
-		if l.leases[p.Name()].held {
-			held = append(held, p.Name())
+		if l.leases[pool].held {
+			held = append(held, pool)
+			keys = append(keys, wavePrefix+pool)
 		}
-		var w wave
-		if err := decode(rows[len(pools)+i], &w.fields); err != nil {
+	}
+	if rows, err = l.Platform.Table().Read(ctx, keys...); err != nil {
+		return nil, err
+	}
+	for i, pool := range held {
+		w := wave{version: rows[i].Version()}
+		if err := decode(rows[i], &w.fields); err != nil {
 			return nil, err
 		}
-		w.version = rows[len(pools)+i].Version()
 		l.mu.Lock()
-		l.waves[p.Name()] = w
+		l.waves[pool] = w
 		l.mu.Unlock()
 	}
 	return held, nil
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -120,6 +120,7 @@
 		return next(step, r, w.fields, l.Wall()), nil
 	}
 	done, refused, err := l.transition(ctx, t)
+	l.Assignments.learn(done)
 	for _, r := range done {
 		s := byID[r.ID]
 		eventStep.Log(ctx, l.Logger, slog.String("step", string(s.Kind())), slog.String("pool", s.Pool()),
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -14,11 +14,20 @@
 
 // waiting is the queue of one team in one class.
 type waiting struct {
-	team  string
+	team  *team
 	jobs  []*Fields
 	tries int
 }
 
+// team keeps the part of its quota that a team uses, because a pass compares the teams of a class at every start.
+type team struct {
+	name  string
+	quota int // cores
+	part  int // of the quota in use, in 1/10000
+}
+
+func (t *team) update(used Use) { t.part = used.Cores * 10000 / t.quota }
+
 // place starts waiting jobs. Among the classes the one that has started least for its weight comes first, within a class
 // the team that uses the smallest part of its quota, and within a team the oldest job.
 func (p *planning) place() {
@@ -50,9 +59,11 @@
 			ok, q.tries = false, triesPerTeam
 		} else if w := p.find(j, cores, memory); w != nil {
 			p.start(w, j, cores, memory)
+			q.team.update(p.use[j.Team])
 		} else if j.Urgency == config.Urgent && preemptions < preemptionsPerPass {
 			preemptions++
 			ok = p.preempt(j, cores, memory)
+			q.team.update(p.use[j.Team])
 		} else {
 			ok = false
 		}
@@ -75,12 +86,20 @@
 		class int
 		team  string
 	}
-	byTeam := map[key]*waiting{}
+	byTeam, teams := map[key]*waiting{}, map[string]*team{}
 	for _, j := range p.queue {
 		k := key{rank(j.Urgency), j.Team}
 		q := byTeam[k]
 		if q == nil {
-			q = &waiting{team: j.Team}
+			t := teams[j.Team]
+			if t == nil { // a team without a quota is judged by the fair share of the pool
+				if t = (&team{name: j.Team, quota: p.f.Teams[j.Team].Cores}); t.quota == 0 {
+					t.quota = max(p.fair, 1)
+				}
+				t.update(p.use[j.Team])
+				teams[j.Team] = t
+			}
+			q = &waiting{team: t}
 			byTeam[k] = q
 			queues[k.class] = append(queues[k.class], q)
 		}
@@ -92,22 +111,17 @@
 				slices.SortFunc(q.jobs, older)
 			}
 		}
-		slices.SortFunc(class, func(a, b *waiting) int { return cmp.Compare(a.team, b.team) })
+		slices.SortFunc(class, func(a, b *waiting) int { return cmp.Compare(a.team.name, b.team.name) })
 	}
 	return queues
 }
 
-// neediest returns the index of the team that uses the smallest part of its quota; a team without one is judged by the
-// fair share of the pool.
+// neediest returns the index of the team that uses the smallest part of its quota.
 func (p *planning) neediest(queues []*waiting) int {
-	best, least := 0, -1
+	best := 0
 	for i, q := range queues {
-		quota := p.f.Teams[q.team].Cores
-		if quota == 0 {
-			quota = max(p.fair, 1)
-		}
-		if used := p.use[q.team].Cores * 10000 / quota; least < 0 || used < least {
-			best, least = i, used
+		if q.team.part < queues[best].team.part {
+			best = i
 		}
 	}
 	return best
--- a/planner/state.go
+++ b/planner/state.go
@@ -116,14 +116,16 @@
 	lent     int // own instances that are with other pools
 }
 
+// Compare orders instances by pool, zone, rack and id.
+func Compare(a, b InstanceFields) int {
+	return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack),
+		cmp.Compare(a.ID, b.ID))
+}
+
 // New freezes the fields. It sorts the instances in place unless they are sorted, which costs one pass.
 func New(f Fields) *State {
-	order := func(a, b InstanceFields) int {
-		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack),
-			cmp.Compare(a.ID, b.ID))
-	}
-	if !slices.IsSortedFunc(f.Instances, order) {
-		slices.SortFunc(f.Instances, order)
+	if !slices.IsSortedFunc(f.Instances, Compare) {
+		slices.SortFunc(f.Instances, Compare)
 	}
 	s := &State{f: f, pools: map[string]*view{}}
 	for _, p := range f.Configuration.Pools() {
