--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -22,8 +22,13 @@
 	demand   map[string]int
 	sick     map[string]bool
 	inFlight map[string]int
+	tasks    map[string]int // running, by instance
 	loops    []*Loop
 	ctx      context.Context
+
+	tracked    map[string]planner.RecordFields // after the last call; nil when calls are not checked
+	cancelled  map[string]int                  // starts of the jobs that were cancelled while they waited
+	violations []string
 }
 
 var zoneNames = []string{"a", "b", "c"}
@@ -31,9 +36,9 @@
 // newWorld makes pools p0 and p1 of workers in three zones with racks of two, a spare pool "spare", and loops.
 func newWorld(size, loops int) *world {
 	w := &world{clock: clock.NewFake(clock.Hour), faults: &fault.Driver{}, demand: map[string]int{},
-		sick: map[string]bool{}, inFlight: map[string]int{}, ctx: context.Background()}
+		sick: map[string]bool{}, inFlight: map[string]int{}, tasks: map[string]int{}, cancelled: map[string]int{}, ctx: context.Background()}
 	w.store = memory.New(w.clock, w.faults)
-	w.store.InFlight = func(instance string) int { return w.inFlight[instance] }
+	w.store.InFlight = w.runs
 	w.fields = config.Fields{Weights: config.Weights{RollOutTime: 40, Protection: 30, BufferCost: 15, Moves: 15}}
 	for _, z := range zoneNames {
 		w.fields.Zones = append(w.fields.Zones, config.ZoneFields{Name: z})
