fleet: test a paused holder's order and a start ordered twice

Cause: a trial that dropped the second read of the row before an order was not noticed by any test. Change: a test pauses the holder before it looks at the instances while another loop finishes the maintenance; another one lets two loops order the start of a run-once job whose worker is lost.

--- a/fleet/gate_test.go
+++ b/fleet/gate_test.go
@@ -50,7 +50,7 @@
 }
 
 // The kinds of calls that change something, by which operations choose where a loop pauses or loses an answer.
-var callKinds = []string{"commit", "commit", "start", "start", "reboot", "drain", "read", "checkpoint"}
+var callKinds = []string{"commit", "commit", "start", "start", "reboot", "drain", "read", "waves", "checkpoint"}
 
 // call runs one call; delayed says that it was paused before its effect.
 func (g *gate) call(kind, step string, f func(delayed bool) error) error {
@@ -89,7 +89,11 @@
 type gatedTable struct{ g *gate }
 
 func (t gatedTable) Read(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
-	err = t.g.call("read", memory.StepRead, func(bool) error {
+	kind := "read"
+	if len(keys) > 0 && strings.HasPrefix(keys[0], wavePrefix) {
+		kind = "waves" // the last read before a loop looks at the instances that are out
+	}
+	err = t.g.call(kind, memory.StepRead, func(bool) error {
 		rows, err = t.g.Platform.Table().Read(ctx, keys...)
 		return err
 	})
