fleet: let routing, passes and operators poll at once

Cause: routing, the control loop and the status each poll the assignments; a poll that read a row before another poll applied a newer one was taken for missed changes and caused a scan of all rows. Change: one poll runs at a time, and an older row is ignored. The map of waves is made under the lock that the status holds. Tests poll and operate during passes, and check that loops resume at different times after an outage.

--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -55,6 +55,7 @@
 	FarPeriod clock.Millis
 	Logger    *slog.Logger
 
+	polling   sync.Mutex // one poll at a time: routing, the control loop and operators all ask for polls
 	mu        sync.Mutex
 	sequences map[string]int64 // by zone
 	entries   map[string]entry
@@ -88,6 +89,8 @@
 
 // Poll reads the platform's list and the changes of every zone.
 func (a *Assignments) Poll(ctx context.Context) error {
+	a.polling.Lock()
+	defer a.polling.Unlock()
 	if err := a.pollList(ctx); err != nil {
 		return err
 	}
@@ -102,7 +105,7 @@
 	}
 	complete := true
 	for i, row := range rows {
-		ok, err := a.Apply(zones[i], row)
+		ok, err := a.apply(zones[i], row)
 		if err != nil {
 			return err
 		}
@@ -148,6 +151,12 @@
 // Apply takes over a row changes/<zone> that the caller has read; false says that changes were missed, so that Poll has
 // to read all instance rows.
 func (a *Assignments) Apply(zone string, row platform.Row) (complete bool, err error) {
+	a.polling.Lock()
+	defer a.polling.Unlock()
+	return a.apply(zone, row)
+}
+
+func (a *Assignments) apply(zone string, row platform.Row) (complete bool, err error) {
 	a.mu.Lock()
 	known, followed := a.sequences[zone]
 	a.mu.Unlock()
@@ -158,6 +167,9 @@
 	if err := decode(row, &changes); err != nil {
 		return false, err
 	}
+	if changes.Sequence < known {
+		return true, nil // read before a poll that has finished since
+	}
 	missed, ok := changes.since(known)
 	if !ok {
 		return false, nil
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -143,7 +143,10 @@
 func (l *Loop) lead(ctx context.Context, configuration *config.Configuration) (held []string, err error) {
 	pools := configuration.Pools()
 	if l.leases == nil {
-		l.leases, l.waves = map[string]*lease{}, map[string]wave{}
+		l.leases = map[string]*lease{}
+		l.mu.Lock()
+		l.waves = map[string]wave{}
+		l.mu.Unlock()
 	}
 	// Leases of other processes are looked at once in a lease period, which is enough to see that one has lapsed, and
 	// waves only where this process plans.
--- a/fleet/race_test.go
+++ b/fleet/race_test.go
@@ -125,3 +125,102 @@
 		t.Errorf("job got %s with %d starts (%s), want parked with one", got.State, w.startsOf(got), got.Reason)
 	}
 }
+
+// Guards against loops that all return at the same moment after an outage, and against decisions during it.
+func TestReturnAfterAnOutageIsSpread(t *testing.T) {
+	w := newWorld(4, 9)
+	for i, l := range w.loops {
+		l.Seed = int64(i)
+	}
+	w.run(clock.Minute, w.serving(12))
+	w.faults.Always("table.read", "down", 0)
+	_, transactions := w.cost(func() { w.run(clock.Minute, func() bool { return false }) })
+	if transactions != 0 {
+		t.Errorf("transactions during the outage got %d, want 0", transactions)
+	}
+	w.faults.ClearAll()
+	returns := map[clock.Millis]int{}
+	for _, l := range w.loops {
+		_ = l.Pass(w.ctx)
+		returns[(l.resumeAt-w.clock.Now())/clock.Second]++
+		if delay := l.resumeAt - w.clock.Now(); delay < 0 || delay >= spreadPeriod {
+			t.Errorf("%s returns after %d ms, want less than %d", l.Holder, delay, spreadPeriod)
+		}
+	}
+	if len(returns) < 5 {
+		t.Errorf("returns by second got %v, want them spread over at least 5 of 10 seconds", returns)
+	}
+	if took := w.run(clock.Minute, func() bool { return len(read[leaseRow](w, leasePrefix)) == 3 && w.serving(12)() }); took > clock.Minute {
+		t.Errorf("the fleet got no holder again after %d ms", took)
+	}
+}
+
+// Guards against polls of routing and of the control loop that run at once and lose or repeat changes.
+func TestPollsAtOnce(t *testing.T) {
+	w := newWorld(4, 1)
+	a := w.loops[0].Assignments
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				_ = a.Poll(w.ctx)
+				_ = a.Current()
+			}
+		}
+	}()
+	w.run(clock.Minute, func() bool { return false })
+	close(stop)
+	<-done
+	if err := a.Poll(w.ctx); err != nil {
+		t.Fatalf("Poll got %v, want nil", err)
+	}
+	records := w.records()
+	for _, got := range a.Current() {
+		if r := records[got.Instance()]; got.Pool() != r.Pool || got.Phase() != r.Phase {
+			t.Errorf("instance %s got %s %s, want %s %s", got.Instance(), got.Pool(), got.Phase(), r.Pool, r.Phase)
+		}
+	}
+}
+
+// Guards against a status that disagrees with the rows, and against operators' actions that race with a pass.
+func TestStatusDuringPasses(t *testing.T) {
+	w := newWorld(4, 1)
+	l, done := w.loops[0], make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			_, _ = l.Status(w.ctx)
+			_ = l.Wave(w.ctx, "p0", WaveStart, "op")
+			_ = l.Wave(w.ctx, "p0", WaveStop, "op")
+		}
+	}()
+	w.run(clock.Minute, func() bool { return false })
+	<-done
+	if refusal := l.Wave(w.ctx, "p0", WavePause, "op"); refusal == nil || refusal.Code() != WaveState ||
+		refusal.Contact() != "p0@example.org" {
+		t.Errorf("pause of a stopped wave got %v, want a refusal with the contact of the pool", refusal)
+	}
+	w.run(5*clock.Minute, w.serving(12))
+	if refusal := l.Drain(w.ctx, "w00", false); refusal != nil {
+		t.Fatalf("drain got %v, want nil", refusal)
+	}
+	status, refusal := l.Status(w.ctx)
+	if refusal != nil {
+		t.Fatalf("status got %v, want nil", refusal)
+	}
+	pool := w.records()["w00"].Pool
+	for _, p := range status.Pools {
+		want := 0
+		if p.Pool == pool {
+			want = 1
+		}
+		if p.Out != want || len(p.Away) != want || p.Serving != 4-want || p.Members != 4 {
+			t.Errorf("status of %s got %d out, %d away, %d serving of %d, want %d, %d, %d of 4", p.Pool, p.Out, len(p.Away),
+				p.Serving, p.Members, want, want, 4-want)
+		}
+	}
+}
