planner: test that max-unavailable alone gives drains back

Cause: a trial without this half of the rule was not noticed, because every case also fell below the capacity. Change: one more case with a low capacity.

--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -118,6 +118,8 @@
 		}), "drain:p00 wait"},
 		{"failures beyond the budget", rollOut, all(phase("p00", Draining, nil), failed("p04", "p05", "p06", "p07")),
 			"give-back:p00"},
+		{"failures beyond max-unavailable only", rollOut, all(phase("p00", Draining, nil), failed("p04", "p05", "p06", "p07"),
+			func(f *Fields) { f.Configuration.Fields().Pools[0].Capacity = 2 }), "give-back:p00"},
 		{"a reboot is not given back", rollOut, all(phase("p00", Rebooting, nil), failed("p04", "p05", "p06", "p07")), ""},
 		{"one zone at a time", rollOut, all(wave(WaveRunning), func(f *Fields) {
 			for i := range 3 {
