--- a/peer/http.go
+++ b/peer/http.go
@@ -30,7 +30,9 @@
 	maxServed = 64
 	// idleTime keeps connections open between two probes of the same member: a TLS handshake with certificates costs about
 	// 4 KB, and at the target size a random member is probed again after about 264 s.
-	idleTime = 15 * clock.Minute
+	// The client closes first, so that it does not use a connection that the server is closing.
+	idleTime       = 15 * clock.Minute
+	clientIdleTime = idleTime - clock.Minute
 )
 
 // HTTP is the Transport over twirp; its exported fields are set before the first call.
@@ -82,7 +84,7 @@
 	dialer := &net.Dialer{Timeout: callTimeout.Duration()}
 	p := &httpPeer{transport: &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: h.TLS, TLSHandshakeTimeout: callTimeout.Duration(),
-		DisableCompression: true, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime.Duration(),
+		DisableCompression: true, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, IdleConnTimeout: clientIdleTime.Duration(),
 		MaxResponseHeaderBytes: 8 << 10, WriteBufferSize: 2 << 10, ReadBufferSize: 2 << 10,
 	}}
 	scheme := "http://"
