--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -31,8 +31,8 @@
 	}
 	idleReads, idleWrites := w.cost(pass)
 	// Three zones, a lease and a wave for each of three pools, three leases read again, one row of jobs for each pool.
-	if idleReads != 15 || idleWrites != 3 {
-		t.Errorf("idle pass got %d reads and %d transactions, want 15 and 3", idleReads, idleWrites)
+	if idleReads != 15 || idleWrites != 1 {
+		t.Errorf("idle pass got %d reads and %d transactions, want 15 and 1", idleReads, idleWrites)
 	}
 	if refusal := l.Drain(w.ctx, "w00", false); refusal != nil {
 		t.Fatalf("drain got %v, want nil", refusal)
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -86,8 +86,9 @@
 	missing clock.Millis // since when the worker's reports have lacked the task; 0 for never
 }
 
-// passJobs reads what changed, plans the jobs of one pool and carries the steps out.
-func (l *Loop) passJobs(ctx context.Context, configuration *config.Configuration, pool string) error {
+// passJobs reads what changed since the row changes/jobs/<pool> that was seen last, plans the jobs of one pool and
+// carries the steps out.
+func (l *Loop) passJobs(ctx context.Context, configuration *config.Configuration, pool string, row platform.Row) error {
 	l.mu.Lock()
 	if l.jobs == nil {
 		l.jobs = map[string]*poolJobs{}
@@ -98,7 +99,7 @@
 		l.jobs[pool] = p
 	}
 	l.mu.Unlock()
-	if err := l.refreshJobs(ctx, pool, p); err != nil {
+	if err := l.refreshJobs(ctx, pool, p, row); err != nil {
 		return err
 	}
 	if err := l.submit(ctx, configuration, pool, p); err != nil {
@@ -123,13 +124,9 @@
 }
 
 // refreshJobs reads the jobs that were written since the last pass, or all of them.
-func (l *Loop) refreshJobs(ctx context.Context, pool string, p *poolJobs) error {
-	rows, err := l.Platform.Table().Read(ctx, jobChangesPrefix+pool)
-	if err != nil {
-		return err
-	}
+func (l *Loop) refreshJobs(ctx context.Context, pool string, p *poolJobs, row platform.Row) error {
 	var changes jobChangesRow
-	if err := decode(rows[0], &changes); err != nil {
+	if err := decode(row, &changes); err != nil {
 		return err
 	}
 	missing := changes.Sequence - p.sequence
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -107,8 +107,16 @@
 	if err := l.planAndApply(ctx, configuration, held); err != nil {
 		return l.outage(ctx, err)
 	}
-	for _, pool := range held {
-		if err := l.passJobs(ctx, configuration, pool); err != nil {
+	keys := make([]string, len(held))
+	for i, pool := range held {
+		keys[i] = jobChangesPrefix + pool
+	}
+	rows, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return l.outage(ctx, err)
+	}
+	for i, pool := range held {
+		if err := l.passJobs(ctx, configuration, pool, rows[i]); err != nil {
 			return l.outage(ctx, err)
 		}
 	}
@@ -166,11 +174,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if rows, err = l.renewHeld(ctx, asked, rows); err != nil {
+		return nil, err
+	}
 	// A process takes a part of the free leases in a pass, so that the pools spread over the entry instances.
 	quota := (len(pools) + 3) / 4
 	keys = nil
 	for i, pool := range asked {
-		took, err := l.renew(ctx, pool, rows[i], quota > 0)
+		took, err := l.take(ctx, pool, rows[i], quota > 0)
 		if err != nil {
 			return nil, err
 		}
@@ -197,7 +208,44 @@
 	return held, nil
 }
 
-func (l *Loop) renew(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
+// renewHeld renews the leases that this process holds in one transaction and returns the rows as they are then. When
+// another process has taken one of them, none is renewed, and take finds out which ones are left.
+func (l *Loop) renewHeld(ctx context.Context, pools []string, rows []platform.Row) ([]platform.Row, error) {
+	var writes []platform.Write
+	var first platform.Row
+	keys := make([]string, len(pools))
+	for i, pool := range pools {
+		keys[i] = leasePrefix + pool
+		if known := l.leases[pool]; known != nil && known.held && known.version == rows[i].Version() {
+			if len(writes) == 0 {
+				first = rows[i]
+			}
+			writes = append(writes, platform.Put(keys[i], encode(leaseRow{l.Holder}), rows[i].Version()))
+		}
+	}
+	if len(writes) == 0 {
+		return rows, nil
+	}
+	operation, now := uuid.NewString(), l.Clock.Now()
+	err := l.commit(ctx, platform.NewTransaction(operation, writes...), first)
+	if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+		return nil, err
+	}
+	after, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for i, pool := range pools {
+		if after[i].Operation() == operation {
+			l.leases[pool] = &lease{version: after[i].Version(), seen: now, held: true}
+		}
+	}
+	return after, nil
+}
+
+// take takes the lease of a pool that no process holds, renews one that could not be renewed with the others, and
+// notices when another process holds it.
+func (l *Loop) take(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
 	now := l.Clock.Now()
 	known := l.leases[pool]
 	if known == nil || known.version != row.Version() {
@@ -205,7 +253,7 @@
 		l.leases[pool] = known
 	}
 	lapsed := row.Version() == 0 || now-known.seen >= leasePeriod
-	if !known.held && (!lapsed || !mayTake) {
+	if !lapsed || !known.held && !mayTake {
 		return false, nil
 	}
 	operation := uuid.NewString()
