planner: leave room in the budget for the declared failures

Cause: planned work could use the whole of max-unavailable, so that a declared failure during a wave took the pool below its promised capacity. Change: a planned step is allowed only if the declared failures that have not happened yet still fit the budget and the capacity; the wait names them. Conclusion: the promised capacity holds through a declared failure at any moment of a wave, at the price of a longer roll-out.

--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -103,6 +103,7 @@
 // answer that makes an operator's drain happen twice or not at all.
 func TestLastUnitIsSpentOnce(t *testing.T) {
 	w := newWorld(4, 1) // capacity 1, at most two out
+	w.fields.Pools[0].MaxUnavailable = 2
 	w.run(clock.Minute, w.serving(12))
 	var mine []string
 	for id, r := range w.records() {
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -205,17 +205,27 @@
 	}
 }
 
-// allow tells whether one more unit of the budget may be used, or the rule and figures that forbid it.
+// allow tells whether one more unit of the budget may be used, or the rule and figures that forbid it. Room is left for
+// the declared failures that have not happened yet, because a failure during planned work must not break the budget.
 func (p *planning) allow() (bool, string) {
-	if p.out+1 > p.view.pool.MaxUnavailable {
-		return false, "max-unavailable: " + p.budget()
+	worst, lost := p.view.worstLoss()
+	reserve := max(worst-(p.out-p.planned), 0)
+	if p.out+1+reserve > p.view.pool.MaxUnavailable {
+		return false, "max-unavailable: " + p.budget() + p.reserved(reserve, lost)
 	}
-	if p.serving-1 < p.view.pool.Capacity {
-		return false, "capacity: " + p.budget()
+	if p.serving-1-reserve < p.view.pool.Capacity {
+		return false, "capacity: " + p.budget() + p.reserved(reserve, lost)
 	}
 	return true, ""
 }
 
+func (p *planning) reserved(reserve int, lost string) string {
+	if reserve == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", and the declared failures can take %d more (%s)", reserve, lost)
+}
+
 // wave starts, continues, stops and finishes the maintenance wave of the pool.
 func (p *planning) wave() {
 	w, exists := p.state.f.Waves[p.view.pool.Name]
@@ -308,10 +318,12 @@
 }
 
 // parallel returns how many instances may be out for planned work at once. A user that minds roll-out time at least as
-// much as buffer and moves together fills the budget; others get the share that the weights give, but at least what
-// the rest of the period requires.
+// much as buffer and moves together fills what the declared failures leave of the budget; others get the share that the
+// weights give, but at least what the rest of the period requires.
 func (p *planning) parallel(remaining int) int {
-	w, budget := p.state.f.Configuration.Weights(), p.view.pool.MaxUnavailable
+	w := p.state.f.Configuration.Weights()
+	worst, _ := p.view.worstLoss()
+	budget := max(p.view.pool.MaxUnavailable-worst, 1)
 	limit := budget
 	if cost := w.BufferCost + w.Moves; cost > w.RollOutTime {
 		limit = (budget*w.RollOutTime + cost - 1) / cost
