--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,11 +63,13 @@
 }
 
 // quotaGroup names the requests that share a quota: the team, or the caller when it belongs to none.
-func (r Request) quotaGroup() string {
+type quotaGroup struct{ team, caller string }
+
+func (r Request) quotaGroup() quotaGroup {
 	if r.team != "" {
-		return "team/" + r.team
+		return quotaGroup{team: r.team}
 	}
-	return "caller/" + r.caller
+	return quotaGroup{caller: r.caller}
 }
 
 // Queue is the queue of one pool; G is what a request receives when its turn comes. The exported fields are set before
@@ -333,6 +335,7 @@
 // list adds a ticket to the line of its caller; in a full queue another ticket gives way or the request is refused.
 func (q *Queue[G]) list(t *Ticket[G], now clock.Millis) *result.Refusal {
 	if wait, known := q.predict(t.request, now); known && now+wait >= t.expiry {
+		countTooLong.Add(1)
 		detail := fmt.Sprintf("%d requests wait, and the predicted wait is %d ms", q.Length(), wait)
 		return result.Refuse(CodeWaitTooLong, detail, retryAfter(wait-(t.expiry-now)))
 	}
@@ -343,10 +346,12 @@
 	if q.Length() > q.MaxLength {
 		victim := q.victim(t.request)
 		if victim == nil {
+			countFull.Add(1)
 			q.listed.Add(-1)
 			detail := fmt.Sprintf("%d requests wait", q.MaxLength)
 			return result.Refuse(CodeQueueFull, detail, q.retryTime(now))
 		}
+		countDisplaced.Add(1)
 		q.refuse(victim, result.Refuse(CodeDisplaced, fmt.Sprintf("caller %q has the most requests waiting",
 			victim.request.caller), q.retryTime(now)))
 	}
@@ -365,6 +370,7 @@
 		c.next = (c.next + 1) % len(c.order)
 	}
 	l.tickets = append(l.tickets, t)
+	countQueued.Add(1)
 	c.length++
 	t.state = stateListed
 	t.decided = make(chan struct{})
@@ -448,10 +454,7 @@
 			above, furthest = over, i
 		}
 	}
-	if q.classes[r.class].length < q.guaranteed(r.class) {
-		if furthest < 0 {
-			return nil
-		}
+	if furthest >= 0 && q.classes[r.class].length < q.guaranteed(r.class) {
 		return q.classes[furthest].longest().newest()
 	}
 	c := &q.classes[r.class]
@@ -465,8 +468,10 @@
 	return nil
 }
 
-// guaranteed returns the part of the queue that a class keeps under a flood of the other classes.
-func (q *Queue[G]) guaranteed(class int) int { return max(1, q.MaxLength*weights[class]/weightTotal) }
+// guaranteed returns the part of the lists that a class keeps under a flood of the other classes.
+func (q *Queue[G]) guaranteed(class int) int {
+	return max(1, (q.MaxLength-int(q.pending.Load()))*weights[class]/weightTotal)
+}
 
 func (c *class[G]) longest() *line[G] {
 	var found *line[G]
@@ -483,7 +488,7 @@
 // dispatch hands out slots until none is left or nobody waits.
 func (q *Queue[G]) dispatch() {
 	now := q.Clock.Now()
-	var blocked map[string]bool // quota groups that Acquire turned down in this search
+	var blocked map[quotaGroup]bool // quota groups that Acquire turned down in this search
 	for q.ready.Load() > 0 {
 		t := q.pick(now, blocked)
 		if t == nil {
@@ -496,7 +501,7 @@
 				return
 			}
 			if blocked == nil {
-				blocked = make(map[string]bool)
+				blocked = make(map[quotaGroup]bool)
 			}
 			blocked[t.request.quotaGroup()] = true
 			continue
@@ -504,6 +509,7 @@
 		q.served(t)
 		q.unlist(t)
 		q.rate.observe(now)
+		countDispatched.Add(1)
 		t.state = stateGranted
 		t.grant = grant
 		t.decide()
@@ -512,7 +518,7 @@
 
 // pick returns the next request in turn whose owner waits and whose quota group is not blocked. It refuses expired
 // requests on the way. Classes with credit come first; when none of them has such a request, the round is over.
-func (q *Queue[G]) pick(now clock.Millis, blocked map[string]bool) *Ticket[G] {
+func (q *Queue[G]) pick(now clock.Millis, blocked map[quotaGroup]bool) *Ticket[G] {
 	var next *Ticket[G]
 	for i := range q.classes {
 		if next != nil && q.classes[i].credit <= 0 {
@@ -529,7 +535,7 @@
 	return next
 }
 
-func (q *Queue[G]) pickInClass(index int, now clock.Millis, blocked map[string]bool) *Ticket[G] {
+func (q *Queue[G]) pickInClass(index int, now clock.Millis, blocked map[quotaGroup]bool) *Ticket[G] {
 	c := &q.classes[index]
 	for i := 0; i < len(c.order); {
 		l := c.order[(c.next+i)%len(c.order)]
@@ -609,6 +615,7 @@
 func retryAfter(d clock.Millis) clock.Millis { return min(max(d, minRetryAfter), maxRetryAfter) }
 
 func (t *Ticket[G]) refuseExpired(now clock.Millis) *result.Refusal {
+	countExpired.Add(1)
 	if now >= t.request.deadline {
 		return refuseDeadline(t.request, now)
 	}
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -31,12 +31,27 @@
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // keeps the transport from adding its own
 	}
+	var known *worker.Failure // of the attempts so far, the one that says most about a run
 	for attempt := 1; ; attempt++ {
+		if r.claim != nil {
+			if err := r.claim.Use(); err != nil {
+				r.claim.Abandon()
+				r.refuse(refusalOf(err))
+				return
+			}
+		}
 		failure := r.attempt(ctx, permit.grant, header)
 		if failure == nil {
 			return
 		}
 		code := failure.Code()
+		// An attempt that was not run takes nothing back from an earlier one that ran or may have.
+		if known == nil || certainty(code) >= certainty(known.Code()) {
+			known = failure
+		}
+		if r.claim != nil && code.Outcome() == result.NotRun {
+			r.claim.Undo()
+		}
 		failed := permit.Worker()
 		if attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
 			r.body.repeatable() && r.route.budget.Retry() {
@@ -49,11 +64,22 @@
 				continue
 			}
 		}
-		r.fail(ctx, failure)
+		r.fail(ctx, known)
 		return
 	}
 }
 
+// certainty orders codes by how certain it is that the request ran.
+func certainty(code *result.Code) int {
+	switch code.Outcome() {
+	case result.Ran:
+		return 2
+	case result.Unknown:
+		return 1
+	}
+	return 0
+}
+
 // fail records and reports a request that got no whole answer.
 func (r *request) fail(ctx context.Context, failure *worker.Failure) {
 	code := failure.Code()
@@ -65,12 +91,14 @@
 			code = CodeCut
 		}
 	}
-	if r.claimed {
+	if r.claim != nil {
 		switch code.Outcome() {
 		case result.NotRun:
-			r.handler.Claims.Abandon(r.demand.caller, r.demand.key)
+			r.claim.Abandon()
 		case result.Ran:
-			r.handler.Claims.Finish(r.demand.caller, r.demand.key, Recorded{status: code.Status()})
+			r.claim.Finish(Recorded{status: code.Status(), state: NotKept})
+		default:
+			r.claim.Finish(Recorded{})
 		}
 	}
 	after := clock.Millis(0)
@@ -80,6 +108,15 @@
 	r.refuse(result.Refuse(code, failure.Error(), after))
 }
 
+// refusalOf returns the refusal that err is, or one that says that the claim failed.
+func refusalOf(err error) *result.Refusal {
+	var refusal *result.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return result.Refuse(CodeClaimFailed, err.Error(), clock.Second)
+}
+
 // attempt sends the request to one worker. Without a failure the caller has been answered.
 func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header) *worker.Failure {
 	h := r.handler
@@ -151,6 +188,9 @@
 	if whole && !trailers && answer.Length() < 0 && r.in.Method != http.MethodHead {
 		header["Content-Length"] = []string{strconv.Itoa(len(held.data))}
 	}
+	for name := range answer.Trailer() {
+		header.Add("Trailer", name) // announced trailers make the server send chunks
+	}
 	r.writer.WriteHeader(answer.Status())
 	if len(held.data) > 0 {
 		_, err = r.writer.Write(held.data)
@@ -160,7 +200,7 @@
 	}
 	if trailers {
 		for name, values := range answer.Trailer() {
-			header[http.TrailerPrefix+name] = values
+			header[name] = values
 		}
 	}
 	h.counters.answers.Add(1)
@@ -176,16 +216,16 @@
 
 // record keeps the answer with the claim.
 func (r *request) record(answer *worker.Answer, header http.Header, data []byte, whole bool) {
-	if !r.claimed {
+	if r.claim == nil {
 		return
 	}
-	recorded := Recorded{status: answer.Status()}
+	recorded := Recorded{status: answer.Status(), state: NotKept}
 	if whole && len(data) <= maxRecorded {
-		recorded.kept = true
+		recorded.state = Kept
 		recorded.header = header.Clone()
 		recorded.body = append([]byte(nil), data...)
 	}
-	r.handler.Claims.Finish(r.demand.caller, r.demand.key, recorded)
+	r.claim.Finish(recorded)
 }
 
 // stream passes on the rest of a large answer. When that ends early, the caller's connection is aborted, so that the
--- a/command/demo.go
+++ b/command/demo.go
@@ -27,6 +27,7 @@
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
 	"magnoliaferry/platform"
+	"magnoliaferry/result"
 	"magnoliaferry/settings"
 	"magnoliaferry/standin"
 )
@@ -144,16 +145,30 @@
 			ClaimInterval: settings.DefaultClaimInterval, Leave: clock.Second, Stop: settings.DefaultStop}
 		e := &entry.Instance{Settings: s, Clock: d.clock, Logger: d.logger, Platform: d.store.View(zone)}
 		d.entries = append(d.entries, e)
-		modules = append(modules, entryModule{e})
+		modules = append(modules, entryModule{e, d.store})
 	}
 	return modules
 }
 
-type entryModule struct{ *entry.Instance }
+type entryModule struct {
+	*entry.Instance
+	store *memory.Store
+}
 
 // Name implements kernel.Module.
 func (e entryModule) Name() string { return e.Settings.Name }
 
+// Run runs the instance and puts it on the platform's list, where the others find it.
+func (e entryModule) Run(ctx context.Context) error {
+	go func() {
+		if address, err := e.Address(ctx, "peers"); err == nil {
+			e.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: e.Settings.Name, Address: address,
+				Zone: e.Settings.Zone, Role: platform.RoleEntry, State: platform.Live}))
+		}
+	}()
+	return e.Instance.Run(ctx)
+}
+
 // registration puts a worker on the platform's list once it listens.
 type registration struct {
 	demo   *demo
@@ -302,7 +317,7 @@
 		outcome = "connection cut"
 	}
 	d.outcomes[outcome]++
-	if outcome == "ran" {
+	if outcome == string(result.Ran) {
 		d.durations = append(d.durations, took)
 		if key != "" {
 			d.keys[key] = true
@@ -325,7 +340,11 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Header.Get(caller.HeaderOutcome), err
+	outcome = response.Header.Get(caller.HeaderOutcome)
+	if outcome != string(result.Ran) {
+		outcome += ", result " + response.Header.Get(caller.HeaderResult)
+	}
+	return response.StatusCode, outcome, err
 }
 
 // change submits another configuration and waits until each entry instance has it in force.
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -2,46 +2,39 @@
 
 import (
 	"context"
-	"errors"
 
 	"magnoliaferry/caller"
 	"magnoliaferry/claim"
 	"magnoliaferry/clock"
-	"magnoliaferry/result"
 )
 
 // claims joins the claim store to the callers' interface.
 type claims struct{ store *claim.Store }
 
 // Claim implements caller.Claims.
-func (c claims) Claim(ctx context.Context, name, key string, deadline clock.Millis) (caller.Decision, error) {
-	decision, err := c.store.Claim(ctx, name, key, deadline)
-	var refusal *result.Refusal
-	if errors.As(err, &refusal) && refusal.Code() == claim.CodeStillRunning {
-		return caller.NewDecision(caller.Running, caller.Recorded{}), nil
-	}
+func (c claims) Claim(ctx context.Context, name, key, fingerprint string, deadline clock.Millis) (caller.Decision, error) {
+	decision, err := c.store.ClaimWithFingerprint(ctx, name, key, fingerprint, deadline)
 	if err != nil {
 		return caller.Decision{}, err
 	}
 	if answer, recorded := decision.Answer(); recorded {
-		kept := caller.NewRecorded(answer.Status(), answer.Header(), answer.Body(), true)
-		return caller.NewDecision(caller.Done, kept), nil
+		return caller.Replay(answer.Status(), answer.Header(), answer.Body()), nil
 	}
 	permit, _ := decision.Permit()
-	if err := permit.Use(); err != nil {
-		return caller.Decision{}, err
-	}
-	return caller.NewDecision(caller.Granted, caller.Recorded{}), nil
+	return caller.Granted(held{permit}), nil
 }
 
-// Finish implements caller.Claims.
-func (c claims) Finish(name, key string, answer caller.Recorded) {
-	if !answer.Kept() {
-		c.store.Finish(name, key, claim.TooLargeAnswer(answer.Status()))
-		return
+// held joins a permit of the claim store to the callers' interface.
+type held struct{ *claim.Permit }
+
+// Finish implements caller.Claim.
+func (h held) Finish(answer caller.Recorded) {
+	switch answer.State() {
+	case caller.Kept:
+		h.Permit.Finish(claim.NewAnswer(answer.Status(), answer.Header(), answer.Body()))
+	case caller.NotKept:
+		h.Permit.Finish(claim.TooLargeAnswer(answer.Status()))
+	default:
+		h.Permit.Finish(claim.UnknownAnswer())
 	}
-	c.store.Finish(name, key, claim.NewAnswer(answer.Status(), answer.Header(), answer.Body()))
 }
-
-// Abandon implements caller.Claims.
-func (c claims) Abandon(name, key string) { c.store.Abandon(name, key) }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -2,22 +2,27 @@
 
 import (
 	"context"
+	"encoding/json"
 	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"magnoliaferry/caller"
 	"magnoliaferry/certs"
 	"magnoliaferry/claim"
 	"magnoliaferry/clock"
+	"magnoliaferry/config"
 	"magnoliaferry/event"
 	"magnoliaferry/fleet"
 	"magnoliaferry/kernel"
 	"magnoliaferry/operator"
+	"magnoliaferry/peer"
 	"magnoliaferry/platform"
 	"magnoliaferry/routing"
 	"magnoliaferry/settings"
@@ -31,6 +36,9 @@
 	eventStopped = event.New(1001, "stopped", slog.LevelInfo, "the entry instance has stopped")
 )
 
+// workerResource begins the names of the accounts of workers in the ledger.
+const workerResource = "worker/"
+
 // Instance is one entry instance; the exported fields are set before Run.
 type Instance struct {
 	Settings settings.Settings
@@ -56,6 +64,10 @@
 	handler       *caller.Handler
 	assignments   *fleet.Assignments
 	queues        *queues
+	node          *peer.Node
+	transport     *peer.HTTP
+	reports       *reports
+	workerZones   atomic.Pointer[map[string]string]
 }
 
 // Run serves until the context ends, then leaves, finishes what runs and returns.
@@ -157,10 +169,18 @@
 		return nil, err
 	}
 	s := i.Settings
-	i.configuration = &configurations{clock: i.Clock, store: &operator.Store{Clock: i.Clock, Table: i.Platform.Table(),
-		Objects: i.Platform.Objects()}}
-	i.ledger = &slots.Ledger{Clock: i.Clock, ID: s.Name, Incarnation: i.incarnation, Zone: s.Zone}
+	i.configuration = &configurations{codec: &codec{}, store: &operator.Store{Clock: i.Clock, Table: i.Platform.Table(),
+		Objects: i.Platform.Objects(), Accepted: i.accepted}}
+	i.reports = &reports{instance: i}
 	i.client = &worker.Client{Clock: i.Clock, Logger: i.Logger}
+	i.ledger = &slots.Ledger{Clock: i.Clock, ID: s.Name, Incarnation: i.incarnation, Zone: s.Zone,
+		OpenConnections: func(resource string) int {
+			id, isWorker := strings.CutPrefix(resource, workerResource)
+			if !isWorker {
+				return 0
+			}
+			return i.client.Connections(id)
+		}}
 	i.router = &routing.Router{Clock: i.Clock, Logger: i.Logger, Probe: i.client.Probe}
 	i.claims = &claim.Store{Clock: i.Clock, Table: i.Platform.Table(), Holder: s.Name, Incarnation: i.incarnation,
 		Interval: s.ClaimInterval, WallClock: i.WallClock, Logger: i.Logger}
@@ -171,16 +191,22 @@
 		Tracer: i.tracer, Configuration: i.configuration.Current, Contact: s.Contact, Queue: i.queues.of,
 		Quota:  func(resource string) routing.Account { return i.ledger.Account(resource) },
 		Claims: claims{i.claims}, Router: i.router, Client: i.client}
+	if err := i.join(); err != nil {
+		return nil, err
+	}
 	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
-		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.queues.demand,
-		Wall: i.WallClock, Seed: i.incarnation, Logger: i.Logger}
+		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.reports.demand,
+		Healthy: i.reports.healthy,
+		Wall:    i.WallClock, Seed: i.incarnation, Logger: i.Logger}
 	c := control{i, loop}
 	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Reporter: c,
 		Drainer: c, Waves: c, Jobs: c, Logger: i.Logger}
 	modules := []kernel.Module{
 		i.tracer,
-		i.configuration,
-		&rosterLoop{clock: i.Clock, table: i.Platform.Table(), ledger: i.ledger},
+		i.node,
+		&httpServer{name: "peers", listener: i.listeners["peers"],
+			handler: (&peer.Server{Node: i.node, Clock: i.Clock, Logger: i.Logger}).Handler()},
+		discovery{i},
 		i.assignments,
 		&workers{instance: i},
 		named{"claims", i.claims.Run},
@@ -194,9 +220,50 @@
 		LeaveFor: s.Leave, Grace: s.Stop - s.Leave}), nil
 }
 
+// join builds the peer module.
+func (i *Instance) join() error {
+	s := i.Settings
+	i.transport = &peer.HTTP{Clock: i.Clock}
+	if files := s.Peers.TLS; files != nil {
+		source, err := i.source(*files)
+		if err != nil {
+			return err
+		}
+		i.transport.TLS = source.Client()
+	}
+	l := ledger{i.ledger, i.queues}
+	i.node = &peer.Node{ID: s.Name, Address: i.listeners["peers"].Addr().String(), Zone: s.Zone,
+		Incarnation: i.incarnation, Seeds: s.Peers.Seeds, Random: uint64(i.incarnation), Clock: i.Clock,
+		Transport: i.transport, Codec: i.configuration.codec, Table: i.Platform.Table(), Objects: i.Platform.Objects(),
+		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, Status: i.reports, Logger: i.Logger}
+	return nil
+}
+
+// accepted spreads a version that this instance has stored.
+func (i *Instance) accepted(stored config.Stored, c *config.Configuration) {
+	var delta []byte
+	if !stored.Delta().Omitted() {
+		encoded, err := json.Marshal(stored.Delta())
+		if err == nil {
+			delta = encoded
+		}
+	}
+	i.node.Accepted(stored.Version(), stored.Digest(), delta, config.Encode(c))
+}
+
+// zoneOf returns the availability zone of a worker, or "". The control loop asks while it holds the lock of the
+// assignments.
+func (i *Instance) zoneOf(instance string) string {
+	if zones := i.workerZones.Load(); zones != nil {
+		return (*zones)[instance]
+	}
+	return ""
+}
+
 // metrics serves the counters of this instance and of the process.
 func (i *Instance) metrics() http.Handler {
 	vars := i.handler.Vars()
+	vars.Set("workers", i.router.Vars())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/peer"
+	"magnoliaferry/platform"
+	"magnoliaferry/slots"
+)
+
+// rosters joins the arithmetic of the slots module to the peer module.
+type rosters struct {
+	ledger *slots.Ledger
+}
+
+// read decodes a row; its version does not matter for a roster that is only changed and written back.
+func (rosters) read(row []byte) (slots.Roster, error) {
+	if row == nil {
+		return slots.Roster{}, nil
+	}
+	return slots.DecodeRoster(row, 1)
+}
+
+// Members implements peer.Rosters.
+func (r rosters) Members(row []byte) ([]peer.RosterMember, error) {
+	roster, err := r.read(row)
+	if err != nil {
+		return nil, err
+	}
+	var members []peer.RosterMember
+	for _, m := range roster.Members() {
+		if m.State() == slots.Active {
+			members = append(members, peer.NewRosterMember(m.ID(), m.Address(), m.Incarnation()))
+		}
+	}
+	return members, nil
+}
+
+// Join implements peer.Rosters.
+func (r rosters) Join(row []byte, m peer.RosterMember) ([]byte, error) {
+	roster, err := r.read(row)
+	if err != nil {
+		return nil, err
+	}
+	next, ok := roster.Join(m.ID(), m.Incarnation())
+	if !ok {
+		return nil, fmt.Errorf("incarnation %d of %q is not newer than those in the roster", m.Incarnation(), m.ID())
+	}
+	return next.WithAddress(m.ID(), m.Incarnation(), m.Address()).Encode(), nil
+}
+
+// Remove implements peer.Rosters. An instance that leaves with nothing in use releases its slots at once.
+func (r rosters) Remove(row []byte, id string, incarnation int64) ([]byte, error) {
+	roster, err := r.read(row)
+	if err != nil {
+		return nil, err
+	}
+	if id != r.ledger.ID {
+		next, _ := roster.Remove(id, incarnation)
+		return next.Encode(), nil
+	}
+	next, _ := roster.Leave(id, incarnation)
+	if r.ledger.Drained() {
+		next, _ = next.Release(id, incarnation)
+	}
+	return next.Encode(), nil
+}
+
+// ledger joins the ledger to the peer module.
+type ledger struct {
+	*slots.Ledger
+	queues *queues
+}
+
+// SetRoster implements peer.Ledger.
+func (l ledger) SetRoster(row platform.Row) {
+	if roster, err := slots.DecodeRoster(row.Value(), row.Version()); err == nil { // the peer module has decoded it before
+		l.Ledger.SetRoster(l.Zone, roster)
+		l.queues.wakeAll()
+	}
+}
+
+// Confirmed implements peer.Ledger.
+func (l ledger) Confirmed(started clock.Millis, table bool, unbroken clock.Millis) {
+	l.Confirm(started, table, unbroken)
+}
+
+// Propose implements peer.Ledger.
+func (l ledger) Propose() (value []byte, version int64, ok bool) {
+	next, ok := l.Ledger.Propose()
+	if !ok {
+		return nil, 0, false
+	}
+	return next.Encode(), next.Version(), true
+}
+
+// Suspend implements peer.Ledger. The ledger notices a pause and a removal by itself.
+func (ledger) Suspend() {}
+
+// Wants implements peer.Loans.
+func (l ledger) Wants() []peer.Want {
+	var wants []peer.Want
+	for _, w := range l.Ledger.Wants() {
+		wants = append(wants, peer.NewWant(w.Resource(), w.Zone(), w.Units()))
+	}
+	return wants
+}
+
+// Borrow implements peer.Loans.
+func (l ledger) Borrow(lender, resource string, granted int, period clock.Millis) {
+	l.Ledger.Borrow(lender, resource, granted, period)
+	l.queues.wakeAll()
+}
+
+// reportAge is how long the report of a peer counts. With 9 entry instances a peer is probed every 4.5 s on average.
+const reportAge = 30 * clock.Second
+
+// reports holds what the peers said last about load and health.
+type reports struct {
+	instance *Instance
+
+	mu   sync.Mutex
+	from map[string]report
+
+	counted atomic.Pointer[tally]
+}
+
+type report struct {
+	at        clock.Millis
+	zone      string
+	loads     map[string]int
+	unhealthy []string
+}
+
+// Load implements peer.Status.
+func (r *reports) Load() []peer.PoolLoad {
+	loads, queued := map[string]int{}, r.instance.queues.lengths()
+	for _, h := range r.instance.router.Health() {
+		loads[h.Pool()] += h.InFlight()
+	}
+	list := make([]peer.PoolLoad, 0, len(loads))
+	for pool, n := range loads {
+		list = append(list, peer.NewPoolLoad(pool, n, queued[pool]))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Pool() < list[j].Pool() })
+	return list
+}
+
+// Unhealthy implements peer.Status.
+func (r *reports) Unhealthy() []string {
+	var ids []string
+	for _, h := range r.instance.router.Health() {
+		if h.Ejected() {
+			ids = append(ids, h.Worker())
+		}
+	}
+	return ids
+}
+
+// Heard implements peer.Status.
+func (r *reports) Heard(from, zone string, loads []peer.PoolLoad, unhealthy []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.from == nil {
+		r.from = map[string]report{}
+	}
+	fresh := report{at: r.instance.Clock.Now(), zone: zone, loads: map[string]int{}, unhealthy: unhealthy}
+	// A probe carries a part of a long list of pools, so earlier figures of the others stay.
+	for pool, n := range r.from[from].loads {
+		fresh.loads[pool] = n
+	}
+	for _, l := range loads {
+		fresh.loads[l.Pool()] = l.InFlight() + l.Queued()
+	}
+	r.from[from] = fresh
+}
+
+// current returns the reports that still count.
+func (r *reports) current() []report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.instance.Clock.Now()
+	var list []report
+	for id, f := range r.from {
+		if now-f.at > reportAge {
+			delete(r.from, id)
+			continue
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+// demand returns the requests in flight and waiting by pool over the whole fleet. Entry instances that were not heard of
+// are assumed to have as many as the others, because the balancer treats all alike.
+func (r *reports) demand() map[string]int {
+	demand := map[string]int{}
+	for _, l := range r.Load() {
+		demand[l.Pool()] += l.InFlight() + l.Queued()
+	}
+	heard := r.current()
+	for _, f := range heard {
+		for pool, n := range f.loads {
+			demand[pool] += n
+		}
+	}
+	alive := 1
+	for _, p := range r.instance.node.Peers() {
+		if p.Alive() {
+			alive++
+		}
+	}
+	for pool := range demand {
+		demand[pool] = demand[pool] * max(alive, len(heard)+1) / (len(heard) + 1)
+	}
+	return demand
+}
+
+// tally counts for each zone the entry instances that are heard of, and for each worker how many of them have ejected it.
+type tally struct {
+	at      clock.Millis
+	voters  map[string]int
+	against map[string]map[string]int // zone of the voter, worker
+}
+
+// tallyAge is how long a tally is used, because a planning pass asks about every worker of the fleet.
+const tallyAge = clock.Second
+
+func (r *reports) tally() *tally {
+	now := r.instance.Clock.Now()
+	if t := r.counted.Load(); t != nil && now-t.at < tallyAge {
+		return t
+	}
+	t := &tally{at: now, voters: map[string]int{}, against: map[string]map[string]int{}}
+	count := func(zone string, unhealthy []string) {
+		t.voters[zone]++
+		for _, id := range unhealthy {
+			if t.against[zone] == nil {
+				t.against[zone] = map[string]int{}
+			}
+			t.against[zone][id]++
+		}
+	}
+	count(r.instance.Settings.Zone, r.Unhealthy())
+	for _, f := range r.current() {
+		count(f.zone, f.unhealthy)
+	}
+	r.counted.Store(t)
+	return t
+}
+
+// healthy reports whether a worker counts as healthy: at most half of the entry instances of its zone that are heard of
+// have ejected it. Those of other zones seldom use it and may be cut off from it.
+func (r *reports) healthy(instance string) bool {
+	t, zone := r.tally(), r.instance.zoneOf(instance)
+	return 2*t.against[zone][instance] <= t.voters[zone]
+}
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -34,18 +34,20 @@
 	if c == nil {
 		return
 	}
-	members := map[string][]routing.WorkerState{}
+	members, zones := map[string][]routing.WorkerState{}, map[string]string{}
 	for _, a := range i.assignments.Current() {
+		zones[a.Instance()] = a.Zone()
 		p, known := c.Pool(a.Pool())
 		if !known || a.Address() == "" {
 			continue
 		}
-		resource := "worker/" + a.Instance()
+		resource := workerResource + a.Instance()
 		i.ledger.SetCapacity(resource, a.Zone(), p.Slots())
 		leaving := a.Leaving() || a.Phase() != planner.Serving
 		members[a.Pool()] = append(members[a.Pool()], routing.NewWorkerState(a.Instance(), a.Address(), a.Zone(),
 			i.ledger.Account(resource), leaving))
 	}
+	i.workerZones.Store(&zones)
 	states := make([]routing.PoolState, 0, len(c.Pools()))
 	for _, p := range c.Pools() {
 		states = append(states, routing.NewPoolState(p.Name(), i.Settings.Policy, p.Capacity(), members[p.Name()]...))
--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -291,7 +291,7 @@
 			e.writeRoster(next, roster.Version())
 		}
 	}
-	e.ledger.Confirm(now)
+	e.ledger.Confirm(now, err == nil, 0)
 }
 
 func (e *entry) writeRoster(next slots.Roster, version int64) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -205,6 +205,21 @@
 	return serving, p.failing.Load()
 }
 
+// Free returns how many slots of the pool this entry instance could use now.
+func (r *Router) Free(pool string) int {
+	s := r.snapshot.Load()
+	if s == nil || s.pools[pool] == nil {
+		return 0
+	}
+	free := 0
+	for _, w := range s.pools[pool].workers {
+		if w.usable() || w.trial.Load() {
+			free += max(w.account.Free(), 0)
+		}
+	}
+	return free
+}
+
 // Acquire takes a slot on a worker of the pool until the deadline, or reports that none is free. It avoids one worker
 // (nil for none) unless no other has a free slot. It takes no lock.
 func (r *Router) Acquire(pool string, deadline clock.Millis, avoid *Worker) (*Grant, bool) {
@@ -258,21 +273,6 @@
 	return nil, false
 }
 
-// Free returns how many slots of the pool a request with a short deadline could take now.
-func (r *Router) Free(pool string) int {
-	s := r.snapshot.Load()
-	if s == nil || s.pools[pool] == nil {
-		return 0
-	}
-	free := 0
-	for _, w := range s.pools[pool].workers {
-		if w.usable() {
-			free += w.account.Free()
-		}
-	}
-	return free
-}
-
 // try gives an ejected worker whose time has come one request.
 func (r *Router) try(w *Worker, deadline clock.Millis) (*Grant, bool) {
 	if w.leaving.Load() || !w.ejected.Load() || !r.setTrial(w, false) {
