measure: ask for loans as the package peer does, and show loans that are not given back

Cause: the stand-in asked every member of a zone every 100 ms; the package peer, which has come since, asks one random member of a zone every 200 ms at most and does not give loans back yet. Change: the same in the scenarios, and an ablation row for loans kept to their end.

--- a/measure/requests.go
+++ b/measure/requests.go
@@ -148,6 +148,7 @@
 		with("no early refusal", func(v *variant) { v.predicts = false }),
 		with("no class weights", func(v *variant) { v.classes = false }),
 		with("no fairness", func(v *variant) { v.fairness = false }),
+		with("loans kept to their end", func(v *variant) { v.slots = "keep" }),
 		with("no loans", func(v *variant) { v.slots = "base" }),
 		with("no ejection", func(v *variant) { v.ejection = false }),
 		with("no retry budget", func(v *variant) { v.budget = false }),
--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -34,8 +34,8 @@
 	maxAttempts      = 3
 	rosterPeriod     = 1 * clock.Second
 	wakePeriod       = clock.Second / 2
-	// askPeriod is how often an instance asks its peers for loans; the design names no value.
-	askPeriod  = 100 * clock.Millis(1)
+	// askPeriod is how often an instance that is short asks its peers for loans, as in the package peer.
+	askPeriod  = 200 * clock.Millis(1)
 	givePeriod = clock.Second / 2
 	// tableTime is how long an access to the table takes when nothing is wrong.
 	tableTime = 5 * clock.Millis(1)
@@ -51,7 +51,7 @@
 	name     string
 	policy   string
 	fifo     bool   // admission in order of arrival without early refusal
-	slots    string // "" for base shares and loans, "base", "equal", "unlimited"
+	slots    string // "" for base shares and loans, "keep", "base", "equal", "unlimited"
 	ejection bool
 	budget   bool // retries are bounded
 	retries  bool
@@ -257,8 +257,10 @@
 	}
 	every(rosterPeriod, e.pollRoster)
 	every(wakePeriod, e.wakeAll)
-	if s.variant.slots == "" {
+	if s.variant.slots == "" || s.variant.slots == "keep" {
 		every(askPeriod, e.askLoans)
+	}
+	if s.variant.slots == "" {
 		every(givePeriod, e.giveBack)
 	}
 }
@@ -302,38 +304,56 @@
 		platform.Put("roster/"+e.zone, next.Encode(), version)))
 }
 
-// askLoans asks the members of the zone of each resource that is short, one question per zone and resource.
+// askLoans asks one random member of the zone of each resource that is short, as the package peer does.
 func (e *entry) askLoans() {
 	s := e.sim
+	lenders := map[string]*entry{}
 	for _, want := range e.ledger.Wants() {
 		if s.separated(e.zone, want.Zone()) {
 			continue
 		}
+		o, chosen := lenders[want.Zone()]
+		if !chosen {
+			o = s.lender(e, want.Zone())
+			lenders[want.Zone()] = o
+		}
+		if o == nil {
+			continue
+		}
 		there := s.oneWay(e.zone, want.Zone())
 		back := s.roundTrip(e.zone, want.Zone()) - there
 		s.clock.AfterFunc(there, func() {
-			missing := want.Units()
-			for i := range s.entries {
-				o := s.entries[(i+e.number)%len(s.entries)]
-				if o == e || !o.alive || o.zone != want.Zone() || missing <= 0 {
-					continue
-				}
-				loan := o.ledger.Grant(e.id, want.Resource(), missing)
-				if loan.Units() == 0 {
-					continue
-				}
-				missing -= loan.Units()
-				incarnation, number := loan.Numbers()
-				s.clock.AfterFunc(back, func() {
-					e.ledger.Accept(o.id, want.Resource(),
-						slots.NewLoan(incarnation, number, loan.Units(), loan.Period()-there-back))
-					e.wakeAll()
-				})
+			if !o.alive {
+				return
 			}
+			loan := o.ledger.Grant(e.id, want.Resource(), want.Units())
+			if loan.Units() == 0 {
+				return
+			}
+			incarnation, number := loan.Numbers()
+			s.clock.AfterFunc(back, func() {
+				e.ledger.Accept(o.id, want.Resource(),
+					slots.NewLoan(incarnation, number, loan.Units(), loan.Period()-there-back))
+				e.wakeAll()
+			})
 		})
 	}
 }
 
+// lender draws a living member of a zone other than the borrower.
+func (s *sim) lender(borrower *entry, zone string) *entry {
+	var members []*entry
+	for _, o := range s.entries {
+		if o != borrower && o.alive && o.zone == zone {
+			members = append(members, o)
+		}
+	}
+	if len(members) == 0 {
+		return nil
+	}
+	return members[s.random.IntN(len(members))]
+}
+
 // giveBack tells the lenders which slots are not needed any more.
 func (e *entry) giveBack() {
 	s := e.sim
