--- a/measure/report.go
+++ b/measure/report.go
@@ -212,7 +212,7 @@
 	}
 	chart.NominalX(scenarios...)
 	width := vg.Length(len(scenarios)*(len(policies)+2)*barWidth) + 4*vg.Inch
-	name := r.Group + "-" + strings.ReplaceAll(figure, " ", "-") + ".svg"
+	name := r.Group + "-" + strings.NewReplacer(" %", "-percent", " ", "-").Replace(figure) + ".svg"
 	return chart.Save(width, 4*vg.Inch, filepath.Join(directory, name))
 }
 
