peer, entry: give loans back before their end

Cause: slots.Ledger can end loans early, but the messages between entry instances carried no loan numbers, so a lent slot stayed out for its whole 10 s. Change: a grant carries the lender's incarnation and the number of the loan. Twice a second a member tells its lenders what it no longer keeps (GiveBack), and the lender takes it back and wakes its admission queues. Messages are bounded to 256 loans and are not repeated; a lost one leaves the loan to its end. Conclusion: an unused loan is back at its lender after about one second instead of ten, as long as the message arrives.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -110,9 +110,36 @@
 	return wants
 }
 
+// Lend implements peer.Loans.
+func (l ledger) Lend(borrower, resource string, want int) peer.Loan {
+	granted := l.Grant(borrower, resource, want)
+	incarnation, number := granted.Numbers()
+	return peer.NewLoan(incarnation, number, granted.Units(), granted.Period())
+}
+
 // Borrow implements peer.Loans.
-func (l ledger) Borrow(lender, resource string, granted int, period clock.Millis) {
-	l.Ledger.Borrow(lender, resource, granted, period)
+func (l ledger) Borrow(lender, resource string, loan peer.Loan) {
+	incarnation, number := loan.Numbers()
+	l.Accept(lender, resource, slots.NewLoan(incarnation, number, loan.Units(), loan.Period()))
+	l.queues.wakeAll()
+}
+
+// GiveBack implements peer.Loans.
+func (l ledger) GiveBack() []peer.Unused {
+	var all []peer.Unused
+	for _, u := range l.Ledger.GiveBack() {
+		incarnation, number := u.Loan().Numbers()
+		all = append(all, peer.NewUnused(u.Lender(), u.Resource(),
+			peer.NewLoan(incarnation, number, u.Loan().Units(), 0)))
+	}
+	return all
+}
+
+// TakeBack implements peer.Loans.
+func (l ledger) TakeBack(borrower string, u peer.Unused) {
+	incarnation, number := u.Loan().Numbers()
+	l.Ledger.TakeBack(borrower, slots.NewUnused(u.Lender(), u.Resource(),
+		slots.NewLoan(incarnation, number, u.Loan().Units(), 0)))
 	l.queues.wakeAll()
 }
 
--- a/peer/loans.go
+++ b/peer/loans.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/peer/peerpb"
@@ -15,18 +16,67 @@
 	lendersAsked = 3
 	maxWants     = 64
 	maxLoan      = 10 * clock.Second
+	// maxUnits bounds the units of one want or loan.
+	maxUnits = 1 << 20
+	// givePeriod is the time between two rounds that give slots back.
+	givePeriod = clock.Second / 2
+	// maxUnused bounds the loans in one message: with names of full length it has 40 KB.
+	maxUnused = 256
 )
 
 // Loans is the borrower's and the lender's side of the ledger.
 type Loans interface {
 	// Wants returns what is short here.
 	Wants() []Want
-	// Lend takes up to want units out of the own share for the borrower and returns how many, and for how long.
-	Lend(borrower, resource string, want int) (granted int, period clock.Millis)
-	// Borrow adds units that a lender granted; period counts from now.
-	Borrow(lender, resource string, granted int, period clock.Millis)
+	// Lend takes up to want units out of the own share for the borrower; a loan of 0 units says none.
+	Lend(borrower, resource string, want int) Loan
+	// Borrow adds units that a lender granted; the period of the loan counts from now.
+	Borrow(lender, resource string, l Loan)
+	// GiveBack ends borrowed units that are not used and returns what the lenders have to be told.
+	GiveBack() []Unused
+	// TakeBack restores units that a borrower no longer keeps; it may be told the same, or an earlier state, again.
+	TakeBack(borrower string, u Unused)
 }
 
+// Loan is what a lender grants; the lender's incarnation and the number name it.
+type Loan struct {
+	incarnation, number int64
+	units               int
+	period              clock.Millis
+}
+
+// NewLoan returns a loan; period is in milliseconds.
+func NewLoan(incarnation, number int64, units int, period clock.Millis) Loan {
+	return Loan{incarnation, number, units, period}
+}
+
+// Numbers returns what names the loan at its lender.
+func (l Loan) Numbers() (incarnation, number int64) { return l.incarnation, l.number }
+
+// Units returns the number of slots.
+func (l Loan) Units() int { return l.units }
+
+// Period returns how long the loan lasts, in milliseconds.
+func (l Loan) Period() clock.Millis { return l.period }
+
+// Unused is a loan of which the borrower gives units back.
+type Unused struct {
+	lender, resource string
+	loan             Loan
+}
+
+// NewUnused returns a loan of which units are given back; the units of the loan are those that the borrower keeps.
+func NewUnused(lender, resource string, l Loan) Unused { return Unused{lender, resource, l} }
+
+// Lender returns the id of the member that gets units back.
+func (u Unused) Lender() string { return u.lender }
+
+// Resource returns the name of the resource.
+func (u Unused) Resource() string { return u.resource }
+
+// Loan returns the loan with the units that the borrower keeps.
+func (u Unused) Loan() Loan { return u.loan }
+
 // Want is a resource that is short.
 type Want struct {
 	resource, zone string
@@ -103,7 +153,8 @@
 					continue
 				}
 				asked[g.GetResource()] -= g.GetCount()
-				n.post(func() { n.Loans.Borrow(lender, g.GetResource(), int(g.GetCount()), period) })
+				loan := NewLoan(g.GetIncarnation(), g.GetNumber(), int(g.GetCount()), period)
+				n.post(func() { n.Loans.Borrow(lender, g.GetResource(), loan) })
 			}
 		})
 	})
@@ -119,15 +170,63 @@
 		return answer, nil
 	}
 	for _, w := range r.GetWants() {
-		if w.GetCount() <= 0 || w.GetCount() > 1<<20 || len(w.GetResource()) > maxName {
+		if w.GetCount() <= 0 || w.GetCount() > maxUnits || len(w.GetResource()) > maxName {
 			return nil, n.refuse(ctx, fmt.Errorf("a want is malformed"))
 		}
 	}
 	for _, w := range r.GetWants() {
-		if granted, period := n.Loans.Lend(r.GetBorrower(), w.GetResource(), int(w.GetCount())); granted > 0 {
-			answer.Grants = append(answer.Grants,
-				&peerpb.Grant{Resource: w.GetResource(), Count: int64(granted), PeriodMs: int64(period)})
+		if l := n.Loans.Lend(r.GetBorrower(), w.GetResource(), int(w.GetCount())); l.units > 0 {
+			answer.Grants = append(answer.Grants, &peerpb.Grant{Resource: w.GetResource(), Count: int64(l.units),
+				PeriodMs: int64(l.period), Incarnation: l.incarnation, Number: l.number})
 		}
 	}
 	return answer, nil
 }
+
+// scheduleReturns starts the next round that gives slots back.
+func (n *Node) scheduleReturns() {
+	n.after(givePeriod, func() { n.locked(func() { n.giveBack(); n.scheduleReturns() }) })
+}
+
+// giveBack tells the lenders about loans that are not used. Nothing is repeated: a lender that a message does not reach
+// has its slots back at the end of the loan.
+func (n *Node) giveBack() {
+	if n.Loans == nil {
+		return
+	}
+	byLender := map[string][]*peerpb.Unused{}
+	for _, u := range n.Loans.GiveBack() {
+		byLender[u.lender] = append(byLender[u.lender], &peerpb.Unused{Resource: u.resource,
+			Incarnation: u.loan.incarnation, Number: u.loan.number, Kept: int64(u.loan.units)})
+	}
+	for _, id := range n.members.ids((*member).live) {
+		for unused := range slices.Chunk(byLender[id], maxUnused) {
+			request := &peerpb.GiveBackRequest{Borrower: n.ID, Unused: unused}
+			counters.Add("loans-given-back", int64(len(unused)))
+			n.Transport.Call(n.members.all[id].address, false, callTimeout, func(ctx context.Context, p peerpb.Peer) error {
+				_, err := p.GiveBack(ctx, request)
+				return err
+			}, func(error) {})
+		}
+	}
+}
+
+// GiveBack implements peerpb.Peer.
+func (n *Node) GiveBack(ctx context.Context, r *peerpb.GiveBackRequest) (*peerpb.GiveBackAnswer, error) {
+	malformed := r.GetBorrower() == "" || len(r.GetBorrower()) > maxName || len(r.GetUnused()) > maxUnused
+	for _, u := range r.GetUnused() {
+		malformed = malformed || u.GetResource() == "" || len(u.GetResource()) > maxName || u.GetIncarnation() <= 0 ||
+			u.GetNumber() <= 0 || u.GetKept() < 0 || u.GetKept() > maxUnits
+	}
+	if malformed {
+		return nil, n.refuse(ctx, fmt.Errorf("the return of a loan is malformed"))
+	}
+	if n.Loans == nil {
+		return &peerpb.GiveBackAnswer{}, nil
+	}
+	for _, u := range r.GetUnused() {
+		n.Loans.TakeBack(r.GetBorrower(), NewUnused(n.ID, u.GetResource(),
+			NewLoan(u.GetIncarnation(), u.GetNumber(), int(u.GetKept()), 0)))
+	}
+	return &peerpb.GiveBackAnswer{}, nil
+}
--- a/peer/network.go
+++ b/peer/network.go
@@ -193,3 +193,8 @@
 func (x exchange) Borrow(_ context.Context, q *peerpb.BorrowRequest) (*peerpb.BorrowAnswer, error) {
 	return pass(x, q, x.to.peer.Borrow)
 }
+
+// GiveBack implements peerpb.Peer.
+func (x exchange) GiveBack(_ context.Context, q *peerpb.GiveBackRequest) (*peerpb.GiveBackAnswer, error) {
+	return pass(x, q, x.to.peer.GiveBack)
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -250,6 +250,7 @@
 	n.join()
 	n.poll()
 	n.schedule()
+	n.scheduleReturns()
 }
 
 func (n *Node) stop() {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -434,22 +434,34 @@
 	free  int
 	got   map[string]int
 	until clock.Millis
+	loan  Loan     // the last one
+	idle  []Unused // what the next GiveBack returns
+	back  []Unused // what TakeBack was told
 }
 
 func (f *fakeLoans) Wants() []Want { return f.wants }
 
-func (f *fakeLoans) Lend(_, _ string, want int) (int, clock.Millis) {
+func (f *fakeLoans) Lend(_, _ string, want int) Loan {
 	granted := min(want, f.free)
 	f.free -= granted
-	return granted, 10 * seconds
+	f.loan = NewLoan(7, int64(8-f.free), granted, 10*seconds)
+	return f.loan
 }
 
-func (f *fakeLoans) Borrow(lender, _ string, granted int, period clock.Millis) {
-	f.got[lender] += granted
-	f.until = period
+func (f *fakeLoans) Borrow(lender, _ string, l Loan) {
+	f.got[lender] += l.Units()
+	f.until, f.loan = l.Period(), l
 	f.wants = nil
 }
 
+func (f *fakeLoans) GiveBack() []Unused {
+	idle := f.idle
+	f.idle = nil
+	return idle
+}
+
+func (f *fakeLoans) TakeBack(_ string, u Unused) { f.back = append(f.back, u) }
+
 // Guards against loans that are granted and not handed over, in another zone than asked for, or for longer than the
 // lender counts.
 func TestLoans(t *testing.T) {
@@ -477,6 +489,21 @@
 	}
 }
 
+// Guards against loans that come back to another lender, under other numbers or with other units than the borrower says.
+func TestLoansReturned(t *testing.T) {
+	w := settled(t, 19, 2)
+	borrower, lender := &fakeLoans{got: map[string]int{}, wants: []Want{NewWant("worker/w", "", 3)}}, &fakeLoans{free: 8}
+	w.order[0].Loans, w.order[1].Loans = borrower, lender
+	w.until(3*seconds, "borrowed", func() bool { return len(borrower.wants) == 0 })
+	incarnation, number := borrower.loan.Numbers()
+	borrower.idle = []Unused{NewUnused(w.order[1].ID, "worker/w", NewLoan(incarnation, number, 1, 0)),
+		NewUnused("gone", "worker/w", NewLoan(1, 1, 0, 0))}
+	w.until(seconds, "given back", func() bool { return len(lender.back) > 0 })
+	if want := NewUnused(w.order[1].ID, "worker/w", NewLoan(7, 3, 1, 0)); len(lender.back) != 1 || lender.back[0] != want {
+		t.Errorf("the lender was told %v, want %v", lender.back, want)
+	}
+}
+
 // Guards against a suspicion between two members that cannot reach each other while the others reach both.
 func TestRelays(t *testing.T) {
 	w := settled(t, 26, 9)
