peer, claim: ask the holder of a claim whether it still runs

Cause: a repeat through another entry instance heard "outcome unknown" (2203) also while the first attempt was still running, because nothing set claim.Store.HolderRuns. Change: the peer message Runs asks the holder. The question is sent only to a live member with that id whose incarnation is not older, and the member answers only for its own process. Conclusion: the repeat hears "still running" (2202) with a retry time while that is true. TestClaimRuns covers earlier and later processes of the same id.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -235,7 +235,9 @@
 	i.node = &peer.Node{ID: s.Name, Address: i.listeners["peers"].Addr().String(), Zone: s.Zone,
 		Incarnation: i.incarnation, Seeds: s.Peers.Seeds, Random: uint64(i.incarnation), Clock: i.Clock,
 		Transport: i.transport, Codec: i.configuration.codec, Table: i.Platform.Table(), Objects: i.Platform.Objects(),
-		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, Status: i.reports, Logger: i.Logger}
+		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, ClaimRuns: i.claims.Runs,
+		Status: i.reports, Logger: i.Logger}
+	i.claims.HolderRuns = i.node.HolderRuns
 	return nil
 }
 
--- a/peer/http_test.go
+++ b/peer/http_test.go
@@ -92,6 +92,7 @@
 		{"empty vouch", "Vouch", "application/protobuf", nil, 400},
 		{"empty confirm", "Confirm", "application/protobuf", nil, 400},
 		{"empty loan", "Borrow", "application/protobuf", nil, 400},
+		{"empty question", "Runs", "application/protobuf", nil, 400},
 		{"empty return", "GiveBack", "application/protobuf", nil, 400},
 		{"empty fetch", "Fetch", "application/protobuf", nil, 200},
 	}
--- a/peer/network.go
+++ b/peer/network.go
@@ -198,3 +198,8 @@
 func (x exchange) GiveBack(_ context.Context, q *peerpb.GiveBackRequest) (*peerpb.GiveBackAnswer, error) {
 	return pass(x, q, x.to.peer.GiveBack)
 }
+
+// Runs implements peerpb.Peer.
+func (x exchange) Runs(_ context.Context, q *peerpb.RunsRequest) (*peerpb.RunsAnswer, error) {
+	return pass(x, q, x.to.peer.Runs)
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -103,6 +103,8 @@
 	Ledger Ledger
 	// Loans borrows and lends slots; may be nil.
 	Loans Loans
+	// ClaimRuns reports whether this process holds a claim whose request still runs; may be nil.
+	ClaimRuns func(caller, key string) bool
 	// Status reports load and health to the peers of the zone; may be nil.
 	Status Status
 
@@ -138,6 +140,7 @@
 	usable atomic.Bool  // slots may be used
 	alive  atomic.Int64 // time of the last tick
 
+	asks       atomic.Int32 // questions about claims that wait for an answer
 	lastBorrow clock.Millis
 	lastSync   clock.Millis
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -504,6 +504,49 @@
 	}
 }
 
+// direct is a Transport that calls a node at once.
+type direct struct {
+	Transport
+	peer peerpb.Peer
+}
+
+func (d direct) Call(_ string, _ bool, _ clock.Millis, call func(context.Context, peerpb.Peer) error, done func(error)) {
+	done(call(context.Background(), d.peer))
+}
+
+// Guards against "still running" from a process that replaced the holder of a claim, or without an answer, and against
+// questions that wait for each other.
+func TestClaimRuns(t *testing.T) {
+	w := settled(t, 23, 2)
+	holder, runs := w.order[1], func(caller, key string) bool { return caller == "c" && key == "k" }
+	holder.ClaimRuns = runs
+	tests := []struct {
+		name, id    string
+		incarnation int64
+		key         string
+		want        bool
+	}{
+		{"runs", holder.ID, holder.Incarnation, "k", true},
+		{"other key", holder.ID, holder.Incarnation, "other", false},
+		{"earlier process", holder.ID, holder.Incarnation - 1, "k", false},
+		{"later process", holder.ID, holder.Incarnation + 1, "k", false},
+		{"unknown id", "gone", holder.Incarnation, "k", false},
+	}
+	ask := func(id string, incarnation int64, key string) bool {
+		return w.order[0].HolderRuns(context.Background(), id, incarnation, "c", key)
+	}
+	w.order[0].Transport = direct{nil, holder}
+	for _, test := range tests {
+		if got := ask(test.id, test.incarnation, test.key); got != test.want {
+			t.Errorf("%s: got %t, want %t", test.name, got, test.want)
+		}
+	}
+	w.order[0].asks.Store(maxAsks)
+	if ask(holder.ID, holder.Incarnation, "k") {
+		t.Errorf("a question beyond the bound got true, want false")
+	}
+}
+
 // Guards against a suspicion between two members that cannot reach each other while the others reach both.
 func TestRelays(t *testing.T) {
 	w := settled(t, 26, 9)
