entry, claim: delete claims after their retention

Cause: claim.CleanUp existed, but nothing called it, so claims and answers were kept for ever. Change: each entry instance runs a module that reads 200 claims at random times, once a second on average over all entry instances known (10% of the 2000 reads a second that the table sustains). The row claim-clean-up holds the progress, so that a pass goes on elsewhere when an entry instance is replaced; passes are an hour apart. Each deletion stays conditional on the claim's version. The counters clean-up-rows-read and clean-up-rows-deleted count the rows. Check: TestCleanUp. At 200 rows a second a pass reads 720,000 claims an hour. Conclusion: claims go between 24 h and, with up to 720,000 of them, 26 h after they were written.

--- a/claim/cleanup.go
+++ b/claim/cleanup.go
@@ -16,6 +16,8 @@
 	if err != nil {
 		return after, 0, err
 	}
+	countScanned.Add(int64(len(rows)))
+	defer func() { countDeleted.Add(int64(deleted)) }()
 	var deletes []platform.Write
 	for _, r := range rows {
 		if found, err := decodeRow(r.Value()); err == nil && found.Written < now-retention {
--- a/claim/metrics.go
+++ b/claim/metrics.go
@@ -11,6 +11,8 @@
 	countTransactions = counter("transactions")
 	countConflicts    = counter("conflicts")
 	countUnsettled    = counter("transactions-unsettled")
+	countScanned      = counter("clean-up-rows-read")
+	countDeleted      = counter("clean-up-rows-deleted")
 )
 
 func counter(name string) *expvar.Int {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -210,6 +210,7 @@
 		i.assignments,
 		&workers{instance: i},
 		named{"claims", i.claims.Run},
+		&cleanUp{instance: i},
 		loop,
 		&httpServer{name: "operators", listener: i.listeners["operators"], handler: operators.Handler()},
 	}
