operator, command: show the entry instances in the status

Cause: an operator could not see which entry instances lag behind a configuration or are gone, and the status was refused altogether while the table did not answer. Without the table it still lists them and says in "unavailable" why there are no pools; the table has 5 s to answer. Conclusion: the status works through an outage of the platform; a script has to look at "unavailable" instead of the exit code.

--- a/entry/control.go
+++ b/entry/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"magnoliaferry/clock"
 	"magnoliaferry/fleet"
 	"magnoliaferry/jobs"
 	"magnoliaferry/operator"
@@ -12,10 +13,12 @@
 	"magnoliaferry/result"
 )
 
-// jobPage is how many jobs one read of the table lists, and maxJobs how many one call of an operator shows.
 const (
+	// jobPage is how many jobs one read of the table lists, and maxJobs how many one call of an operator shows.
 	jobPage = 500
 	maxJobs = 5000
+	// statusTimeout bounds the reads for a status, so that a slow table does not keep the entry instances from view.
+	statusTimeout = 5 * clock.Second
 )
 
 // control joins the control loop to the operators' interface.
@@ -34,11 +37,16 @@
 
 // Report implements operator.Reporter.
 func (c control) Report(ctx context.Context) (operator.StatusFields, error) {
+	status := operator.StatusFields{Version: c.instance.configuration.Version(), Digest: c.instance.configuration.Digest(),
+		Pools: []operator.PoolStatusFields{}, Entries: c.entries()}
+	ctx, cancel := c.instance.Clock.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	fleetStatus, refusal := c.loop.Status(ctx)
 	if refusal != nil {
-		return operator.StatusFields{}, refusal
+		// The entry instances are still worth showing while the table is away.
+		status.Unavailable = refusal.Error()
+		return status, nil
 	}
-	status := operator.StatusFields{Version: c.instance.configuration.Version(), Digest: c.instance.configuration.Digest()}
 	configuration := c.instance.configuration.Current()
 	for _, f := range fleetStatus.Pools {
 		p := operator.PoolStatusFields{Name: f.Pool, Contact: f.Contact, Serving: f.Serving, Capacity: f.Capacity,
@@ -76,6 +84,18 @@
 	return status, nil
 }
 
+// entries returns what is known of the entry instances, this one first.
+func (c control) entries() []operator.EntryStatusFields {
+	i, version := c.instance, c.instance.configuration.Version()
+	list := []operator.EntryStatusFields{{ID: i.Settings.Name, Zone: i.Settings.Zone, Incarnation: i.node.Self(),
+		Version: version, Alive: true}}
+	for _, p := range i.node.Peers() {
+		list = append(list, operator.EntryStatusFields{ID: p.ID(), Zone: p.Zone(), Incarnation: p.Incarnation(),
+			Version: p.Version(), Lag: p.Lag(version), ReportAge: p.Age(), Alive: p.Alive()})
+	}
+	return list
+}
+
 // DrainInstance implements operator.Drainer.
 func (c control) DrainInstance(ctx context.Context, _, instance string, force bool) error {
 	return asError(c.loop.Drain(ctx, instance, force))
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -37,6 +37,20 @@
 	Version int64              `json:"version"` // configuration in force in the process that answers
 	Digest  string             `json:"digest"`
 	Pools   []PoolStatusFields `json:"pools"`
+	// Unavailable says why Pools is empty, for example because the platform's table does not answer.
+	Unavailable string              `json:"unavailable,omitempty"`
+	Entries     []EntryStatusFields `json:"entry-instances"` // as the process that answers knows them
+}
+
+// EntryStatusFields is the JSON form of what is known of an entry instance.
+type EntryStatusFields struct {
+	ID          string       `json:"id"`
+	Zone        string       `json:"zone"`
+	Incarnation int64        `json:"incarnation"`
+	Version     int64        `json:"version"`       // of the configuration, as last reported; 0 for none
+	Lag         int64        `json:"lag"`           // versions behind the process that answers
+	ReportAge   clock.Millis `json:"report-age-ms"` // -1 without a report
+	Alive       bool         `json:"alive"`         // neither suspected nor failed
 }
 
 // PoolStatusFields is the JSON form of the state of a pool; all counts are workers.
