--- a/entry/instance.go
+++ b/entry/instance.go
@@ -210,6 +210,7 @@
 		i.assignments,
 		&workers{instance: i},
 		named{"claims", i.claims.Run},
+		&cleanUp{instance: i},
 		loop,
 		&httpServer{name: "operators", listener: i.listeners["operators"], handler: operators.Handler()},
 	}
@@ -235,7 +236,9 @@
 	i.node = &peer.Node{ID: s.Name, Address: i.listeners["peers"].Addr().String(), Zone: s.Zone,
 		Incarnation: i.incarnation, Seeds: s.Peers.Seeds, Random: uint64(i.incarnation), Clock: i.Clock,
 		Transport: i.transport, Codec: i.configuration.codec, Table: i.Platform.Table(), Objects: i.Platform.Objects(),
-		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, Status: i.reports, Logger: i.Logger}
+		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, ClaimRuns: i.claims.Runs,
+		Status: i.reports, Logger: i.Logger}
+	i.claims.HolderRuns = i.node.HolderRuns
 	return nil
 }
 
--- a/peer/network.go
+++ b/peer/network.go
@@ -193,3 +193,13 @@
 func (x exchange) Borrow(_ context.Context, q *peerpb.BorrowRequest) (*peerpb.BorrowAnswer, error) {
 	return pass(x, q, x.to.peer.Borrow)
 }
+
+// GiveBack implements peerpb.Peer.
+func (x exchange) GiveBack(_ context.Context, q *peerpb.GiveBackRequest) (*peerpb.GiveBackAnswer, error) {
+	return pass(x, q, x.to.peer.GiveBack)
+}
+
+// Runs implements peerpb.Peer.
+func (x exchange) Runs(_ context.Context, q *peerpb.RunsRequest) (*peerpb.RunsAnswer, error) {
+	return pass(x, q, x.to.peer.Runs)
+}
