Reboot a drained instance only when every entry instance knows of the drain

Cause: an entry instance that is cut off from the table does not learn that an instance drains and goes on sending requests to it; the platform can report the drain as ended between two of them, and the reboot cut the next one. Change: each entry instance tells its peers how old its knowledge of the instances is, and the control loop takes a drain as ended only when every member of the rosters has read the changes since it began; a removed member holds it up until its slots are released.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -196,8 +196,8 @@
 	}
 	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
 		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.reports.demand,
-		Healthy: i.reports.healthy,
-		Wall:    i.WallClock, Seed: i.incarnation, Logger: i.Logger}
+		Healthy: i.reports.healthy, Acknowledged: i.acknowledged,
+		Wall: i.WallClock, Seed: i.incarnation, Logger: i.Logger}
 	c := control{i, loop}
 	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Reporter: c,
 		Drainer: c, Waves: c, Jobs: c, Logger: i.Logger}
@@ -237,7 +237,7 @@
 		Incarnation: i.incarnation, Seeds: s.Peers.Seeds, Random: uint64(i.incarnation), Clock: i.Clock,
 		Transport: i.transport, Codec: i.configuration.codec, Table: i.Platform.Table(), Objects: i.Platform.Objects(),
 		Apply: i.configuration.apply, Rosters: rosters{i.ledger}, Ledger: l, Loans: l, ClaimRuns: i.claims.Runs,
-		Status: i.reports, Logger: i.Logger}
+		Status: i.reports, Polled: i.assignments.Age, Logger: i.Logger}
 	i.claims.HolderRuns = i.node.HolderRuns
 	return nil
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"sort"
 	"sync"
@@ -286,3 +287,49 @@
 	t, zone := r.tally(), r.instance.zoneOf(instance)
 	return 2*t.against[zone][instance] <= t.voters[zone]
 }
+
+// reportMargin covers the time that a report of a peer takes: the time-out of a call between peers is 500 ms, and a
+// report may come through two others.
+const reportMargin = 2 * clock.Second
+
+// acknowledged reports whether every entry instance of the rosters has read the changes of the instances since the given
+// time. A member that was removed may dispatch until its slots are released, so it holds this up, too.
+func (i *Instance) acknowledged(ctx context.Context, since clock.Millis) (ok bool, missing string) {
+	zones := i.configuration.zones()
+	keys := make([]string, len(zones))
+	for n, zone := range zones {
+		keys[n] = "roster/" + zone
+	}
+	rows, err := i.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return false, "the rosters cannot be read"
+	}
+	drained := i.Clock.Now() - since
+	known := map[string]clock.Millis{i.Settings.Name: i.assignments.Age()}
+	for _, p := range i.node.Peers() {
+		if known[p.ID()] = -1; p.Polled() >= 0 {
+			known[p.ID()] = p.Polled() + reportMargin
+		}
+	}
+	for n, row := range rows {
+		roster, err := slots.DecodeRoster(row.Value(), row.Version())
+		if err != nil {
+			return false, "the roster of zone " + zones[n] + " cannot be decoded"
+		}
+		for _, m := range roster.Members() {
+			age, heard := known[m.ID()]
+			switch {
+			case m.State() == slots.Leaving:
+				continue // it has stopped dispatching
+			case m.State() == slots.Removed:
+				return false, fmt.Sprintf("entry instance %s of zone %s was removed and its slots are not yet released", m.ID(), zones[n])
+			case !heard || age < 0:
+				return false, fmt.Sprintf("entry instance %s of zone %s is not heard of", m.ID(), zones[n])
+			case age > drained:
+				return false, fmt.Sprintf("entry instance %s of zone %s knows the instances as of %d ms ago, the drain began %d ms ago",
+					m.ID(), zones[n], age, drained)
+			}
+		}
+	}
+	return true, ""
+}
--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -62,6 +62,8 @@
 	listed    map[string]platform.Instance
 	listedAll clock.Millis
 	farPolled clock.Millis
+	complete  clock.Millis // beginning of the last poll that has read every zone
+	polled    bool         // complete holds a time
 	hasList   bool
 	current   []Assignment // rebuilt by Current after a change
 	valid     bool
@@ -91,6 +93,7 @@
 func (a *Assignments) Poll(ctx context.Context) error {
 	a.polling.Lock()
 	defer a.polling.Unlock()
+	started := a.Clock.Now()
 	if err := a.pollList(ctx); err != nil {
 		return err
 	}
@@ -112,6 +115,7 @@
 		complete = complete && ok
 	}
 	if complete {
+		a.read(started, len(zones))
 		return nil
 	}
 	if all := a.zones(); len(all) != len(zones) { // a scan starts over in every zone
@@ -123,7 +127,32 @@
 			return err
 		}
 	}
-	return a.scan(ctx, zones, rows)
+	if err := a.scan(ctx, zones, rows); err != nil {
+		return err
+	}
+	a.read(started, len(zones))
+	return nil
+}
+
+// read notes a poll that has read the changes of so many zones.
+func (a *Assignments) read(started clock.Millis, zones int) {
+	all := len(a.zones())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if zones == all {
+		a.complete, a.polled = started, true
+	}
+}
+
+// Age returns how old the knowledge of the instances is, counted from the beginning of the last poll that has read every
+// zone; -1 says that there was none.
+func (a *Assignments) Age() clock.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.polled {
+		return -1
+	}
+	return a.Clock.Now() - a.complete
 }
 
 // due returns the zones whose changes this poll reads.
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -42,10 +42,14 @@
 	ConfigurationVersion func() int64
 	Demand               func() map[string]int      // requests in flight and waiting, by pool, over the whole fleet
 	Healthy              func(instance string) bool // nil: every listed instance is healthy
-	Wall                 func() clock.Millis        // wall-clock time
-	Seed                 int64                      // of the jitter after an outage
-	Period               clock.Millis               // between passes; 0 for 2 s
-	Logger               *slog.Logger
+	// Acknowledged reports whether every entry instance that may dispatch has read the changes of the instances since the
+	// given time, and names one that has not. An entry instance that is cut off from the table may still send requests
+	// to an instance that drains, and a reboot would cut them. Nil asks nobody.
+	Acknowledged func(ctx context.Context, since clock.Millis) (ok bool, missing string)
+	Wall         func() clock.Millis // wall-clock time
+	Seed         int64               // of the jitter after an outage
+	Period       clock.Millis        // between passes; 0 for 2 s
+	Logger       *slog.Logger
 
 	mu         sync.Mutex // guards what operators' actions read
 	trends     map[string]planner.Trend
@@ -410,8 +414,8 @@
 	}
 	switch {
 	case m.Phase == planner.Draining:
-		m.Drained = status == platform.StatusDrained
-		m.Accepted = m.Drained || status == platform.StatusDraining
+		m.Accepted = status == platform.StatusDrained || status == platform.StatusDraining
+		m.Drained = status == platform.StatusDrained && l.acknowledged(ctx, m)
 	case status == platform.StatusServing:
 		m.Rebooted = true
 	case status == platform.StatusFailed:
@@ -422,4 +426,17 @@
 	return nil
 }
 
+// acknowledged reports whether every entry instance knows that the instance drains.
+func (l *Loop) acknowledged(ctx context.Context, m *planner.InstanceFields) bool {
+	if l.Acknowledged == nil {
+		return true
+	}
+	ok, missing := l.Acknowledged(ctx, l.Clock.Now()-m.Age)
+	if !ok {
+		eventWait.Log(ctx, l.Logger, slog.String("pool", m.Pool), slog.String("instance", m.ID),
+			slog.String("reason", "the drain waits until every entry instance knows of it: "+missing))
+	}
+	return ok
+}
+
 func newWaveID(pool string, wall clock.Millis) string { return fmt.Sprintf("%s-%d", pool, wall) }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -67,7 +67,14 @@
 		Version: n.versions.current.number, Digest: n.versions.prefix(), RosterEpoch: n.roster.row.Version(),
 		Members: n.members.sum()}
 	for _, m := range n.members.sample(maxReports, func(m *member) bool { return m.versionAt > 0 && m.id != to }) {
-		g.Reports = append(g.Reports, &peerpb.Report{Id: m.id, Version: m.version, AgeMs: int64(now - m.versionAt)})
+		r := &peerpb.Report{Id: m.id, Version: m.version, AgeMs: int64(now - m.versionAt)}
+		if m.polledAt > 0 {
+			r.PolledMs = int64(now-m.polledAt) + 1
+		}
+		g.Reports = append(g.Reports, r)
+	}
+	if n.Polled != nil {
+		g.PolledMs = int64(n.Polled()) + 1
 	}
 	if n.Status != nil && (zone == n.Zone || len(n.members.all) < fullReports) {
 		loads, unhealthy := n.Status.Load(), n.Status.Unhealthy()
@@ -99,6 +106,7 @@
 		if g.GetVersion() >= m.version {
 			m.version, m.versionAt = g.GetVersion(), now
 		}
+		m.polled(g.GetPolledMs(), now)
 		if isNew {
 			eventJoined.Log(context.Background(), n.Logger, slog.String("peer", m.id), slog.String("zone", m.zone))
 		}
@@ -107,6 +115,9 @@
 		n.members.merge(u, now, false)
 	}
 	for _, r := range g.GetReports() {
+		if m := n.members.all[r.GetId()]; m != nil {
+			m.polled(r.GetPolledMs(), now)
+		}
 		at := now - clock.Millis(r.GetAgeMs())
 		if m := n.members.all[r.GetId()]; m != nil && r.GetAgeMs() >= 0 && at > m.versionAt &&
 			r.GetVersion() >= m.version {
--- a/peer/members.go
+++ b/peer/members.go
@@ -32,6 +32,7 @@
 	heard             clock.Millis // last contact of this node's own; -1 for none
 	version           int64        // of the configuration, as the member or others reported it
 	versionAt         clock.Millis // when that was the case
+	polledAt          clock.Millis // when it read the changes of the instances last; 0 for unknown
 	vouched           bool         // another member reached it during the current suspicion
 }
 
@@ -101,7 +102,7 @@
 		state = peerpb.State_SUSPECT
 	}
 	if u.GetIncarnation() > known.incarnation {
-		known.heard, known.version, known.versionAt = -1, 0, 0 // a replaced process; nothing of its predecessor holds
+		known.heard, known.version, known.versionAt, known.polledAt = -1, 0, 0, 0 // a replaced process; nothing of its predecessor holds
 	}
 	known.address, known.zone, known.incarnation = u.GetAddress(), u.GetZone(), u.GetIncarnation()
 	s.set(known, state, now)
@@ -271,3 +272,10 @@
 func (s *members) shuffle(ids []string) {
 	s.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 }
+
+// polled takes over a report, 1 more than the age of what the member knows of the instances.
+func (m *member) polled(report int64, now clock.Millis) {
+	if report > 0 {
+		m.polledAt = max(m.polledAt, now-clock.Millis(report-1))
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -108,6 +108,10 @@
 	// Status reports load and health to the peers of the zone; may be nil.
 	Status Status
 
+	// Polled returns how old the knowledge of the instances is here, counted from the beginning of the last complete
+	// reading of their changes, or -1 for none; nil reports nothing.
+	Polled func() clock.Millis
+
 	// Background runs work on the platform outside the node's timers and then calls done; nil uses a goroutine.
 	Background func(work, done func())
 	Logger     *slog.Logger
@@ -181,6 +185,7 @@
 	alive             bool
 	version           int64
 	age               clock.Millis
+	polled            clock.Millis
 }
 
 // ID returns the id of the entry instance.
@@ -204,6 +209,10 @@
 // Age returns how old the report of the version is, in milliseconds; -1 says that there is none.
 func (p Peer) Age() clock.Millis { return p.age }
 
+// Polled returns how old the member's knowledge of the instances is at most, in milliseconds, but for the time that the
+// report took; -1 says that there is no report.
+func (p Peer) Polled() clock.Millis { return p.polled }
+
 // Lag returns by how many versions the report is behind the version in force here.
 func (p Peer) Lag(inForce int64) int64 { return max(0, inForce-p.version) }
 
@@ -358,7 +367,10 @@
 	for _, id := range n.members.ids(func(m *member) bool { return m.state != peerpb.State_LEFT }) {
 		m := n.members.all[id]
 		p := Peer{id: id, address: m.address, zone: m.zone, incarnation: m.incarnation,
-			alive: m.state == peerpb.State_ALIVE, version: m.version, age: -1}
+			alive: m.state == peerpb.State_ALIVE, version: m.version, age: -1, polled: -1}
+		if m.polledAt > 0 {
+			p.polled = now - m.polledAt
+		}
 		if m.versionAt > 0 {
 			p.age = now - m.versionAt
 		}
