slots, caller, entry: fail the health check while an instance holds no slots

Cause: the successor of a killed instance holds no slot until the quarantine is over; the balancer sent it requests that only loans could serve, and those with a deadline of 10 s were refused. Change: Ledger.Ready, and 503 no-slots from the health check; a zone without workers is ready at once.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -82,6 +82,11 @@
 	if got := full.header.Get("Retry-After"); got != "2" {
 		t.Errorf("got Retry-After %q, want 1500 ms rounded up to 2", got)
 	}
+	b.handler.Ready = func() bool { return false }
+	if got := b.do("GET", HealthPath, ""); got.status != 503 || got.body != "no-slots\n" {
+		t.Errorf("got health %d %q, want 503 without slots", got.status, got.body)
+	}
+	b.handler.Ready = nil
 	b.handler.Claims = nil
 	b.do("POST", "/svc", "", HeaderCaller, "a", key, "k").is(t, CodeClaimFailed)
 	b.handler.Configuration = func() *config.Configuration { return nil }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -63,6 +63,9 @@
 	Router *routing.Router
 	// Client sends to workers.
 	Client *worker.Client
+	// Ready says whether this instance holds slots, so that the balancer sends requests where they can run; nil for
+	// always.
+	Ready func() bool
 	// BufferBytes bounds all buffered bodies together; 0 means 32 MiB.
 	BufferBytes int64
 	// MaxBody bounds a request body; 0 means 64 MiB.
--- a/caller/server.go
+++ b/caller/server.go
@@ -127,6 +127,8 @@
 		status, text = http.StatusServiceUnavailable, "leaving\n"
 	case h.Configuration() == nil:
 		status, text = http.StatusServiceUnavailable, "no-configuration\n"
+	case h.Ready != nil && !h.Ready():
+		status, text = http.StatusServiceUnavailable, "no-slots\n"
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -190,7 +190,7 @@
 	i.handler = &caller.Handler{Clock: i.Clock, Instance: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Logger: i.Logger,
 		Tracer: i.tracer, Configuration: i.configuration.Current, Contact: s.Contact, Queue: i.queues.of,
 		Quota:  func(resource string) routing.Account { return i.ledger.Account(resource) },
-		Claims: claims{i.claims}, Router: i.router, Client: i.client}
+		Claims: claims{i.claims}, Router: i.router, Client: i.client, Ready: i.ledger.Ready}
 	if err := i.join(); err != nil {
 		return nil, err
 	}
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -150,6 +150,7 @@
 		with("no fairness", func(v *variant) { v.fairness = false }),
 		with("loans kept to their end", func(v *variant) { v.slots = "keep" }),
 		with("no loans", func(v *variant) { v.slots = "base" }),
+		with("requests before slots", func(v *variant) { v.eager = true }),
 		with("no ejection", func(v *variant) { v.ejection = false }),
 		with("no retry budget", func(v *variant) { v.budget = false }),
 		with("no retries", func(v *variant) { v.retries = false }))
--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -39,7 +39,7 @@
 	givePeriod = clock.Second / 2
 	// tableTime is how long an access to the table takes when nothing is wrong.
 	tableTime = 5 * clock.Millis(1)
-	// balancerLag is how long the balancer sends requests to an instance that is gone.
+	// balancerLag is the time between two health checks of the balancer.
 	balancerLag = 1 * clock.Second
 	// repeats is how often a caller repeats a non-idempotent request that was not answered, with the same key.
 	repeats     = 2
@@ -58,6 +58,7 @@
 	classes  bool // urgency counts
 	fairness bool // callers share a class
 	predicts bool // hopeless requests are refused early
+	eager    bool // the balancer sends to instances without slots as well
 	noClaims bool // non-idempotent requests are not claimed; only to see the check fail
 }
 
@@ -257,6 +258,7 @@
 	}
 	every(rosterPeriod, e.pollRoster)
 	every(wakePeriod, e.wakeAll)
+	every(balancerLag, func() { e.balanced = e.ready() })
 	if s.variant.slots == "" || s.variant.slots == "keep" {
 		every(askPeriod, e.askLoans)
 	}
@@ -265,6 +267,12 @@
 	}
 }
 
+// ready is the answer to the balancer's health check.
+func (e *entry) ready() bool {
+	limited := e.sim.variant.slots != "equal" && e.sim.variant.slots != "unlimited"
+	return !limited || e.sim.variant.eager || e.ledger.Ready()
+}
+
 func (e *entry) wakeAll() {
 	for _, q := range e.queues {
 		q.Wake()
@@ -431,9 +439,16 @@
 			total += e.weight
 		}
 	}
+	// With no instance to choose from, the balancer takes any.
+	open := total == 0
+	if open {
+		for _, e := range s.entries {
+			total += e.weight
+		}
+	}
 	draw := s.random.IntN(total)
 	for _, e := range s.entries {
-		if !e.balanced {
+		if !e.balanced && !open {
 			continue
 		}
 		if draw -= e.weight; draw < 0 {
@@ -846,6 +861,7 @@
 	s.clock.AfterFunc(replaced, func() {
 		n := s.addEntry(e.number, e.zone, e.weight, e.incarnation+1, seed+17)
 		n.pollRoster()
+		n.balanced = n.ready()
 		n.run()
 	})
 }
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -244,6 +244,25 @@
 	return next, changed
 }
 
+// Ready reports whether requests should be sent to this instance: its membership is confirmed and, where its zone has
+// workers, it holds a slot of one. A member that replaces a killed one holds none until the quarantine is over, and loans
+// serve only the requests with short deadlines.
+func (l *Ledger) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.live(l.Clock.Now()) {
+		return false
+	}
+	holds, workers := false, false
+	l.each(func(a *Account) {
+		if a.zone == l.Zone && a.units > 0 {
+			limit, _ := a.base.load()
+			holds, workers = holds || limit > 0, true
+		}
+	})
+	return holds || !workers
+}
+
 // Drained reports whether no slot of the own share is in use or lent, so that a leaving instance may exit.
 func (l *Ledger) Drained() bool {
 	l.mu.Lock()
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -403,3 +403,29 @@
 		t.Errorf("after a repeated message about an earlier loan got %d free, want 4", got)
 	}
 }
+
+// Guards against a balancer that sends requests to an instance without slots, or to none in a zone without workers.
+func TestReady(t *testing.T) {
+	c := clock.NewFake(0)
+	a, b := member(c, "a"), member(c, "b")
+	if a.Ready() {
+		t.Errorf("Ready before the membership is confirmed got true, want false")
+	}
+	r := exchange(join(Roster{}, "a"), a)
+	if !a.Ready() {
+		t.Errorf("Ready of the only member got false, want true")
+	}
+	for range 8 {
+		a.Account("worker/w").TryAcquire(c.Now() + 1)
+	}
+	exchange(join(r, "b"), a, b)
+	if !a.Ready() || b.Ready() {
+		t.Errorf("Ready with all slots in use got %v and %v, want true for the old member only", a.Ready(), b.Ready())
+	}
+	other := &Ledger{Clock: c, ID: "c", Incarnation: 1, Zone: "y"}
+	other.SetCapacity("worker/w", "z", 8)
+	other.Confirm(c.Now(), true, 0)
+	if !other.Ready() {
+		t.Errorf("Ready in a zone without workers got false, want true")
+	}
+}
