entry: test several entry instances together over loopback

Cause: no test ran whole entry instances against each other. Requests are held at the workers by a fake clock. Instance.ControlPeriod shortens the control loop.

--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"magnoliaferry/caller"
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/memory"
+	"magnoliaferry/operator"
+	"magnoliaferry/platform"
+	"magnoliaferry/settings"
+	"magnoliaferry/standin"
+)
+
+// testFleet is a fleet of one pool over loopback: workers and entry instances of one process on one platform. Each entry
+// instance reaches the platform under its own name, so that a partition in faults can cut a single one off.
+type testFleet struct {
+	testing.TB
+	clock     *clock.Clock
+	faults    *fault.Driver
+	store     *memory.Store
+	held      *clock.Clock // of the workers; requests wait on it while hold is in force
+	workers   []*standin.Worker
+	instances []*running
+	client    *http.Client
+}
+
+// running is one entry instance.
+type running struct {
+	*Instance
+	fleet     *testFleet
+	cancel    context.CancelFunc
+	addresses map[string]string // by port
+	done      chan struct{}
+	err       error
+}
+
+// newFleet starts the workers, in turn in zones a and b.
+func newFleet(t testing.TB, workers int) *testFleet {
+	f := &testFleet{TB: t, clock: clock.System(), faults: &fault.Driver{}, held: clock.NewFake(0), client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	f.store = memory.New(f.clock, f.faults)
+	f.store.RebootTime = 200
+	f.store.InFlight = func(id string) int {
+		for _, w := range f.workers {
+			if w.ID == id {
+				return w.InFlight(context.Background())
+			}
+		}
+		return 0
+	}
+	for n := range workers {
+		w := &standin.Worker{ID: fmt.Sprint("w", n), Address: "127.0.0.1:0", Clock: f.held, Slots: 8}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		t.Cleanup(func() { cancel(); f.check(<-done) })
+		address, err := w.Bound(ctx)
+		f.check(err)
+		f.workers = append(f.workers, w)
+		f.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: w.ID, Address: address, Zone: "ab"[n%2 : n%2+1],
+			Rack: fmt.Sprint("r", n), Role: platform.RoleWorker, State: platform.Live, Cores: 4, MemoryMB: 8192, Slots: 8,
+			Connections: 64}))
+	}
+	t.Cleanup(f.client.CloseIdleConnections)
+	return f
+}
+
+func (f *testFleet) check(err error) {
+	f.Helper()
+	if err != nil {
+		f.Fatal(err)
+	}
+}
+
+// start runs an entry instance; those that run already are its seeds.
+func (f *testFleet) start(name, zone string, change func(*Instance)) *running {
+	f.Helper()
+	port := settings.Listener{Listen: "127.0.0.1:0"}
+	i := &Instance{Clock: f.clock, Platform: f.store.View(name), ControlPeriod: 100, Settings: settings.Settings{Name: name,
+		Zone: zone, Contact: "on-call", Callers: port, Peers: port, Operators: settings.Listener{Listen: port.Listen,
+			TrustLoopback: true}, ClaimInterval: 5, Stop: 30 * clock.Second}}
+	for _, r := range f.instances {
+		select {
+		case <-r.done:
+		default:
+			i.Settings.Peers.Seeds = append(i.Settings.Peers.Seeds, r.address("peers"))
+		}
+	}
+	if change != nil {
+		change(i)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Instance: i, fleet: f, cancel: cancel, addresses: map[string]string{},
+		done: make(chan struct{})}
+	go func() { r.err = i.Run(ctx); cancel(); close(r.done) }()
+	f.Cleanup(r.stop)
+	for _, port := range []string{"callers", "operators", "peers"} {
+		address, err := i.Address(ctx, port)
+		f.check(err)
+		r.addresses[port] = address
+	}
+	f.instances = append(f.instances, r)
+	return r
+}
+
+// address returns where the instance listens, or listened.
+func (r *running) address(port string) string { return r.addresses[port] }
+
+// stop ends an instance as a planned stop does and waits for it.
+func (r *running) stop() {
+	r.cancel()
+	<-r.done
+	if r.err != nil {
+		r.fleet.Errorf("%s: Run got %v, want nil", r.Settings.Name, r.err)
+	}
+}
+
+// kill cuts an instance off from the platform for good and ends it with its requests; it needs brief.
+func (r *running) kill() {
+	r.fleet.faults.Partition(r.Settings.Name)
+	r.stop()
+}
+
+// brief lets an instance cut its requests after one millisecond.
+func brief(i *Instance) { i.Settings.Stop = 1 }
+
+// until polls a condition that holds sooner or later.
+func (f *testFleet) until(holds func() bool) {
+	for !holds() {
+		f.check(f.clock.Sleep(context.Background(), 5))
+	}
+}
+
+// operator returns the client of an operator on loopback.
+func (r *running) operator() *operator.Client {
+	return &operator.Client{Address: "http://" + r.address("operators"), HTTP: r.fleet.client}
+}
+
+func (f *testFleet) configuration(contact string) []byte {
+	return fmt.Appendf(nil, `{"name": "test", "zones": [{"name": "a", "region": "n"}, {"name": "b", "region": "n"}],
+		"pools": [{"name": "web", "contact": %q, "instances": %d, "capacity": 1, "max-unavailable": 1, "cores": 4,
+		"memory": "8GB"}], "services": [{"name": "web", "pool": "web"}]}`, contact, len(f.workers))
+}
+
+// submit stores the next version through an instance.
+func (r *running) submit(seen int64, contact string) {
+	r.fleet.Helper()
+	_, err := r.operator().Submit(context.Background(), "test", r.fleet.configuration(contact), seen, "")
+	r.fleet.check(err)
+}
+
+// serve submits a configuration and waits until every instance serves.
+func (f *testFleet) serve() {
+	f.Helper()
+	f.instances[0].submit(0, "ops")
+	for _, r := range f.instances {
+		f.until(r.serves)
+	}
+}
+
+func (r *running) serves() bool { return r.send(http.MethodGet, "").status == http.StatusOK }
+
+// answer is what a caller receives; outcome is "" when the connection failed.
+type answer struct {
+	status                       int
+	result, outcome, retry, text string
+}
+
+func (a answer) String() string {
+	return fmt.Sprint(a.status, " ", a.result, " ", a.outcome, " ", a.text)
+}
+
+// send sends one request; a key makes it repeatable.
+func (r *running) send(method, key string) answer {
+	request, err := http.NewRequest(method, "http://"+r.address("callers")+"/web/x", strings.NewReader(key))
+	r.fleet.check(err)
+	request.GetBody = nil // keeps net/http from repeating a request by itself
+	request.Header.Set(caller.HeaderCaller, "c")
+	if key != "" {
+		request.Header.Set(caller.HeaderRequestKey, key)
+	}
+	response, err := r.fleet.client.Do(request)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	return answer{response.StatusCode, response.Header.Get(caller.HeaderResult), response.Header.Get(caller.HeaderOutcome),
+		response.Header.Get("Retry-After"), string(text)}
+}
+
+// health returns what the balancer is told, or "" without an answer.
+func (r *running) health() string {
+	response, err := r.fleet.client.Get("http://" + r.address("callers") + caller.HealthPath)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	r.fleet.check(err)
+	return string(text)
+}
+
+// runs returns how often the workers ran a key.
+func (f *testFleet) runs(key string) int {
+	runs := 0
+	for _, w := range f.workers {
+		runs += w.Runs("c", key)
+	}
+	return runs
+}
+
+// inFlight returns how many requests the workers run.
+func (f *testFleet) inFlight() int {
+	count := 0
+	for _, w := range f.workers {
+		count += w.InFlight(context.Background())
+	}
+	return count
+}
+
+// hold makes requests that arrive at the workers from now on wait for release.
+func (f *testFleet) hold() { f.serviceTime(1000) }
+
+func (f *testFleet) release() {
+	f.serviceTime(0)
+	f.until(func() bool { return f.held.Waiters() >= f.inFlight() })
+	f.held.Advance(1000)
+}
+
+func (f *testFleet) serviceTime(t clock.Millis) {
+	for _, w := range f.workers {
+		w.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/stand-in/mode",
+			bytes.NewReader(fmt.Appendf(nil, `{"service-time-ms": %d}`, t))))
+	}
+}
+
+// load sends keyed requests of n callers until stop is closed; each key is sent, to one instance after the other, until it
+// has an answer. It returns the answers by key.
+func (f *testFleet) load(n int, choose func(int) *running, stop <-chan struct{}) func() map[string]answer {
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	answers := map[string]answer{}
+	for c := range n {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := fmt.Sprintf("k-%d-%d", c, k)
+				for try := 0; ; try++ {
+					a := choose(c+k+try).send(http.MethodPost, key)
+					if a.outcome == "ran" || a.result == "2203" {
+						mu.Lock()
+						answers[key] = a
+						mu.Unlock()
+						break
+					}
+					if f.clock.Sleep(context.Background(), 10) != nil {
+						return
+					}
+				}
+			}
+		}()
+	}
+	return func() map[string]answer { callers.Wait(); return answers }
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -49,6 +49,8 @@
 	// WallClock returns milliseconds since 1970; nil uses the system's time. It numbers incarnations and dates claims
 	// and maintenance; no lease depends on it.
 	WallClock func() clock.Millis
+	// ControlPeriod is the time between two passes of the control loop; 0 for its default.
+	ControlPeriod clock.Millis
 
 	incarnation int64
 	listeners   map[string]net.Listener
@@ -197,7 +199,7 @@
 	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
 		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.reports.demand,
 		Healthy: i.reports.healthy,
-		Wall:    i.WallClock, Seed: i.incarnation, Logger: i.Logger}
+		Wall:    i.WallClock, Seed: i.incarnation, Period: i.ControlPeriod, Logger: i.Logger}
 	c := control{i, loop}
 	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Reporter: c,
 		Drainer: c, Waves: c, Jobs: c, Logger: i.Logger}
