--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -47,15 +47,16 @@
 	Period               clock.Millis               // between passes; 0 for 2 s
 	Logger               *slog.Logger
 
-	mu       sync.Mutex // guards what operators' actions read
-	trends   map[string]planner.Trend
-	leases   map[string]*lease
-	waves    map[string]wave
-	steps    map[string][]planner.Step // of the last pass, by pool, for the status
-	random   *rand.Rand
-	away     bool
-	resumeAt clock.Millis
-	jobs     map[string]*poolJobs // by pool
+	mu         sync.Mutex // guards what operators' actions read
+	trends     map[string]planner.Trend
+	leases     map[string]*lease
+	waves      map[string]wave
+	steps      map[string][]planner.Step // of the last pass, by pool, for the status
+	random     *rand.Rand
+	away       bool
+	resumeAt   clock.Millis
+	leasesRead clock.Millis
+	jobs       map[string]*poolJobs // by pool
 }
 
 type lease struct {
@@ -106,8 +107,16 @@
 	if err := l.planAndApply(ctx, configuration, held); err != nil {
 		return l.outage(ctx, err)
 	}
-	for _, pool := range held {
-		if err := l.passJobs(ctx, configuration, pool); err != nil {
+	keys := make([]string, len(held))
+	for i, pool := range held {
+		keys[i] = jobChangesPrefix + pool
+	}
+	rows, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return l.outage(ctx, err)
+	}
+	for i, pool := range held {
+		if err := l.passJobs(ctx, configuration, pool, rows[i]); err != nil {
 			return l.outage(ctx, err)
 		}
 	}
@@ -142,45 +151,101 @@
 func (l *Loop) lead(ctx context.Context, configuration *config.Configuration) (held []string, err error) {
 	pools := configuration.Pools()
 	if l.leases == nil {
-		l.leases, l.waves = map[string]*lease{}, map[string]wave{}
+		l.leases = map[string]*lease{}
+		l.mu.Lock()
+		l.waves = map[string]wave{}
+		l.mu.Unlock()
 	}
-	keys := make([]string, 0, 2*len(pools))
+	// Leases of other processes are looked at once in a lease period, which is enough to see that one has lapsed, and
+	// waves only where this process plans.
+	all := l.Clock.Now()-l.leasesRead >= leasePeriod || len(l.leases) == 0
+	var asked []string
+	var keys []string
 	for _, p := range pools {
-		keys = append(keys, leasePrefix+p.Name())
+		if known := l.leases[p.Name()]; all || known != nil && known.held {
+			asked = append(asked, p.Name())
+			keys = append(keys, leasePrefix+p.Name())
+		}
 	}
-	for _, p := range pools {
-		keys = append(keys, wavePrefix+p.Name())
+	if all {
+		l.leasesRead = l.Clock.Now()
 	}
 	rows, err := l.Platform.Table().Read(ctx, keys...)
 	if err != nil {
 		return nil, err
 	}
+	if rows, err = l.renewHeld(ctx, asked, rows); err != nil {
+		return nil, err
+	}
 	// A process takes a part of the free leases in a pass, so that the pools spread over the entry instances.
 	quota := (len(pools) + 3) / 4
-	for i, p := range pools {
-		took, err := l.renew(ctx, p.Name(), rows[i], quota > 0)
+	keys = nil
+	for i, pool := range asked {
+		took, err := l.take(ctx, pool, rows[i], quota > 0)
 		if err != nil {
 			return nil, err
 		}
 		if took {
 			quota--
 		}
-		if l.leases[p.Name()].held {
-			held = append(held, p.Name())
+		if l.leases[pool].held {
+			held = append(held, pool)
+			keys = append(keys, wavePrefix+pool)
 		}
-		var w wave
-		if err := decode(rows[len(pools)+i], &w.fields); err != nil {
+	}
+	if rows, err = l.Platform.Table().Read(ctx, keys...); err != nil {
+		return nil, err
+	}
+	for i, pool := range held {
+		w := wave{version: rows[i].Version()}
+		if err := decode(rows[i], &w.fields); err != nil {
 			return nil, err
 		}
-		w.version = rows[len(pools)+i].Version()
 		l.mu.Lock()
-		l.waves[p.Name()] = w
+		l.waves[pool] = w
 		l.mu.Unlock()
 	}
 	return held, nil
 }
 
-func (l *Loop) renew(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
+// renewHeld renews the leases that this process holds in one transaction and returns the rows as they are then. When
+// another process has taken one of them, none is renewed, and take finds out which ones are left.
+func (l *Loop) renewHeld(ctx context.Context, pools []string, rows []platform.Row) ([]platform.Row, error) {
+	var writes []platform.Write
+	var first platform.Row
+	keys := make([]string, len(pools))
+	for i, pool := range pools {
+		keys[i] = leasePrefix + pool
+		if known := l.leases[pool]; known != nil && known.held && known.version == rows[i].Version() {
+			if len(writes) == 0 {
+				first = rows[i]
+			}
+			writes = append(writes, platform.Put(keys[i], encode(leaseRow{l.Holder}), rows[i].Version()))
+		}
+	}
+	if len(writes) == 0 {
+		return rows, nil
+	}
+	operation, now := uuid.NewString(), l.Clock.Now()
+	err := l.commit(ctx, platform.NewTransaction(operation, writes...), first)
+	if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+		return nil, err
+	}
+	after, err := l.Platform.Table().Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for i, pool := range pools {
+		if after[i].Operation() == operation {
+			l.leases[pool] = &lease{version: after[i].Version(), seen: now, held: true}
+		}
+	}
+	return after, nil
+}
+
+// take takes the lease of a pool that no process holds, renews one that could not be renewed with the others, and
+// notices when another process holds it.
+func (l *Loop) take(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
 	now := l.Clock.Now()
 	known := l.leases[pool]
 	if known == nil || known.version != row.Version() {
@@ -188,7 +253,7 @@
 		l.leases[pool] = known
 	}
 	lapsed := row.Version() == 0 || now-known.seen >= leasePeriod
-	if !known.held && (!lapsed || !mayTake) {
+	if !lapsed || !known.held && !mayTake {
 		return false, nil
 	}
 	operation := uuid.NewString()
--- a/platformhttp/parts.go
+++ b/platformhttp/parts.go
@@ -70,8 +70,9 @@
 }
 
 const (
-	// maxHeld bounds the rows that a client remembers; a process polls fewer than ten.
-	maxHeld = 32
+	// maxHeld bounds the rows that a client remembers. A process polls three rows, and four for each pool that it plans:
+	// with 31 pools 127 rows.
+	maxHeld = 512
 	// maxHeldValue bounds the value of a remembered row in bytes.
 	maxHeldValue = 64 << 10
 )
