entry: measure the start of an entry instance

Cause: no figure said how long a replaced entry instance serves nothing. Change: a benchmark from the start to the first served request, with the configuration from the table and the object store, from a peer, and without the platform.

--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/memory"
+)
+
+// BenchmarkRestart measures the time from the start of an entry instance to its first served request, and to the first
+// configuration in force where no request can be served. Workers and their pool are known from before.
+func BenchmarkRestart(b *testing.B) {
+	for _, bench := range []struct {
+		name string
+		peer bool     // another entry instance of the zone runs and knows the configuration
+		away []string // steps of the platform that fail
+		cut  bool     // the new entry instance does not reach the platform
+	}{
+		{"table and object store, alone", false, nil, false},
+		{"table and object store, with a peer", true, nil, false},
+		{"table, body from a peer", true, []string{memory.StepObjectGet}, false},
+		{"no platform, configuration from a peer", true, nil, true},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			f := newFleet(b, 2)
+			first := f.start("first", "a", nil)
+			f.serve()
+			if !bench.peer {
+				first.stop()
+			}
+			for _, step := range bench.away {
+				f.faults.Always(step, "down", 0)
+			}
+			var total, longest clock.Millis
+			for n := 0; b.Loop(); n++ {
+				name := fmt.Sprint("e", n)
+				if bench.cut {
+					f.faults.Partition(name)
+				}
+				started := f.clock.Now()
+				r := f.start(name, "a", func(i *Instance) { i.ControlPeriod = 0 })
+				if bench.cut {
+					f.until(func() bool { return r.Version() > 0 })
+				} else {
+					f.until(r.serves)
+				}
+				took := f.clock.Now() - started
+				total, longest = total+took, max(longest, took)
+				r.stop()
+			}
+			b.ReportMetric(float64(total)/float64(b.N), "mean-ms")
+			b.ReportMetric(float64(longest), "longest-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
