peer: ask eight seeds at once while no live member is known

Cause: a starting node asked two random seeds a second. When most seeds were gone, as after a wave of replacements, it found the one that answers late: beyond the 5 s in which a configuration has to be in force once an up-to-date peer can be reached. Change: eight seeds while no live member is known, two afterwards. Check: TestSilentSeeds fails with two.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -90,6 +90,9 @@
 	if got := b.Version(); got != 2 {
 		t.Errorf("the first version after a start without a table got %d, want 2", got)
 	}
+	if got := b.send(http.MethodGet, ""); got.outcome != "not-run" {
+		t.Errorf("a request before the entry instance is in the roster got %v, want not-run", got)
+	}
 	if status, err := b.operator().Status(context.Background()); err != nil || status.Unavailable == "" ||
 		status.Version != 2 || len(status.Entries) != 2 {
 		t.Errorf("the status without a table got %+v, %v", status, err)
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -19,6 +19,13 @@
 	return err == nil && a.Port() > 0
 }
 
+const (
+	// seedsAsked is how many seeds a node asks at once, and firstSeedsAsked how many while it knows no live member. With
+	// two, a node with nine silent seeds and one that answers took up to 9 s to learn the configuration.
+	seedsAsked      = 2
+	firstSeedsAsked = 8
+)
+
 const maxName = 128 // bytes of an id, a zone, a pool or a resource
 
 func validMember(m *peerpb.Member) bool {
@@ -294,7 +301,11 @@
 func (n *Node) join() {
 	addresses := append([]string(nil), n.seeds...)
 	n.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(2, len(addresses))] {
+	count := seedsAsked
+	if len(n.members.ids((*member).live)) == 0 {
+		count = firstSeedsAsked
+	}
+	for _, address := range addresses[:min(count, len(addresses))] {
 		if address != n.Address {
 			n.probe("", address, "", false, true, func(error) {}) // the next tick tries other seeds
 		}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -429,6 +429,26 @@
 	}
 }
 
+// Guards against a start that takes long to find the one seed that answers.
+func TestSilentSeeds(t *testing.T) {
+	w := settled(t, 24, 1)
+	s := w.add(1, 1)
+	s.kill()
+	seeds := []string{address(0)}
+	for i := range firstSeedsAsked - 1 {
+		seeds = append(seeds, address(100+i))
+	}
+	late := &Node{ID: "late", Address: address(50), Zone: "z00", Incarnation: 1, Seeds: seeds, Clock: w.clock, Codec: w.codec,
+		Table: s.Table, Objects: s.Objects}
+	late.Transport = w.net.Attach(late.Address, late.Zone, late, func(f func()) func() { return f })
+	late.Background = func(work, done func()) {}
+	late.start()
+	w.run(callTimeout)
+	if got := late.InForce().Number(); got != 1 {
+		t.Errorf("version after one round of seeds got %d, want 1", got)
+	}
+}
+
 // fakeLoans lends what it has and records what it borrows.
 type fakeLoans struct {
 	wants []Want
