worker: tell a silent connection from slow work

Cause: the progress deadline of 5 s without a byte also cut a worker that computed for longer, although a request may have a deadline of 30 s.

Change: every connection to a worker uses TCP keep-alive (idle 1 s, interval 1 s, 3 probes). The progress deadline holds while a request is sent and once the first byte of the answer has arrived. Before that byte, an idempotent request is given up after 5 s with code 2365, whose outcome is unknown, once a slot on another worker and a retry of the budget are taken, and goes out there on a new connection; any other request waits until its deadline. The counter awaiting-answers shows the requests that wait for their first byte.

Conclusion: a worker that computes for 20 s is answered whole, and a silent connection costs an idempotent request 5 s.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/result"
@@ -32,6 +33,7 @@
 		header["User-Agent"] = []string{""} // keeps the transport from adding its own
 	}
 	var known *worker.Failure // of the attempts so far, the one that says most about a run
+	fresh := false            // the request was given up at a worker that did not begin its answer
 	for attempt := 1; ; attempt++ {
 		if r.claim != nil {
 			if err := r.claim.Use(); err != nil {
@@ -40,8 +42,15 @@
 				return
 			}
 		}
-		failure := r.attempt(ctx, permit.grant, header)
+		// Only one answer that does not begin is given up: where every worker is slow, further ones would be no faster.
+		var second *secondGrant
+		if idempotent && r.body.whole && attempt < maxAttempts && !fresh {
+			second = &secondGrant{request: r, first: permit.Worker()}
+		}
+		failure := r.attempt(ctx, permit.grant, header, second, fresh)
+		next := second.end()
 		if failure == nil {
+			release(next)
 			return
 		}
 		code := failure.Code()
@@ -53,20 +62,70 @@
 			r.claim.Undo()
 		}
 		failed := permit.Worker()
-		if attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
+		if next == nil && attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
 			r.body.repeatable() && r.route.budget.Retry() {
-			if next, ok := h.Router.Acquire(r.route.pool.Name(), r.due, failed); ok {
-				permit.grant = next
-				header = header.Clone() // the transport may still read the old one
-				h.counters.retries.Add(1)
-				EventRetry.Log(ctx, h.Logger, slog.String("request", r.id), slog.String("failed", failed.ID()),
-					slog.String("next", next.Worker().ID()), slog.String("reason", code.Name()))
-				continue
-			}
+			next, _ = h.Router.Acquire(r.route.pool.Name(), r.due, failed)
 		}
-		r.fail(ctx, known)
-		return
+		if next == nil || ctx.Err() != nil {
+			release(next)
+			r.fail(ctx, known)
+			return
+		}
+		permit.grant = next
+		header = header.Clone() // the transport may still read the old one
+		fresh = fresh || code == worker.CodeNoAnswerYet
+		h.counters.retries.Add(1)
+		EventRetry.Log(ctx, h.Logger, slog.String("request", r.id), slog.String("failed", failed.ID()),
+			slog.String("next", next.Worker().ID()), slog.String("reason", code.Name()))
+	}
+}
+
+func release(g *routing.Grant) {
+	if g != nil {
+		g.Release(routing.Neutral, 0)
+	}
+}
+
+// secondGrant takes a slot on another worker when the first one does not begin its answer, so that the first attempt is
+// given up only where the request can be sent again.
+type secondGrant struct {
+	request *request
+	first   *routing.Worker
+
+	mu    sync.Mutex
+	ended bool
+	grant *routing.Grant
+}
+
+// take reports whether there is a slot on another worker; it is called from the timer of the connection.
+func (s *secondGrant) take() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.request
+	if s.ended || s.grant != nil {
+		return s.grant != nil && !s.ended
+	}
+	next, ok := r.handler.Router.Acquire(r.route.pool.Name(), r.due, s.first)
+	if !ok {
+		return false
 	}
+	if next.Worker() == s.first || !r.route.budget.Retry() {
+		release(next)
+		return false
+	}
+	s.grant = next
+	return true
+}
+
+// end ends the attempt and returns the slot that was taken, or nil.
+func (s *secondGrant) end() *routing.Grant {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return s.grant
 }
 
 // certainty orders codes by how certain it is that the request ran.
@@ -118,7 +177,8 @@
 }
 
 // attempt sends the request to one worker. Without a failure the caller has been answered.
-func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header) *worker.Failure {
+func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header, second *secondGrant,
+	fresh bool) *worker.Failure {
 	h := r.handler
 	w := grant.Worker()
 	ctx, span := h.Tracer.Start(ctx, trace.HopDispatch)
@@ -134,7 +194,11 @@
 	out.Body = r.body.reader()
 	out.ContentLength = r.body.length
 	out.TransferEncoding, out.Trailer, out.Close, out.RequestURI = nil, nil, false, ""
-	answer, failure := h.Client.Target(w).Do(out, r.id, r.body.whole)
+	options := worker.Options{ID: r.id, Whole: r.body.whole, Fresh: fresh}
+	if second != nil {
+		options.GiveUp = second.take
+	}
+	answer, failure := h.Client.Target(w).Do(out, options)
 	if failure == nil {
 		failure = r.deliver(answer, grant, started)
 	}
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -151,6 +151,84 @@
 	}
 }
 
+// A worker that does not answer for 20 s must be waited for, or left for another one where the request may run again, and
+// a connection that never answers must end its request truthfully. Each slot must be free afterwards.
+func TestSlowAndSilent(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		workers      int
+		spent        bool // the retry budget
+		silent       bool // the first worker never answers
+		code         *result.Code
+		runs         int64
+	}{
+		{"computes, not idempotent", "POST", 2, false, false, nil, 1},
+		{"computes, idempotent", "PUT", 2, false, false, nil, 2},
+		{"computes, no other worker", "PUT", 1, false, false, nil, 1},
+		{"computes, no budget", "PUT", 2, true, false, nil, 1},
+		{"silent, not idempotent", "POST", 2, false, true, worker.CodeDeadline, 1},
+		{"silent, idempotent", "PUT", 2, false, true, nil, 2},
+		{"silent, no other worker", "PUT", 1, false, true, worker.CodeDeadline, 1},
+		{"silent, no budget", "PUT", 2, true, true, worker.CodeDeadline, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			release := make(chan struct{})
+			behave := func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if n := runs.Add(1); n == 1 && c.silent {
+					<-r.Context().Done()
+					return
+				}
+				select {
+				case <-release:
+					_, _ = w.Write(body)
+				case <-r.Context().Done():
+				}
+			}
+			var addresses []string
+			for range c.workers {
+				addresses = append(addresses, newWorker(t, behave))
+			}
+			b := newBench(t, addresses...)
+			b.clock.Advance(500)
+			pass := func(d clock.Millis) { // the budget is used up in the second in which the time has passed
+				b.clock.Advance(d - 250)
+				for c.spent && b.handler.current().services["svc"].budget.Retry() {
+				}
+				b.clock.Advance(250)
+			}
+			ended := make(chan reply, 1)
+			go func() { ended <- b.do(c.method, "/svc", "question", HeaderDeadline, "30000") }()
+			sent := func(n int64) { until(func() bool { return runs.Load() == n && b.handler.Client.Awaiting() == 1 }) }
+			sent(1)
+			pass(5000)
+			sent(c.runs)
+			for range 4 {
+				pass(5000)
+			}
+			if c.code != nil {
+				pass(5000)
+				(<-ended).is(t, c.code)
+			} else {
+				close(release)
+				if got := <-ended; got.err != nil || got.body != "question" {
+					t.Errorf("got %+v, want the whole answer", got)
+				}
+			}
+			until(func() bool { return b.handler.running.count.Load() == 0 })
+			for i, s := range b.slots {
+				if s.Free() != 8 {
+					t.Errorf("worker %d got %d free slots, want 8", i, s.Free())
+				}
+			}
+			if got := runs.Load(); got != c.runs {
+				t.Errorf("got %d runs, want %d", got, c.runs)
+			}
+		})
+	}
+}
+
 // Large answers and bodies must pass whole within the memory budget, and a cut one must break the caller's connection.
 func TestLargeBodies(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789abcdef"), 3<<16) // 3 MiB
--- a/worker/client.go
+++ b/worker/client.go
@@ -34,6 +34,11 @@
 	defaultProgress    = 5 * clock.Second
 	defaultProbeEvery  = 5 * clock.Second
 	defaultProbeWithin = 1 * clock.Second
+	// A connection whose state was lost between the two ends fails after the idle time and three probes, 4 s, while a
+	// worker that computes still answers the probes.
+	keepAliveIdle     = 1 * time.Second
+	keepAliveInterval = 1 * time.Second
+	keepAliveCount    = 3
 	// idleLife ends the probing of connections that no request uses.
 	idleLife = 60 * clock.Second
 	// maxDrain is how much of the answer to a probe or of a refusal is read to keep the connection.
@@ -47,7 +52,8 @@
 	Clock *clock.Clock
 	// Logger receives the events; nil drops them.
 	Logger *slog.Logger
-	// Progress is how long a connection may carry no byte while an answer is due; 0 means 5 s.
+	// Progress is how long a connection may carry no byte while a request is sent and while its answer arrives, and how
+	// long a request that may be sent elsewhere waits for the first byte of its answer; 0 means 5 s.
 	Progress clock.Millis
 	// ProbeEvery is how long a connection may be idle before it is probed; 0 means 5 s.
 	ProbeEvery clock.Millis
@@ -80,7 +86,8 @@
 
 func (c *Client) start() {
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{}).DialContext
+		c.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
+			Interval: keepAliveInterval, Count: keepAliveCount}}).DialContext
 	}
 	c.transport = &http.Transport{
 		DisableCompression:     true, // bodies pass unchanged
@@ -112,13 +119,13 @@
 	ctx, cancel := c.Clock.WithTimeout(ctx, c.probeWithin())
 	defer cancel()
 	t := c.Target(w)
-	connection, failure := t.open(ctx, true)
+	connection, failure := t.connect(ctx, true)
 	if failure != nil {
 		return false, failure
 	}
 	defer t.discard(connection)
 	// The path "/" reaches the handler of the worker, which sets the state header; "*" would not on Go servers.
-	answer, failure := t.exchange(connection, probeRequest(ctx, w.Address(), "/"), "", true)
+	answer, failure := t.exchange(connection, probeRequest(ctx, w.Address(), "/"), Options{Whole: true})
 	if failure != nil {
 		return failure.leaving, failure
 	}
@@ -144,6 +151,23 @@
 	return total
 }
 
+// Awaiting returns how many requests have been sent to workers and wait for the first byte of their answers.
+func (c *Client) Awaiting() int {
+	total := 0
+	c.targets.Range(func(_, value any) bool {
+		t := value.(*Target)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for o := range t.open {
+			if o.awaiting() {
+				total++
+			}
+		}
+		return true
+	})
+	return total
+}
+
 // Close closes every idle connection, at the end of the process.
 func (c *Client) Close() {
 	c.targets.Range(func(_, t any) bool {
@@ -158,15 +182,15 @@
 	worker *routing.Worker
 
 	mu   sync.Mutex
-	idle []*conn // the one used last is at the end
-	size int     // open connections
+	idle []*conn            // the one used last is at the end
+	open map[*conn]struct{} // busy, idle or being opened
 }
 
 // Connections returns how many connections are open and how many of them are idle.
 func (t *Target) Connections() (open, idle int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.size, len(t.idle)
+	return len(t.open), len(t.idle)
 }
 
 // get returns an idle connection or opens one.
@@ -176,7 +200,7 @@
 		n := len(t.idle)
 		if n == 0 {
 			t.mu.Unlock()
-			return t.open(ctx, false)
+			return t.connect(ctx, false)
 		}
 		c := t.idle[n-1]
 		t.idle = t.idle[:n-1]
@@ -188,17 +212,35 @@
 	}
 }
 
-// open opens a connection; only a probe may exceed the limit, by one.
-func (t *Target) open(ctx context.Context, probe bool) (*conn, *Failure) {
+// fresh opens a connection, in the place of an idle one where the limit is reached.
+func (t *Target) fresh(ctx context.Context) (*conn, *Failure) {
+	limit := t.limit()
+	t.mu.Lock()
+	var replaced *conn
+	if len(t.open) >= limit && len(t.idle) > 0 {
+		replaced, t.idle = t.idle[0], t.idle[1:]
+	}
+	t.mu.Unlock()
+	if replaced != nil {
+		t.discard(replaced)
+	}
+	return t.connect(ctx, false)
+}
+
+// connect opens a connection; only a probe may exceed the limit, by one.
+func (t *Target) connect(ctx context.Context, probe bool) (*conn, *Failure) {
 	limit := t.limit()
 	t.mu.Lock()
-	if t.size >= limit && !probe {
+	if len(t.open) >= limit && !probe {
 		t.mu.Unlock()
 		return nil, &Failure{code: CodeConnections, err: fmt.Errorf("worker %s: %d connections are open", t.worker.ID(), limit)}
 	}
-	t.size++
-	t.mu.Unlock()
 	c := &conn{target: t}
+	if t.open == nil {
+		t.open = map[*conn]struct{}{}
+	}
+	t.open[c] = struct{}{}
+	t.mu.Unlock()
 	dialContext, cancel := t.client.Clock.WithTimeout(context.WithValue(ctx, dialing{}, c), t.client.probeWithin())
 	defer cancel()
 	before := time.Now() // milliseconds are too coarse for a round trip inside a region
@@ -228,7 +270,7 @@
 	}
 	limit := t.limit()
 	t.mu.Lock()
-	fits := t.size <= limit
+	fits := len(t.open) <= limit
 	if fits {
 		t.idle = append(t.idle, c)
 	}
@@ -249,14 +291,14 @@
 func (t *Target) forget(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.size--
+	delete(t.open, c)
 	for i, o := range t.idle {
 		if o == c {
 			t.idle = append(t.idle[:i], t.idle[i+1:]...)
 			break
 		}
 	}
-	if t.size == 0 && t.worker.Leaving() {
+	if len(t.open) == 0 && t.worker.Leaving() {
 		t.client.targets.Delete(t.worker)
 	}
 }
@@ -309,7 +351,7 @@
 	ctx, cancel := client.Clock.WithTimeout(context.Background(), client.probeWithin())
 	defer cancel()
 	used := c.used.Load()
-	answer, failure := t.exchange(c, probeRequest(ctx, t.worker.Address(), "*"), "", true)
+	answer, failure := t.exchange(c, probeRequest(ctx, t.worker.Address(), "*"), Options{Whole: true})
 	if failure == nil {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer, maxDrain))
 		answer.Close()
@@ -329,22 +371,39 @@
 	e.Log(context.Background(), t.client.Logger, slog.String("worker", t.worker.ID()), slog.String("address", t.worker.Address()))
 }
 
-// Do sends a request and returns the answer once its header is there. The context bounds the whole exchange. id is
-// sent as the request id. whole says that the body is in memory; otherwise the answer counts as due, for the progress
-// deadline, once the body has been read to its end.
-func (t *Target) Do(r *http.Request, id string, whole bool) (*Answer, *Failure) {
-	c, failure := t.get(r.Context())
+// Options say how a request is sent.
+type Options struct {
+	// ID is sent as the request id; "" for none.
+	ID string
+	// Whole says that the body is in memory; otherwise the answer counts as due once the body has been read to its end.
+	Whole bool
+	// Fresh sends the request on a new connection.
+	Fresh bool
+	// GiveUp is asked each time the answer has not begun after the progress deadline, and reports whether the request
+	// is to fail with CodeNoAnswerYet, for example because it can be sent to another worker. It may be called while Do
+	// returns. Nil keeps waiting.
+	GiveUp func() bool
+}
+
+// Do sends a request and returns the answer once its header is there. The context bounds the whole exchange.
+func (t *Target) Do(r *http.Request, o Options) (*Answer, *Failure) {
+	get := t.get
+	if o.Fresh {
+		get = t.fresh
+	}
+	c, failure := get(r.Context())
 	if failure != nil {
 		return nil, failure
 	}
-	return t.exchange(c, r, id, whole)
+	return t.exchange(c, r, o)
 }
 
-func (t *Target) exchange(c *conn, r *http.Request, id string, whole bool) (*Answer, *Failure) {
-	e := &exchange{}
-	e.sent.Store(whole)
+func (t *Target) exchange(c *conn, r *http.Request, o Options) (*Answer, *Failure) {
+	e := &exchange{giveUp: o.GiveUp}
+	e.sent.Store(o.Whole)
+	id := o.ID
 	var body *sentBody
-	if !whole {
+	if !o.Whole {
 		body = &sentBody{ReadCloser: r.Body, exchange: e}
 		r.Body = body
 	}
@@ -389,6 +448,8 @@
 	}
 	code := CodeBroken
 	switch {
+	case e.answer.Load() == abandoned:
+		code = CodeNoAnswerYet
 	case c.silent.Load():
 		code = CodeSilent
 	case body != nil && body.failed.Load():
--- a/worker/codes.go
+++ b/worker/codes.go
@@ -15,7 +15,7 @@
 	CodeNotSent      = result.New(2352, "not-sent", 502, result.NotRun, "the connection to the worker failed before the request was sent")
 	CodeRefused      = result.New(2353, "worker-refused", 503, result.NotRun, "the worker says that it did not run the request")
 	CodeBroken       = result.New(2354, "connection-broken", 502, result.Unknown, "the connection failed after a part of the request was sent")
-	CodeSilent       = result.New(2355, "connection-silent", 504, result.Unknown, "the connection went silent while an answer was due")
+	CodeSilent       = result.New(2355, "connection-silent", 504, result.Unknown, "the connection went silent while the request was sent or its answer arrived")
 	CodeDeadline     = result.New(2356, "deadline-at-worker", 504, result.Unknown, "the deadline passed after the request was sent")
 	CodeTruncated    = result.New(2357, "answer-truncated", 502, result.Ran, "the worker's answer ended early")
 	CodeMismatched   = result.New(2358, "answer-mismatched", 502, result.Unknown, "the worker's answer belongs to another request")
@@ -25,6 +25,7 @@
 	CodeTooLate      = result.New(2362, "deadline-before-worker", 504, result.NotRun, "the deadline passed before the request was sent")
 	CodeBody         = result.New(2363, "request-body-failed", 400, result.Unknown, "the caller's request body ended early after a part of it was sent")
 	CodeCutAnswer    = result.New(2364, "answer-cut", 504, result.Ran, "the deadline passed or the connection went silent in the middle of the answer")
+	CodeNoAnswerYet  = result.New(2365, "answer-not-begun", 504, result.Unknown, "the worker did not begin its answer in time and the request was given up there")
 )
 
 // The events of the package.
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -20,14 +20,24 @@
 	errSealed     = errors.New("worker: the request was given up before it was sent")
 	errUnasked    = errors.New("worker: the connection carried bytes that no request asked for")
 	errWrongState = errors.New("worker: connection written without a request")
+	errAbandoned  = errors.New("worker: the request was given up before its answer began")
 )
 
 // exchange is one request on one connection.
 type exchange struct {
-	state atomic.Int32
-	sent  atomic.Bool // the whole request was passed on, so that an answer is due
+	state  atomic.Int32
+	sent   atomic.Bool  // the whole request was passed on, so that an answer is due
+	answer atomic.Int32 // awaited, begun or abandoned
+	giveUp func() bool  // see Options.GiveUp
 }
 
+// The states of the answer to an exchange.
+const (
+	awaited   int32 = iota // no byte of it has arrived
+	begun                  // some byte has arrived
+	abandoned              // the request was given up before any byte arrived
+)
+
 // seal prevents any later write and reports whether none has happened.
 func (e *exchange) seal() bool {
 	return e.state.CompareAndSwap(unsent, sealed) || e.state.Load() == sealed
@@ -60,8 +70,13 @@
 	c.reading.Store(0)
 	if n > 0 {
 		c.active.Store(int64(c.target.client.Clock.Now()))
-		if e := c.exchange.Load(); e == nil || e.state.Load() != sending {
+		e := c.exchange.Load()
+		if e == nil || e.state.Load() != sending {
 			c.unasked.Store(true)
+			return 0, errUnasked // net/http would write the bytes to the standard log
+		}
+		if !e.answer.CompareAndSwap(awaited, begun) && e.answer.Load() == abandoned {
+			return 0, errAbandoned
 		}
 	}
 	return n, err
@@ -113,6 +128,12 @@
 	return !c.closed.Load() && !c.unasked.Load() && !c.retired.Load() && c.http.Err() == nil
 }
 
+// awaiting reports whether a request was sent and no byte of its answer has arrived.
+func (c *conn) awaiting() bool {
+	e := c.exchange.Load()
+	return e != nil && e.state.Load() == sending && e.sent.Load() && !c.writing.Load() && e.answer.Load() == awaited
+}
+
 // arm starts the timer of the connection unless it runs. One timer serves many requests: when it fires it looks at
 // what has happened since, so that a request pays for no timer of its own.
 func (c *conn) arm() {
@@ -122,7 +143,8 @@
 	c.target.client.Clock.AfterFunc(c.target.client.progress(), c.check)
 }
 
-// check closes a connection that went silent, probes an idle one, and starts the timer again.
+// check closes a connection that went silent, gives up an answer that does not begin where the request may be sent
+// elsewhere, probes an idle connection, and starts the timer again.
 func (c *conn) check() {
 	if c.closed.Load() {
 		return
@@ -136,13 +158,19 @@
 			// Only the time during which this side waits counts: a caller that takes an answer slowly keeps this
 			// side from reading, and that is no fault of the worker.
 			since := clock.Millis(max(c.active.Load(), read-1))
-			if now-since >= limit {
+			switch {
+			case now-since < limit:
+				wait = limit - (now - since)
+			case c.writing.Load() || e.answer.Load() == begun:
 				c.silent.Store(true)
 				c.target.silence(c)
 				c.Close()
 				return
+			case e.giveUp != nil && e.giveUp() && e.answer.CompareAndSwap(awaited, abandoned):
+				c.Close()
+				return
 			}
-			wait = limit - (now - since)
+			// A worker that computes sends no byte either. TCP keep-alive finds a connection that was lost.
 		}
 		client.Clock.AfterFunc(wait, c.check)
 		return
--- /dev/null
+++ b/worker/keepalive_linux_test.go
@@ -0,0 +1,37 @@
+package worker
+
+import (
+	"net"
+	"syscall"
+	"testing"
+)
+
+// Connections to workers must be probed by the kernel, which finds lost connection state within 4 s.
+func TestKeepAlive(t *testing.T) {
+	f := newFixture(t, func(p *peer) { p.next() })
+	c := &Client{Clock: f.clock}
+	c.start()
+	raw, err := c.Dial(t.Context(), "tcp", f.worker.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	control, err := raw.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range []struct{ level, option, want int }{
+		{syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1},
+		{syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, 1},
+		{syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, 1},
+		{syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, 3},
+	} {
+		if err := control.Control(func(fd uintptr) {
+			if got, err := syscall.GetsockoptInt(int(fd), o.level, o.option); err != nil || got != o.want {
+				t.Errorf("option %d got %d, %v, want %d", o.option, got, err, o.want)
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
