entry, caller: end at once on a second signal

Cause: serve swallowed a second SIGTERM or SIGINT during a graceful stop, so that an operator could only kill the process without a report.

Change: entry.Instance and caller.Server have a channel Cut. The first signal still stops gracefully.

Cutting a request was run only with the fake clock.

Conclusion: a stop can be ended at once without losing the report.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -556,6 +556,48 @@
 	}
 }
 
+// A stop that is cut must end what runs at once with the truth, in the leave time and in the grace time alike.
+func TestServerCut(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		reached := make(chan struct{}, 1)
+		b := newBench(t, newWorker(t, func(_ http.ResponseWriter, r *http.Request) {
+			reached <- struct{}{}
+			<-r.Context().Done()
+		}))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		cut, ended := make(chan struct{}), make(chan error, 1)
+		s := &Server{Handler: b.handler, Listener: listener, LeaveFor: 3000, Cut: cut}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { ended <- s.Run(ctx) }()
+		running := make(chan reply, 1)
+		go func() {
+			request, _ := http.NewRequest("POST", "http://"+listener.Addr().String()+"/svc", nil)
+			running <- b.send(request)
+		}()
+		<-reached
+		until(func() bool { return b.handler.Client.Awaiting() == 1 })
+		waiters := b.clock.Waiters()
+		cancel()
+		until(func() bool { return b.handler.running.state.Load() == stateLeaving && b.clock.Waiters() > waiters })
+		if !leaving {
+			b.clock.Advance(3000)
+			until(func() bool { return b.handler.running.state.Load() == stateStopping })
+		}
+		close(cut)
+		(<-running).is(t, CodeCut)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if got := s.Cuts(); len(got) != 1 || got[0].Stage() != stageDispatch {
+			t.Errorf("got %+v, want one request cut in dispatch", got)
+		}
+	}
+}
+
 // The quota of a team and the limit of a pool must bound permits and be given back, also when no worker is free.
 func TestQuotas(t *testing.T) {
 	b := newBench(t, newWorker(t, func(http.ResponseWriter, *http.Request) {}))
--- a/caller/server.go
+++ b/caller/server.go
@@ -210,6 +210,11 @@
 	LeaveFor clock.Millis
 	// Grace is how long requests in flight may take after that; 0 means the longest deadline.
 	Grace clock.Millis
+	// Cut ends the stop at once when it is closed: the requests in flight are cut and reported. Nil never does.
+	Cut <-chan struct{}
+
+	mu   sync.Mutex
+	cuts []Cut
 }
 
 const (
@@ -225,6 +230,26 @@
 // Name returns the name of the module.
 func (s *Server) Name() string { return "caller" }
 
+// Cuts returns the requests that were cut at the stop so far.
+func (s *Server) Cuts() []Cut {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts
+}
+
+// cutWith derives a context that also ends when Cut is closed.
+func (s *Server) cutWith(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-s.Cut:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // Run serves until the context ends, tells the balancer, finishes what runs and logs what was cut.
 func (s *Server) Run(ctx context.Context) error {
 	h := s.Handler
@@ -237,19 +262,23 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+	case <-s.Cut:
 	}
 	rest := context.WithoutCancel(ctx)
+	patient, impatient := s.cutWith(rest)
+	defer impatient()
 	h.Leave()
-	if err := h.Clock.Sleep(rest, s.LeaveFor); err != nil {
-		return err
-	}
+	_ = h.Clock.Sleep(patient, s.LeaveFor) // ends early only when the stop is cut
 	grace := s.Grace
 	if grace == 0 {
 		grace = maxDeadline
 	}
-	bounded, cancel := h.Clock.WithTimeout(rest, grace)
+	bounded, cancel := h.Clock.WithTimeout(patient, grace)
 	defer cancel()
 	cuts := h.Stop(bounded)
+	s.mu.Lock()
+	s.cuts = cuts
+	s.mu.Unlock()
 	EventStopped.Log(rest, h.Logger, slog.Int("cut", len(cuts)))
 	// Every handler has ended; what is left are idle connections and the last bytes of answers.
 	closing, cancelClosing := context.WithTimeout(rest, cutWrite)
--- a/cmd/magnoliaferry/main.go
+++ b/cmd/magnoliaferry/main.go
@@ -11,8 +11,16 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, os.Args[1:], command.Environment{Out: os.Stdout, Err: os.Stderr})
-	stop()
-	os.Exit(code)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
+	cut := make(chan struct{})
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		close(cut)
+		signal.Stop(signals) // a third signal ends the process without a report
+	}()
+	os.Exit(command.Run(ctx, os.Args[1:], command.Environment{Out: os.Stdout, Err: os.Stderr, Cut: cut}))
 }
--- a/command/command.go
+++ b/command/command.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"magnoliaferry/diag"
+	"magnoliaferry/entry"
 	"magnoliaferry/kernel"
 	"magnoliaferry/operator"
 	"magnoliaferry/result"
@@ -28,6 +29,7 @@
 	ExitUnavailable = 5 // no connection, or the platform does not answer; without effect
 	ExitUnknown     = 6 // may have taken effect
 	ExitDifferent   = 7 // diff --exit-code found a difference
+	ExitCut         = 8 // serve was ended at once by a second signal
 	ExitFailed      = 9 // anything else
 )
 
@@ -35,8 +37,9 @@
 type Environment struct {
 	Out     io.Writer
 	Err     io.Writer
-	JSON    bool   // results and errors go to Out as JSON
-	Version string // printed by --version; default from the build
+	JSON    bool            // results and errors go to Out as JSON
+	Version string          // printed by --version; default from the build
+	Cut     <-chan struct{} // closed when what still runs is to end at once; nil never
 }
 
 // Setup adds a command to the application. It returns the command and what to run when the command is chosen.
@@ -168,6 +171,10 @@
 	if errors.As(err, &usage) {
 		return ExitUsage
 	}
+	var cut *entry.CutError
+	if errors.As(err, &cut) {
+		return ExitCut
+	}
 	return ExitFailed
 }
 
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -168,7 +168,7 @@
 		documented[match[1]] = true
 	}
 	codes := []int{ExitOK, ExitFaults, ExitUsage, ExitConflict, ExitRefused, ExitUnavailable, ExitUnknown, ExitDifferent,
-		ExitFailed}
+		ExitCut, ExitFailed}
 	if got, want := len(documented), len(codes); got != want {
 		t.Errorf("table got %d codes, want %d", got, want)
 	}
--- a/command/serve.go
+++ b/command/serve.go
@@ -22,7 +22,7 @@
 func init() {
 	Register("serve", func(app *kingpin.Application) (*kingpin.CmdClause, RunFunc) {
 		var file string
-		c := app.Command("serve", "Run an entry instance until SIGTERM; it then leaves and finishes what runs.")
+		c := app.Command("serve", "Run an entry instance until SIGTERM; it then leaves and finishes what runs. A second signal ends it at once.")
 		c.Flag("settings", "Settings of the process (JSON).").Required().StringVar(&file)
 		return c, func(ctx context.Context, env *Environment) error {
 			read, faults := settings.Read(file)
@@ -34,13 +34,13 @@
 	})
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends and what runs has finished, or until the environment cuts it.
 func (o ServeOptions) Run(ctx context.Context, env *Environment) error {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(o.Settings.LogLevel)); err != nil {
 		return usageError{err}
 	}
 	logger := slog.New(slog.NewJSONHandler(env.Err, &slog.HandlerOptions{Level: level}))
-	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger}
+	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger, Cut: env.Cut}
 	return instance.Run(ctx)
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -6,8 +6,10 @@
 	"expvar"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,6 +51,9 @@
 	// WallClock returns milliseconds since 1970; nil uses the system's time. It numbers incarnations and dates claims
 	// and maintenance; no lease depends on it.
 	WallClock func() clock.Millis
+	// Cut ends the instance at once when it is closed, also during a graceful stop; Run then returns a *CutError. Nil
+	// never does.
+	Cut <-chan struct{}
 
 	incarnation int64
 	listeners   map[string]net.Listener
@@ -83,11 +88,53 @@
 		return err
 	}
 	close(i.listening)
-	err = (&kernel.Kernel{Modules: modules}).Run(ctx)
+	err = i.run(ctx, modules)
 	eventStopped.Log(context.WithoutCancel(ctx), i.Logger, slog.String("instance", i.Settings.Name))
 	return err
 }
 
+// cutTime bounds the end after Cut: callers whose requests were cut get 2 s to take their refusals, and the rest goes to
+// the transaction in flight.
+const cutTime = 4 * clock.Second
+
+// run runs the modules until the context ends and they have stopped, or until Cut is closed.
+func (i *Instance) run(ctx context.Context, modules []kernel.Module) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- (&kernel.Kernel{Modules: modules}).Run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-i.Cut:
+	}
+	stop()
+	select {
+	case <-ended:
+	case <-i.Clock.After(cutTime):
+	}
+	return &CutError{modules[len(modules)-1].(*caller.Server).Cuts()}
+}
+
+// CutError says that the instance was ended at once and which requests were cut.
+type CutError struct{ cuts []caller.Cut }
+
+// Cuts returns the requests that were cut.
+func (e *CutError) Cuts() []caller.Cut { return e.cuts }
+
+// Error counts the requests that were cut by the stage that each had reached.
+func (e *CutError) Error() string {
+	stages := map[string]int{}
+	for _, c := range e.cuts {
+		stages[c.Stage()]++
+	}
+	text := fmt.Sprintf("ended at once, %d requests were cut", len(e.cuts))
+	for _, stage := range slices.Sorted(maps.Keys(stages)) {
+		text += fmt.Sprintf(", %d in %s", stages[stage], stage)
+	}
+	return text
+}
+
 // Address returns where the instance listens for "callers", "operators", "peers" or "metrics", once Run listens.
 func (i *Instance) Address(ctx context.Context, port string) (string, error) {
 	i.ready.Do(i.start)
@@ -217,7 +264,7 @@
 		modules = append(modules, &httpServer{name: "metrics", listener: l, handler: i.metrics()})
 	}
 	return append(modules, &caller.Server{Handler: i.handler, Listener: i.listeners["callers"],
-		LeaveFor: s.Leave, Grace: s.Stop - s.Leave}), nil
+		LeaveFor: s.Leave, Grace: s.Stop - s.Leave, Cut: i.Cut}), nil
 }
 
 // join builds the peer module.
