caller: bound what a slow caller holds, number the logs of libraries

Cause: a caller that did not read a streamed answer held its slot until the write timeout of 1 min, twice the longest deadline, and a buffered answer held the quotas and the memory as long. net/http writes faults of connections and answers that nobody asked for to the standard log.

Change: writes to the caller fail once the deadline has passed, and the quotas are given back as soon as the answer is in memory. An answer that is aborted counts as such. The HTTP server of callers logs event 2008, and serve turns the standard log into event 1150.

Conclusion: a caller that does not read holds a slot at most until its deadline.

--- a/caller/codes.go
+++ b/caller/codes.go
@@ -34,5 +34,6 @@
 	EventCut       = event.New(2004, "request-cut", slog.LevelError, "a request was cut because the time to stop had passed")
 	EventStopped   = event.New(2005, "caller-stopped", slog.LevelInfo, "the caller interface has stopped")
 	EventRetry     = event.New(2006, "request-retried", slog.LevelInfo, "a request is sent to another worker")
+	EventServer    = event.New(2008, "caller-server", slog.LevelWarn, "the HTTP server reports a fault of a connection")
 	EventListening = event.New(2007, "caller-listening", slog.LevelInfo, "the caller interface accepts requests")
 )
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"time"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/result"
@@ -20,10 +21,8 @@
 // dispatch sends the request to a worker, and to another one where that cannot run it twice, and answers the caller.
 func (r *request) dispatch(ctx context.Context, permit *Permit, idempotent bool) {
 	h := r.handler
-	defer func() {
-		permit.Release()
-		r.wake(permit)
-	}()
+	r.permit = permit
+	defer r.releasePermit()
 	r.setStage(&stageDispatch)
 	r.route.budget.Request()
 	header := r.in.Header
@@ -80,6 +79,15 @@
 	}
 }
 
+// releasePermit gives the slot and the quotas back; further calls have no effect.
+func (r *request) releasePermit() {
+	if p := r.permit; p != nil {
+		r.permit = nil
+		p.Release()
+		r.wake(p)
+	}
+}
+
 func release(g *routing.Grant) {
 	if g != nil {
 		g.Release(routing.Neutral, 0)
@@ -200,7 +208,7 @@
 	}
 	answer, failure := h.Client.Target(w).Do(out, options)
 	if failure == nil {
-		failure = r.deliver(answer, grant, started)
+		failure = r.deliver(ctx, answer, grant, started)
 	}
 	if failure != nil {
 		span.Fail(failure.Code().Name())
@@ -218,7 +226,7 @@
 
 // deliver gives the answer to the caller: from memory when it fits in there, and otherwise as it arrives. A failure is
 // returned only while nothing was written to the caller.
-func (r *request) deliver(answer *worker.Answer, grant *routing.Grant, started clock.Millis) *worker.Failure {
+func (r *request) deliver(ctx context.Context, answer *worker.Answer, grant *routing.Grant, started clock.Millis) *worker.Failure {
 	h := r.handler
 	if answer.Leaving() {
 		h.Router.MarkLeaving(grant.Worker())
@@ -244,7 +252,8 @@
 	copyAnswer(header, answer.Header())
 	if whole {
 		answer.Close()
-		grant.Release(outcome, h.Clock.Now()-started) // a slow caller keeps no slot
+		grant.Release(outcome, h.Clock.Now()-started)
+		r.releasePermit() // a slow caller keeps no slot and no quota
 	}
 	r.record(answer, header, held.data, whole)
 	r.mark(header, CodeAnswered)
@@ -255,10 +264,20 @@
 	for name := range answer.Trailer() {
 		header.Add("Trailer", name) // announced trailers make the server send chunks
 	}
+	if !whole || len(held.data) > serverBuffer {
+		end := r.endWritesWith(ctx)
+		defer end()
+	}
 	r.writer.WriteHeader(answer.Status())
 	if len(held.data) > 0 {
 		_, err = r.writer.Write(held.data)
 	}
+	if whole && err != nil {
+		h.counters.aborted.Add(1)
+		EventAborted.Log(r.in.Context(), h.Logger, slog.String("request", r.id), slog.String("error", err.Error()))
+		r.span.Fail("aborted")
+		panic(http.ErrAbortHandler)
+	}
 	if !whole {
 		r.stream(answer, grant, started, outcome, err)
 	}
@@ -278,6 +297,31 @@
 	return nil
 }
 
+// serverBuffer is the buffer of net/http for an answer; smaller bodies are written after the handler has returned.
+const serverBuffer = 2 << 10
+
+// endWritesWith makes writes to the caller fail once ctx has ended, so that a caller that does not read holds no memory
+// and no slot past its deadline. end stops that; it must be called before the handler returns, because the connection
+// may then serve the next request, and it aborts the connection when the time has passed.
+func (r *request) endWritesWith(ctx context.Context) (end func()) {
+	controller := http.NewResponseController(r.writer)
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		if context.Cause(ctx) != errCut { // a stop sets its own time
+			_ = controller.SetWriteDeadline(time.Unix(1, 0))
+		}
+	})
+	return func() {
+		if !stop() {
+			<-done
+			if context.Cause(ctx) == context.DeadlineExceeded {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
 // record keeps the answer with the claim.
 func (r *request) record(answer *worker.Answer, header http.Header, data []byte, whole bool) {
 	if r.claim == nil {
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -151,6 +151,34 @@
 	}
 }
 
+// A caller that does not read its answer must hold no slot and no quota once the answer is in memory, and neither a slot
+// nor memory past its deadline.
+func TestSlowCaller(t *testing.T) {
+	for _, size := range []int{1 << 20, 64 << 20} { // buffered and streamed; the first may fit into the socket
+		b := newBench(t, newWorker(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }))
+		c, err := net.Dial("tcp", address(b.entry))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(c, "GET /svc HTTP/1.1\r\nHost: x\r\n\r\n")
+		until(func() bool {
+			found := b.handler.counters.answers.Value() == 1
+			b.handler.running.each(func(r *request) { found = found || r.stage.Load() == &stageAnswer })
+			return found
+		})
+		if size == 1<<20 {
+			until(func() bool { return b.slots[0].Free() == 8 })
+		}
+		b.clock.Advance(10000)
+		until(func() bool { return b.handler.running.count.Load() == 0 })
+		if b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 {
+			t.Errorf("got %d free slots and %d bytes held after the deadline, want 8 and 0", b.slots[0].Free(), b.handler.memory.used.Load())
+		}
+	}
+}
+
 // A worker that does not answer for 20 s must be waited for, or left for another one where the request may run again, and
 // a connection that never answers must end its request truthfully. Each slot must be free afterwards.
 func TestSlowAndSilent(t *testing.T) {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -154,6 +154,7 @@
 	started clock.Millis
 	due     clock.Millis
 	claim   Claim // nil without one
+	permit  *Permit
 	span    trace.Span
 	cancel  context.CancelCauseFunc
 	stage   atomic.Pointer[string]
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"magnoliaferry/clock"
+	"magnoliaferry/event"
 	"magnoliaferry/result"
 )
 
@@ -253,7 +254,8 @@
 // Run serves until the context ends, tells the balancer, finishes what runs and logs what was cut.
 func (s *Server) Run(ctx context.Context) error {
 	h := s.Handler
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	messages := slog.NewLogLogger(event.Handler(h.Logger, EventServer), EventServer.Level())
+	server := &http.Server{Handler: h, ErrorLog: messages, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(s.Listener) }()
--- a/command/serve.go
+++ b/command/serve.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"log"
 	"log/slog"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"magnoliaferry/entry"
+	"magnoliaferry/event"
 	_ "magnoliaferry/memory" // registers the platform plug-in "memory"
 	"magnoliaferry/platform"
 	_ "magnoliaferry/platformhttp" // registers the platform plug-in "http"
 	"magnoliaferry/settings"
 )
 
+var eventLibrary = event.New(1150, "library-message", slog.LevelWarn, "a library reports")
+
 // ServeOptions are the options of serve, which runs one entry instance.
 type ServeOptions struct {
 	Settings settings.Settings
@@ -41,6 +45,9 @@
 		return usageError{err}
 	}
 	logger := slog.New(slog.NewJSONHandler(env.Err, &slog.HandlerOptions{Level: level}))
+	// The HTTP client has no logger of its own and writes, for example, answers that nobody asked for to the standard log.
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(event.Handler(logger, eventLibrary), eventLibrary.Level()).Writer())
 	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger, Cut: env.Cut}
 	return instance.Run(ctx)
 }
