docs: fault matrix, held by a test

Cause: nothing showed which step meets which fault in a test.

Change: docs/fault-matrix.md has one row for each step and fault, and TestFaultMatrix checks that it is complete, that the named tests exist and that a row without a test has a reason. TestFaultsAtEachStep injects faults at claim, dispatch and answer, in normal work and during a stop.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -179,6 +179,71 @@
 	}
 }
 
+// A fault at the claim, at the dispatch or in the answer must end the request with the truth and leak nothing, in normal
+// work and while the entry instance stops.
+func TestFaultsAtEachStep(t *testing.T) {
+	for _, c := range []struct {
+		name, raw    string // the bytes that the worker answers before it closes the connection
+		hangs        bool   // until the deadline or the cut
+		claim        bool   // the claim hangs
+		working      *result.Code
+		whileStopped *result.Code
+		runs         int64
+	}{
+		{name: "store slow", hangs: true, claim: true, working: CodeTooLate, whileStopped: CodeStopping},
+		{name: "silent connection", hangs: true, working: worker.CodeDeadline, whileStopped: CodeCut, runs: 1},
+		{name: "worker lost", working: worker.CodeBroken, whileStopped: worker.CodeBroken, runs: 1},
+		{name: "worker lost in the answer", raw: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+			working: worker.CodeTruncated, whileStopped: worker.CodeTruncated, runs: 1},
+		{name: "worker fails", raw: "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", runs: 1},
+	} {
+		for _, stopping := range []bool{false, true} {
+			var runs atomic.Int64
+			gate := make(chan struct{})
+			b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				select {
+				case <-gate:
+					hijack(w, c.raw)
+				case <-r.Context().Done():
+				}
+			}))
+			b.claims.block = c.claim
+			ended := make(chan reply, 1)
+			go func() { ended <- b.do("POST", "/svc", "", HeaderCaller, "alice", key, "k") }()
+			until(func() bool {
+				claiming := false
+				b.handler.running.each(func(r *request) { claiming = claiming || r.stage.Load() == &stageClaim })
+				return b.handler.Client.Awaiting() == 1 || (c.claim && claiming)
+			})
+			want, wait := c.working, 10*clock.Second
+			if stopping {
+				want, wait = c.whileStopped, 3*clock.Second
+				ctx, cancel := b.clock.WithTimeout(t.Context(), wait)
+				defer cancel()
+				go b.handler.Stop(ctx)
+				until(func() bool { return b.handler.running.state.Load() == stateStopping })
+			}
+			if c.hangs {
+				b.clock.Advance(wait)
+			} else {
+				close(gate)
+			}
+			got := <-ended
+			if want != nil {
+				got.is(t, want)
+			} else if got.status != 500 || got.header.Get(HeaderOutcome) != "ran" {
+				t.Errorf("%s: got %+v, want the worker's 500", c.name, got)
+			}
+			until(func() bool { return b.handler.running.count.Load() == 0 })
+			if b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 || runs.Load() != c.runs {
+				t.Errorf("%s: got %d free slots, %d bytes held, %d runs, want 8, 0, %d", c.name, b.slots[0].Free(),
+					b.handler.memory.used.Load(), runs.Load(), c.runs)
+			}
+		}
+	}
+}
+
 // A worker that does not answer for 20 s must be waited for, or left for another one where the request may run again, and
 // a connection that never answers must end its request truthfully. Each slot must be free afterwards.
 func TestSlowAndSilent(t *testing.T) {
--- /dev/null
+++ b/cmd/doctables/matrix_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var (
+	matrixSteps = []string{"submit", "spread", "request", "claim", "dispatch", "answer", "drain", "reboot", "return",
+		"move", "place", "start", "cancel", "lease-renewal", "start-up", "shutdown", "pairs"}
+	matrixFaults = []string{"failures in waves", "racing processes", "wrong declarations", "jobs that never run",
+		"wave of cancellations", "workers that fail everything", "flood of the least urgent work",
+		"flood of the most urgent work", "store down", "store slow", "store answer lost",
+		"lease lapsed while its holder is paused", "racing operators", "silent connection",
+		"zone cut off from other zones", "zone cut off from the platform", "entry instance replaced"}
+)
+
+// testNames returns the test functions of the module as package.TestName, each with the names of its subtests that are
+// string literals in it.
+func testNames(t *testing.T) map[string][]string {
+	names := map[string][]string{}
+	err := filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		for _, d := range file.Decls {
+			f, ok := d.(*ast.FuncDecl)
+			if !ok || f.Recv != nil || !strings.HasPrefix(f.Name.Name, "Test") {
+				continue
+			}
+			name := strings.TrimSuffix(file.Name.Name, "_test") + "." + f.Name.Name
+			names[name] = []string{}
+			ast.Inspect(f, func(node ast.Node) bool {
+				if l, ok := node.(*ast.BasicLit); ok && l.Kind == token.STRING {
+					names[name] = append(names[name], strings.ReplaceAll(strings.Trim(l.Value, "`\""), " ", "_"))
+				}
+				return true
+			})
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
+
+// Guards against a step or fault that the matrix leaves out, a test that does not exist, and a gap without a reason.
+func TestFaultMatrix(t *testing.T) {
+	page, err := os.ReadFile("../../docs/fault-matrix.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := testNames(t)
+	cell := regexp.MustCompile("^`([a-z]+\\.Test[A-Za-z0-9]+)(?:/([^`]+))?`$")
+	var steps []string
+	var tested, impossible, open int
+	for _, section := range strings.Split(string(page), "\n## ")[1:] {
+		step, table, _ := strings.Cut(section, "\n")
+		steps = append(steps, step)
+		var faults []string
+		for _, line := range strings.Split(table, "\n") {
+			columns := strings.Split(line, "|")
+			if len(columns) != 5 || strings.HasPrefix(line, "|---") || strings.TrimSpace(columns[2]) == "test" {
+				continue
+			}
+			fault, tests, note := strings.TrimSpace(columns[1]), strings.TrimSpace(columns[2]), strings.TrimSpace(columns[3])
+			faults = append(faults, fault)
+			switch {
+			case note == "":
+				t.Errorf("%s, %s: no note", step, fault)
+			case tests != "":
+				tested++
+			case strings.HasPrefix(note, "open:"):
+				open++
+			default:
+				impossible++
+			}
+			for _, name := range strings.Split(tests, ", ") {
+				match := cell.FindStringSubmatch(name)
+				if tests == "" {
+					continue
+				}
+				if match == nil {
+					t.Errorf("%s, %s: %q is not a test", step, fault, name)
+				} else if subtests, ok := known[match[1]]; !ok || (match[2] != "" && !slices.Contains(subtests, match[2])) {
+					t.Errorf("%s, %s: %s does not exist", step, fault, name)
+				}
+			}
+		}
+		if step != "pairs" && !slices.Equal(faults, matrixFaults) {
+			t.Errorf("%s got faults %q, want %q", step, faults, matrixFaults)
+		}
+	}
+	if !slices.Equal(steps, matrixSteps) {
+		t.Errorf("got sections %q, want %q", steps, matrixSteps)
+	}
+	t.Logf("%d cells tested, %d impossible, %d open", tested, impossible, open)
+}
