caller, claim: close the open cells of the request path

Cause: the fault matrix showed cells of request, claim, dispatch, answer and shutdown without a test.

Change: TestFloodWhileStopping floods an instance that stops while half of the callers leave, and TestFaultsAtShutdown injects each fault of the table at the last writes of the claim store.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -244,6 +245,57 @@
 	}
 }
 
+// A flood that waits when the entry instance stops, and of which half the callers leave, must end with the truth for each
+// request and leak nothing.
+func TestFloodWhileStopping(t *testing.T) {
+	for _, urgency := range []string{"batch", "urgent"} {
+		var runs sync.Map
+		b := newBench(t, newWorker(t, func(_ http.ResponseWriter, r *http.Request) {
+			runs.Store(r.URL.Path, true)
+			<-r.Context().Done()
+		}))
+		const count = 28 // 8 slots and 20 that wait
+		leaving, leave := context.WithCancel(t.Context())
+		defer leave()
+		var outcomes [count]string
+		var callers sync.WaitGroup
+		for i := range count {
+			callers.Go(func() {
+				ctx, path := t.Context(), fmt.Sprint("/svc/", i)
+				if i%2 == 0 {
+					ctx = leaving
+				}
+				request, _ := http.NewRequestWithContext(ctx, "POST", b.entry.URL+path, nil)
+				request.Header.Set(HeaderUrgency, urgency)
+				got := b.send(request)
+				outcomes[i] = got.refusal.Outcome
+				if i%2 != 0 && got.err != nil {
+					t.Errorf("%s: got %v, want a refusal", path, got.err)
+				}
+			})
+		}
+		until(func() bool { return b.handler.Client.Awaiting() == 8 && b.handler.running.count.Load() == count })
+		ctx, cancel := b.clock.WithTimeout(t.Context(), 3000)
+		defer cancel()
+		stopped := make(chan struct{})
+		go func() { b.handler.Stop(ctx); close(stopped) }()
+		until(func() bool { return b.handler.running.state.Load() == stateStopping })
+		leave()
+		b.clock.Advance(3000)
+		callers.Wait()
+		<-stopped
+		for i := 1; i < count; i += 2 {
+			_, ran := runs.Load(fmt.Sprint("/svc/", i))
+			if got := outcomes[i]; (got != "unknown" && got != "not-run") || (got == "not-run" && ran) {
+				t.Errorf("request %d got %q, ran %v", i, got, ran)
+			}
+		}
+		if b.handler.running.count.Load() != 0 || b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 {
+			t.Errorf("got %d in flight and %d free slots, want 0 and 8", b.handler.running.count.Load(), b.slots[0].Free())
+		}
+	}
+}
+
 // A worker that does not answer for 20 s must be waited for, or left for another one where the request may run again, and
 // a connection that never answers must end its request truthfully. Each slot must be free afterwards.
 func TestSlowAndSilent(t *testing.T) {
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -376,3 +376,43 @@
 		t.Errorf("claim after the refusal got %v, want a permit", refusal)
 	}
 }
+
+// Guards against a stop that hangs on a fault of the table, and against a key that runs again because the record of its
+// answer met that fault: the key must stay blocked or give the answer.
+func TestFaultsAtShutdown(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.Down, fault.LoseRequest, fault.LoseAnswer, "partition"} {
+		for _, count := range []int{1, 99} {
+			faults := &fault.Driver{}
+			p := memory.New(clock.NewFake(0), faults)
+			a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
+			a.Table = p.View("zone").Table()
+			d, _ := a.claim("k", "", 1)
+			if err := d.permit.Use(); err != nil {
+				t.Fatalf("Use got %v, want nil", err)
+			}
+			a.Finish("c", "k", NewAnswer(200, nil, nil))
+			if kind == "partition" {
+				faults.Partition("zone")
+			} else {
+				faults.Next(memory.StepCommit, kind, count)
+			}
+			stopping, stop := context.WithCancel(context.Background())
+			stop()
+			visits := faults.Visits(memory.StepCommit)
+			if err := a.Run(stopping); !errors.Is(err, context.Canceled) {
+				t.Errorf("%s: Run got %v, want canceled", kind, err)
+			}
+			if faults.Visits(memory.StepCommit) == visits {
+				t.Errorf("%s: the record was not written", kind)
+			}
+			if _, refusal := a.claim("new", "", 0); refusal == nil {
+				t.Errorf("%s: a claim after the stop got a place", kind)
+			}
+			faults.ClearAll()
+			again, refusal := b.claim("k", "", 1)
+			if _, recorded := again.Answer(); again.permit != nil || (!recorded && code(refusal) != CodeOutcomeUnknown.Number()) {
+				t.Errorf("%s, %d times: repeat got %v, want the answer or outcome unknown", kind, count, refusal)
+			}
+		}
+	}
+}
