--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
+	"time"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/result"
@@ -19,10 +21,8 @@
 // dispatch sends the request to a worker, and to another one where that cannot run it twice, and answers the caller.
 func (r *request) dispatch(ctx context.Context, permit *Permit, idempotent bool) {
 	h := r.handler
-	defer func() {
-		permit.Release()
-		r.wake(permit)
-	}()
+	r.permit = permit
+	defer r.releasePermit()
 	r.setStage(&stageDispatch)
 	r.route.budget.Request()
 	header := r.in.Header
@@ -32,6 +32,7 @@
 		header["User-Agent"] = []string{""} // keeps the transport from adding its own
 	}
 	var known *worker.Failure // of the attempts so far, the one that says most about a run
+	fresh := false            // the request was given up at a worker that did not begin its answer
 	for attempt := 1; ; attempt++ {
 		if r.claim != nil {
 			if err := r.claim.Use(); err != nil {
@@ -40,8 +41,15 @@
 				return
 			}
 		}
-		failure := r.attempt(ctx, permit.grant, header)
+		// Only one answer that does not begin is given up: where every worker is slow, further ones would be no faster.
+		var second *secondGrant
+		if idempotent && r.body.whole && attempt < maxAttempts && !fresh {
+			second = &secondGrant{request: r, first: permit.Worker()}
+		}
+		failure := r.attempt(ctx, permit.grant, header, second, fresh)
+		next := second.end()
 		if failure == nil {
+			release(next)
 			return
 		}
 		code := failure.Code()
@@ -53,20 +61,79 @@
 			r.claim.Undo()
 		}
 		failed := permit.Worker()
-		if attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
+		if next == nil && attempt < maxAttempts && ctx.Err() == nil && (idempotent || code.Outcome() == result.NotRun) &&
 			r.body.repeatable() && r.route.budget.Retry() {
-			if next, ok := h.Router.Acquire(r.route.pool.Name(), r.due, failed); ok {
-				permit.grant = next
-				header = header.Clone() // the transport may still read the old one
-				h.counters.retries.Add(1)
-				EventRetry.Log(ctx, h.Logger, slog.String("request", r.id), slog.String("failed", failed.ID()),
-					slog.String("next", next.Worker().ID()), slog.String("reason", code.Name()))
-				continue
-			}
+			next, _ = h.Router.Acquire(r.route.pool.Name(), r.due, failed)
 		}
-		r.fail(ctx, known)
-		return
+		if next == nil || ctx.Err() != nil {
+			release(next)
+			r.fail(ctx, known)
+			return
+		}
+		permit.grant = next
+		header = header.Clone() // the transport may still read the old one
+		fresh = fresh || code == worker.CodeNoAnswerYet
+		h.counters.retries.Add(1)
+		EventRetry.Log(ctx, h.Logger, slog.String("request", r.id), slog.String("failed", failed.ID()),
+			slog.String("next", next.Worker().ID()), slog.String("reason", code.Name()))
+	}
+}
+
+// releasePermit gives the slot and the quotas back; further calls have no effect.
+func (r *request) releasePermit() {
+	if p := r.permit; p != nil {
+		r.permit = nil
+		p.Release()
+		r.wake(p)
+	}
+}
+
+func release(g *routing.Grant) {
+	if g != nil {
+		g.Release(routing.Neutral, 0)
+	}
+}
+
+// secondGrant takes a slot on another worker when the first one does not begin its answer, so that the first attempt is
+// given up only where the request can be sent again.
+type secondGrant struct {
+	request *request
+	first   *routing.Worker
+
+	mu    sync.Mutex
+	ended bool
+	grant *routing.Grant
+}
+
+// take reports whether there is a slot on another worker; it is called from the timer of the connection.
+func (s *secondGrant) take() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.request
+	if s.ended || s.grant != nil {
+		return s.grant != nil && !s.ended
+	}
+	next, ok := r.handler.Router.Acquire(r.route.pool.Name(), r.due, s.first)
+	if !ok {
+		return false
+	}
+	if next.Worker() == s.first || !r.route.budget.Retry() {
+		release(next)
+		return false
+	}
+	s.grant = next
+	return true
+}
+
+// end ends the attempt and returns the slot that was taken, or nil.
+func (s *secondGrant) end() *routing.Grant {
+	if s == nil {
+		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return s.grant
 }
 
 // certainty orders codes by how certain it is that the request ran.
@@ -118,7 +185,8 @@
 }
 
 // attempt sends the request to one worker. Without a failure the caller has been answered.
-func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header) *worker.Failure {
+func (r *request) attempt(ctx context.Context, grant *routing.Grant, header http.Header, second *secondGrant,
+	fresh bool) *worker.Failure {
 	h := r.handler
 	w := grant.Worker()
 	ctx, span := h.Tracer.Start(ctx, trace.HopDispatch)
@@ -134,9 +202,13 @@
 	out.Body = r.body.reader()
 	out.ContentLength = r.body.length
 	out.TransferEncoding, out.Trailer, out.Close, out.RequestURI = nil, nil, false, ""
-	answer, failure := h.Client.Target(w).Do(out, r.id, r.body.whole)
+	options := worker.Options{ID: r.id, Whole: r.body.whole, Fresh: fresh}
+	if second != nil {
+		options.GiveUp = second.take
+	}
+	answer, failure := h.Client.Target(w).Do(out, options)
 	if failure == nil {
-		failure = r.deliver(answer, grant, started)
+		failure = r.deliver(ctx, answer, grant, started)
 	}
 	if failure != nil {
 		span.Fail(failure.Code().Name())
@@ -154,7 +226,7 @@
 
 // deliver gives the answer to the caller: from memory when it fits in there, and otherwise as it arrives. A failure is
 // returned only while nothing was written to the caller.
-func (r *request) deliver(answer *worker.Answer, grant *routing.Grant, started clock.Millis) *worker.Failure {
+func (r *request) deliver(ctx context.Context, answer *worker.Answer, grant *routing.Grant, started clock.Millis) *worker.Failure {
 	h := r.handler
 	if answer.Leaving() {
 		h.Router.MarkLeaving(grant.Worker())
@@ -180,7 +252,8 @@
 	copyAnswer(header, answer.Header())
 	if whole {
 		answer.Close()
-		grant.Release(outcome, h.Clock.Now()-started) // a slow caller keeps no slot
+		grant.Release(outcome, h.Clock.Now()-started)
+		r.releasePermit() // a slow caller keeps no slot and no quota
 	}
 	r.record(answer, header, held.data, whole)
 	r.mark(header, CodeAnswered)
@@ -191,10 +264,20 @@
 	for name := range answer.Trailer() {
 		header.Add("Trailer", name) // announced trailers make the server send chunks
 	}
+	if !whole || len(held.data) > serverBuffer {
+		end := r.endWritesWith(ctx)
+		defer end()
+	}
 	r.writer.WriteHeader(answer.Status())
 	if len(held.data) > 0 {
 		_, err = r.writer.Write(held.data)
 	}
+	if whole && err != nil {
+		h.counters.aborted.Add(1)
+		EventAborted.Log(r.in.Context(), h.Logger, slog.String("request", r.id), slog.String("error", err.Error()))
+		r.span.Fail("aborted")
+		panic(http.ErrAbortHandler)
+	}
 	if !whole {
 		r.stream(answer, grant, started, outcome, err)
 	}
@@ -214,6 +297,31 @@
 	return nil
 }
 
+// serverBuffer is the buffer of net/http for an answer; smaller bodies are written after the handler has returned.
+const serverBuffer = 2 << 10
+
+// endWritesWith makes writes to the caller fail once ctx has ended, so that a caller that does not read holds no memory
+// and no slot past its deadline. end stops that; it must be called before the handler returns, because the connection
+// may then serve the next request, and it aborts the connection when the time has passed.
+func (r *request) endWritesWith(ctx context.Context) (end func()) {
+	controller := http.NewResponseController(r.writer)
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		if context.Cause(ctx) != errCut { // a stop sets its own time
+			_ = controller.SetWriteDeadline(time.Unix(1, 0))
+		}
+	})
+	return func() {
+		if !stop() {
+			<-done
+			if context.Cause(ctx) == context.DeadlineExceeded {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
 // record keeps the answer with the claim.
 func (r *request) record(answer *worker.Answer, header http.Header, data []byte, whole bool) {
 	if r.claim == nil {
--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -156,6 +157,228 @@
 	}
 }
 
+// A caller that does not read its answer must hold no slot and no quota once the answer is in memory, and neither a slot
+// nor memory past its deadline.
+func TestSlowCaller(t *testing.T) {
+	for _, size := range []int{1 << 20, 64 << 20} { // buffered and streamed; the first may fit into the socket
+		b := newBench(t, newWorker(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }))
+		c, err := net.Dial("tcp", address(b.entry))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(c, "GET /svc HTTP/1.1\r\nHost: x\r\n\r\n")
+		until(func() bool {
+			found := b.handler.counters.answers.Value() == 1
+			b.handler.running.each(func(r *request) { found = found || r.stage.Load() == &stageAnswer })
+			return found
+		})
+		if size == 1<<20 {
+			until(func() bool { return b.slots[0].Free() == 8 })
+		}
+		b.clock.Advance(10000)
+		until(func() bool { return b.handler.running.count.Load() == 0 })
+		if b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 {
+			t.Errorf("got %d free slots and %d bytes held after the deadline, want 8 and 0", b.slots[0].Free(), b.handler.memory.used.Load())
+		}
+	}
+}
+
+// A fault at the claim, at the dispatch or in the answer must end the request with the truth and leak nothing, in normal
+// work and while the entry instance stops.
+func TestFaultsAtEachStep(t *testing.T) {
+	for _, c := range []struct {
+		name, raw    string // the bytes that the worker answers before it closes the connection
+		hangs        bool   // until the deadline or the cut
+		claim        bool   // the claim hangs
+		working      *result.Code
+		whileStopped *result.Code
+		runs         int64
+	}{
+		{name: "store slow", hangs: true, claim: true, working: CodeTooLate, whileStopped: CodeStopping},
+		{name: "silent connection", hangs: true, working: worker.CodeDeadline, whileStopped: CodeCut, runs: 1},
+		{name: "worker lost", working: worker.CodeBroken, whileStopped: worker.CodeBroken, runs: 1},
+		{name: "worker lost in the answer", raw: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+			working: worker.CodeTruncated, whileStopped: worker.CodeTruncated, runs: 1},
+		{name: "worker fails", raw: "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", runs: 1},
+	} {
+		for _, stopping := range []bool{false, true} {
+			var runs atomic.Int64
+			gate := make(chan struct{})
+			b := newBench(t, newWorker(t, func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				select {
+				case <-gate:
+					hijack(w, c.raw)
+				case <-r.Context().Done():
+				}
+			}))
+			b.claims.block = c.claim
+			ended := make(chan reply, 1)
+			go func() { ended <- b.do("POST", "/svc", "", HeaderCaller, "alice", key, "k") }()
+			until(func() bool {
+				claiming := false
+				b.handler.running.each(func(r *request) { claiming = claiming || r.stage.Load() == &stageClaim })
+				return b.handler.Client.Awaiting() == 1 || (c.claim && claiming)
+			})
+			want, wait := c.working, 10*clock.Second
+			if stopping {
+				want, wait = c.whileStopped, 3*clock.Second
+				ctx, cancel := b.clock.WithTimeout(t.Context(), wait)
+				defer cancel()
+				go b.handler.Stop(ctx)
+				until(func() bool { return b.handler.running.state.Load() == stateStopping })
+			}
+			if c.hangs {
+				b.clock.Advance(wait)
+			} else {
+				close(gate)
+			}
+			got := <-ended
+			if want != nil {
+				got.is(t, want)
+			} else if got.status != 500 || got.header.Get(HeaderOutcome) != "ran" {
+				t.Errorf("%s: got %+v, want the worker's 500", c.name, got)
+			}
+			until(func() bool { return b.handler.running.count.Load() == 0 })
+			if b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 || runs.Load() != c.runs {
+				t.Errorf("%s: got %d free slots, %d bytes held, %d runs, want 8, 0, %d", c.name, b.slots[0].Free(),
+					b.handler.memory.used.Load(), runs.Load(), c.runs)
+			}
+		}
+	}
+}
+
+// A flood that waits when the entry instance stops, and of which half the callers leave, must end with the truth for each
+// request and leak nothing.
+func TestFloodWhileStopping(t *testing.T) {
+	for _, urgency := range []string{"batch", "urgent"} {
+		var runs sync.Map
+		b := newBench(t, newWorker(t, func(_ http.ResponseWriter, r *http.Request) {
+			runs.Store(r.URL.Path, true)
+			<-r.Context().Done()
+		}))
+		const count = 28 // 8 slots and 20 that wait
+		leaving, leave := context.WithCancel(t.Context())
+		defer leave()
+		var outcomes [count]string
+		var callers sync.WaitGroup
+		for i := range count {
+			callers.Go(func() {
+				ctx, path := t.Context(), fmt.Sprint("/svc/", i)
+				if i%2 == 0 {
+					ctx = leaving
+				}
+				request, _ := http.NewRequestWithContext(ctx, "POST", b.entry.URL+path, nil)
+				request.Header.Set(HeaderUrgency, urgency)
+				got := b.send(request)
+				outcomes[i] = got.refusal.Outcome
+				if i%2 != 0 && got.err != nil {
+					t.Errorf("%s: got %v, want a refusal", path, got.err)
+				}
+			})
+		}
+		until(func() bool { return b.handler.Client.Awaiting() == 8 && b.handler.running.count.Load() == count })
+		ctx, cancel := b.clock.WithTimeout(t.Context(), 3000)
+		defer cancel()
+		stopped := make(chan struct{})
+		go func() { b.handler.Stop(ctx); close(stopped) }()
+		until(func() bool { return b.handler.running.state.Load() == stateStopping })
+		leave()
+		b.clock.Advance(3000)
+		callers.Wait()
+		<-stopped
+		for i := 1; i < count; i += 2 {
+			_, ran := runs.Load(fmt.Sprint("/svc/", i))
+			if got := outcomes[i]; (got != "unknown" && got != "not-run") || (got == "not-run" && ran) {
+				t.Errorf("request %d got %q, ran %v", i, got, ran)
+			}
+		}
+		if b.handler.running.count.Load() != 0 || b.slots[0].Free() != 8 || b.handler.memory.used.Load() != 0 {
+			t.Errorf("got %d in flight and %d free slots, want 0 and 8", b.handler.running.count.Load(), b.slots[0].Free())
+		}
+	}
+}
+
+// A worker that does not answer for 20 s must be waited for, or left for another one where the request may run again, and
+// a connection that never answers must end its request truthfully. Each slot must be free afterwards.
+func TestSlowAndSilent(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		workers      int
+		spent        bool // the retry budget
+		silent       bool // the first worker never answers
+		code         *result.Code
+		runs         int64
+	}{
+		{"computes, not idempotent", "POST", 2, false, false, nil, 1},
+		{"computes, idempotent", "PUT", 2, false, false, nil, 2},
+		{"computes, no other worker", "PUT", 1, false, false, nil, 1},
+		{"computes, no budget", "PUT", 2, true, false, nil, 1},
+		{"silent, not idempotent", "POST", 2, false, true, worker.CodeDeadline, 1},
+		{"silent, idempotent", "PUT", 2, false, true, nil, 2},
+		{"silent, no other worker", "PUT", 1, false, true, worker.CodeDeadline, 1},
+		{"silent, no budget", "PUT", 2, true, true, worker.CodeDeadline, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			release := make(chan struct{})
+			behave := func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if n := runs.Add(1); n == 1 && c.silent {
+					<-r.Context().Done()
+					return
+				}
+				select {
+				case <-release:
+					_, _ = w.Write(body)
+				case <-r.Context().Done():
+				}
+			}
+			var addresses []string
+			for range c.workers {
+				addresses = append(addresses, newWorker(t, behave))
+			}
+			b := newBench(t, addresses...)
+			b.clock.Advance(500)
+			pass := func(d clock.Millis) { // the budget is used up in the second in which the time has passed
+				b.clock.Advance(d - 250)
+				for c.spent && b.handler.current().services["svc"].budget.Retry() {
+				}
+				b.clock.Advance(250)
+			}
+			ended := make(chan reply, 1)
+			go func() { ended <- b.do(c.method, "/svc", "question", HeaderDeadline, "30000") }()
+			sent := func(n int64) { until(func() bool { return runs.Load() == n && b.handler.Client.Awaiting() == 1 }) }
+			sent(1)
+			pass(5000)
+			sent(c.runs)
+			for range 4 {
+				pass(5000)
+			}
+			if c.code != nil {
+				pass(5000)
+				(<-ended).is(t, c.code)
+			} else {
+				close(release)
+				if got := <-ended; got.err != nil || got.body != "question" {
+					t.Errorf("got %+v, want the whole answer", got)
+				}
+			}
+			until(func() bool { return b.handler.running.count.Load() == 0 })
+			for i, s := range b.slots {
+				if s.Free() != 8 {
+					t.Errorf("worker %d got %d free slots, want 8", i, s.Free())
+				}
+			}
+			if got := runs.Load(); got != c.runs {
+				t.Errorf("got %d runs, want %d", got, c.runs)
+			}
+		})
+	}
+}
+
 // Large answers and bodies must pass whole within the memory budget, and a cut one must break the caller's connection.
 func TestLargeBodies(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789abcdef"), 3<<16) // 3 MiB
@@ -483,6 +706,48 @@
 	}
 }
 
+// A stop that is cut must end what runs at once with the truth, in the leave time and in the grace time alike.
+func TestServerCut(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		reached := make(chan struct{}, 1)
+		b := newBench(t, newWorker(t, func(_ http.ResponseWriter, r *http.Request) {
+			reached <- struct{}{}
+			<-r.Context().Done()
+		}))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		cut, ended := make(chan struct{}), make(chan error, 1)
+		s := &Server{Handler: b.handler, Listener: listener, LeaveFor: 3000, Cut: cut}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { ended <- s.Run(ctx) }()
+		running := make(chan reply, 1)
+		go func() {
+			request, _ := http.NewRequest("POST", "http://"+listener.Addr().String()+"/svc", nil)
+			running <- b.send(request)
+		}()
+		<-reached
+		until(func() bool { return b.handler.Client.Awaiting() == 1 })
+		waiters := b.clock.Waiters()
+		cancel()
+		until(func() bool { return b.handler.running.state.Load() == stateLeaving && b.clock.Waiters() > waiters })
+		if !leaving {
+			b.clock.Advance(3000)
+			until(func() bool { return b.handler.running.state.Load() == stateStopping })
+		}
+		close(cut)
+		(<-running).is(t, CodeCut)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if got := s.Cuts(); len(got) != 1 || got[0].Stage() != stageDispatch {
+			t.Errorf("got %+v, want one request cut in dispatch", got)
+		}
+	}
+}
+
 // The quota of a team and the limit of a pool must bound permits and be given back, also when no worker is free.
 func TestQuotas(t *testing.T) {
 	b := newBench(t, newWorker(t, func(http.ResponseWriter, *http.Request) {}))
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"magnoliaferry/clock"
+	"magnoliaferry/event"
 	"magnoliaferry/result"
 )
 
@@ -41,6 +42,7 @@
 	m.Set("answers-aborted", &h.counters.aborted)
 	m.Set("requests-cut", &h.counters.cut)
 	m.Set("in-flight", expvar.Func(func() any { return h.running.count.Load() }))
+	m.Set("awaiting-answers", expvar.Func(func() any { return h.Client.Awaiting() }))
 	m.Set("buffered-bytes", expvar.Func(func() any { return h.memory.used.Load() }))
 	m.Set("silent-connections", expvar.Func(func() any { return h.Client.Silences() }))
 	return m
@@ -211,6 +213,11 @@
 	LeaveFor clock.Millis
 	// Grace is how long requests in flight may take after that; 0 means the longest deadline.
 	Grace clock.Millis
+	// Cut ends the stop at once when it is closed: the requests in flight are cut and reported. Nil never does.
+	Cut <-chan struct{}
+
+	mu   sync.Mutex
+	cuts []Cut
 }
 
 const (
@@ -226,10 +233,31 @@
 // Name returns the name of the module.
 func (s *Server) Name() string { return "caller" }
 
+// Cuts returns the requests that were cut at the stop so far.
+func (s *Server) Cuts() []Cut {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts
+}
+
+// cutWith derives a context that also ends when Cut is closed.
+func (s *Server) cutWith(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-s.Cut:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // Run serves until the context ends, tells the balancer, finishes what runs and logs what was cut.
 func (s *Server) Run(ctx context.Context) error {
 	h := s.Handler
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	messages := slog.NewLogLogger(event.Handler(h.Logger, EventServer), EventServer.Level())
+	server := &http.Server{Handler: h, ErrorLog: messages, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(s.Listener) }()
@@ -238,19 +266,23 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+	case <-s.Cut:
 	}
 	rest := context.WithoutCancel(ctx)
+	patient, impatient := s.cutWith(rest)
+	defer impatient()
 	h.Leave()
-	if err := h.Clock.Sleep(rest, s.LeaveFor); err != nil {
-		return err
-	}
+	_ = h.Clock.Sleep(patient, s.LeaveFor) // ends early only when the stop is cut
 	grace := s.Grace
 	if grace == 0 {
 		grace = maxDeadline
 	}
-	bounded, cancel := h.Clock.WithTimeout(rest, grace)
+	bounded, cancel := h.Clock.WithTimeout(patient, grace)
 	defer cancel()
 	cuts := h.Stop(bounded)
+	s.mu.Lock()
+	s.cuts = cuts
+	s.mu.Unlock()
 	EventStopped.Log(rest, h.Logger, slog.Int("cut", len(cuts)))
 	// Every handler has ended; what is left are idle connections and the last bytes of answers.
 	closing, cancelClosing := context.WithTimeout(rest, cutWrite)
--- a/command/serve.go
+++ b/command/serve.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"log"
 	"log/slog"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"magnoliaferry/entry"
+	"magnoliaferry/event"
 	_ "magnoliaferry/memory" // registers the platform plug-in "memory"
 	"magnoliaferry/platform"
 	_ "magnoliaferry/platformhttp" // registers the platform plug-in "http"
 	"magnoliaferry/settings"
 )
 
+var eventLibrary = event.New(1150, "library-message", slog.LevelWarn, "a library reports")
+
 // ServeOptions are the options of serve, which runs one entry instance.
 type ServeOptions struct {
 	Settings settings.Settings
@@ -22,7 +26,7 @@
 func init() {
 	Register("serve", func(app *kingpin.Application) (*kingpin.CmdClause, RunFunc) {
 		var file string
-		c := app.Command("serve", "Run an entry instance until SIGTERM; it then leaves and finishes what runs.")
+		c := app.Command("serve", "Run an entry instance until SIGTERM; it then leaves and finishes what runs. A second signal ends it at once.")
 		c.Flag("settings", "Settings of the process (JSON).").Required().StringVar(&file)
 		return c, func(ctx context.Context, env *Environment) error {
 			read, faults := settings.Read(file)
@@ -34,13 +38,16 @@
 	})
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends and what runs has finished, or until the environment cuts it.
 func (o ServeOptions) Run(ctx context.Context, env *Environment) error {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(o.Settings.LogLevel)); err != nil {
 		return usageError{err}
 	}
 	logger := slog.New(slog.NewJSONHandler(env.Err, &slog.HandlerOptions{Level: level}))
-	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger}
+	// The HTTP client has no logger of its own and writes, for example, answers that nobody asked for to the standard log.
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(event.Handler(logger, eventLibrary), eventLibrary.Level()).Writer())
+	instance := &entry.Instance{Settings: o.Settings, Platform: o.Platform, Logger: logger, Cut: env.Cut}
 	return instance.Run(ctx)
 }
