measure: drive the control loops through a roll-out on both example fleets

The weights and the budget rule had no figures from real control loops.

Three fleet.Loop on memory.Store run on a fake clock in one goroutine, with requests in flight that decay and a platform that reports the real size of tasks.

--- /dev/null
+++ b/measure/fleet_tasks.go
@@ -0,0 +1,178 @@
+package measure
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/config"
+	"magnoliaferry/platform"
+)
+
+// fakeJob is what a job really needs, and what became of it.
+type fakeJob struct {
+	fields    config.JobFields
+	cores     int
+	memoryMB  int
+	work      clock.Millis // left at full speed
+	runTime   clock.Millis // at full speed, from start to end
+	submitted clock.Millis
+	first     clock.Millis // first start; 0 for none
+	ended     clock.Millis // 0 for not yet
+	starts    int
+	cancelled bool
+	after     int // starts after its cancellation
+}
+
+type fakeTask struct {
+	id, instance string
+	job          *fakeJob
+	percent      int
+}
+
+// taskWorld runs the tasks that the platform was told to start, with their real sizes and run times.
+type taskWorld struct {
+	s     *fleetSim
+	jobs  map[string]*fakeJob
+	tasks map[string]*fakeTask
+}
+
+func newTaskWorld(s *fleetSim) taskWorld {
+	return taskWorld{s: s, jobs: map[string]*fakeJob{}, tasks: map[string]*fakeTask{}}
+}
+
+// submit declares a job whose real size and run time are between a third and three times the declared ones.
+func (t *taskWorld) submit(f config.JobFields) {
+	s := t.s
+	real := func(declared int) int {
+		return max(int(float64(declared)*(1+2*s.random.Float64()))/(1+2*s.random.IntN(2)), 1)
+	}
+	p := s.fields.Pools[slices.IndexFunc(s.fields.Pools, func(p config.PoolFields) bool { return p.Name == f.Pool })]
+	j := &fakeJob{fields: f, cores: min(real(f.Cores), p.Cores), memoryMB: min(real(f.MemoryMB), p.MemoryMB/2),
+		work: clock.Millis(real(int(f.RunTime))), submitted: s.clock.Now()}
+	j.runTime = j.work
+	t.jobs[f.Name] = j
+	s.fields.Jobs = append(slices.Clone(s.fields.Jobs), f)
+	s.config = nil
+}
+
+func (t *taskWorld) running(instance string) (count int) {
+	for _, task := range t.tasks {
+		if task.instance == instance {
+			count++
+		}
+	}
+	return count
+}
+
+// begin notes a task that the platform started.
+func (t *taskWorld) begin(id, instance string) {
+	name, _, _ := strings.Cut(id, "/")
+	j := t.jobs[name]
+	if _, known := t.tasks[id]; known || j == nil {
+		return
+	}
+	t.tasks[id] = &fakeTask{id: id, instance: instance, job: j, percent: 100}
+	if j.starts++; j.starts == 1 {
+		j.first = t.s.clock.Now()
+	}
+	if j.cancelled {
+		j.after++
+	}
+}
+
+// advance runs every task for one tick.
+func (t *taskWorld) advance() {
+	for _, id := range slices.Sorted(maps.Keys(t.tasks)) {
+		task := t.tasks[id]
+		if t.s.failing[task.instance] {
+			t.s.store.SetTaskState(id, platform.TaskFailed, "exit 1")
+			delete(t.tasks, id)
+			continue
+		}
+		if task.job.work -= fleetTick * clock.Millis(task.percent) / 100; task.job.work <= 0 {
+			t.s.store.SetTaskState(id, platform.TaskSucceeded, "")
+			task.job.ended = t.s.clock.Now()
+			delete(t.tasks, id)
+		}
+	}
+}
+
+// lose ends the tasks of an instance that is gone; they go on from their last checkpoint.
+func (t *taskWorld) lose(instance string) {
+	for id, task := range t.tasks {
+		if task.instance == instance {
+			t.s.store.SetTaskState(id, platform.TaskStopped, "worker lost")
+			delete(t.tasks, id)
+		}
+	}
+}
+
+// taskPlatform passes orders for tasks on to the platform in memory and reports their real usage.
+type taskPlatform struct {
+	platform.Platform
+	s *fleetSim
+}
+
+// Tasks implements platform.Platform.
+func (p taskPlatform) Tasks() platform.Tasks { return realTasks{p.Platform.Tasks(), p.s} }
+
+type realTasks struct {
+	platform.Tasks
+	s *fleetSim
+}
+
+// Start implements platform.Tasks.
+func (r realTasks) Start(ctx context.Context, request platform.TaskRequest) error {
+	before := r.s.store.Starts(request.ID())
+	err := r.Tasks.Start(ctx, request)
+	if r.s.store.Starts(request.ID()) > before {
+		r.s.tasks.begin(request.ID(), request.Instance())
+	}
+	return err
+}
+
+// Checkpoint implements platform.Tasks.
+func (r realTasks) Checkpoint(ctx context.Context, id string) error {
+	err := r.Tasks.Checkpoint(ctx, id)
+	if err == nil {
+		delete(r.s.tasks.tasks, id)
+	}
+	return err
+}
+
+// Stop implements platform.Tasks.
+func (r realTasks) Stop(ctx context.Context, id string) error {
+	err := r.Tasks.Stop(ctx, id)
+	if err == nil {
+		delete(r.s.tasks.tasks, id)
+	}
+	return err
+}
+
+// Throttle implements platform.Tasks.
+func (r realTasks) Throttle(ctx context.Context, id string, percent int) error {
+	err := r.Tasks.Throttle(ctx, id, percent)
+	if task := r.s.tasks.tasks[id]; err == nil && task != nil {
+		task.percent = percent
+	}
+	return err
+}
+
+// Usage implements platform.Tasks.
+func (r realTasks) Usage(ctx context.Context, instance string) ([]platform.TaskUsage, error) {
+	if r.s.down[instance].ID() != "" {
+		return nil, platform.ErrUnavailable.New("instance %q does not report", instance)
+	}
+	reports, err := r.Tasks.Usage(ctx, instance)
+	for i, u := range reports {
+		if j := r.s.tasks.jobs[u.Fields().Job]; j != nil {
+			f := u.Fields()
+			f.CoresPct, f.MemoryMB = 100*j.cores, j.memoryMB
+			reports[i] = platform.NewTaskUsage(f)
+		}
+	}
+	return reports, err
+}
