slots, peer: lend for as long as the longest deadline

Change: a loan lasts at most 30 s, the longest deadline; unused slots come back within a second since loans are given back; the quarantine of a departed member covers what it lent.

--- a/peer/loans.go
+++ b/peer/loans.go
@@ -15,7 +15,7 @@
 	// lendersAsked bounds the members that are asked in one round.
 	lendersAsked = 3
 	maxWants     = 64
-	maxLoan      = 10 * clock.Second
+	maxLoan      = 30 * clock.Second
 	// maxUnits bounds the units of one want or loan.
 	maxUnits = 1 << 20
 	// givePeriod is the time between two rounds that give slots back.
--- a/slots/ledger.go
+++ b/slots/ledger.go
@@ -13,7 +13,9 @@
 
 // Times of loans.
 const (
-	LoanPeriod = 10 * clock.Second
+	// LoanPeriod is the longest deadline of a request: loans of 10 s could not serve requests with the default deadline of
+	// 10 s. Slots that the borrower does not use come back within a second.
+	LoanPeriod = LongestDeadline
 	// loanMargin is how much longer the lender keeps lent slots back. The borrower counts the period from before its
 	// question, so the margin only has to cover clocks that run at different rates: 1% of the period.
 	loanMargin = LoanPeriod / 100
--- a/slots/roster.go
+++ b/slots/roster.go
@@ -15,8 +15,9 @@
 	LeasePeriod     = 5 * clock.Second
 	LongestDeadline = 30 * clock.Second
 	// Quarantine is how long the slots of a departed member stay unused, if the table answers. The member dispatches
-	// for at most the lease period after its removal, and what it dispatched ends by the longest deadline.
-	Quarantine = LeasePeriod + LongestDeadline
+	// and lends for at most the lease period after its removal; what it dispatched ends by the longest deadline, and what
+	// it lent by the end of the loan.
+	Quarantine = LeasePeriod + LongestDeadline + loanMargin
 )
 
 // ConnectionsPerSlot is how many connections come with each slot held.
