worker: count a request as awaiting only once its write has ended

Cause: Client.Awaiting counted a request between the change of its state and the start of its write, and before a read waited. Tests that advanced the fake clock then met the progress deadline too early or too late: TestFaultsAtEachStep failed once in 12 and once in 25 runs (the second time because it did not wait for the worker to begin), and TestSlowAndSilent hung once in 30 runs.

Change: a write is marked before the state changes, awaiting also wants a waiting read, and TestFaultsAtEachStep waits for the worker.

Conclusion: the fake clock moves only when the request waits.

--- a/caller/failure_test.go
+++ b/caller/failure_test.go
@@ -215,7 +215,7 @@
 			until(func() bool {
 				claiming := false
 				b.handler.running.each(func(r *request) { claiming = claiming || r.stage.Load() == &stageClaim })
-				return b.handler.Client.Awaiting() == 1 || (c.claim && claiming)
+				return (b.handler.Client.Awaiting() == 1 && runs.Load() == c.runs) || (c.claim && claiming)
 			})
 			want, wait := c.working, 10*clock.Second
 			if stopping {
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -92,18 +92,18 @@
 		e.state.CompareAndSwap(unsent, sealed)
 		return 0, errUnasked
 	}
+	c.writing.Store(true) // before the state, because awaiting reads the state first
+	defer c.writing.Store(false)
 	first := e.state.CompareAndSwap(unsent, sending)
 	if !first && e.state.Load() == sealed {
 		return 0, errSealed
 	}
-	c.writing.Store(true)
 	n, err := c.Conn.Write(b)
 	if n > 0 {
 		c.active.Store(int64(c.target.client.Clock.Now()))
 	} else if first && err != nil {
 		e.state.Store(sealed) // the kernel took nothing
 	}
-	c.writing.Store(false)
 	return n, err
 }
 
@@ -131,7 +131,8 @@
 // awaiting reports whether a request was sent and no byte of its answer has arrived.
 func (c *conn) awaiting() bool {
 	e := c.exchange.Load()
-	return e != nil && e.state.Load() == sending && e.sent.Load() && !c.writing.Load() && e.answer.Load() == awaited
+	return e != nil && e.state.Load() == sending && e.sent.Load() && !c.writing.Load() &&
+		e.answer.Load() == awaited && c.reading.Load() != 0
 }
 
 // arm starts the timer of the connection unless it runs. One timer serves many requests: when it fires it looks at
