fleet: skip rows of changes that have not changed

A CPU profile of the measurement scenarios shows that Assignments.apply decodes every row changes/<zone> at every poll; this takes 15.1 of 28.3 s (53%), mostly for rows whose version is the one taken over last.

Assignments now remembers the version of each row and returns early for an unchanged one.

--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -58,6 +58,7 @@
 	polling   sync.Mutex // one poll at a time: routing, the control loop and operators all ask for polls
 	mu        sync.Mutex
 	sequences map[string]int64 // by zone
+	versions  map[string]int64 // of the rows taken over last, by zone
 	entries   map[string]entry
 	listed    map[string]platform.Instance
 	listedAll clock.Millis
@@ -159,10 +160,14 @@
 func (a *Assignments) apply(zone string, row platform.Row) (complete bool, err error) {
 	a.mu.Lock()
 	known, followed := a.sequences[zone]
+	unchanged := followed && row.Version() > 0 && a.versions[zone] == row.Version()
 	a.mu.Unlock()
 	if !followed {
 		return false, nil
 	}
+	if unchanged {
+		return true, nil // decoding rows that had not changed took half of the CPU time of a pass over 50 workers
+	}
 	var changes changesRow
 	if err := decode(row, &changes); err != nil {
 		return false, err
@@ -180,6 +185,10 @@
 		a.store(c.Record)
 	}
 	a.sequences[zone] = changes.Sequence
+	if a.versions == nil {
+		a.versions = map[string]int64{}
+	}
+	a.versions[zone] = row.Version()
 	return true, nil
 }
 
