measure: test that the fleet counters see violations

Budget violations and requests cut are 0 in every measured row, so that a broken counter would not show.

A test writes the drain and the reboot of a whole pool past the control loops and expects one violation and every request of the pool cut. go test -race ./measure passes; no figure changes.

The zeros in docs/measurements/fleet.md come from counters that can count.

--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"testing"
 
 	"magnoliaferry/clock"
+	"magnoliaferry/examples"
+	"magnoliaferry/planner"
+	"magnoliaferry/platform"
 )
 
 // fleetOnce runs a scenario of the first fleet.
@@ -50,3 +54,35 @@
 		}
 	}
 }
+
+// Guards against counters that miss a drain beyond the budget or a reboot that interrupts requests: the rows are written
+// past the control loops.
+func TestFleetCountersSeeViolations(t *testing.T) {
+	s := newFleetSim(examples.KervanEtki, weightsOf(examples.KervanEtki), 1)
+	write := func(phase planner.Phase) {
+		for id, r := range s.records {
+			if r.Pool != "citation" {
+				continue
+			}
+			r.Phase = phase
+			body, err := json.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			put := platform.Put("instance/"+id, body, platform.AnyVersion)
+			if err := s.store.View("").Table().Commit(s.ctx, platform.NewTransaction("test-"+id, put)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.observe()
+	}
+	if s.requests(); s.violations != 0 || s.cut != 0 {
+		t.Fatalf("before: got %d violations and %d requests cut, want 0 and 0", s.violations, s.cut)
+	}
+	if write(planner.Draining); s.violations != 1 {
+		t.Errorf("budget violations after a drain of the whole pool: got %d, want 1", s.violations)
+	}
+	if write(planner.Rebooting); s.cut != s.demand["citation"] {
+		t.Errorf("requests cut: got %d, want the demand of %d", s.cut, s.demand["citation"])
+	}
+}
