fleet: inject every fault at every step of the fleet's operations

Cause: the random test covers combinations, but nothing showed that each fault was met at each step of maintenance, moves, jobs and cancellations. Change: TestFaultsAtEachStep begins 13 faults after 0 to 7 passes of 4 operations, with requests in flight, and checks the invariants after each write and the recovery at the end. Conclusion: the cells of the fault matrix for drain, reboot, return, move, place, start and cancel can name a test.

--- /dev/null
+++ b/fleet/fault_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/fault"
+	"magnoliaferry/jobs"
+	"magnoliaferry/memory"
+	"magnoliaferry/planner"
+)
+
+// operations are what the control loop carries out in several steps. Each begins with an order or a demand, and done tells
+// whether it was carried out.
+var operations = map[string]struct {
+	begin func(m *machine)
+	done  func(m *machine) bool
+}{
+	"maintenance": { // drain, reboot, return
+		func(m *machine) { _ = m.desks[1].Drain(m.ctx, "w00", false) },
+		func(m *machine) bool { r := m.records()["w00"]; return r.Phase == planner.Serving },
+	},
+	"move": {
+		func(m *machine) { m.demand["p0"] = 60 },
+		func(m *machine) bool { clear(m.demand); return true },
+	},
+	"job": { // place, start
+		func(m *machine) { m.submit(); m.submit(); m.submit() },
+		func(m *machine) bool { return true },
+	},
+	"cancel": {
+		func(m *machine) {
+			m.submit()
+			for range 2 { // the row is written by the first pass
+				m.round()
+			}
+			if refused := m.desks[1].CancelJobs(m.ctx, "op", "j0"); refused["j0"] == nil {
+				if r := read[jobs.RecordFields](m.world, jobPrefix)["j0"]; r.State == jobs.Cancelled {
+					m.cancelled["j0"] = m.startsOf(r)
+				}
+			}
+		},
+		func(m *machine) bool { return read[jobs.RecordFields](m.world, jobPrefix)["j0"].State.Ended() },
+	},
+}
+
+// faultsAtSteps begin a fault; settle ends them all.
+var faultsAtSteps = map[string]func(m *machine){
+	"store-down": func(m *machine) {
+		for _, step := range []string{memory.StepRead, memory.StepScan, memory.StepCommit} {
+			m.faults.Always(step, fault.Down, 0)
+		}
+	},
+	"store-slow":         func(m *machine) { m.gates[0].pauseAt = "read" },
+	"request-lost":       func(m *machine) { m.faults.Always(memory.StepCommit, fault.LoseRequest, 0) },
+	"store-answer-lost":  func(m *machine) { m.faults.Always(memory.StepCommit, fault.LoseAnswer, 0) },
+	"order-answer-lost":  func(m *machine) { m.loseOrders(fault.LoseAnswer) },
+	"orders-refused":     func(m *machine) { m.loseOrders(fault.Down) },
+	"holder-paused":      func(m *machine) { m.pauseAll(false) },
+	"paused-after-write": func(m *machine) { m.pauseAll(true) },
+	"zone-cut-off":       func(m *machine) { m.faults.Partition(zoneNames[0]); m.faults.Partition(zoneNames[1]) },
+	"entry-replaced":     func(m *machine) { m.restart(0); m.restart(1) },
+	"racing-operators": func(m *machine) {
+		for i := range 3 {
+			_ = m.desks[i].Drain(m.ctx, m.instance(i), false)
+			m.desks[i].CancelJobs(m.ctx, "other", "j0")
+			_ = m.desks[i].Wave(m.ctx, "p0", WaveStart, "other")
+		}
+	},
+	"rack-lost":    func(m *machine) { m.fail(zoneNames[0], zoneNames[0]+"0", "") },
+	"workers-sick": func(m *machine) { m.sick["w00"], m.sick["w04"] = true, true },
+}
+
+func (m *machine) loseOrders(kind fault.Kind) {
+	for _, step := range []string{memory.StepDrain, memory.StepReboot, memory.StepStatus, memory.StepTaskStart,
+		memory.StepTaskControl} {
+		m.faults.Always(step, kind, 0)
+	}
+}
+
+// pauseAll pauses each loop at its next write, so that the holder of any lease is among them.
+func (m *machine) pauseAll(after bool) {
+	for _, g := range m.gates {
+		g.pauseAt, g.after = "commit", after
+	}
+}
+
+// round lets the entry instances dispatch and answer, and every loop make a pass.
+func (m *machine) round() {
+	for i := range m.entries {
+		if m.entries[i].Poll(m.ctx) == nil {
+			m.polled[i] = m.clock.Now()
+		}
+		m.dispatch(i)
+	}
+	for i := range m.loops {
+		m.pass(i)
+	}
+	m.clock.Advance(2 * clock.Second)
+	clear(m.inFlight)
+	m.check()
+}
+
+// Guards against a fault at any step of an operation that breaks an invariant or keeps the fleet from recovering: each
+// fault begins after every number of passes that the operation can take, lasts 12 s, which is longer than a lease, and
+// the invariants are checked after each write.
+func TestFaultsAtEachStep(t *testing.T) {
+	const passes = 8 // an operation takes at most this many passes of 2 s without faults
+	for operation, o := range operations {
+		for name, begin := range faultsAtSteps {
+			t.Run(operation+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				for at := range passes {
+					m := newMachine()
+					for range 20 {
+						m.round()
+					}
+					o.begin(m)
+					m.check()
+					for range at {
+						m.round()
+					}
+					begin(m)
+					m.check()
+					for range 6 {
+						m.round()
+					}
+					m.settle(t)
+					if !o.done(m) {
+						t.Errorf("fault after %d passes: %s was not carried out: %v", at, operation, m.records())
+					}
+					if len(m.violations) > 0 {
+						t.Fatalf("fault after %d passes: %s", at, fmt.Sprint(m.violations))
+					}
+				}
+			})
+		}
+	}
+}
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -246,7 +246,7 @@
 }
 
 // settle ends every fault and checks that the fleet recovers: all instances serve, all jobs end, and no pool is short.
-func (m *machine) settle(t *rapid.T) {
+func (m *machine) settle(t interface{ Fatalf(string, ...any) }) {
 	m.faults.ClearAll()
 	m.finishAll()
 	m.recover()
@@ -300,7 +300,7 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, arguments...))
 }
 
-func (w *world) report(t *rapid.T) {
+func (w *world) report(t interface{ Fatalf(string, ...any) }) {
 	if len(w.violations) > 0 {
 		t.Fatalf("%s", strings.Join(w.violations, "\n"))
 	}
--- a/slots/ledger_test.go
+++ b/slots/ledger_test.go
@@ -218,7 +218,7 @@
 		account.TryAcquire(LongestDeadline)
 	}
 	a.Borrow("x", "worker/w", 1, LoanPeriod/3)
-	if !account.TryAcquire(LoanPeriod/3) {
+	if !account.TryAcquire(LoanPeriod / 3) {
 		t.Fatalf("short request got no slot, want that of the loan")
 	}
 	account.Release()
