admission, worker: queue limits follow the configuration; sent data is acknowledged within 4 s

Change: Queue.SetLimits, called with each update of routing; TCP_USER_TIMEOUT of 4 s on connections to workers on Linux.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -90,6 +90,8 @@
 	// NoPrediction lets hopeless requests wait as well; measurements use it to see what early refusal is worth.
 	NoPrediction bool
 
+	limits atomic.Pointer[limits] // set by SetLimits; nil for MaxLength and MaxWait
+
 	pending atomic.Int32 // tickets between Enter and Wait that are in no list
 	listed  atomic.Int32 // tickets in the lists; changes under mu
 	ready   atomic.Int32 // listed tickets whose owner is in Wait; changes under mu
@@ -99,6 +101,30 @@
 	rate    rate
 }
 
+// limits are the bounds of a queue.
+type limits struct {
+	length int
+	wait   clock.Millis
+}
+
+// SetLimits replaces MaxLength and MaxWait while the queue is in use. Requests that wait already keep their place and
+// their time.
+func (q *Queue[G]) SetLimits(length int, wait clock.Millis) { q.limits.Store(&limits{length, wait}) }
+
+func (q *Queue[G]) maxLength() int {
+	if l := q.limits.Load(); l != nil {
+		return l.length
+	}
+	return q.MaxLength
+}
+
+func (q *Queue[G]) maxWait() clock.Millis {
+	if l := q.limits.Load(); l != nil {
+		return l.wait
+	}
+	return q.MaxWait
+}
+
 // class holds the waiting requests of one urgency.
 type class[G any] struct {
 	length  int
@@ -146,7 +172,7 @@
 	if now >= r.deadline {
 		return nil, refuseDeadline(r, now)
 	}
-	t := &Ticket[G]{queue: q, request: r, entered: now, expiry: min(r.deadline, now+q.MaxWait)}
+	t := &Ticket[G]{queue: q, request: r, entered: now, expiry: min(r.deadline, now+q.maxWait())}
 	// A quarter of the length may be between Enter and Wait outside of the lists. Beyond that every ticket is listed
 	// at once, so that the rules for a full queue apply to requests that wait for their claim as well. The count grows
 	// before listed is read, and list does the reverse, so that one of them sees the other and the bound holds.
@@ -245,7 +271,7 @@
 	return int(q.listed.Load() + q.pending.Load())
 }
 
-func (q *Queue[G]) pendingLimit() int { return (q.MaxLength + 3) / 4 }
+func (q *Queue[G]) pendingLimit() int { return (q.maxLength() + 3) / 4 }
 
 // fast takes a slot without the lock when nobody is ahead.
 func (t *Ticket[G]) fast(ctx context.Context, now clock.Millis) (grant G, ok bool) {
@@ -340,15 +366,15 @@
 		return result.Refuse(CodeWaitTooLong, detail, retryAfter(wait-(t.expiry-now)))
 	}
 	q.listed.Add(1)
-	if q.Length() > q.MaxLength {
+	if q.Length() > q.maxLength() {
 		q.dropExpired(now)
 	}
-	if q.Length() > q.MaxLength {
+	if q.Length() > q.maxLength() {
 		victim := q.victim(t.request)
 		if victim == nil {
 			countFull.Add(1)
 			q.listed.Add(-1)
-			detail := fmt.Sprintf("%d requests wait", q.MaxLength)
+			detail := fmt.Sprintf("%d requests wait", q.maxLength())
 			return result.Refuse(CodeQueueFull, detail, q.retryTime(now))
 		}
 		countDisplaced.Add(1)
@@ -470,7 +496,7 @@
 
 // guaranteed returns the part of the lists that a class keeps under a flood of the other classes.
 func (q *Queue[G]) guaranteed(class int) int {
-	return max(1, (q.MaxLength-int(q.pending.Load()))*weights[class]/weightTotal)
+	return max(1, (q.maxLength()-int(q.pending.Load()))*weights[class]/weightTotal)
 }
 
 func (c *class[G]) longest() *line[G] {
@@ -609,7 +635,7 @@
 	if interval, known := q.rate.interval(now); known {
 		return retryAfter(clock.Millis(float64(q.Length()) * interval))
 	}
-	return retryAfter(q.MaxWait)
+	return retryAfter(q.maxWait())
 }
 
 func retryAfter(d clock.Millis) clock.Millis { return min(max(d, minRetryAfter), maxRetryAfter) }
@@ -620,7 +646,7 @@
 		return refuseDeadline(t.request, now)
 	}
 	detail := fmt.Sprintf("the request waited %d ms", now-t.entered)
-	return result.Refuse(CodeWaitExpired, detail, retryAfter(t.queue.MaxWait))
+	return result.Refuse(CodeWaitExpired, detail, retryAfter(t.queue.maxWait()))
 }
 
 func refuseDeadline(r Request, now clock.Millis) *result.Refusal {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -217,3 +217,22 @@
 		t.Errorf("first got state %v, want granted", first.state)
 	}
 }
+
+// Guards against limits of a new configuration that come into force only after a restart.
+func TestSetLimits(t *testing.T) {
+	c := clock.NewFake(0)
+	q := &Queue[int]{Clock: c, MaxLength: 100, MaxWait: clock.Second, Acquire: func(Request) (int, bool) { return 0, false },
+		Release: func(int) {}}
+	q.SetLimits(1, 10)
+	request := NewRequest("a", "", config.Normal, clock.Minute)
+	first, refusal := q.Enter(request)
+	if refusal != nil {
+		t.Fatalf("first Enter got %v, want a place", refusal)
+	}
+	if _, refusal := q.Enter(request); refusal == nil || refusal.Code() != CodeQueueFull {
+		t.Errorf("second Enter got %v, want %s", refusal, CodeQueueFull.Name())
+	}
+	if got, want := first.Expiry(), clock.Millis(10); got != want {
+		t.Errorf("Expiry got %d, want %d", got, want)
+	}
+}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -54,14 +54,21 @@
 		Release: (*caller.Permit).Release,
 		Free:    func() int { return q.instance.router.Free(pool) },
 	}}
-	if p, ok := q.pool(pool); ok {
-		fresh.MaxLength = orDefault(p.QueueLength(), defaultQueueLength)
-		fresh.MaxWait = orDefault(p.QueueWait(), defaultQueueWait)
+	if c := q.instance.configuration.Current(); c != nil {
+		fresh.configure(c, pool)
 	}
 	found, _ := q.byPool.LoadOrStore(pool, fresh)
 	return found.(*queue)
 }
 
+// configure gives every queue the limits of a configuration.
+func (q *queues) configure(c *config.Configuration) {
+	q.byPool.Range(func(pool, found any) bool {
+		found.(*queue).configure(c, pool.(string))
+		return true
+	})
+}
+
 func orDefault[T int | clock.Millis](value, otherwise T) T {
 	if value == 0 {
 		return otherwise
@@ -69,14 +76,6 @@
 	return value
 }
 
-func (q *queues) pool(name string) (config.Pool, bool) {
-	c := q.instance.configuration.Current()
-	if c == nil {
-		return config.Pool{}, false
-	}
-	return c.Pool(name)
-}
-
 // wakeAll tells every queue that slots may have become free.
 func (q *queues) wakeAll() {
 	q.byPool.Range(func(_, found any) bool { found.(*queue).Wake(); return true })
@@ -97,6 +96,12 @@
 	admission.Queue[*caller.Permit]
 }
 
+func (q *queue) configure(c *config.Configuration, pool string) {
+	if p, ok := c.Pool(pool); ok {
+		q.SetLimits(orDefault(p.QueueLength(), defaultQueueLength), orDefault(p.QueueWait(), defaultQueueWait))
+	}
+}
+
 // Enter implements caller.Queue.
 func (q *queue) Enter(d caller.Demand) (caller.Ticket, *result.Refusal) {
 	t, refusal := q.Queue.Enter(admission.NewRequest(d.Caller(), d.Team(), d.Urgency(), d.Deadline()))
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -61,5 +61,6 @@
 		}
 	}
 	i.router.Update(states)
+	i.queues.configure(c)
 	i.queues.wakeAll()
 }
--- a/worker/client.go
+++ b/worker/client.go
@@ -86,7 +86,7 @@
 
 func (c *Client) start() {
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
+		c.Dial = (&net.Dialer{Control: boundUnacknowledged, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
 			Interval: keepAliveInterval, Count: keepAliveCount}}).DialContext
 	}
 	c.transport = &http.Transport{
--- a/worker/keepalive_linux_test.go
+++ b/worker/keepalive_linux_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"syscall"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 // Connections to workers must be probed by the kernel, which finds lost connection state within 4 s.
@@ -25,6 +27,7 @@
 		{syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, 1},
 		{syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, 1},
 		{syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, 3},
+		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 4000},
 	} {
 		if err := control.Control(func(fd uintptr) {
 			if got, err := syscall.GetsockoptInt(int(fd), o.level, o.option); err != nil || got != o.want {
