measure: fail exactly 4% of the workers and spread run-once jobs over the pools

The workers are drawn without repetition, one job in eleven runs once, and cancelled jobs are left out of that column.

--- a/measure/fleet_scenarios.go
+++ b/measure/fleet_scenarios.go
@@ -68,8 +68,8 @@
 	for _, p := range s.fields.Pools {
 		total += p.Instances
 	}
-	for range total / 25 {
-		s.failing[fmt.Sprintf("w%02d", s.random.IntN(total))] = true
+	for _, i := range s.random.Perm(total)[:total/25] {
+		s.failing[fmt.Sprintf("w%02d", i)] = true
 	}
 }
 
@@ -196,13 +196,13 @@
 	}
 }
 
-// flood submits batch jobs over ten seconds; one in ten runs once.
+// flood submits batch jobs over ten seconds; one in eleven runs once, which spreads them over the pools.
 func flood(s *fleetSim, from clock.Millis, count int) {
 	if now := s.now(); now >= from && now < from+10*clock.Second {
 		for k := range count / 10 {
 			i := int((now-from)/clock.Second)*count/10 + k
 			s.tasks.submit(config.JobFields{Name: fmt.Sprintf("batch-%d", i), Team: "research", Pool: s.pool(i),
-				Urgency: config.Batch, RunOnce: i%10 == 7, Cores: 4, MemoryMB: 4096, RunTime: 40 * clock.Second, Attempts: 5})
+				Urgency: config.Batch, RunOnce: i%11 == 7, Cores: 4, MemoryMB: 4096, RunTime: 40 * clock.Second, Attempts: 5})
 		}
 	}
 }
--- a/measure/fleet_tasks.go
+++ b/measure/fleet_tasks.go
@@ -143,7 +143,7 @@
 		if j.ended > 0 {
 			end = j.ended
 		}
-		if j.fields.RunOnce && j.starts == 1 && j.ended == 0 && !bound[j] {
+		if j.fields.RunOnce && !j.cancelled && j.starts == 1 && j.ended == 0 && !bound[j] {
 			lost++
 		} else if !j.cancelled && end-j.submitted > 2*clock.Minute+3*j.runTime {
 			late++
