--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
@@ -58,31 +57,11 @@
 
 // Run implements Scenario.
 func (f fleetScenario) Run(seed uint64, runs int) []Row {
-	results := make([]Row, len(f.policies)*runs)
-	var done sync.WaitGroup
-	places := make(chan struct{}, parallelRuns)
-	for i := range results {
-		done.Add(1)
-		places <- struct{}{}
-		go func() {
-			defer done.Done()
-			results[i] = f.once(f.policies[i/runs], seed+uint64(i%runs))
-			<-places
-		}()
-	}
-	done.Wait()
-	rows := make([]Row, 0, len(f.policies))
+	names := make([]string, len(f.policies))
 	for i, p := range f.policies {
-		sum := NewRow(p.name)
-		for _, one := range results[i*runs : (i+1)*runs] {
-			for _, name := range one.names {
-				sum.Add(name, one.figures[name])
-			}
-		}
-		sum.Scale(1 / float64(runs))
-		rows = append(rows, sum)
+		names[i] = p.name
 	}
-	return rows
+	return meanRows(names, runs, func(i, run int) Row { return f.once(f.policies[i], seed+uint64(run)) })
 }
 
 // once measures one run. The figures other than the roll-out time cover the same duration for every policy; a roll-out
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sync"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
@@ -12,9 +11,6 @@
 	"magnoliaferry/routing"
 )
 
-// parallelRuns bounds the runs at the same time; each is deterministic by itself.
-const parallelRuns = 6
-
 // drainTime lets every request end after the last arrival: its deadline with its repeats.
 const drainTime = 40 * clock.Second
 
@@ -36,31 +32,11 @@
 
 // Run implements Scenario.
 func (r requestScenario) Run(seed uint64, runs int) []Row {
-	results := make([]Row, len(r.variants)*runs)
-	var done sync.WaitGroup
-	places := make(chan struct{}, parallelRuns)
-	for i := range results {
-		done.Add(1)
-		places <- struct{}{}
-		go func() {
-			defer done.Done()
-			results[i] = r.once(r.variants[i/runs], seed+uint64(i%runs))
-			<-places
-		}()
-	}
-	done.Wait()
-	rows := make([]Row, 0, len(r.variants))
+	names := make([]string, len(r.variants))
 	for i, v := range r.variants {
-		sum := NewRow(v.name)
-		for _, one := range results[i*runs : (i+1)*runs] {
-			for _, name := range one.names {
-				sum.Add(name, one.figures[name])
-			}
-		}
-		sum.Scale(1 / float64(runs))
-		rows = append(rows, sum)
+		names[i] = v.name
 	}
-	return rows
+	return meanRows(names, runs, func(i, run int) Row { return r.once(r.variants[i], seed+uint64(run)) })
 }
 
 func (r requestScenario) once(v variant, seed uint64) Row {
