planner: an instance lost during its reboot fails after 2 minutes

Cause: a wave does not go on to the next zone while an instance reboots, and an instance that was lost meanwhile counted as rebooting for up to 15 minutes; the measurement of a lost rack showed three pools waiting for such instances. Change: an instance that reboots and is not in the platform's list for 2 minutes counts as failed. Conclusion: the loss of a rack costs a wave 2 minutes at most.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -15,6 +15,9 @@
 	drainReport = 10 * clock.Minute
 	// rebootLimit is when a reboot that has not ended counts as a failure.
 	rebootLimit = 15 * clock.Minute
+	// unlistedLimit is when an instance that reboots and is not in the platform's list counts as lost. A wave does not go
+	// on to the next zone while an instance reboots, so waiting for rebootLimit held up a wave after the loss of a rack.
+	unlistedLimit = 2 * clock.Minute
 	// verifyLimit is how long an instance that came back may take to become healthy.
 	verifyLimit = 2 * clock.Minute
 	// probation is how long after its maintenance a failure of an instance is blamed on the wave.
@@ -80,7 +83,9 @@
 			p.forget(m)
 			continue
 		case m.Phase == Rebooting || m.Phase == Moving:
-			if m.RebootFailed || away > rebootLimit && !m.Rebooted {
+			if !m.Listed && away > unlistedLimit {
+				reason = fmt.Sprintf("not in the platform's list %d s after the reboot began", away/clock.Second)
+			} else if m.RebootFailed || away > rebootLimit && !m.Rebooted {
 				reason = fmt.Sprintf("the reboot has not ended after %d s", away/clock.Second)
 			} else if m.Phase == Moving && m.Rebooted && !m.Healthy && away > rebootLimit {
 				reason = fmt.Sprintf("not healthy %d s after the start of its move", away/clock.Second)
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -159,6 +159,11 @@
 		{"a reboot ends", rollOut, phase("p00", Rebooting, func(m *InstanceFields) { m.Rebooted, m.Healthy = true, false }),
 			"verify:p00"},
 		{"a reboot does not end", rollOut, phase("p00", Rebooting, func(m *InstanceFields) { m.Age = clock.Hour }), "fail:p00"},
+		{"lost during its reboot", rollOut, phase("p00", Rebooting, func(m *InstanceFields) {
+			m.Listed, m.Age = false, 3*clock.Minute
+		}), "fail:p00"},
+		{"off the list for a moment of its reboot", rollOut, phase("p00", Rebooting, func(m *InstanceFields) { m.Listed = false }),
+			""},
 		{"healthy again", rollOut, phase("p00", Verifying, nil), "return:p00"},
 		{"not healthy again", rollOut, phase("p00", Verifying, func(m *InstanceFields) {
 			m.Healthy, m.Age = false, clock.Hour
