--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,10 @@
 	go run ./cmd/magnoliaferry demo
 
 measure:
-	go run ./cmd/measure
+	go run ./cmd/measure --out docs/measurements
 
-# Looks for inputs that break the decoder of configurations; the committed corpus runs with the tests.
+# Looks for inputs that break the decoders; the committed corpora run with the tests.
 fuzz:
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./config
+	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./settings
+	go test -run FuzzHeaders -fuzz FuzzHeaders -fuzztime 60s ./caller
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -183,6 +183,9 @@
 	address, err := netip.ParseAddrPort(l.Listen)
 	if err != nil {
 		d.Report(CodeAddress, path+"/listen", "%q is not an IP address with a port", l.Listen)
+	} else if path == "/peers" && address.Addr().IsUnspecified() {
+		d.Report(CodeAddress, path+"/listen", "other entry instances cannot reach %q; give the address of this instance",
+			l.Listen)
 	}
 	for i, seed := range l.Seeds {
 		at := path + "/seeds/" + strconv.Itoa(i)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -37,6 +37,7 @@
 		{`"2s"`, `"2 weeks"`, `a.json:8: MF1107 /stop/leave`},
 		{`"2s"`, `"2h"`, `a.json:8: MF1005 /stop/leave`},
 		{`127.0.0.1:8080`, `localhost:8080`, `a.json:4: MF1000 /callers/listen`},
+		{`127.0.0.1:8082`, `0.0.0.0:8082`, `a.json:6: MF1000 /peers/listen`},
 		{`127.0.0.1:8092`, `127.0.0.1`, `a.json:6: MF1000 /peers/seeds/0`},
 		{`127.0.0.1:8082`, `127.0.0.1:8080`, `a.json:6: MF1002 /peers/listen`},
 		{`127.0.0.1:8081`, `10.0.0.1:8081`, `a.json:5: MF1004 /operators/trust-loopback`},
