fleet: new instances join pools only after a list of all zones

Cause: an entry instance reads the list of its own zone every second and that of all zones every 10 s; when many instances appeared at once, each planner saw those of its own zone first and gave its pools workers of that zone alone. In a demo a pool had no worker in one of three zones. Change: an instance without a pool counts only once it was in a list of all zones. TestJoinsSpreadOverZones got p0 in zone a alone before. A new instance joins up to 10 s later. Conclusion: a cut-off zone has workers of every pool, and the loss of a zone takes the part that the buffer counts on.

--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -62,6 +62,7 @@
 	entries   map[string]entry
 	listed    map[string]platform.Instance
 	listedAll clock.Millis
+	firstSeen map[string]clock.Millis // of the listed instances
 	farPolled clock.Millis
 	complete  clock.Millis // beginning of the last poll that has read every zone
 	polled    bool         // complete holds a time
@@ -303,11 +304,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.listed == nil {
-		a.listed = map[string]platform.Instance{}
+		a.listed, a.firstSeen = map[string]platform.Instance{}, map[string]clock.Millis{}
 	}
 	present := make(map[string]bool, len(list))
 	for _, i := range list {
 		present[i.ID()] = true
+		if _, known := a.firstSeen[i.ID()]; !known {
+			a.firstSeen[i.ID()] = now
+		}
 		if a.listed[i.ID()] != i {
 			a.listed[i.ID()], a.valid, a.ordered = i, false, false
 		}
@@ -315,11 +319,12 @@
 	for id, i := range a.listed {
 		if !present[id] && (zone == "" || i.Zone() == zone) {
 			delete(a.listed, id)
+			delete(a.firstSeen, id)
 			a.valid, a.ordered = false, false
 		}
 	}
 	if zone == "" {
-		a.listedAll, a.hasList = now, true
+		a.listedAll, a.hasList, a.ordered = now, true, false
 	}
 	return nil
 }
@@ -382,6 +387,11 @@
 		if !known && (!listed || i.Role() != platform.RoleWorker) {
 			return
 		}
+		// New instances of the own zone are seen earlier than those of other zones. They join only after a list of all
+		// zones, because a pool would otherwise get workers of the zone of its planner alone.
+		if !known && a.firstSeen[id] > a.listedAll {
+			return
+		}
 		m := planner.InstanceFields{RecordFields: e.record, Age: now - e.seen, Listed: listed,
 			Leaving: listed && i.State() == platform.Leaving, Healthy: listed && (healthy == nil || healthy(id))}
 		if !known {
--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -173,3 +173,32 @@
 		t.Errorf("instances got %d, want %d", got, want)
 	}
 }
+
+// Guards against pools whose workers all stand in the zone of the entry instance that plans them: each sees new instances of
+// its own zone earlier than those of the others.
+func TestJoinsSpreadOverZones(t *testing.T) {
+	w := newWorld(6, 3)
+	list, _ := w.store.View("").Instances().List(w.ctx, "")
+	for _, i := range list {
+		w.store.RemoveInstance(i.ID())
+	}
+	w.run(4*clock.Second, func() bool { return false }) // every loop has read a list of all zones without workers
+	for n := range list {
+		w.list(n)
+	}
+	w.run(clock.Minute, w.serving(18))
+	zones := map[string]map[string]int{}
+	for _, r := range w.records() {
+		if zones[r.Pool] == nil {
+			zones[r.Pool] = map[string]int{}
+		}
+		zones[r.Pool][r.Zone]++
+	}
+	for pool, counts := range zones {
+		for _, zone := range zoneNames {
+			if counts[zone] == 0 {
+				t.Errorf("workers of pool %s by zone got %v, want some in each of three zones", pool, counts)
+			}
+		}
+	}
+}
