demo: count the drained worker in whichever pool it joined

Cause: the demo looked for the drained worker in the pool of its name, but the control loops choose the pool; one demo in eleven waited for ever. Change: the demo looks at all pools, and workers have neutral names.

--- a/command/demo.go
+++ b/command/demo.go
@@ -125,8 +125,8 @@
 	zones := d.fleet.Zones()
 	count := 0
 	for _, p := range d.fleet.Pools() {
-		for n := range p.Instances() {
-			id := fmt.Sprintf("%s-%02d", p.Name(), n)
+		for range p.Instances() {
+			id := workerName(count)
 			w := &standin.Worker{ID: id, Address: "127.0.0.1:0", Clock: d.clock, Slots: p.Slots(),
 				ServiceTime: demoServiceTime, Logger: d.logger}
 			d.workers[id] = w
@@ -150,6 +150,9 @@
 	return modules
 }
 
+// workerName returns the id of a worker; which pool it joins is up to the control loops.
+func workerName(n int) string { return fmt.Sprintf("worker-%02d", n) }
+
 type entryModule struct {
 	*entry.Instance
 	store *memory.Store
@@ -369,8 +372,7 @@
 
 // drain takes one worker through maintenance while callers send.
 func (d *demo) drain(ctx context.Context, r *demoReport) error {
-	pool := d.fleet.Pools()[0].Name()
-	r.Drained = pool + "-00"
+	r.Drained = workerName(0)
 	started := d.clock.Now()
 	if _, err := d.operator.Drain(ctx, r.Drained, false); err != nil {
 		return err
@@ -381,12 +383,11 @@
 			if err != nil {
 				return false
 			}
+			out := 0
 			for _, p := range status.Pools {
-				if p.Name == pool {
-					return (p.Serving == p.Instances) == want
-				}
+				out += p.Instances - p.Serving
 			}
-			return false
+			return (out == 0) == want
 		}
 	}
 	if err := d.until(ctx, "the worker is drained", serving(false)); err != nil {
