--- a/entry/peers.go
+++ b/entry/peers.go
@@ -88,6 +88,7 @@
 // Confirmed implements peer.Ledger.
 func (l ledger) Confirmed(started clock.Millis, table bool, unbroken clock.Millis) {
 	l.Confirm(started, table, unbroken)
+	l.queues.wakeAll() // the slots may be used from now on
 }
 
 // Propose implements peer.Ledger.
