fleet: refuse planned work under a configuration that was replaced

Cause: the control loop could be told the version of the configuration's row only, which an entry instance that learned the configuration from a peer does not know; the condition was therefore not set. Change: the loop reads the row before planned work, refuses when it holds a newer version than the one in force here, and writes on the condition that the row stays as read. Conclusion: a process with an older configuration starts no planned work.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -245,7 +245,7 @@
 	}
 	loop := &fleet.Loop{Holder: fmt.Sprintf("%s-%d", s.Name, i.incarnation), Clock: i.Clock, Platform: i.Platform,
 		Assignments: i.assignments, Configuration: i.configuration.Current, Demand: i.reports.demand,
-		Healthy: i.reports.healthy, Acknowledged: i.acknowledged,
+		ConfigurationVersion: i.configuration.Version, Healthy: i.reports.healthy, Acknowledged: i.acknowledged,
 		Wall: i.WallClock, Seed: i.incarnation, Period: i.ControlPeriod, Logger: i.Logger}
 	c := control{i, loop}
 	operators := &operator.Server{Clock: i.Clock, Store: i.configuration.store, Identity: i.identity(), Reporter: c,
--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -202,3 +202,26 @@
 		}
 	}
 }
+
+// Guards against planned work on the ground of a configuration that was replaced.
+func TestDrainUnderAnOlderConfiguration(t *testing.T) {
+	w := newWorld(4, 1)
+	l := w.loops[0]
+	w.run(clock.Minute, w.serving(12))
+	here := int64(1)
+	l.ConfigurationVersion = func() int64 { return here }
+	next := config.New(w.fields)
+	stored := config.NewStored(config.StoredFields{Version: 2, Digest: config.Digest(next), Operation: "o",
+		Delta: config.NewDelta(nil, next)})
+	if err := w.store.View("").Table().Commit(w.ctx, platform.NewTransaction("o",
+		platform.Put(configurationKey, stored.Encode(), 0))); err != nil {
+		t.Fatal(err)
+	}
+	if refusal := l.Drain(w.ctx, "w00", false); refusal == nil || refusal.Code() != LostRace {
+		t.Errorf("drain under version 1 of 2 got %v, want %s", refusal, LostRace.Name())
+	}
+	here = 2
+	if refusal := l.Drain(w.ctx, "w00", false); refusal != nil {
+		t.Errorf("drain under version 2 of 2 got %v, want nil", refusal)
+	}
+}
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -37,8 +37,8 @@
 	Platform      platform.Platform
 	Assignments   *Assignments
 	Configuration func() *config.Configuration // nil until there is one
-	// ConfigurationVersion returns the version of the row config/current that is in force here. When it is set, planned
-	// work is refused while the table holds a newer configuration.
+	// ConfigurationVersion returns the number of the version that is in force here. When it is set, planned work is
+	// refused while the table holds a newer configuration.
 	ConfigurationVersion func() int64
 	Demand               func() map[string]int      // requests in flight and waiting, by pool, over the whole fleet
 	Healthy              func(instance string) bool // nil: every listed instance is healthy
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -46,8 +46,11 @@
 		return result.Refuse(NoSuchInstance, fmt.Sprintf("no pool holds an instance %q", instance), 0)
 	}
 	contact := contactOf(configuration, seen.Pool)
-	t := transition{zone: seen.Zone, pools: []string{seen.Pool}, instances: []string{instance},
-		checks: l.configurationCheck()}
+	checks, err := l.configurationCheck(ctx)
+	if err != nil {
+		return refuse(err).WithContact(contact)
+	}
+	t := transition{zone: seen.Zone, pools: []string{seen.Pool}, instances: []string{instance}, checks: checks}
 	t.decide = func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal) {
 		switch {
 		case r.Pool != seen.Pool:
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -99,7 +99,14 @@
 		t.checks = append(t.checks, platform.Check(wavePrefix+first.Pool(), w.version)) // an operator may pause the wave
 	}
 	if first.Kind() == planner.KindDrain {
-		t.checks = append(t.checks, l.configurationCheck()...)
+		checks, err := l.configurationCheck(ctx)
+		if errorx.IsOfType(err, platform.ErrConflict) {
+			return nil // the new configuration is here within seconds
+		}
+		if err != nil {
+			return err
+		}
+		t.checks = append(t.checks, checks...)
 	}
 	t.decide = func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal) {
 		step := byID[r.ID]
@@ -136,11 +143,27 @@
 	return err
 }
 
-func (l *Loop) configurationCheck() []platform.Write {
+// configurationCheck returns the condition that no newer configuration is accepted than the one that is in force here, or
+// ErrConflict when there is one already.
+func (l *Loop) configurationCheck(ctx context.Context) ([]platform.Write, error) {
 	if l.ConfigurationVersion == nil {
-		return nil
+		return nil, nil
+	}
+	rows, err := l.Platform.Table().Read(ctx, configurationKey)
+	if err != nil {
+		return nil, err
+	}
+	stored := config.Stored{}
+	if rows[0].Version() > 0 {
+		if stored, err = config.DecodeStored(rows[0].Value()); err != nil {
+			return nil, err
+		}
+	}
+	if here := l.ConfigurationVersion(); stored.Version() > here {
+		return nil, platform.ErrConflict.New("version %d of the configuration is accepted, and version %d is in force here",
+			stored.Version(), here)
 	}
-	return []platform.Write{platform.Check(configurationKey, l.ConfigurationVersion())}
+	return []platform.Write{platform.Check(configurationKey, rows[0].Version())}, nil
 }
 
 // allow applies the budget rule of section 9.2 to the budget row that the transaction is conditional on.
