fleet: test that a drain waits for every entry instance

Cause: the rule had no test of its own. Change: TestDrainWaitsForEveryEntryInstance. Conclusion: the loop keeps the rule; the exchange of ages between entry instances is covered by the demo only.

--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -225,3 +226,30 @@
 		t.Errorf("drain under version 2 of 2 got %v, want nil", refusal)
 	}
 }
+
+// Guards against a reboot while an entry instance does not know of the drain and still sends requests.
+func TestDrainWaitsForEveryEntryInstance(t *testing.T) {
+	w := newWorld(4, 1)
+	l := w.loops[0]
+	w.run(clock.Minute, w.serving(12))
+	all := false
+	began := w.clock.Now()
+	l.Acknowledged = func(_ context.Context, since clock.Millis) (bool, string) {
+		if since < began {
+			t.Errorf("asked for changes since %d, want since the drain at %d or later", since, began)
+		}
+		return all, "entry-9"
+	}
+	if refusal := l.Drain(w.ctx, "w00", false); refusal != nil {
+		t.Fatalf("drain got %v, want nil", refusal)
+	}
+	w.run(clock.Minute, func() bool { return false })
+	if got, want := w.records()["w00"].Phase, planner.Draining; got != want {
+		t.Errorf("phase while an entry instance does not know of the drain got %q, want %q", got, want)
+	}
+	all = true
+	w.run(2*clock.Minute, w.serving(12))
+	if r := w.records()["w00"]; r.Phase != planner.Serving || r.Maintained < began {
+		t.Errorf("record after every entry instance knew got %+v, want maintained and serving", r)
+	}
+}
