--- a/claim/cleanup.go
+++ b/claim/cleanup.go
@@ -4,13 +4,13 @@
 	"context"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // CleanUp deletes claims that were written before now minus the retention, both by wall clocks. It scans at most limit
 // rows after the given key and returns the key from which to go on, or "" at the end. A row that changes meanwhile, or
 // whose deletion fails, is left for the next pass, so nothing has to be settled. The control loop calls it at intervals.
-func CleanUp(ctx context.Context, table platform.Table, now, retention clock.Millis, after string, limit int) (
+func CleanUp(ctx context.Context, table provider.Table, now, retention clock.Millis, after string, limit int) (
 	next string, deleted int, err error) {
 	rows, err := table.Scan(ctx, keyPrefix, after, limit)
 	if err != nil {
@@ -18,10 +18,10 @@
 	}
 	countScanned.Add(int64(len(rows)))
 	defer func() { countDeleted.Add(int64(deleted)) }()
-	var deletes []platform.Write
+	var deletes []provider.Write
 	for _, r := range rows {
 		if found, err := decodeRow(r.Value()); err == nil && found.Written < now-retention {
-			deletes = append(deletes, platform.Delete(r.Key(), r.Version()))
+			deletes = append(deletes, provider.Delete(r.Key(), r.Version()))
 		}
 	}
 	if len(rows) == limit {
@@ -30,14 +30,14 @@
 	if len(deletes) == 0 {
 		return next, 0, nil
 	}
-	switch err := table.Commit(ctx, platform.NewTransaction("claim/clean-up", deletes...)); {
+	switch err := table.Commit(ctx, provider.NewTransaction("claim/clean-up", deletes...)); {
 	case err == nil:
 		return next, len(deletes), nil
 	case !platformConflict(err):
 		return after, 0, err
 	}
 	for _, w := range deletes { // one row changed; the others go one by one
-		if table.Commit(ctx, platform.NewTransaction("claim/clean-up", w)) == nil {
+		if table.Commit(ctx, provider.NewTransaction("claim/clean-up", w)) == nil {
 			deleted++
 		}
 	}
--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -22,13 +22,13 @@
 
 // lateTable is a table whose lost requests can still arrive later.
 type lateTable struct {
-	platform.Table
-	late *[]platform.Transaction
+	provider.Table
+	late *[]provider.Transaction
 	slow *bool // the next commit takes longer than a short deadline
 	time *clock.Clock
 }
 
-func (l lateTable) Commit(ctx context.Context, tx platform.Transaction) error {
+func (l lateTable) Commit(ctx context.Context, tx provider.Transaction) error {
 	if *l.slow {
 		*l.slow = false
 		l.time.Advance(150)
@@ -107,7 +107,7 @@
 type world struct {
 	faults   *fault.Driver
 	memory   *memory.Store
-	late     []platform.Transaction
+	late     []provider.Transaction
 	slow     bool
 	stores   []*Store
 	starts   int64
--- a/claim/store.go
+++ b/claim/store.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -33,7 +33,7 @@
 // Store claims requests in the table. The exported fields are set before Run; zero values give the defaults.
 type Store struct {
 	Clock       *clock.Clock
-	Table       platform.Table
+	Table       provider.Table
 	Holder      string // id of the entry instance
 	Incarnation int64  // differs for each start of the process
 
@@ -188,7 +188,7 @@
 	e.value = e.value.withAnswer(answer)
 	// The commit of the claim did not tell the version of its row, and the answer needs none: nobody else writes the row
 	// of a claim that is certainly stored, and a delayed copy of the answer writes what is there already.
-	e.version, e.known = platform.AnyVersion, true
+	e.version, e.known = provider.AnyVersion, true
 	s.enqueue(e, phaseDone)
 }
 
@@ -558,7 +558,7 @@
 }
 
 // decide compares an entry with its row. It reports true when the entry is decided and has nothing more to write.
-func (s *Store) decide(e *entry, r platform.Row) bool {
+func (s *Store) decide(e *entry, r provider.Row) bool {
 	found, err := decodeRow(r.Value())
 	free := r.Version() == 0 || (err == nil && found.State == stateAbandoned)
 	own := err == nil && found.State == stateClaimed && found.sameAttempt(e.value)
@@ -590,22 +590,22 @@
 	return true
 }
 
-func (s *Store) transaction(batch []*entry) (string, platform.Transaction) {
+func (s *Store) transaction(batch []*entry) (string, provider.Transaction) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
 	operation := fmt.Sprintf("claim/%s/%d/%d", s.Holder, s.Incarnation, s.sequence)
-	writes := make([]platform.Write, 0, len(batch))
+	writes := make([]provider.Write, 0, len(batch))
 	for _, e := range batch {
 		e.value.Written = s.wallClock()
-		writes = append(writes, platform.Put(e.rowKey, e.value.encode(), e.version))
+		writes = append(writes, provider.Put(e.rowKey, e.value.encode(), e.version))
 	}
-	return operation, platform.NewTransaction(operation, writes...)
+	return operation, provider.NewTransaction(operation, writes...)
 }
 
 // settle finds out whether a transaction without an answer was applied. It reports false when the rows say that it
 // certainly was not and that the batch has to be planned again.
-func (s *Store) settle(ctx context.Context, batch []*entry, operation string, tx platform.Transaction) bool {
+func (s *Store) settle(ctx context.Context, batch []*entry, operation string, tx provider.Transaction) bool {
 	keys := make([]string, len(batch))
 	for i, e := range batch {
 		keys[i] = e.rowKey
@@ -621,7 +621,7 @@
 		for i, r := range rows {
 			written = written || r.Operation() == operation
 			condition := tx.Writes()[i].IfVersion()
-			changed = changed || (condition != platform.AnyVersion && condition != r.Version())
+			changed = changed || (condition != provider.AnyVersion && condition != r.Version())
 		}
 		if written {
 			s.applied(batch)
@@ -719,7 +719,7 @@
 	s.queue = append(rest, s.queue...)
 }
 
-func (s *Store) read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (s *Store) read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
 	defer cancel()
 	rows, err := s.Table.Read(ctx, keys...)
@@ -729,7 +729,7 @@
 	return rows, err
 }
 
-func (s *Store) commit(ctx context.Context, tx platform.Transaction) error {
+func (s *Store) commit(ctx context.Context, tx provider.Transaction) error {
 	ctx, cancel := s.Clock.WithTimeout(ctx, or(s.Timeout, DefaultTimeout))
 	defer cancel()
 	countTransactions.Add(1)
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -8,7 +8,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -358,7 +358,7 @@
 	faults := &fault.Driver{}
 	p := memory.New(clock.NewFake(0), faults)
 	a, b := newInstance(p, "a", 1), newInstance(p, "b", 1)
-	var late []platform.Transaction
+	var late []provider.Transaction
 	a.Table = lateTable{a.Table, &late, new(bool), p.Clock}
 	faults.Always(memory.StepCommit, fault.LoseRequest, 0)
 	if _, refusal := a.claim("k", "", 1); code(refusal) != CodeTableUnavailable.Number() {
--- a/cmd/measure-processes/main.go
+++ b/cmd/measure-processes/main.go
@@ -21,7 +21,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/standin"
 )
 
@@ -128,9 +128,9 @@
 	}
 	for i := range o.workers {
 		zone := fmt.Sprintf("z%d", i%o.zones)
-		store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: fmt.Sprintf("w%05d", i),
+		store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: fmt.Sprintf("w%05d", i),
 			Address: fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250), Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/o.zones/4),
-			Role: platform.RoleWorker, State: platform.Live, Cores: 16, MemoryMB: 32768, Slots: 8, Connections: 64}))
+			Role: provider.RoleWorker, State: provider.Live, Cores: 16, MemoryMB: 32768, Slots: 8, Connections: 64}))
 	}
 	var processes []*process
 	defer func() {
@@ -181,8 +181,8 @@
 	if err := os.WriteFile(file, settings, 0o600); err != nil {
 		return nil, err
 	}
-	store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: name, Address: port(2), Zone: zone,
-		Role: platform.RoleEntry, State: platform.Live}))
+	store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: name, Address: port(2), Zone: zone,
+		Role: provider.RoleEntry, State: provider.Live}))
 	e := &process{command: exec.Command(o.binary, "serve", "--settings", file), operators: port(1)}
 	e.command.Stderr = os.Stderr
 	return e, e.command.Start()
--- a/command/demo.go
+++ b/command/demo.go
@@ -26,7 +26,7 @@
 	"magnoliaferry/kernel"
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 	"magnoliaferry/settings"
 	"magnoliaferry/standin"
@@ -165,8 +165,8 @@
 func (e entryModule) Run(ctx context.Context) error {
 	go func() {
 		if address, err := e.Address(ctx, "peers"); err == nil {
-			e.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: e.Settings.Name, Address: address,
-				Zone: e.Settings.Zone, Role: platform.RoleEntry, State: platform.Live}))
+			e.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: e.Settings.Name, Address: address,
+				Zone: e.Settings.Zone, Role: provider.RoleEntry, State: provider.Live}))
 		}
 	}()
 	return e.Instance.Run(ctx)
@@ -191,8 +191,8 @@
 		return err
 	}
 	f := r.pool.Fields()
-	r.demo.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: r.worker.ID, Address: address,
-		Zone: r.zone, Rack: r.rack, Role: platform.RoleWorker, State: platform.Live, Cores: f.Cores, MemoryMB: f.MemoryMB,
+	r.demo.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: r.worker.ID, Address: address,
+		Zone: r.zone, Rack: r.rack, Role: provider.RoleWorker, State: provider.Live, Cores: f.Cores, MemoryMB: f.MemoryMB,
 		Slots: f.Slots, Connections: f.Connections}))
 	<-ctx.Done()
 	return nil
--- /dev/null
+++ b/command/run.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"magnoliaferry/daemon"
+	"magnoliaferry/platform"
+)
+
+// memoryShare is the part of an instance's memory, in percent, that the heap may reach before the collector works harder.
+const memoryShare = 70
+
+// RunOptions are the options of run, which runs one instance on the users' platform.
+type RunOptions struct {
+	Settings daemon.Settings
+}
+
+func init() {
+	Register("run", func(app *kingpin.Application) (*kingpin.CmdClause, RunFunc) {
+		var file string
+		c := app.Command("run", "Run an instance on the platform until SIGTERM; it then leaves without cutting a request.")
+		c.Flag("settings", "Settings of the process (JSON).").Envar("MAGNOLIAFERRY_SETTINGS").Required().StringVar(&file)
+		return c, func(ctx context.Context, env *Environment) error {
+			settings, faults := daemon.ReadSettings(file)
+			if err := faults.Err(); err != nil {
+				return err
+			}
+			return RunOptions{Settings: settings}.Run(ctx, env)
+		}
+	})
+}
+
+// Run serves until the context ends and what callers wait for has ended.
+func (o RunOptions) Run(ctx context.Context, env *Environment) error {
+	if o.Settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(o.Settings.MemoryMB) << 20 * memoryShare / 100)
+	}
+	d := &daemon.Daemon{
+		Settings: o.Settings,
+		Logger:   slog.New(slog.NewJSONHandler(os.Stdout, nil)),
+		Table:    platform.NewTable(o.Settings.Store),
+		Workers:  platform.NewWorkers(),
+		Advisor:  platform.NewAdvisor(o.Settings.Advisor),
+	}
+	return d.Run(ctx)
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -9,9 +9,9 @@
 
 	"magnoliaferry/entry"
 	"magnoliaferry/event"
-	_ "magnoliaferry/memory" // registers the platform plug-in "memory"
-	"magnoliaferry/platform"
+	_ "magnoliaferry/memory"       // registers the platform plug-in "memory"
 	_ "magnoliaferry/platformhttp" // registers the platform plug-in "http"
+	"magnoliaferry/provider"
 	"magnoliaferry/settings"
 )
 
@@ -20,7 +20,7 @@
 // ServeOptions are the options of serve, which runs one entry instance.
 type ServeOptions struct {
 	Settings settings.Settings
-	Platform platform.Platform // used instead of the plug-in that the settings name when it is set
+	Platform provider.Platform // used instead of the plug-in that the settings name when it is set
 }
 
 func init() {
--- a/command/standin.go
+++ b/command/standin.go
@@ -10,7 +10,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/kernel"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/standin"
 	"magnoliaferry/trace"
 )
@@ -68,12 +68,12 @@
 		if err != nil {
 			return err
 		}
-		var list []platform.InstanceFields
+		var list []provider.InstanceFields
 		if err := json.Unmarshal(body, &list); err != nil {
 			return usageError{err}
 		}
 		for _, f := range list {
-			store.SetInstance(platform.NewInstance(f))
+			store.SetInstance(provider.NewInstance(f))
 		}
 	}
 	logger := slog.New(slog.NewJSONHandler(env.Err, nil))
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/front"
+	"magnoliaferry/platform"
+	"magnoliaferry/pool"
+	"magnoliaferry/store"
+)
+
+var (
+	eventStarted = event.New(1078, "instance-started", slog.LevelInfo, "the instance has started")
+	eventStops   = event.New(1079, "instance-stopping", slog.LevelInfo, "the instance was told to stop; it takes no new channels and ends what it has")
+	eventStopped = event.New(1080, "instance-stopped", slog.LevelInfo, "the instance has stopped")
+	eventConfig  = event.New(1081, "configuration-in-force", slog.LevelInfo, "a configuration is in force")
+	eventBadConf = event.New(1082, "configuration-unreadable", slog.LevelError, "a configuration cannot be read; the one before stays in force")
+	eventListen  = event.New(1083, "listen-failed", slog.LevelError, "a server has failed")
+)
+
+// Times of an instance.
+const (
+	workPeriod     = 60 * clock.Millis(1)  // between polls of the work table
+	workWait       = 500 * clock.Millis(1) // of a poll without changes
+	workersPeriod  = 400 * clock.Millis(1) // workers write every 1.5 s each
+	operatorPeriod = 100 * clock.Millis(1)
+	operatorWait   = 1 * clock.Second
+	readyAge       = 2500 * clock.Millis(1) // of the copy, above which callers are better served elsewhere
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 120 * time.Second
+	leaveTime      = 3 * clock.Second // after SIGTERM, in which the balancer notices, before listening ends
+)
+
+// Daemon is one instance. Exported fields are set before Run.
+type Daemon struct {
+	Settings Settings
+	Logger   *slog.Logger
+	Table    store.Table
+	Workers  pool.Workers
+	Advisor  pool.Advisor
+
+	clock         *clock.Clock
+	boot          string
+	jobs          *store.Jobs
+	work          *store.Follower
+	workers       *workerList
+	configuration atomic.Pointer[batch.Configuration]
+	owned         atomic.Int32
+	stopping      atomic.Bool
+
+	mu       sync.Mutex
+	owners   map[*poolOwner]bool
+	electors map[string]bool
+}
+
+func (d *Daemon) wall() clock.Millis { return clock.Millis(time.Now().UnixMilli()) }
+
+func (d *Daemon) sinceBoot() clock.Millis { return clock.SinceBoot() }
+
+// Run serves until the context ends, and then leaves without cutting a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.clock = clock.System()
+	d.boot = uuid.NewString()
+	d.owners, d.electors = map[*poolOwner]bool{}, map[string]bool{}
+	d.jobs = store.NewJobs(d.clock, d.Logger)
+	d.jobs.OnRows = func(rows []store.Row, _ bool) {
+		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.rows(rows) }) })
+	}
+	d.work = &store.Follower{Store: d.Table, Clock: d.clock, Logger: d.Logger, Table: store.WorkTable,
+		Period: workPeriod, Wait: workWait, OnLoad: d.jobs.Load, OnRows: d.jobs.Apply}
+	d.workers = &workerList{logger: d.Logger, decode: platform.DecodeWorker, changed: d.workerChanged,
+		workers: map[string]batch.Worker{}, faulty: map[string]bool{}}
+	workersFollower := &store.Follower{Store: d.Table, Clock: d.clock, Logger: d.Logger, Table: platform.TableWorkers,
+		Period: workersPeriod, Wait: operatorWait, OnLoad: d.workers.load, OnRows: d.workers.apply}
+	operatorFollower := &store.Follower{Store: d.Table, Clock: d.clock, Logger: d.Logger, Table: platform.TableOperator,
+		Period: operatorPeriod, Wait: operatorWait}
+	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	own, stopOwning := context.WithCancel(follow)
+	defer stopOwning()
+	var owning sync.WaitGroup
+	operatorFollower.OnLoad = func(rows []store.Row) { d.operatorRows(own, &owning, rows) }
+	operatorFollower.OnRows = operatorFollower.OnLoad
+	for _, f := range []*store.Follower{d.work, workersFollower, operatorFollower} {
+		go func() { _ = f.Run(follow) }() // it ends only with its context
+	}
+	service := &front.Service{Table: d.Table, Jobs: d.jobs, Clock: d.clock, Logger: d.Logger,
+		Configuration: d.configuration.Load, CopyAge: d.work.Age, Wall: d.wall}
+	callers := &http.Server{Handler: &platform.Front{Service: service}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPath, d.ready)
+	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	for _, server := range []struct {
+		server  *http.Server
+		address string
+	}{{callers, d.Settings.Listen.Callers}, {ready, d.Settings.Listen.Ready}} {
+		listener, err := net.Listen("tcp", server.address)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- server.server.Serve(listener) }()
+	}
+	eventStarted.Log(ctx, d.Logger, slog.String("node", d.Settings.Node), slog.String("zone", d.Settings.Zone),
+		slog.String("boot", d.boot))
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		eventListen.Log(ctx, d.Logger, slog.String("error", err.Error()))
+		return err
+	}
+	d.leave(callers, stopOwning, &owning)
+	_ = ready.Close() // nothing reads its answers any more
+	eventStopped.Log(ctx, d.Logger, slog.String("node", d.Settings.Node))
+	return nil
+}
+
+// leave gives the owned parts up, lets the balancer notice, and ends what callers still wait for.
+func (d *Daemon) leave(callers *http.Server, stopOwning func(), owning *sync.WaitGroup) {
+	eventStops.Log(context.Background(), d.Logger, slog.String("node", d.Settings.Node), slog.Int("owned", int(d.owned.Load())))
+	d.stopping.Store(true)
+	stopOwning()
+	started := d.clock.Now()
+	owning.Wait()
+	if rest := leaveTime - (d.clock.Now() - started); rest > 0 {
+		_ = d.clock.Sleep(context.Background(), rest) // this context has no end
+	}
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := d.clock.WithTimeout(context.Background(), max(d.Settings.StopGrace.Millis()-leaveTime-clock.Second, clock.Second))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		eventListen.Log(ctx, d.Logger, slog.String("error", err.Error()))
+	}
+}
+
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.configuration.Load() == nil || d.work.Age() > readyAge {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// operatorRows puts a new configuration in force.
+func (d *Daemon) operatorRows(ctx context.Context, owning *sync.WaitGroup, rows []store.Row) {
+	for _, row := range rows {
+		if row.Key != platform.KeyConfiguration || row.Deleted {
+			continue
+		}
+		c, err := platform.DecodeConfiguration(row.Value)
+		if err != nil {
+			eventBadConf.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
+			continue
+		}
+		if before := d.configuration.Load(); before != nil && before.Version >= c.Version {
+			continue
+		}
+		d.configuration.Store(c)
+		eventConfig.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
+		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.scheduler.Configure(c) }) })
+		for i := range c.Pools {
+			d.elect(ctx, owning, c.Pools[i].Name, d.leadPool(c.Pools[i].Name))
+		}
+	}
+}
+
+// elect takes part in the ownership of a part from now on.
+func (d *Daemon) elect(ctx context.Context, owning *sync.WaitGroup, part string, lead tenure) {
+	d.mu.Lock()
+	known := d.electors[part]
+	d.electors[part] = true
+	d.mu.Unlock()
+	if known || ctx.Err() != nil {
+		return
+	}
+	e := &elector{daemon: d, part: part, lead: lead, owned: &d.owned}
+	owning.Go(func() { e.run(ctx) })
+}
+
+func (d *Daemon) workerChanged(w batch.Worker, gone bool) {
+	d.eachOwner(func(o *poolOwner) {
+		if o.pool == w.Pool {
+			o.events.put(func() {
+				if gone {
+					o.scheduler.RemoveWorker(w.ID)
+				} else {
+					o.scheduler.SetWorker(w)
+				}
+			})
+		}
+	})
+}
+
+func (d *Daemon) eachOwner(f func(o *poolOwner)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for o := range d.owners {
+		f(o)
+	}
+}
+
+func (d *Daemon) addOwner(o *poolOwner) {
+	d.mu.Lock()
+	d.owners[o] = true
+	d.mu.Unlock()
+	// What changed between the copy that the scheduler was built from and now is taken in again.
+	o.events.put(func() { o.refresh() })
+}
+
+func (d *Daemon) removeOwner(o *poolOwner) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.owners, o)
+}
--- /dev/null
+++ b/daemon/owner.go
@@ -0,0 +1,308 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/pool"
+	"magnoliaferry/store"
+)
+
+var (
+	eventTenure = event.New(1073, "pool-taken", slog.LevelInfo, "this instance runs the jobs of a pool")
+	eventNoWord = event.New(1074, "ownership-doubtful", slog.LevelWarn,
+		"the ownership of a pool could not be renewed in time; nothing is ordered until it is")
+	eventWordBack = event.New(1075, "ownership-renewed", slog.LevelInfo, "the ownership of a pool is renewed; orders go on")
+)
+
+// Times of an owner.
+const (
+	planPeriod    = 10 * clock.Millis(1) // between two plans, so that one plan sees several events
+	idlePeriod    = 50 * clock.Millis(1) // between two plans without events
+	commitPeriod  = 20 * clock.Millis(1) // between two transactions
+	renewPeriod   = 500 * clock.Millis(1)
+	loadPeriod    = 250 * clock.Millis(1)
+	catchUpLimit  = 5 * clock.Second
+	leaseDriftDiv = 30 // leases on slow clocks last up to a thirtieth longer
+)
+
+// poolOwner runs the jobs of one pool during one tenure.
+type poolOwner struct {
+	daemon    *Daemon
+	pool      string
+	chain     *store.Chain
+	scheduler *pool.Scheduler
+	events    *mailbox[func()]
+
+	committing bool
+	committed  clock.Millis // when the newest transaction was sent
+	lost       error
+	pending    []any // orders that wait for authority
+	doubtful   bool
+	load       json.RawMessage
+	loaded     clock.Millis
+}
+
+func (d *Daemon) leadPool(name string) tenure {
+	return func(ctx context.Context, chain *store.Chain, before store.Seen, existed bool) error {
+		catchUp, cancel := d.clock.WithTimeout(ctx, catchUpLimit)
+		err := d.work.WaitFor(catchUp, chain.Token())
+		cancel()
+		if err != nil {
+			return err
+		}
+		o := &poolOwner{daemon: d, pool: name, chain: chain, events: newMailbox[func()]()}
+		o.begin(before, existed)
+		d.addOwner(o)
+		defer d.removeOwner(o)
+		return o.run(ctx)
+	}
+}
+
+// begin builds the scheduler from the copy of the table.
+func (o *poolOwner) begin(before store.Seen, existed bool) {
+	d := o.daemon
+	lease := min(pool.MaxLease, d.Settings.LeaseLimit)
+	o.scheduler = pool.NewScheduler(o.pool, lease, d.Settings.StateRetention.Millis(), d.Logger)
+	s := o.scheduler
+	s.SetToken(o.chain.Token())
+	s.Tick(d.clock.Now(), d.wall())
+	s.Configure(d.configuration.Load())
+	leases := d.clock.Now() + lease + lease/leaseDriftDiv + clock.Second
+	if existed && !before.Owner.Released {
+		leases += actLimit // the previous owner may have renewed leases until its authority ended
+	}
+	for _, w := range d.workers.all(o.pool) {
+		s.SetWorker(w)
+	}
+	jobs := d.jobs.Part(o.pool)
+	for _, known := range jobs {
+		o.addJob(known, leases)
+	}
+	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWant) {
+		o.want(row)
+	}
+	eventTenure.Log(context.Background(), d.Logger, slog.String("pool", o.pool), slog.Int64("token", o.chain.Token()),
+		slog.Int("jobs", len(jobs)), slog.Int("workers", len(s.Workers())))
+}
+
+func (o *poolOwner) addJob(known store.Known, leases clock.Millis) {
+	var progress *batch.Progress
+	if known.Progress != nil {
+		var err error
+		if progress, err = batch.DecodeProgress(known.Progress); err != nil {
+			eventUnreadableProgress.Log(context.Background(), o.daemon.Logger, slog.String("job", known.Job.ID),
+				slog.String("error", err.Error()))
+			return
+		}
+	}
+	o.scheduler.AddJob(known.Job, progress, known.Cancelled, leases)
+}
+
+var eventUnreadableProgress = event.New(1076, "progress-unreadable", slog.LevelError,
+	"the stored progress of a job cannot be read; the job is left as it is")
+
+// rows takes in changes of the work table.
+func (o *poolOwner) rows(rows []store.Row) {
+	for _, row := range rows {
+		kind, id := store.SplitKey(row.Key)
+		switch {
+		case kind == store.KindWant && row.Part == store.FleetPart:
+			o.want(row)
+		case row.Part != o.pool || row.Deleted:
+		case kind == store.KindJob, kind == store.KindCancel:
+			known, ok := o.daemon.jobs.Find(id)
+			if !ok {
+				continue
+			}
+			o.addJob(known, 0)
+			if known.Cancelled {
+				o.scheduler.Cancel(id)
+			}
+		}
+	}
+}
+
+func (o *poolOwner) want(row store.Row) {
+	_, machine := store.SplitKey(row.Key)
+	o.scheduler.Want(machine, !row.Deleted)
+}
+
+func (o *poolOwner) run(ctx context.Context) error {
+	d := o.daemon
+	for ctx.Err() == nil && o.lost == nil {
+		for _, handle := range o.events.take() {
+			handle()
+		}
+		o.step(ctx)
+		if o.lost != nil {
+			return o.lost
+		}
+		if d.clock.Sleep(ctx, planPeriod) != nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.events.signal:
+		case <-d.clock.After(idlePeriod):
+		}
+	}
+	return o.finish()
+}
+
+// step plans, and sends what the plan asks for.
+func (o *poolOwner) step(ctx context.Context) {
+	d := o.daemon
+	o.scheduler.Tick(d.clock.Now(), d.wall())
+	if age := o.chain.Age(); age > actLimit {
+		if !o.doubtful {
+			o.doubtful = true
+			eventNoWord.Log(ctx, d.Logger, slog.String("pool", o.pool), slog.Int64("age-ms", int64(age)))
+		}
+		o.pending = append(o.pending, o.scheduler.Orders()...)
+	} else {
+		if o.doubtful {
+			o.doubtful = false
+			eventWordBack.Log(ctx, d.Logger, slog.String("pool", o.pool), slog.Int64("age-ms", int64(age)))
+		}
+		o.scheduler.Plan()
+		for _, order := range append(o.pending, o.scheduler.Orders()...) {
+			o.carryOut(ctx, order)
+		}
+		o.pending = nil
+	}
+	if o.scheduler.Fenced() {
+		// Another owner exists; a transaction finds out for certain.
+		o.commit(ctx, true)
+		return
+	}
+	o.commit(ctx, false)
+}
+
+// commit stores what the scheduler asks for, or renews the ownership when it is due.
+func (o *poolOwner) commit(ctx context.Context, force bool) {
+	d := o.daemon
+	now := d.clock.Now()
+	if o.committing || now-o.committed < commitPeriod {
+		return
+	}
+	draft := o.scheduler.Draft()
+	if draft == nil && (force || now-o.committed >= renewPeriod) {
+		draft = o.scheduler.Renewal()
+	}
+	if draft == nil {
+		return
+	}
+	puts, deletes, err := o.encode(draft)
+	if err != nil {
+		o.lost = err
+		return
+	}
+	if o.load == nil || now-o.loaded >= loadPeriod {
+		if o.load, err = json.Marshal(o.scheduler.Load()); err != nil {
+			o.lost = err
+			return
+		}
+		o.loaded = now
+	}
+	o.committing, o.committed = true, now
+	load := o.load
+	go func() {
+		err := o.chain.Commit(ctx, puts, deletes, load)
+		o.events.put(func() {
+			o.committing = false
+			if err != nil {
+				if ctx.Err() == nil {
+					o.lost = err
+				}
+				return
+			}
+			o.scheduler.Committed(o.chain.Token())
+		})
+	}()
+}
+
+func (o *poolOwner) encode(draft *pool.Draft) (puts, deletes []store.Row, err error) {
+	for _, row := range draft.Rows {
+		value, err := row.Progress.Encode()
+		if err != nil {
+			return nil, nil, err
+		}
+		puts = append(puts, store.Row{Table: store.WorkTable, Part: o.pool, Key: store.Key(store.KindRun, row.ID), Value: value})
+	}
+	for _, id := range draft.Deletes {
+		for _, kind := range []string{store.KindJob, store.KindRun, store.KindCancel} {
+			deletes = append(deletes, store.Row{Table: store.WorkTable, Part: o.pool, Key: store.Key(kind, id)})
+		}
+	}
+	return puts, deletes, nil
+}
+
+// carryOut sends one order and hands the answer to the scheduler.
+func (o *poolOwner) carryOut(ctx context.Context, order any) {
+	d := o.daemon
+	sent := d.clock.Now()
+	go func() {
+		switch order := order.(type) {
+		case pool.Start:
+			reply := d.Workers.Start(ctx, order)
+			o.answer(func() { o.scheduler.Started(order, reply) })
+		case pool.Stop:
+			reply := d.Workers.Stop(ctx, order)
+			o.answer(func() { o.scheduler.Stopped(order, reply) })
+		case pool.Pace:
+			reply := d.Workers.Pace(ctx, order)
+			o.answer(func() { o.scheduler.Paced(order, reply) })
+		case pool.Hold:
+			listing := d.Workers.Hold(ctx, order)
+			o.answer(func() { o.scheduler.Held(order, listing, sent) })
+		case pool.Advise:
+			advice, err := d.Advisor.Advise(ctx, order)
+			if err != nil {
+				eventNoAdvice.Log(ctx, d.Logger, slog.String("step", order.Step), slog.String("error", err.Error()))
+			}
+			o.answer(func() { o.scheduler.Advised(order, advice, err == nil) })
+		}
+	}()
+}
+
+var eventNoAdvice = event.New(1077, "no-advice", slog.LevelWarn, "the advisor did not tell which workers may run a step")
+
+func (o *poolOwner) answer(handle func()) {
+	o.events.put(func() {
+		o.scheduler.Tick(o.daemon.clock.Now(), o.daemon.wall())
+		handle()
+	})
+}
+
+// finish waits for the transaction in flight, so that the next one of the chain can give the pool up.
+func (o *poolOwner) finish() error {
+	d := o.daemon
+	end := d.clock.Now() + releaseWait
+	for o.committing && d.clock.Now() < end {
+		for _, handle := range o.events.take() {
+			handle()
+		}
+		_ = d.clock.Sleep(context.Background(), planPeriod) // this context has no end
+	}
+	return o.lost
+}
+
+// refresh takes in the copies of jobs, workers and configuration as they are now.
+func (o *poolOwner) refresh() {
+	d := o.daemon
+	o.scheduler.Configure(d.configuration.Load())
+	for _, w := range d.workers.all(o.pool) {
+		o.scheduler.SetWorker(w)
+	}
+	for _, known := range d.jobs.Part(o.pool) {
+		o.addJob(known, 0)
+		if known.Cancelled {
+			o.scheduler.Cancel(known.Job.ID)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/diag"
+)
+
+// Numbers of the diagnostics of settings.
+const (
+	DiagUnreadable diag.Code = 1060
+	DiagMissing    diag.Code = 1061
+	DiagAddress    diag.Code = 1062
+	DiagRange      diag.Code = 1063
+)
+
+// Settings are the settings of one instance, as the platform writes them from deploy/settings.json. Times are in
+// milliseconds where the name does not say seconds. New fields may come; what is not known is left alone.
+type Settings struct {
+	Node   string `json:"node"` // name of the instance
+	Zone   string `json:"zone"`
+	Listen struct {
+		Callers string `json:"callers"` // addresses with a port
+		Ready   string `json:"ready"`
+	} `json:"listen"`
+	Store    string `json:"store"`    // addresses of the platform's services
+	Machines string `json:"machines"` // empty where machines are not to be ordered
+	Advisor  string `json:"advisor"`  // empty where no queue needs advice
+	MemoryMB int    `json:"memory-mb"`
+
+	LeaseLimit      clock.Millis `json:"lease-limit"`       // longest lease of a worker
+	MachineLease    clock.Millis `json:"machine-lease"`     // between orders of two holders for one machine
+	StopGrace       Seconds      `json:"stop-grace-s"`      // from SIGTERM to the end of the process
+	StateRetention  Seconds      `json:"state-retention-s"` // for which the state of an ended job is told
+	NoticeTime      clock.Millis `json:"notice-time"`       // after which a task that is away counts as missing
+	MachineOrders   float64      `json:"machine-orders"`    // orders for machines a second, of all instances
+	MachineMoveTime Seconds      `json:"machine-move-s"`    // for which a machine is away when it moves
+}
+
+// Seconds is a time in seconds, possibly a fraction.
+type Seconds float64
+
+// Millis returns the time in milliseconds.
+func (s Seconds) Millis() clock.Millis { return clock.Millis(s * Seconds(clock.Second)) }
+
+// ReadSettings reads and checks a file. Every fault names the field.
+func ReadSettings(path string) (Settings, diag.List) {
+	var faults diag.List
+	var s Settings
+	content, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(content, &s)
+	}
+	if err != nil {
+		faults.Add(diag.New(DiagUnreadable, path, 0, "", err.Error()))
+		return s, faults
+	}
+	for field, value := range map[string]string{"/node": s.Node, "/zone": s.Zone, "/listen/callers": s.Listen.Callers,
+		"/listen/ready": s.Listen.Ready, "/store": s.Store} {
+		if value == "" {
+			faults.Add(diag.New(DiagMissing, path, 0, field, "is missing or empty"))
+		}
+	}
+	for field, value := range map[string]string{"/listen/callers": s.Listen.Callers, "/listen/ready": s.Listen.Ready,
+		"/store": s.Store, "/machines": s.Machines, "/advisor": s.Advisor} {
+		if value == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			faults.Add(diag.New(DiagAddress, path, 0, field, fmt.Sprintf("%q is not an address and a port: %v", value, err)))
+		}
+	}
+	for field, value := range map[string]clock.Millis{"/lease-limit": s.LeaseLimit,
+		"/state-retention-s": s.StateRetention.Millis(), "/stop-grace-s": s.StopGrace.Millis()} {
+		if value <= 0 {
+			faults.Add(diag.New(DiagRange, path, 0, field, fmt.Sprintf("%d ms is not a time above 0", value)))
+		}
+	}
+	return s, faults
+}
--- a/entry/cleanup.go
+++ b/entry/cleanup.go
@@ -8,7 +8,7 @@
 
 	"magnoliaferry/claim"
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -95,5 +95,5 @@
 	operation := fmt.Sprintf("%s/%s/%d/%d", cleanUpKey, c.instance.Settings.Name, c.instance.incarnation, c.steps)
 	// A conflict says that another entry instance was faster, and a lost answer needs no settlement: the worst is a page
 	// that is read twice.
-	return next == "", table.Commit(ctx, platform.NewTransaction(operation, platform.Put(cleanUpKey, value, rows[0].Version())))
+	return next == "", table.Commit(ctx, provider.NewTransaction(operation, provider.Put(cleanUpKey, value, rows[0].Version())))
 }
--- a/entry/cleanup_test.go
+++ b/entry/cleanup_test.go
@@ -7,7 +7,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/settings"
 )
 
@@ -25,8 +25,8 @@
 			written = now - claimRetention
 		}
 		value := fmt.Sprintf(`{"state":"done","written-ms":%d}`, written)
-		if err := table.Commit(ctx, platform.NewTransaction(fmt.Sprint(n),
-			platform.Put(fmt.Sprintf("claim/c/%04d", n), []byte(value), 0))); err != nil {
+		if err := table.Commit(ctx, provider.NewTransaction(fmt.Sprint(n),
+			provider.Put(fmt.Sprintf("claim/c/%04d", n), []byte(value), 0))); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/entry/discovery.go
+++ b/entry/discovery.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // discoveryPeriod is how often the platform's list is searched for entry instances. Members find each other within
@@ -30,10 +30,10 @@
 	}
 }
 
-func entryAddresses(list []platform.Instance) []string {
+func entryAddresses(list []provider.Instance) []string {
 	var addresses []string
 	for _, i := range list {
-		if i.Role() == platform.RoleEntry && i.State() == platform.Live {
+		if i.Role() == provider.RoleEntry && i.State() == provider.Live {
 			addresses = append(addresses, i.Address())
 		}
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"magnoliaferry/operator"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/settings"
 )
 
@@ -247,16 +247,16 @@
 
 // watched tells when the platform is asked to reboot a worker.
 type watched struct {
-	platform.Platform
+	provider.Platform
 	reboot func()
 }
 
-func (w watched) Maintenance() platform.Maintenance {
+func (w watched) Maintenance() provider.Maintenance {
 	return watchedMaintenance{w.Platform.Maintenance(), w.reboot}
 }
 
 type watchedMaintenance struct {
-	platform.Maintenance
+	provider.Maintenance
 	reboot func()
 }
 
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -16,7 +16,7 @@
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/settings"
 	"magnoliaferry/standin"
 )
@@ -67,8 +67,8 @@
 		address, err := w.Bound(ctx)
 		f.check(err)
 		f.workers = append(f.workers, w)
-		f.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: w.ID, Address: address, Zone: "ab"[n%2 : n%2+1],
-			Rack: fmt.Sprint("r", n), Role: platform.RoleWorker, State: platform.Live, Cores: 4, MemoryMB: 8192, Slots: 8,
+		f.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: w.ID, Address: address, Zone: "ab"[n%2 : n%2+1],
+			Rack: fmt.Sprint("r", n), Role: provider.RoleWorker, State: provider.Live, Cores: 4, MemoryMB: 8192, Slots: 8,
 			Connections: 64}))
 	}
 	t.Cleanup(f.client.CloseIdleConnections)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -25,7 +25,7 @@
 	"magnoliaferry/kernel"
 	"magnoliaferry/operator"
 	"magnoliaferry/peer"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/routing"
 	"magnoliaferry/settings"
 	"magnoliaferry/slots"
@@ -47,7 +47,7 @@
 	Clock    *clock.Clock // nil uses the system clock
 	Logger   *slog.Logger // nil drops the log
 	// Platform is used instead of the plug-in that the settings name when it is set.
-	Platform platform.Platform
+	Platform provider.Platform
 	// WallClock returns milliseconds since 1970; nil uses the system's time. It numbers incarnations and dates claims
 	// and maintenance; no lease depends on it.
 	WallClock func() clock.Millis
@@ -160,7 +160,7 @@
 	}
 	i.incarnation = int64(i.WallClock())
 	if i.Platform == nil {
-		open, known := platform.Plugins.Lookup(i.Settings.Platform.Plugin)
+		open, known := provider.Plugins.Lookup(i.Settings.Platform.Plugin)
 		if !known {
 			return fmt.Errorf("platform plug-in %q does not exist", i.Settings.Platform.Plugin)
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,7 +9,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/peer"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/slots"
 )
 
@@ -78,7 +78,7 @@
 }
 
 // SetRoster implements peer.Ledger.
-func (l ledger) SetRoster(row platform.Row) {
+func (l ledger) SetRoster(row provider.Row) {
 	if roster, err := slots.DecodeRoster(row.Value(), row.Version()); err == nil { // the peer module has decoded it before
 		l.Ledger.SetRoster(l.Zone, roster)
 		l.queues.wakeAll()
--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -9,7 +9,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -47,7 +47,7 @@
 // only at the start and when it missed changes.
 type Assignments struct {
 	Clock    *clock.Clock
-	Platform platform.Platform
+	Platform provider.Platform
 	Zone     string          // of this process; its part of the platform's list is read at every poll
 	Zones    func() []string // further zones to follow, for example those of the configuration; may be nil
 	// FarPeriod is how often the changes of other zones are read; 0 for every poll. With 33 zones, reading all of them each
@@ -60,7 +60,7 @@
 	sequences map[string]int64 // by zone
 	versions  map[string]int64 // of the rows taken over last, by zone
 	entries   map[string]entry
-	listed    map[string]platform.Instance
+	listed    map[string]provider.Instance
 	listedAll clock.Millis
 	firstSeen map[string]clock.Millis // of the listed instances
 	farPolled clock.Millis
@@ -181,13 +181,13 @@
 
 // Apply takes over a row changes/<zone> that the caller has read; false says that changes were missed, so that Poll has
 // to read all instance rows.
-func (a *Assignments) Apply(zone string, row platform.Row) (complete bool, err error) {
+func (a *Assignments) Apply(zone string, row provider.Row) (complete bool, err error) {
 	a.polling.Lock()
 	defer a.polling.Unlock()
 	return a.apply(zone, row)
 }
 
-func (a *Assignments) apply(zone string, row platform.Row) (complete bool, err error) {
+func (a *Assignments) apply(zone string, row provider.Row) (complete bool, err error) {
 	a.mu.Lock()
 	known, followed := a.sequences[zone]
 	unchanged := followed && row.Version() > 0 && a.versions[zone] == row.Version()
@@ -243,7 +243,7 @@
 
 // scan reads every instance row. The changes were read before it, so that a change during the scan is applied again by
 // the next poll, which leaves the newest record in place.
-func (a *Assignments) scan(ctx context.Context, zones []string, rows []platform.Row) error {
+func (a *Assignments) scan(ctx context.Context, zones []string, rows []provider.Row) error {
 	eventScan.Log(ctx, a.Logger)
 	records := map[string]planner.RecordFields{}
 	for after := ""; ; {
@@ -304,7 +304,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.listed == nil {
-		a.listed, a.firstSeen = map[string]platform.Instance{}, map[string]clock.Millis{}
+		a.listed, a.firstSeen = map[string]provider.Instance{}, map[string]clock.Millis{}
 	}
 	present := make(map[string]bool, len(list))
 	for _, i := range list {
@@ -367,7 +367,7 @@
 	for id, e := range a.entries {
 		if i, listed := a.listed[id]; listed {
 			current = append(current, Assignment{instance: id, address: i.Address(), zone: i.Zone(), pool: e.record.Pool,
-				phase: e.record.Phase, leaving: i.State() == platform.Leaving})
+				phase: e.record.Phase, leaving: i.State() == provider.Leaving})
 		}
 	}
 	sort.Slice(current, func(i, j int) bool { return current[i].instance < current[j].instance })
@@ -384,7 +384,7 @@
 	add := func(id string) {
 		e, known := a.entries[id]
 		i, listed := a.listed[id]
-		if !known && (!listed || i.Role() != platform.RoleWorker) {
+		if !known && (!listed || i.Role() != provider.RoleWorker) {
 			return
 		}
 		// New instances of the own zone are seen earlier than those of other zones. They join only after a list of all
@@ -393,7 +393,7 @@
 			return
 		}
 		m := planner.InstanceFields{RecordFields: e.record, Age: now - e.seen, Listed: listed,
-			Leaving: listed && i.State() == platform.Leaving, Healthy: listed && (healthy == nil || healthy(id))}
+			Leaving: listed && i.State() == provider.Leaving, Healthy: listed && (healthy == nil || healthy(id))}
 		if !known {
 			m.RecordFields, m.Age = planner.RecordFields{ID: id, Zone: i.Zone(), Rack: i.Rack()}, 0
 		}
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -7,7 +7,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // BenchmarkPass measures what a pass costs the process besides the platform: from the known records to the steps of one
@@ -17,7 +17,7 @@
 		w := newWorld(0, 1)
 		l := w.loops[0]
 		a := l.Assignments
-		a.entries, a.listed = map[string]entry{}, map[string]platform.Instance{}
+		a.entries, a.listed = map[string]entry{}, map[string]provider.Instance{}
 		w.fields.Pools = nil
 		for p := range size.pools {
 			n := size.workers / size.pools
@@ -25,9 +25,9 @@
 				Capacity: n * 8 / 10, MaxUnavailable: max(n/10, 1), Spare: p == 0, Slots: 8, MaintenancePeriod: 28 * clock.Day,
 				Survive: config.Failures{Racks: 1}})
 			for k := range n {
-				f := platform.InstanceFields{ID: fmt.Sprintf("i-%02d-%05d", p, k), Zone: fmt.Sprintf("zone-%02d", k%33),
-					Rack: fmt.Sprint(k / 132), Role: platform.RoleWorker, State: platform.Live}
-				a.listed[f.ID] = platform.NewInstance(f)
+				f := provider.InstanceFields{ID: fmt.Sprintf("i-%02d-%05d", p, k), Zone: fmt.Sprintf("zone-%02d", k%33),
+					Rack: fmt.Sprint(k / 132), Role: provider.RoleWorker, State: provider.Live}
+				a.listed[f.ID] = provider.NewInstance(f)
 				a.entries[f.ID] = entry{record: planner.RecordFields{ID: f.ID, Pool: fmt.Sprintf("p%02d", p), Zone: f.Zone,
 					Rack: f.Rack, Phase: planner.Serving, Maintained: w.clock.Now()}}
 			}
--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -9,7 +9,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/jobs"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // cost returns the rows read and the transactions that f causes.
@@ -150,10 +150,10 @@
 	}
 	w.run(clock.Minute, w.serving(18))
 	for range 3 { // every instance fails and returns, which makes more changes than the 64 that a zone keeps
-		for _, state := range []platform.InstanceState{platform.Leaving, platform.Live} {
+		for _, state := range []provider.InstanceState{provider.Leaving, provider.Live} {
 			for i := range 18 {
 				w.list(i)
-				if state == platform.Leaving {
+				if state == provider.Leaving {
 					w.store.RemoveInstance(fmt.Sprintf("w%02d", i))
 				}
 			}
@@ -214,8 +214,8 @@
 	next := config.New(w.fields)
 	stored := config.NewStored(config.StoredFields{Version: 2, Digest: config.Digest(next), Operation: "o",
 		Delta: config.NewDelta(nil, next)})
-	if err := w.store.View("").Table().Commit(w.ctx, platform.NewTransaction("o",
-		platform.Put(configurationKey, stored.Encode(), 0))); err != nil {
+	if err := w.store.View("").Table().Commit(w.ctx, provider.NewTransaction("o",
+		provider.Put(configurationKey, stored.Encode(), 0))); err != nil {
 		t.Fatal(err)
 	}
 	if refusal := l.Drain(w.ctx, "w00", false); refusal == nil || refusal.Code() != LostRace {
--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -10,7 +10,7 @@
 	"magnoliaferry/jobs"
 	"magnoliaferry/memory"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // operations are what the control loop carries out in several steps. Each begins with an order or a demand, and done tells
@@ -87,7 +87,7 @@
 		for range 3 {
 			m.round()
 			for range m.runningTasks() {
-				m.endTask(0, platform.TaskFailed)
+				m.endTask(0, provider.TaskFailed)
 			}
 		}
 	},
--- a/fleet/gate_test.go
+++ b/fleet/gate_test.go
@@ -7,13 +7,13 @@
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // gate is the access of one loop to the platform. It can pause the loop at the next call of a kind, before or after its
 // effect, while the rest of the world goes on, and it can lose that call or its answer.
 type gate struct {
-	platform.Platform
+	provider.Platform
 	world   *world
 	pauseAt string // kind of call; "" for none
 	after   bool
@@ -80,15 +80,15 @@
 	<-g.resume
 }
 
-func (g *gate) Table() platform.Table { return gatedTable{g} }
-func (g *gate) Tasks() platform.Tasks { return gatedTasks{g, g.Platform.Tasks()} }
-func (g *gate) Maintenance() platform.Maintenance {
+func (g *gate) Table() provider.Table { return gatedTable{g} }
+func (g *gate) Tasks() provider.Tasks { return gatedTasks{g, g.Platform.Tasks()} }
+func (g *gate) Maintenance() provider.Maintenance {
 	return gatedMaintenance{g, g.Platform.Maintenance()}
 }
 
 type gatedTable struct{ g *gate }
 
-func (t gatedTable) Read(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+func (t gatedTable) Read(ctx context.Context, keys ...string) (rows []provider.Row, err error) {
 	kind := "read"
 	if len(keys) > 0 && strings.HasPrefix(keys[0], wavePrefix) {
 		kind = "waves" // the last read before a loop looks at the instances that are out
@@ -100,7 +100,7 @@
 	return rows, err
 }
 
-func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) (rows []provider.Row, err error) {
 	err = t.g.call("scan", memory.StepScan, func(bool) error {
 		rows, err = t.g.Platform.Table().Scan(ctx, prefix, after, limit)
 		return err
@@ -108,7 +108,7 @@
 	return rows, err
 }
 
-func (t gatedTable) Commit(ctx context.Context, tx platform.Transaction) error {
+func (t gatedTable) Commit(ctx context.Context, tx provider.Transaction) error {
 	kind := "commit"
 	if strings.HasPrefix(tx.Writes()[0].Key(), leasePrefix) {
 		kind = "lease" // written at every pass, and without an invariant
@@ -118,10 +118,10 @@
 
 type gatedTasks struct {
 	g *gate
-	platform.Tasks
+	provider.Tasks
 }
 
-func (t gatedTasks) Start(ctx context.Context, r platform.TaskRequest) error {
+func (t gatedTasks) Start(ctx context.Context, r provider.TaskRequest) error {
 	return t.g.call("start", memory.StepTaskStart, func(bool) error { return t.Tasks.Start(ctx, r) })
 }
 
@@ -131,7 +131,7 @@
 
 type gatedMaintenance struct {
 	g *gate
-	platform.Maintenance
+	provider.Maintenance
 }
 
 func (m gatedMaintenance) Drain(ctx context.Context, instance string) error {
@@ -152,7 +152,7 @@
 			if !delayed {
 				m.g.world.errorf("reboot of %s interrupts %d requests and tasks", instance, running)
 			}
-			return platform.ErrConflict.New("%s: requests or tasks still run", memory.StepReboot)
+			return provider.ErrConflict.New("%s: requests or tasks still run", memory.StepReboot)
 		}
 		return m.Maintenance.Reboot(ctx, instance)
 	})
--- a/fleet/jobs.go
+++ b/fleet/jobs.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/jobs"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -88,7 +88,7 @@
 
 // passJobs reads what changed since the row changes/jobs/<pool> that was seen last, plans the jobs of one pool and
 // carries the steps out.
-func (l *Loop) passJobs(ctx context.Context, configuration *config.Configuration, pool string, row platform.Row) error {
+func (l *Loop) passJobs(ctx context.Context, configuration *config.Configuration, pool string, row provider.Row) error {
 	l.mu.Lock()
 	if l.jobs == nil {
 		l.jobs = map[string]*poolJobs{}
@@ -124,7 +124,7 @@
 }
 
 // refreshJobs reads the jobs that were written since the last pass, or all of them.
-func (l *Loop) refreshJobs(ctx context.Context, pool string, p *poolJobs, row platform.Row) error {
+func (l *Loop) refreshJobs(ctx context.Context, pool string, p *poolJobs, row provider.Row) error {
 	var changes jobChangesRow
 	if err := decode(row, &changes); err != nil {
 		return err
@@ -177,7 +177,7 @@
 	return keys
 }
 
-func (p *poolJobs) store(row platform.Row, pool string, now clock.Millis) error {
+func (p *poolJobs) store(row provider.Row, pool string, now clock.Millis) error {
 	var r jobs.RecordFields
 	if err := decode(row, &r); err != nil {
 		return err
@@ -210,7 +210,7 @@
 			}
 			return jobs.New(j.Fields(), l.Wall()), true
 		})
-		if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+		if err != nil && !errorx.IsOfType(err, provider.ErrConflict) {
 			return err
 		}
 	}
@@ -275,8 +275,8 @@
 }
 
 // usage asks the workers that run tasks, those with starting tasks first and the others in turn.
-func (l *Loop) usage(ctx context.Context, p *poolJobs, bound map[string][]*jobEntry, now clock.Millis) map[string]platform.UsageFields {
-	usage := map[string]platform.UsageFields{}
+func (l *Loop) usage(ctx context.Context, p *poolJobs, bound map[string][]*jobEntry, now clock.Millis) map[string]provider.UsageFields {
+	usage := map[string]provider.UsageFields{}
 	var first, others []string
 	for _, worker := range sorted(bound) {
 		if slices.ContainsFunc(bound[worker], func(e *jobEntry) bool { return e.record.State == jobs.Starting }) {
@@ -322,7 +322,7 @@
 		}
 		i, listed := a.listed[id]
 		w := jobs.WorkerFields{ID: id, Zone: e.record.Zone, Rack: e.record.Rack,
-			Open: listed && e.record.Phase == planner.Serving && e.record.Pool == pool && i.State() == platform.Live,
+			Open: listed && e.record.Phase == planner.Serving && e.record.Pool == pool && i.State() == provider.Live,
 			Lost: !listed || e.record.Phase == planner.Failed}
 		if listed {
 			w.Cores, w.MemoryMB, w.Accelerators = i.Cores(), i.MemoryMB(), i.Accelerators()
@@ -428,7 +428,7 @@
 	}
 	reports, err := l.Platform.Tasks().Usage(ctx, j.Worker)
 	for _, u := range reports {
-		if u.ID() == j.TaskID() && (u.State() == platform.TaskSucceeded || u.State() == platform.TaskFailed) {
+		if u.ID() == j.TaskID() && (u.State() == provider.TaskSucceeded || u.State() == provider.TaskFailed) {
 			ended = true
 		}
 	}
@@ -446,7 +446,7 @@
 			r.State, r.Since = jobs.Running, max(l.Wall(), r.Since)
 			return r, true
 		})
-		if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+		if err != nil && !errorx.IsOfType(err, provider.ErrConflict) {
 			return err
 		}
 	}
@@ -469,7 +469,7 @@
 			}
 			return change(r, teams)
 		})
-		if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+		if err != nil && !errorx.IsOfType(err, provider.ErrConflict) {
 			return err
 		}
 		for _, r := range done {
@@ -514,7 +514,7 @@
 		r.State = jobs.Cancelled
 	case jobs.KindRequeue:
 		r.State = jobs.Queued
-		if f.Known && f.Task.State == platform.TaskCheckpointed {
+		if f.Known && f.Task.State == provider.TaskCheckpointed {
 			r.State = jobs.Checkpointed
 		}
 		r.NotBefore = wall + s.Delay()
@@ -555,7 +555,7 @@
 		return true, nil
 	}
 	eventTask.Log(ctx, l.Logger, slog.String("job", r.ID), slog.String("error", err.Error()))
-	if !errorx.IsOfType(err, platform.ErrNotFound) || r.Tries > 1 {
+	if !errorx.IsOfType(err, provider.ErrNotFound) || r.Tries > 1 {
 		return false, nil // it may have started; the next pass settles it on the same worker
 	}
 	_, err = l.transitionJobs(ctx, pool, []string{r.ID}, []string{r.Team}, func(found jobs.RecordFields, _ int64,
@@ -569,14 +569,14 @@
 		}
 		return found, true
 	})
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, provider.ErrConflict) {
 		return false, nil
 	}
 	return false, err
 }
 
-func request(r jobs.RecordFields) platform.TaskRequest {
-	return platform.NewTaskRequest(platform.TaskFields{ID: r.TaskID(), Job: r.ID, Instance: r.Worker, Cores: r.HeldCores,
+func request(r jobs.RecordFields) provider.TaskRequest {
+	return provider.NewTaskRequest(provider.TaskFields{ID: r.TaskID(), Job: r.ID, Instance: r.Worker, Cores: r.HeldCores,
 		MemoryMB: r.HeldMemoryMB, Accelerators: r.Accelerators, Lease: jobs.Lease, Command: r.Command})
 }
 
@@ -587,7 +587,7 @@
 	done []jobs.RecordFields, err error) {
 	for range 3 {
 		done, err = l.tryTransitionJobs(ctx, pool, ids, teams, decide)
-		if !errorx.IsOfType(err, platform.ErrConflict) {
+		if !errorx.IsOfType(err, provider.ErrConflict) {
 			break
 		}
 	}
@@ -620,7 +620,7 @@
 		}
 		before[team] = encode(uses[team])
 	}
-	var writes []platform.Write
+	var writes []provider.Write
 	for i, id := range ids {
 		row := rows[1+len(teams)+i]
 		r := jobs.RecordFields{ID: id}
@@ -635,19 +635,19 @@
 			t.change(pool, r, after)
 		}
 		changes.add(id)
-		writes = append(writes, platform.Put(row.Key(), encode(after), row.Version()))
+		writes = append(writes, provider.Put(row.Key(), encode(after), row.Version()))
 		done = append(done, after)
 	}
 	if len(writes) == 0 {
 		return nil, nil
 	}
-	all := []platform.Write{platform.Put(rows[0].Key(), encode(changes), rows[0].Version())}
+	all := []provider.Write{provider.Put(rows[0].Key(), encode(changes), rows[0].Version())}
 	for i, team := range teams {
 		if after := encode(uses[team]); string(after) != string(before[team]) {
-			all = append(all, platform.Put(rows[1+i].Key(), after, rows[1+i].Version()))
+			all = append(all, provider.Put(rows[1+i].Key(), after, rows[1+i].Version()))
 		}
 	}
-	if err := l.commit(ctx, platform.NewTransaction(uuid.NewString(), append(all, writes...)...), rows[0]); err != nil {
+	if err := l.commit(ctx, provider.NewTransaction(uuid.NewString(), append(all, writes...)...), rows[0]); err != nil {
 		return nil, err
 	}
 	return done, nil
--- a/fleet/loop.go
+++ b/fleet/loop.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -34,7 +34,7 @@
 type Loop struct {
 	Holder        string // unique name of this process among the entry instances
 	Clock         *clock.Clock
-	Platform      platform.Platform
+	Platform      provider.Platform
 	Assignments   *Assignments
 	Configuration func() *config.Configuration // nil until there is one
 	// ConfigurationVersion returns the number of the version that is in force here. When it is set, planned work is
@@ -214,9 +214,9 @@
 
 // renewHeld renews the leases that this process holds in one transaction and returns the rows as they are then. When
 // another process has taken one of them, none is renewed, and take finds out which ones are left.
-func (l *Loop) renewHeld(ctx context.Context, pools []string, rows []platform.Row) ([]platform.Row, error) {
-	var writes []platform.Write
-	var first platform.Row
+func (l *Loop) renewHeld(ctx context.Context, pools []string, rows []provider.Row) ([]provider.Row, error) {
+	var writes []provider.Write
+	var first provider.Row
 	keys := make([]string, len(pools))
 	for i, pool := range pools {
 		keys[i] = leasePrefix + pool
@@ -224,15 +224,15 @@
 			if len(writes) == 0 {
 				first = rows[i]
 			}
-			writes = append(writes, platform.Put(keys[i], encode(leaseRow{l.Holder}), rows[i].Version()))
+			writes = append(writes, provider.Put(keys[i], encode(leaseRow{l.Holder}), rows[i].Version()))
 		}
 	}
 	if len(writes) == 0 {
 		return rows, nil
 	}
 	operation, now := uuid.NewString(), l.Clock.Now()
-	err := l.commit(ctx, platform.NewTransaction(operation, writes...), first)
-	if err != nil && !errorx.IsOfType(err, platform.ErrConflict) {
+	err := l.commit(ctx, provider.NewTransaction(operation, writes...), first)
+	if err != nil && !errorx.IsOfType(err, provider.ErrConflict) {
 		return nil, err
 	}
 	after, err := l.Platform.Table().Read(ctx, keys...)
@@ -249,7 +249,7 @@
 
 // take takes the lease of a pool that no process holds, renews one that could not be renewed with the others, and
 // notices when another process holds it.
-func (l *Loop) take(ctx context.Context, pool string, row platform.Row, mayTake bool) (took bool, err error) {
+func (l *Loop) take(ctx context.Context, pool string, row provider.Row, mayTake bool) (took bool, err error) {
 	now := l.Clock.Now()
 	known := l.leases[pool]
 	if known == nil || known.version != row.Version() {
@@ -261,8 +261,8 @@
 		return false, nil
 	}
 	operation := uuid.NewString()
-	err = l.commit(ctx, platform.NewTransaction(operation,
-		platform.Put(leasePrefix+pool, encode(leaseRow{l.Holder}), row.Version())), row)
+	err = l.commit(ctx, provider.NewTransaction(operation,
+		provider.Put(leasePrefix+pool, encode(leaseRow{l.Holder}), row.Version())), row)
 	switch {
 	case err == nil:
 		rows, err := l.Platform.Table().Read(ctx, leasePrefix+pool)
@@ -272,7 +272,7 @@
 		took = !known.held
 		l.leases[pool] = &lease{version: rows[0].Version(), seen: now, held: rows[0].Operation() == operation}
 		return took, nil
-	case errorx.IsOfType(err, platform.ErrConflict):
+	case errorx.IsOfType(err, provider.ErrConflict):
 		known.held = false
 		return false, nil
 	}
@@ -282,29 +282,29 @@
 // commit applies a transaction and settles a lost answer by the operation id of the first row that it writes, which the
 // writer saw as before. It returns ErrConflict when the state has to be read again, and ErrUnknownOutcome when the
 // answer stays unknown.
-func (l *Loop) commit(ctx context.Context, tx platform.Transaction, before platform.Row) error {
+func (l *Loop) commit(ctx context.Context, tx provider.Transaction, before provider.Row) error {
 	unsettled := false
 	for range 3 {
 		err := l.Platform.Table().Commit(ctx, tx)
 		if err == nil {
 			return nil
 		}
-		if !unsettled && !errorx.IsOfType(err, platform.ErrUnknownOutcome) {
+		if !unsettled && !errorx.IsOfType(err, provider.ErrUnknownOutcome) {
 			return err
 		}
 		unsettled = true
 		rows, readErr := l.Platform.Table().Read(ctx, before.Key())
 		if readErr != nil {
-			return platform.ErrUnknownOutcome.Wrap(readErr, "transaction %s is not settled", tx.Operation())
+			return provider.ErrUnknownOutcome.Wrap(readErr, "transaction %s is not settled", tx.Operation())
 		}
 		if rows[0].Operation() == tx.Operation() {
 			return nil
 		}
-		if rows[0].Version() != before.Version() || errorx.IsOfType(err, platform.ErrConflict) {
-			return platform.ErrConflict.New("row %q was changed by another writer", before.Key())
+		if rows[0].Version() != before.Version() || errorx.IsOfType(err, provider.ErrConflict) {
+			return provider.ErrConflict.New("row %q was changed by another writer", before.Key())
 		}
 	}
-	return platform.ErrUnknownOutcome.New("transaction %s is not settled", tx.Operation())
+	return provider.ErrUnknownOutcome.New("transaction %s is not settled", tx.Operation())
 }
 
 // planAndApply plans each held pool on one state and carries out its steps.
@@ -374,7 +374,7 @@
 			keys = append(keys, instancePrefix+m.ID)
 		}
 	}
-	var rows []platform.Row
+	var rows []provider.Row
 	readAt := clock.Millis(0)
 	for i, m := range out {
 		if now := l.Clock.Now(); rows == nil || now-readAt >= staleAfter {
@@ -382,7 +382,7 @@
 			if rows, err = l.Platform.Table().Read(ctx, keys[i:]...); err != nil {
 				return err
 			}
-			rows, readAt = append(make([]platform.Row, i), rows...), now
+			rows, readAt = append(make([]provider.Row, i), rows...), now
 		}
 		var r planner.RecordFields
 		if err := decode(rows[i], &r); err != nil {
@@ -414,13 +414,13 @@
 	}
 	switch {
 	case m.Phase == planner.Draining:
-		m.Accepted = status == platform.StatusDrained || status == platform.StatusDraining
-		m.Drained = status == platform.StatusDrained && l.acknowledged(ctx, m)
-	case status == platform.StatusServing:
+		m.Accepted = status == provider.StatusDrained || status == provider.StatusDraining
+		m.Drained = status == provider.StatusDrained && l.acknowledged(ctx, m)
+	case status == provider.StatusServing:
 		m.Rebooted = true
-	case status == platform.StatusFailed:
+	case status == provider.StatusFailed:
 		m.RebootFailed = true
-	case status == platform.StatusDrained || status == platform.StatusDraining && m.Force:
+	case status == provider.StatusDrained || status == provider.StatusDraining && m.Force:
 		return maintenance.Reboot(ctx, m.ID)
 	}
 	return nil
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -12,7 +12,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/jobs"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -118,7 +118,7 @@
 	}
 	w.fields.By, w.fields.Reason = by, fmt.Sprintf("%s by %s", action, by)
 	err = l.writeWave(ctx, w)
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, provider.ErrConflict) {
 		now, readErr := l.readWave(ctx, pool)
 		if readErr != nil {
 			return refuse(readErr).WithContact(contact)
@@ -358,9 +358,9 @@
 // refuse turns an error of the table into a refusal.
 func refuse(err error) *result.Refusal {
 	switch {
-	case errorx.IsOfType(err, platform.ErrConflict):
+	case errorx.IsOfType(err, provider.ErrConflict):
 		return result.Refuse(LostRace, err.Error(), clock.Second)
-	case errorx.IsOfType(err, platform.ErrUnknownOutcome):
+	case errorx.IsOfType(err, provider.ErrUnknownOutcome):
 		return result.Refuse(OutcomeUnknown, err.Error(), 0)
 	}
 	return result.Refuse(TableUnavailable, err.Error(), 10*clock.Second)
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -16,7 +16,7 @@
 	"magnoliaferry/jobs"
 	"magnoliaferry/memory"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 func TestMain(m *testing.M) {
@@ -39,12 +39,12 @@
 	zombies []*gate // paused passes of loops that were restarted
 	entries []*Assignments
 	polled  []clock.Millis
-	down    map[string]platform.Instance
+	down    map[string]provider.Instance
 	started int
 }
 
 func newMachine() *machine {
-	m := &machine{world: newWorld(4, 0), down: map[string]platform.Instance{}}
+	m := &machine{world: newWorld(4, 0), down: map[string]provider.Instance{}}
 	m.fields.Teams = []config.TeamFields{{Name: "t0", Cores: 40, MemoryMB: 100000}, {Name: "t1", Cores: 24, MemoryMB: 100000}}
 	m.tracked = map[string]planner.RecordFields{}
 	for i, zone := range zoneNames {
@@ -136,7 +136,7 @@
 	}
 }
 
-func (m *machine) endTask(choice int, state platform.TaskState) {
+func (m *machine) endTask(choice int, state provider.TaskState) {
 	running := m.runningTasks()
 	if len(running) > 0 {
 		m.store.SetTaskState(running[choice%len(running)], state, "exit 1")
@@ -224,8 +224,8 @@
 		"request":    func(t *rapid.T) { m.dispatch(zone.Draw(t, "entry")) },
 		"answer":     func(t *rapid.T) { m.inFlight[m.instance(instance.Draw(t, "instance"))] = 0 },
 		"answer all": func(t *rapid.T) { clear(m.inFlight) },
-		"task end":   func(t *rapid.T) { m.endTask(job.Draw(t, "task"), platform.TaskSucceeded) },
-		"task fail":  func(t *rapid.T) { m.endTask(job.Draw(t, "task"), platform.TaskFailed) },
+		"task end":   func(t *rapid.T) { m.endTask(job.Draw(t, "task"), provider.TaskSucceeded) },
+		"task fail":  func(t *rapid.T) { m.endTask(job.Draw(t, "task"), provider.TaskFailed) },
 		"drain": func(t *rapid.T) {
 			_ = m.desks[zone.Draw(t, "desk")].Drain(m.ctx, m.instance(instance.Draw(t, "instance")), false)
 		},
@@ -274,7 +274,7 @@
 			m.pass(i)
 		}
 		for range m.runningTasks() {
-			m.endTask(0, platform.TaskSucceeded)
+			m.endTask(0, provider.TaskSucceeded)
 		}
 		m.clock.Advance(2 * clock.Second)
 		m.report(t)
@@ -392,7 +392,7 @@
 		instance := fmt.Sprintf("w%02d", i)
 		reports, _ := w.store.View("").Tasks().Usage(w.ctx, instance)
 		for _, u := range reports {
-			if u.State() == platform.TaskRunning {
+			if u.State() == provider.TaskRunning {
 				running[u.ID()] = instance
 			}
 		}
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -6,7 +6,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // Prefixes of the keys in the table, see section 3 of docs/design.md.
@@ -119,7 +119,7 @@
 }
 
 // decode reads the value of a row; a missing row leaves the value as it is.
-func decode[T any](row platform.Row, value *T) error {
+func decode[T any](row provider.Row, value *T) error {
 	if row.Version() == 0 {
 		return nil
 	}
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -11,7 +11,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -67,7 +67,7 @@
 	}
 	w.fields.Reason = step.Reason()
 	err := l.writeWave(ctx, w)
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, provider.ErrConflict) {
 		return nil
 	}
 	return err
@@ -75,8 +75,8 @@
 
 func (l *Loop) writeWave(ctx context.Context, w wave) error {
 	key := wavePrefix + w.fields.Pool
-	return l.commit(ctx, platform.NewTransaction(uuid.NewString(), platform.Put(key, encode(w.fields), w.version)),
-		platform.NewRow(key, nil, w.version, ""))
+	return l.commit(ctx, provider.NewTransaction(uuid.NewString(), provider.Put(key, encode(w.fields), w.version)),
+		provider.NewRow(key, nil, w.version, ""))
 }
 
 // applyGroup carries out steps of one kind on instances of one zone.
@@ -96,11 +96,11 @@
 	w := l.waves[first.Pool()]
 	l.mu.Unlock()
 	if first.Kind() == planner.KindDrain && first.Target() == "" {
-		t.checks = append(t.checks, platform.Check(wavePrefix+first.Pool(), w.version)) // an operator may pause the wave
+		t.checks = append(t.checks, provider.Check(wavePrefix+first.Pool(), w.version)) // an operator may pause the wave
 	}
 	if first.Kind() == planner.KindDrain {
 		checks, err := l.configurationCheck(ctx)
-		if errorx.IsOfType(err, platform.ErrConflict) {
+		if errorx.IsOfType(err, provider.ErrConflict) {
 			return nil // the new configuration is here within seconds
 		}
 		if err != nil {
@@ -137,7 +137,7 @@
 		eventSkip.Log(ctx, l.Logger, slog.String("step", string(first.Kind())), slog.String("instance", id),
 			slog.String("reason", refusal.Error()))
 	}
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, provider.ErrConflict) {
 		return nil // the next pass plans on the new state
 	}
 	return err
@@ -145,7 +145,7 @@
 
 // configurationCheck returns the condition that no newer configuration is accepted than the one that is in force here, or
 // ErrConflict when there is one already.
-func (l *Loop) configurationCheck(ctx context.Context) ([]platform.Write, error) {
+func (l *Loop) configurationCheck(ctx context.Context) ([]provider.Write, error) {
 	if l.ConfigurationVersion == nil {
 		return nil, nil
 	}
@@ -160,10 +160,10 @@
 		}
 	}
 	if here := l.ConfigurationVersion(); stored.Version() > here {
-		return nil, platform.ErrConflict.New("version %d of the configuration is accepted, and version %d is in force here",
+		return nil, provider.ErrConflict.New("version %d of the configuration is accepted, and version %d is in force here",
 			stored.Version(), here)
 	}
-	return []platform.Write{platform.Check(configurationKey, rows[0].Version())}, nil
+	return []provider.Write{provider.Check(configurationKey, rows[0].Version())}, nil
 }
 
 // allow applies the budget rule of section 9.2 to the budget row that the transaction is conditional on.
@@ -242,7 +242,7 @@
 	zone      string
 	instances []string
 	pools     []string
-	checks    []platform.Write
+	checks    []provider.Write
 	// decide returns the next record of an instance, or a refusal. A record without a phase is deleted, or did not exist.
 	decide func(r planner.RecordFields, budgets map[string]*budgetRow) (planner.RecordFields, *result.Refusal)
 }
@@ -253,7 +253,7 @@
 	refused map[string]*result.Refusal, err error) {
 	for range 3 {
 		done, refused, err = l.tryTransition(ctx, t)
-		if !errorx.IsOfType(err, platform.ErrConflict) {
+		if !errorx.IsOfType(err, provider.ErrConflict) {
 			break
 		}
 	}
@@ -284,7 +284,7 @@
 			return nil, nil, err
 		}
 	}
-	var writes []platform.Write
+	var writes []provider.Write
 	refused = map[string]*result.Refusal{}
 	for i, id := range t.instances {
 		row := rows[1+len(t.pools)+i]
@@ -302,9 +302,9 @@
 		}
 		changes.add(l.Wall(), after)
 		if after.Phase == "" {
-			writes = append(writes, platform.Delete(row.Key(), row.Version()))
+			writes = append(writes, provider.Delete(row.Key(), row.Version()))
 		} else {
-			writes = append(writes, platform.Put(row.Key(), encode(after), row.Version()))
+			writes = append(writes, provider.Put(row.Key(), encode(after), row.Version()))
 		}
 		done = append(done, after)
 	}
@@ -312,12 +312,12 @@
 		return nil, refused, nil
 	}
 	// The row of changes comes first because it always exists afterwards, so that the operation id can be found.
-	all := []platform.Write{platform.Put(rows[0].Key(), encode(changes), rows[0].Version())}
+	all := []provider.Write{provider.Put(rows[0].Key(), encode(changes), rows[0].Version())}
 	for i, pool := range t.pools {
-		all = append(all, platform.Put(rows[1+i].Key(), encode(budgets[pool]), rows[1+i].Version()))
+		all = append(all, provider.Put(rows[1+i].Key(), encode(budgets[pool]), rows[1+i].Version()))
 	}
 	all = append(append(all, writes...), t.checks...)
-	if err := l.commit(ctx, platform.NewTransaction(uuid.NewString(), all...), rows[0]); err != nil {
+	if err := l.commit(ctx, provider.NewTransaction(uuid.NewString(), all...), rows[0]); err != nil {
 		return nil, nil, err
 	}
 	return done, refused, nil
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -10,7 +10,7 @@
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // world is a small fleet on the platform in memory, driven step by step on a fake clock.
@@ -59,8 +59,8 @@
 
 func (w *world) list(i int) {
 	zone := zoneNames[i%3]
-	w.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: fmt.Sprintf("w%02d", i), Zone: zone,
-		Rack: fmt.Sprintf("%s%d", zone, i/6), Role: platform.RoleWorker, State: platform.Live, Cores: 16, MemoryMB: 32768}))
+	w.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: fmt.Sprintf("w%02d", i), Zone: zone,
+		Rack: fmt.Sprintf("%s%d", zone, i/6), Role: provider.RoleWorker, State: provider.Live, Cores: 16, MemoryMB: 32768}))
 }
 
 func (w *world) newLoop(holder, zone string) *Loop {
--- /dev/null
+++ b/front/codes.go
@@ -0,0 +1,29 @@
+package front
+
+import (
+	"log/slog"
+
+	"magnoliaferry/event"
+	"magnoliaferry/result"
+)
+
+// The results of requests about jobs.
+var (
+	CodeAccepted  = result.New(2500, "job-accepted", 200, result.Ran, "the job is stored and will run")
+	CodeState     = result.New(2501, "job-state", 200, result.Ran, "the state of the job")
+	CodeCancelled = result.New(2502, "job-cancelled", 200, result.Ran, "the job is cancelled")
+	CodeNoQueue   = result.New(2510, "no-such-queue", 404, result.NotRun, "no queue has this host and path")
+	CodeNoJob     = result.New(2511, "no-such-job", 410, result.NotRun, "no such job exists in this queue")
+	CodeInvalid   = result.New(2512, "job-invalid", 400, result.NotRun, "the job cannot be carried out as it is described")
+	CodeNotReady  = result.New(2520, "not-ready", 503, result.NotRun, "this instance has no configuration or no copy of the jobs yet")
+	CodeNotStored = result.New(2521, "job-not-stored", 503, result.NotRun, "the platform's store did not take the job; it will not run")
+	CodeUnknown   = result.New(2522, "job-outcome-unknown", 504, result.Unknown, "the platform's store did not tell in time whether it has the job; repeat the request with the same id")
+	CodeStale     = result.New(2523, "state-unknown", 503, result.Unknown, "this instance is cut off from the platform's store and cannot tell")
+)
+
+var (
+	eventAccepted  = event.New(2550, "job-accepted", slog.LevelInfo, "a job is stored")
+	eventRepeated  = event.New(2551, "job-repeated", slog.LevelInfo, "a job that is stored already was handed in again")
+	eventRefused   = event.New(2552, "request-refused", slog.LevelWarn, "a request about a job was not carried out")
+	eventCancelled = event.New(2553, "job-cancel-stored", slog.LevelInfo, "the cancelling of a job is stored")
+)
--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,196 @@
+package front
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/result"
+	"magnoliaferry/store"
+)
+
+// Times of requests.
+const (
+	// DefaultDeadline is how long a caller waits that does not say so.
+	DefaultDeadline = 3 * clock.Second
+	// rejectedAttempts bounds the repeats of a write that the store certainly did not take: the caller is told at once.
+	rejectedAttempts = 3
+	retryPause       = 30 * clock.Millis(1)
+	retryLimit       = 300 * clock.Millis(1)
+	// retryAfter is when a caller may come back: outages of the store last seconds.
+	retryAfter = 1 * clock.Second
+	// staleAfter is the age of the copy above which a job that is not in it may exist all the same.
+	staleAfter = 2500 * clock.Millis(1)
+)
+
+// Service answers requests about jobs. Exported fields are set before the first request.
+type Service struct {
+	Table  store.Table
+	Jobs   *store.Jobs
+	Clock  *clock.Clock
+	Logger *slog.Logger
+	// Configuration returns the configuration in force, or nil.
+	Configuration func() *batch.Configuration
+	// CopyAge returns for how long the copy of the jobs may have missed changes.
+	CopyAge func() clock.Millis
+	// Wall returns the Unix time.
+	Wall func() clock.Millis
+}
+
+// Match returns the queue of a request and the rest of its path, or a refusal.
+func (s *Service) Match(host, path string) (*batch.Queue, string, *result.Refusal) {
+	configuration := s.Configuration()
+	if configuration == nil {
+		return nil, "", result.Refuse(CodeNotReady, "no configuration was read yet", retryAfter)
+	}
+	queue, ok := configuration.Match(host, path)
+	if !ok {
+		return nil, "", result.Refuse(CodeNoQueue, host+path, 0)
+	}
+	return queue, path[len(queue.Prefix):], nil
+}
+
+// Submit stores a job of the queue. It returns nil when the job is stored, also when it was before.
+func (s *Service) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job, wait clock.Millis) *result.Refusal {
+	if err := job.Check(); err != nil {
+		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
+	}
+	if _, known := s.Jobs.Find(job.ID); known {
+		s.log(ctx, eventRepeated, job.ID, slog.String("known", "copy"))
+		return nil
+	}
+	job.Queue, job.Pool, job.Accepted = queue.Name, queue.Pool, s.Wall()
+	value, err := job.Encode()
+	if err != nil {
+		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
+	}
+	row := store.Row{Table: store.WorkTable, Part: job.Pool, Key: store.Key(store.KindJob, job.ID), Value: value}
+	tx := store.Transaction{Conditions: []store.Condition{{Table: row.Table, Part: row.Part, Key: row.Key}}, Puts: []store.Row{row}}
+	outcome, err := s.write(ctx, tx, wait)
+	switch {
+	case err == nil && outcome.Applied:
+		row.Version = outcome.Version
+		s.Jobs.Apply([]store.Row{row})
+		s.log(ctx, eventAccepted, job.ID, slog.String("queue", queue.Name), slog.String("pool", job.Pool),
+			slog.Int("steps", len(job.Steps)), slog.Int64("version", outcome.Version))
+		return nil
+	case err == nil:
+		s.log(ctx, eventRepeated, job.ID, slog.String("known", "store"))
+		return nil
+	case errorx.IsOfType(err, store.ErrRejected):
+		return s.refuse(ctx, CodeNotStored, job.ID, err, retryAfter)
+	}
+	return s.refuse(ctx, CodeUnknown, job.ID, err, retryPause)
+}
+
+// write carries out a transaction. Once an attempt's outcome is unknown, it repeats the transaction until the store
+// tells or the caller's time is over: the condition makes a second one harmless.
+func (s *Service) write(ctx context.Context, tx store.Transaction, wait clock.Millis) (store.Result, error) {
+	ctx, cancel := s.Clock.WithTimeout(ctx, wait)
+	defer cancel()
+	var unknown error
+	pause := retryPause
+	for attempt := 1; ; attempt++ {
+		outcome, err := s.Table.Commit(ctx, tx)
+		if err == nil {
+			return outcome, nil
+		}
+		if !errorx.IsOfType(err, store.ErrRejected) {
+			unknown = err
+		}
+		if unknown == nil && attempt >= rejectedAttempts {
+			return store.Result{}, err
+		}
+		if s.Clock.Sleep(ctx, pause) != nil {
+			if unknown != nil {
+				return store.Result{}, unknown
+			}
+			return store.Result{}, err
+		}
+		pause = min(pause*2, retryLimit)
+	}
+}
+
+// State returns the state of a job.
+func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
+	known, ok := s.Jobs.Find(id)
+	switch {
+	case !ok && s.CopyAge() > staleAfter:
+		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
+	case !ok || known.Job.Queue != queue.Name:
+		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
+	case known.Cancelled && !known.State.Final():
+		return batch.Cancelled, nil
+	}
+	return known.State, nil
+}
+
+// Cancel ends a job; it returns nil once this is stored.
+func (s *Service) Cancel(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) *result.Refusal {
+	known, ok := s.Jobs.Find(id)
+	if !ok {
+		var refusal *result.Refusal
+		if known, refusal = s.lookUp(ctx, queue, id, wait); refusal != nil {
+			return refusal
+		}
+	}
+	if known.Job.Queue != queue.Name {
+		return s.refuse(ctx, CodeNoJob, id, nil, 0)
+	}
+	if known.Cancelled {
+		return nil
+	}
+	if known.State.Final() {
+		return s.refuse(ctx, CodeNoJob, id, batch.ErrInvalid.New("the job is %s", known.State), 0)
+	}
+	row := store.Row{Table: store.WorkTable, Part: known.Part, Key: store.Key(store.KindCancel, id), Value: []byte("{}")}
+	outcome, err := s.write(ctx, store.Transaction{Puts: []store.Row{row}}, wait)
+	if err != nil {
+		return s.refuse(ctx, CodeUnknown, id, err, retryPause)
+	}
+	row.Version = outcome.Version
+	s.Jobs.Apply([]store.Row{row})
+	s.log(ctx, eventCancelled, id, slog.Int64("version", outcome.Version))
+	return nil
+}
+
+// lookUp reads a job from the store that the copy does not have: another instance may have accepted it just now.
+func (s *Service) lookUp(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.Known, *result.Refusal) {
+	ctx, cancel := s.Clock.WithTimeout(ctx, wait)
+	defer cancel()
+	key := store.Key(store.KindJob, id)
+	page, err := s.Table.Range(ctx, store.WorkTable, queue.Pool, key)
+	if err != nil {
+		return store.Known{}, s.refuse(ctx, CodeStale, id, err, retryAfter)
+	}
+	if len(page.Rows) == 0 || page.Rows[0].Key != key {
+		return store.Known{}, s.refuse(ctx, CodeNoJob, id, nil, 0)
+	}
+	s.Jobs.Apply(page.Rows[:1])
+	known, ok := s.Jobs.Find(id)
+	if !ok {
+		return store.Known{}, s.refuse(ctx, CodeNoJob, id, nil, 0)
+	}
+	return known, nil
+}
+
+// Waiting returns the number of jobs of the queue of which no task has started.
+func (s *Service) Waiting(queue *batch.Queue) int { return s.Jobs.Waiting(queue.Name) }
+
+func (s *Service) refuse(ctx context.Context, code *result.Code, id string, err error, after clock.Millis) *result.Refusal {
+	detail := ""
+	if err != nil {
+		detail = err.Error()
+	}
+	eventRefused.Log(ctx, s.Logger, slog.String("job", id), slog.Int("result", code.Number()),
+		slog.Int64("copy-age-ms", int64(s.CopyAge())), slog.String("detail", detail))
+	return result.Refuse(code, detail, after)
+}
+
+func (s *Service) log(ctx context.Context, e *event.Event, id string, attributes ...slog.Attr) {
+	e.Log(ctx, s.Logger, append(attributes, slog.String("job", id), slog.Int64("copy-age-ms", int64(s.CopyAge())))...)
+}
--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -6,7 +6,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // benchmarkPool is one pool with two running tasks on each worker and a queue of as many jobs, of 290 teams.
@@ -18,7 +18,7 @@
 	}
 	for i := range 2 * workers {
 		f.Jobs = append(f.Jobs, on(job(fmt.Sprintf("r%06d", i), fmt.Sprintf("team-%03d", i%290), config.Batch, 5),
-			f.Workers[i/2].ID, platform.TaskRunning))
+			f.Workers[i/2].ID, provider.TaskRunning))
 		f.Jobs = append(f.Jobs, job(fmt.Sprintf("q%06d", i), fmt.Sprintf("team-%03d", i%290),
 			[]config.Urgency{config.Urgent, config.Normal, config.Batch}[i%3], 4))
 	}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -7,7 +7,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -80,14 +80,14 @@
 	if j.UsedCores > 0 {
 		cores, memoryMB = j.UsedCores, j.UsedMemoryMB
 	}
-	if j.Known && j.Task.State == platform.TaskRunning && j.Task.RunTime >= steady && j.Percent == 0 {
+	if j.Known && j.Task.State == provider.TaskRunning && j.Task.RunTime >= steady && j.Percent == 0 {
 		cores, memoryMB = Observed(j.Task)
 	}
 	return cores, memoryMB
 }
 
 // Observed returns the size of a task by its usage, with a tenth of the memory on top because usage lags.
-func Observed(u platform.UsageFields) (cores, memoryMB int) {
+func Observed(u provider.UsageFields) (cores, memoryMB int) {
 	return max((u.CoresPct+99)/100, 1), u.MemoryMB + u.MemoryMB/10
 }
 
@@ -211,18 +211,18 @@
 	w := p.racks[j.Worker]
 	step := Step{job: j.ID, worker: j.Worker}
 	switch {
-	case j.Known && j.Task.State == platform.TaskSucceeded:
+	case j.Known && j.Task.State == provider.TaskSucceeded:
 		step.kind = KindFinish
 		p.add(step, "ran %d s", j.Task.RunTime/clock.Second)
-	case j.Known && j.Task.State == platform.TaskFailed:
+	case j.Known && j.Task.State == provider.TaskFailed:
 		p.failed(j, w)
-	case j.Known && j.Task.State != platform.TaskRunning && j.Cancel:
+	case j.Known && j.Task.State != provider.TaskRunning && j.Cancel:
 		step.kind = KindCancelled
 		p.add(step, "stopped on an operator's order")
-	case j.Known && j.Task.State != platform.TaskRunning && j.RunOnce:
+	case j.Known && j.Task.State != provider.TaskRunning && j.RunOnce:
 		step.kind = KindPark
 		p.add(step, "its only run was %s and run-once jobs are not started again", j.Task.State)
-	case j.Known && j.Task.State != platform.TaskRunning:
+	case j.Known && j.Task.State != provider.TaskRunning:
 		step.kind = KindRequeue
 		p.add(step, "the task was %s", j.Task.State)
 	case w == nil || w.Lost:
--- a/jobs/plan_test.go
+++ b/jobs/plan_test.go
@@ -8,7 +8,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const now = 100 * clock.Hour
@@ -29,9 +29,9 @@
 }
 
 // on binds a job to a worker, with a task that the platform reports.
-func on(j *Fields, worker string, state platform.TaskState) *Fields {
+func on(j *Fields, worker string, state provider.TaskState) *Fields {
 	j.State, j.Worker, j.Token, j.HeldCores, j.Known = Running, worker, 1, j.Cores, true
-	j.Task = platform.UsageFields{State: state, CoresPct: 100 * j.Cores, MemoryMB: 900 * j.Cores, RunTime: clock.Minute,
+	j.Task = provider.UsageFields{State: state, CoresPct: 100 * j.Cores, MemoryMB: 900 * j.Cores, RunTime: clock.Minute,
 		Reason: "exit 1"}
 	return j
 }
@@ -71,31 +71,31 @@
 		change func(*PoolFields)
 		want   string
 	}{
-		{"success", on(fresh(), "w00", platform.TaskSucceeded), nil, "finish:j@w00"},
-		{"failure", on(fresh(), "w00", platform.TaskFailed), nil, "requeue:j@w00"},
-		{"last failure", with(on(fresh(), "w00", platform.TaskFailed), failedBefore(4)), nil, "park:j@w00"},
-		{"run-once failure", once(on(fresh(), "w00", platform.TaskFailed)), nil, "park:j@w00"},
-		{"run-once stopped", once(on(fresh(), "w00", platform.TaskStopped)), nil, "park:j@w00"},
-		{"run-once checkpointed", once(on(fresh(), "w00", platform.TaskCheckpointed)), nil, "park:j@w00"},
-		{"checkpointed", on(fresh(), "w00", platform.TaskCheckpointed), nil, "requeue:j@w00"},
-		{"lost within the lease", on(fresh(), "w00", platform.TaskRunning), lost(Lease - 1), ""},
-		{"lost after the lease", on(fresh(), "w00", platform.TaskRunning), lost(Lease), "requeue:j@w00"},
-		{"run-once lost", once(on(fresh(), "w00", platform.TaskRunning)), lost(0), "park:j@w00"},
-		{"run-once lost at its start", once(with(on(fresh(), "w00", platform.TaskRunning), starting)), lost(0), "park:j@w00"},
-		{"run-once not reported", once(with(on(fresh(), "w00", platform.TaskRunning), func(j *Fields) {
+		{"success", on(fresh(), "w00", provider.TaskSucceeded), nil, "finish:j@w00"},
+		{"failure", on(fresh(), "w00", provider.TaskFailed), nil, "requeue:j@w00"},
+		{"last failure", with(on(fresh(), "w00", provider.TaskFailed), failedBefore(4)), nil, "park:j@w00"},
+		{"run-once failure", once(on(fresh(), "w00", provider.TaskFailed)), nil, "park:j@w00"},
+		{"run-once stopped", once(on(fresh(), "w00", provider.TaskStopped)), nil, "park:j@w00"},
+		{"run-once checkpointed", once(on(fresh(), "w00", provider.TaskCheckpointed)), nil, "park:j@w00"},
+		{"checkpointed", on(fresh(), "w00", provider.TaskCheckpointed), nil, "requeue:j@w00"},
+		{"lost within the lease", on(fresh(), "w00", provider.TaskRunning), lost(Lease - 1), ""},
+		{"lost after the lease", on(fresh(), "w00", provider.TaskRunning), lost(Lease), "requeue:j@w00"},
+		{"run-once lost", once(on(fresh(), "w00", provider.TaskRunning)), lost(0), "park:j@w00"},
+		{"run-once lost at its start", once(with(on(fresh(), "w00", provider.TaskRunning), starting)), lost(0), "park:j@w00"},
+		{"run-once not reported", once(with(on(fresh(), "w00", provider.TaskRunning), func(j *Fields) {
 			j.Known, j.Missing = false, missingLimit
 		})), nil, "park:j@w00"},
-		{"not reported", with(on(fresh(), "w00", platform.TaskRunning), func(j *Fields) {
+		{"not reported", with(on(fresh(), "w00", provider.TaskRunning), func(j *Fields) {
 			j.Known, j.Missing = false, missingLimit
 		}), nil, "requeue:j@w00"},
-		{"start without answer", with(on(fresh(), "w00", platform.TaskRunning), starting), nil, "repeat:j@w00"},
-		{"start reported", with(on(fresh(), "w00", platform.TaskRunning), func(j *Fields) { j.State = Starting }), nil,
+		{"start without answer", with(on(fresh(), "w00", provider.TaskRunning), starting), nil, "repeat:j@w00"},
+		{"start reported", with(on(fresh(), "w00", provider.TaskRunning), func(j *Fields) { j.State = Starting }), nil,
 			"running:j@w00"},
-		{"drain", on(fresh(), "w00", platform.TaskRunning), closing, "checkpoint:j@w00"},
-		{"drain waits for run-once", once(on(fresh(), "w00", platform.TaskRunning)), closing, ""},
-		{"cancel running", with(on(fresh(), "w00", platform.TaskRunning), func(j *Fields) { j.Cancel = true }), nil,
+		{"drain", on(fresh(), "w00", provider.TaskRunning), closing, "checkpoint:j@w00"},
+		{"drain waits for run-once", once(on(fresh(), "w00", provider.TaskRunning)), closing, ""},
+		{"cancel running", with(on(fresh(), "w00", provider.TaskRunning), func(j *Fields) { j.Cancel = true }), nil,
 			"stop:j@w00"},
-		{"cancel start", with(on(fresh(), "w00", platform.TaskRunning), func(j *Fields) {
+		{"cancel start", with(on(fresh(), "w00", provider.TaskRunning), func(j *Fields) {
 			starting(j)
 			j.Cancel = true
 		}), nil, "stop:j@w00"},
@@ -127,7 +127,7 @@
 		for w := range 2 {
 			for i := range 2 {
 				j := on(job(fmt.Sprintf("b%d%d", w, i), fmt.Sprint("t", i), urgency, 8), fmt.Sprintf("w%02d", w),
-					platform.TaskRunning)
+					provider.TaskRunning)
 				j.RunOnce, j.Task.MemoryMB = runOnce, memory
 				all = append(all, j)
 			}
@@ -162,7 +162,7 @@
 		for i := range 4 {
 			for k := range 20 { // four teams fill the pool with 40 cores each
 				f.Jobs = append(f.Jobs, on(job(fmt.Sprintf("n%d-%02d", i, k), fmt.Sprint("t", i), config.Normal, 2),
-					fmt.Sprintf("w%02d", (20*i+k)/8), platform.TaskRunning))
+					fmt.Sprintf("w%02d", (20*i+k)/8), provider.TaskRunning))
 			}
 		}
 		for k := range 1000 {
@@ -210,7 +210,7 @@
 		for i := range 4 {
 			j.Failures = append(j.Failures, Failure{Worker: fmt.Sprintf("w%02d", 2*i), Rack: fmt.Sprint(i), At: now})
 		}
-	}), job("c", "t", config.Normal, 1), with(on(job("d", "t", config.Normal, 1), "w00", platform.TaskFailed),
+	}), job("c", "t", config.Normal, 1), with(on(job("d", "t", config.Normal, 1), "w00", provider.TaskFailed),
 		func(j *Fields) { j.Failures = slices.Repeat([]Failure{{Worker: "w00", Rack: "0", At: now}}, 4) }))
 	got := describe(Plan(f))
 	// The job d failed five times, but only on the bad worker; c avoids that worker; w02, w04 and w06 are not blamed for b.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -5,7 +5,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // State is where a job stands.
@@ -87,7 +87,7 @@
 	Age     clock.Millis // how long this process has seen the state
 	Missing clock.Millis // how long the worker's reports have lacked the task
 	Known   bool         // the platform reports the task of the current attempt
-	Task    platform.UsageFields
+	Task    provider.UsageFields
 }
 
 // WorkerFields is one worker of the pool. A worker that is gone stays in the state while jobs are bound to it.
--- a/measure/fleet_sim.go
+++ b/measure/fleet_sim.go
@@ -14,7 +14,7 @@
 	"magnoliaferry/fleet"
 	"magnoliaferry/memory"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -48,7 +48,7 @@
 	inFlight   map[string]int
 	sick       map[string]bool
 	failing    map[string]bool // fails every task
-	down       map[string]platform.Instance
+	down       map[string]provider.Instance
 	lost       map[string]bool // was down at some time
 	records    map[string]planner.RecordFields
 	versions   map[string]int64
@@ -76,7 +76,7 @@
 	}
 	s := &fleetSim{clock: clock.NewFake(clock.Hour), faults: &fault.Driver{}, random: rand.New(rand.NewPCG(seed, 1)),
 		fields: c.Fields(), ctx: context.Background(), demand: map[string]int{}, inFlight: map[string]int{},
-		sick: map[string]bool{}, failing: map[string]bool{}, down: map[string]platform.Instance{}, lost: map[string]bool{},
+		sick: map[string]bool{}, failing: map[string]bool{}, down: map[string]provider.Instance{}, lost: map[string]bool{},
 		records: map[string]planner.RecordFields{}, versions: map[string]int64{}}
 	s.load = func(string, int, clock.Millis) float64 { return meanLoad }
 	s.fields.Weights = weights
@@ -88,9 +88,9 @@
 	for _, p := range s.fields.Pools {
 		for range p.Instances {
 			zone := s.fields.Zones[number%len(s.fields.Zones)].Name
-			s.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: fmt.Sprintf("w%02d", number), Zone: zone,
-				Rack: fmt.Sprintf("%s-%d", zone, number/len(s.fields.Zones)/fleetRackSize), Role: platform.RoleWorker,
-				State: platform.Live, Cores: p.Cores, MemoryMB: p.MemoryMB, Slots: p.Slots}))
+			s.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: fmt.Sprintf("w%02d", number), Zone: zone,
+				Rack: fmt.Sprintf("%s-%d", zone, number/len(s.fields.Zones)/fleetRackSize), Role: provider.RoleWorker,
+				State: provider.Live, Cores: p.Cores, MemoryMB: p.MemoryMB, Slots: p.Slots}))
 			number++
 		}
 	}
--- a/measure/fleet_tasks.go
+++ b/measure/fleet_tasks.go
@@ -10,7 +10,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // fakeJob is what a job really needs, and what became of it.
@@ -95,12 +95,12 @@
 	for _, id := range slices.Sorted(maps.Keys(t.tasks)) {
 		task := t.tasks[id]
 		if t.s.failing[task.instance] {
-			t.s.store.SetTaskState(id, platform.TaskFailed, "exit 1")
+			t.s.store.SetTaskState(id, provider.TaskFailed, "exit 1")
 			delete(t.tasks, id)
 			continue
 		}
 		if task.job.work -= fleetTick * clock.Millis(task.percent) / 100; task.job.work <= 0 {
-			t.s.store.SetTaskState(id, platform.TaskSucceeded, "")
+			t.s.store.SetTaskState(id, provider.TaskSucceeded, "")
 			task.job.ended = t.s.clock.Now()
 			delete(t.tasks, id)
 		}
@@ -111,7 +111,7 @@
 func (t *taskWorld) lose(instance string) {
 	for id, task := range t.tasks {
 		if task.instance == instance {
-			t.s.store.SetTaskState(id, platform.TaskStopped, "worker lost")
+			t.s.store.SetTaskState(id, provider.TaskStopped, "worker lost")
 			delete(t.tasks, id)
 		}
 	}
@@ -190,9 +190,9 @@
 		for _, id := range workers[j.fields.Pool] {
 			if free[id] >= j.fields.Cores {
 				free[id] -= j.fields.Cores
-				task := platform.TaskFields{ID: fmt.Sprintf("%s/%d", j.fields.Name, j.starts+1), Job: j.fields.Name,
+				task := provider.TaskFields{ID: fmt.Sprintf("%s/%d", j.fields.Name, j.starts+1), Job: j.fields.Name,
 					Instance: id, Cores: j.fields.Cores, MemoryMB: j.fields.MemoryMB}
-				_ = s.desks[0].Platform.Tasks().Start(s.ctx, platform.NewTaskRequest(task))
+				_ = s.desks[0].Platform.Tasks().Start(s.ctx, provider.NewTaskRequest(task))
 				break
 			}
 		}
@@ -218,20 +218,20 @@
 
 // taskPlatform passes orders for tasks on to the platform in memory and reports their real usage.
 type taskPlatform struct {
-	platform.Platform
+	provider.Platform
 	s *fleetSim
 }
 
-// Tasks implements platform.Platform.
-func (p taskPlatform) Tasks() platform.Tasks { return realTasks{p.Platform.Tasks(), p.s} }
+// Tasks implements provider.Platform.
+func (p taskPlatform) Tasks() provider.Tasks { return realTasks{p.Platform.Tasks(), p.s} }
 
 type realTasks struct {
-	platform.Tasks
+	provider.Tasks
 	s *fleetSim
 }
 
-// Start implements platform.Tasks.
-func (r realTasks) Start(ctx context.Context, request platform.TaskRequest) error {
+// Start implements provider.Tasks.
+func (r realTasks) Start(ctx context.Context, request provider.TaskRequest) error {
 	before := r.s.store.Starts(request.ID())
 	err := r.Tasks.Start(ctx, request)
 	if r.s.store.Starts(request.ID()) > before {
@@ -240,7 +240,7 @@
 	return err
 }
 
-// Checkpoint implements platform.Tasks.
+// Checkpoint implements provider.Tasks.
 func (r realTasks) Checkpoint(ctx context.Context, id string) error {
 	err := r.Tasks.Checkpoint(ctx, id)
 	if err == nil {
@@ -249,7 +249,7 @@
 	return err
 }
 
-// Stop implements platform.Tasks.
+// Stop implements provider.Tasks.
 func (r realTasks) Stop(ctx context.Context, id string) error {
 	err := r.Tasks.Stop(ctx, id)
 	if err == nil {
@@ -258,7 +258,7 @@
 	return err
 }
 
-// Throttle implements platform.Tasks.
+// Throttle implements provider.Tasks.
 func (r realTasks) Throttle(ctx context.Context, id string, percent int) error {
 	err := r.Tasks.Throttle(ctx, id, percent)
 	if task := r.s.tasks.tasks[id]; err == nil && task != nil {
@@ -267,17 +267,17 @@
 	return err
 }
 
-// Usage implements platform.Tasks.
-func (r realTasks) Usage(ctx context.Context, instance string) ([]platform.TaskUsage, error) {
+// Usage implements provider.Tasks.
+func (r realTasks) Usage(ctx context.Context, instance string) ([]provider.TaskUsage, error) {
 	if r.s.down[instance].ID() != "" {
-		return nil, platform.ErrUnavailable.New("instance %q does not report", instance)
+		return nil, provider.ErrUnavailable.New("instance %q does not report", instance)
 	}
 	reports, err := r.Tasks.Usage(ctx, instance)
 	for i, u := range reports {
 		if j := r.s.tasks.jobs[u.Fields().Job]; j != nil {
 			f := u.Fields()
 			f.CoresPct, f.MemoryMB = 100*j.cores, j.memoryMB
-			reports[i] = platform.NewTaskUsage(f)
+			reports[i] = provider.NewTaskUsage(f)
 		}
 	}
 	return reports, err
--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -8,7 +8,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/examples"
 	"magnoliaferry/planner"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // fleetOnce runs a scenario of the first fleet.
@@ -69,8 +69,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			put := platform.Put("instance/"+id, body, platform.AnyVersion)
-			if err := s.store.View("").Table().Commit(s.ctx, platform.NewTransaction("test-"+id, put)); err != nil {
+			put := provider.Put("instance/"+id, body, provider.AnyVersion)
+			if err := s.store.View("").Table().Commit(s.ctx, provider.NewTransaction("test-"+id, put)); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/measure/requests_sim.go
+++ b/measure/requests_sim.go
@@ -12,7 +12,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/routing"
 	"magnoliaferry/slots"
 	"magnoliaferry/worker"
@@ -274,8 +274,8 @@
 	e.sequence++
 	operation := fmt.Sprintf("%s/%d/roster/%d", e.id, e.incarnation, e.sequence)
 	// A conflict or an outage leaves the change to the next second.
-	_ = e.sim.store.View(e.zone).Table().Commit(e.sim.context, platform.NewTransaction(operation,
-		platform.Put("roster/"+e.zone, next.Encode(), version)))
+	_ = e.sim.store.View(e.zone).Table().Commit(e.sim.context, provider.NewTransaction(operation,
+		provider.Put("roster/"+e.zone, next.Encode(), version)))
 }
 
 // askLoans asks one random member of the zone of each resource that is short, as the package peer does.
@@ -426,23 +426,23 @@
 // table answers as the platform's table does, without blocking: a slow access that would pass the timeout ends without
 // an answer, and a shorter delay is in the time at which the batch writer runs.
 type table struct {
-	platform.Table
+	provider.Table
 	sim *sim
 }
 
-// Commit implements platform.Table.
-func (t table) Commit(ctx context.Context, tx platform.Transaction) error {
+// Commit implements provider.Table.
+func (t table) Commit(ctx context.Context, tx provider.Transaction) error {
 	err := t.Table.Commit(ctx, tx)
 	if err == nil && t.sim.slow >= claim.DefaultTimeout {
-		return platform.ErrUnknownOutcome.New("the table is slow")
+		return provider.ErrUnknownOutcome.New("the table is slow")
 	}
 	return err
 }
 
-// Read implements platform.Table.
-func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements provider.Table.
+func (t table) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	if t.sim.slow >= claim.DefaultTimeout {
-		return nil, platform.ErrUnavailable.New("the table is slow")
+		return nil, provider.ErrUnavailable.New("the table is slow")
 	}
 	return t.Table.Read(ctx, keys...)
 }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -8,7 +8,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // Steps at which the fault driver is asked.
@@ -37,10 +37,10 @@
 	InFlight func(instance string) int
 
 	mu           sync.Mutex
-	rows         map[string]platform.Row
+	rows         map[string]provider.Row
 	version      int64
 	objects      map[string][]byte
-	instances    map[string]platform.Instance
+	instances    map[string]provider.Instance
 	tasks        map[string]*task
 	starts       map[string]int // how often each task id really started
 	maintenance  map[string]*maintenance
@@ -49,30 +49,30 @@
 }
 
 type task struct {
-	fields  platform.TaskFields
-	state   platform.TaskState
+	fields  provider.TaskFields
+	state   provider.TaskState
 	percent int
 	reason  string
 	started clock.Millis
 }
 
 type maintenance struct {
-	status platform.MaintenanceStatus
+	status provider.MaintenanceStatus
 	until  clock.Millis
 }
 
 // New returns an empty platform.
 func New(c *clock.Clock, faults *fault.Driver) *Store {
-	return &Store{Clock: c, Faults: faults, RebootTime: 30 * clock.Second, rows: map[string]platform.Row{},
-		objects: map[string][]byte{}, instances: map[string]platform.Instance{}, tasks: map[string]*task{},
+	return &Store{Clock: c, Faults: faults, RebootTime: 30 * clock.Second, rows: map[string]provider.Row{},
+		objects: map[string][]byte{}, instances: map[string]provider.Instance{}, tasks: map[string]*task{},
 		starts: map[string]int{}, maintenance: map[string]*maintenance{}}
 }
 
 // View returns the access of a process in a zone, so that a partition of the zone cuts it off.
-func (s *Store) View(zone string) platform.Platform { return view{s, zone} }
+func (s *Store) View(zone string) provider.Platform { return view{s, zone} }
 
 // SetInstance adds or replaces an instance of the list.
-func (s *Store) SetInstance(i platform.Instance) {
+func (s *Store) SetInstance(i provider.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances[i.ID()] = i
@@ -86,7 +86,7 @@
 }
 
 // SetTaskState ends a task as the platform would see it.
-func (s *Store) SetTaskState(id string, state platform.TaskState, reason string) {
+func (s *Store) SetTaskState(id string, state provider.TaskState, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t, ok := s.tasks[id]; ok {
@@ -113,45 +113,45 @@
 	zone  string
 }
 
-func (v view) Table() platform.Table             { return v }
-func (v view) Objects() platform.ObjectStore     { return objects(v) }
-func (v view) Instances() platform.Instances     { return v }
-func (v view) Tasks() platform.Tasks             { return tasks(v) }
-func (v view) Maintenance() platform.Maintenance { return maintainer(v) }
+func (v view) Table() provider.Table             { return v }
+func (v view) Objects() provider.ObjectStore     { return objects(v) }
+func (v view) Instances() provider.Instances     { return v }
+func (v view) Tasks() provider.Tasks             { return tasks(v) }
+func (v view) Maintenance() provider.Maintenance { return maintainer(v) }
 
 // step injects the fault of a step around the work and returns the error that the caller sees.
 func (v view) step(ctx context.Context, name string, work func() error) error {
 	injection := v.store.Faults.At(name, v.zone)
 	switch injection.Kind() {
 	case fault.Down:
-		return platform.ErrUnavailable.New("%s: the platform is down", name)
+		return provider.ErrUnavailable.New("%s: the platform is down", name)
 	case fault.Slow:
 		if err := v.store.Clock.Sleep(ctx, injection.Delay()); err != nil {
-			return platform.ErrUnavailable.Wrap(err, "%s: the platform is slow", name)
+			return provider.ErrUnavailable.Wrap(err, "%s: the platform is slow", name)
 		}
 	case fault.LoseRequest:
-		return platform.ErrUnknownOutcome.New("%s: no answer", name)
+		return provider.ErrUnknownOutcome.New("%s: no answer", name)
 	}
 	if err := ctx.Err(); err != nil {
-		return platform.ErrUnavailable.Wrap(err, "%s", name)
+		return provider.ErrUnavailable.Wrap(err, "%s", name)
 	}
 	v.store.mu.Lock()
 	err := work()
 	v.store.mu.Unlock()
 	if injection.Kind() == fault.LoseAnswer {
-		return platform.ErrUnknownOutcome.New("%s: no answer", name)
+		return provider.ErrUnknownOutcome.New("%s: no answer", name)
 	}
 	return err
 }
 
-// Read implements platform.Table.
-func (v view) Read(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+// Read implements provider.Table.
+func (v view) Read(ctx context.Context, keys ...string) (rows []provider.Row, err error) {
 	err = v.step(ctx, StepRead, func() error {
 		v.store.reads += int64(len(keys))
 		for _, key := range keys {
 			row, ok := v.store.rows[key]
 			if !ok {
-				row = platform.NewRow(key, nil, 0, "")
+				row = provider.NewRow(key, nil, 0, "")
 			}
 			rows = append(rows, row)
 		}
@@ -163,8 +163,8 @@
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (v view) Scan(ctx context.Context, prefix, after string, limit int) (rows []platform.Row, err error) {
+// Scan implements provider.Table.
+func (v view) Scan(ctx context.Context, prefix, after string, limit int) (rows []provider.Row, err error) {
 	err = v.step(ctx, StepScan, func() error {
 		for key, row := range v.store.rows {
 			if strings.HasPrefix(key, prefix) && key > after {
@@ -182,33 +182,33 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (v view) Commit(ctx context.Context, tx platform.Transaction) error {
+// Commit implements provider.Table.
+func (v view) Commit(ctx context.Context, tx provider.Transaction) error {
 	return v.step(ctx, StepCommit, func() error { return v.store.commit(tx) })
 }
 
-func (s *Store) commit(tx platform.Transaction) error {
+func (s *Store) commit(tx provider.Transaction) error {
 	for _, w := range tx.Writes() {
-		if found := s.rows[w.Key()].Version(); w.IfVersion() != platform.AnyVersion && found != w.IfVersion() {
-			return platform.ErrConflict.New("row %q has version %d, not %d", w.Key(), found, w.IfVersion())
+		if found := s.rows[w.Key()].Version(); w.IfVersion() != provider.AnyVersion && found != w.IfVersion() {
+			return provider.ErrConflict.New("row %q has version %d, not %d", w.Key(), found, w.IfVersion())
 		}
 	}
 	s.transactions++
 	s.version++
 	for _, w := range tx.Writes() {
 		switch w.Kind() {
-		case platform.KindPut:
+		case provider.KindPut:
 			value := append([]byte(nil), w.Value()...)
-			s.rows[w.Key()] = platform.NewRow(w.Key(), value, s.version, tx.Operation())
-		case platform.KindDelete:
+			s.rows[w.Key()] = provider.NewRow(w.Key(), value, s.version, tx.Operation())
+		case provider.KindDelete:
 			delete(s.rows, w.Key())
 		}
 	}
 	return nil
 }
 
-// List implements platform.Instances.
-func (v view) List(ctx context.Context, zone string) (list []platform.Instance, err error) {
+// List implements provider.Instances.
+func (v view) List(ctx context.Context, zone string) (list []provider.Instance, err error) {
 	err = v.step(ctx, StepList, func() error {
 		for _, i := range v.store.instances {
 			if zone == "" || i.Zone() == zone {
@@ -226,7 +226,7 @@
 
 type objects view
 
-// Put implements platform.ObjectStore.
+// Put implements provider.ObjectStore.
 func (o objects) Put(ctx context.Context, name string, body []byte) error {
 	return view(o).step(ctx, StepObjectPut, func() error {
 		o.store.objects[name] = append([]byte(nil), body...)
@@ -234,12 +234,12 @@
 	})
 }
 
-// Get implements platform.ObjectStore.
+// Get implements provider.ObjectStore.
 func (o objects) Get(ctx context.Context, name string) (body []byte, err error) {
 	err = view(o).step(ctx, StepObjectGet, func() error {
 		found, ok := o.store.objects[name]
 		if !ok {
-			return platform.ErrNotFound.New("object %q does not exist", name)
+			return provider.ErrNotFound.New("object %q does not exist", name)
 		}
 		body = append([]byte(nil), found...)
 		return nil
@@ -249,41 +249,41 @@
 
 type tasks view
 
-// Start implements platform.Tasks.
-func (t tasks) Start(ctx context.Context, request platform.TaskRequest) error {
+// Start implements provider.Tasks.
+func (t tasks) Start(ctx context.Context, request provider.TaskRequest) error {
 	return view(t).step(ctx, StepTaskStart, func() error {
 		if _, known := t.store.tasks[request.ID()]; known {
 			return nil
 		}
 		if _, listed := t.store.instances[request.Instance()]; !listed {
-			return platform.ErrNotFound.New("instance %q does not exist", request.Instance())
+			return provider.ErrNotFound.New("instance %q does not exist", request.Instance())
 		}
-		t.store.tasks[request.ID()] = &task{fields: request.Fields(), state: platform.TaskRunning, percent: 100,
+		t.store.tasks[request.ID()] = &task{fields: request.Fields(), state: provider.TaskRunning, percent: 100,
 			started: t.store.Clock.Now()}
 		t.store.starts[request.ID()]++
 		return nil
 	})
 }
 
-// Checkpoint implements platform.Tasks.
+// Checkpoint implements provider.Tasks.
 func (t tasks) Checkpoint(ctx context.Context, id string) error {
 	return t.control(ctx, id, func(found *task) {
-		if found.state == platform.TaskRunning {
-			found.state = platform.TaskCheckpointed
+		if found.state == provider.TaskRunning {
+			found.state = provider.TaskCheckpointed
 		}
 	})
 }
 
-// Throttle implements platform.Tasks.
+// Throttle implements provider.Tasks.
 func (t tasks) Throttle(ctx context.Context, id string, percent int) error {
 	return t.control(ctx, id, func(found *task) { found.percent = percent })
 }
 
-// Stop implements platform.Tasks.
+// Stop implements provider.Tasks.
 func (t tasks) Stop(ctx context.Context, id string) error {
 	return t.control(ctx, id, func(found *task) {
-		if found.state == platform.TaskRunning {
-			found.state = platform.TaskStopped
+		if found.state == provider.TaskRunning {
+			found.state = provider.TaskStopped
 		}
 	})
 }
@@ -297,14 +297,14 @@
 	})
 }
 
-// Usage implements platform.Tasks.
-func (t tasks) Usage(ctx context.Context, instance string) (usage []platform.TaskUsage, err error) {
+// Usage implements provider.Tasks.
+func (t tasks) Usage(ctx context.Context, instance string) (usage []provider.TaskUsage, err error) {
 	err = view(t).step(ctx, StepTaskUsage, func() error {
 		for _, found := range t.store.tasks {
 			if found.fields.Instance != instance {
 				continue
 			}
-			usage = append(usage, platform.NewTaskUsage(platform.UsageFields{
+			usage = append(usage, provider.NewTaskUsage(provider.UsageFields{
 				ID: found.fields.ID, Job: found.fields.Job, State: found.state, CoresPct: 100 * found.fields.Cores,
 				MemoryMB: found.fields.MemoryMB, RunTime: t.store.Clock.Now() - found.started,
 				Percent: found.percent, Reason: found.reason}))
@@ -317,22 +317,22 @@
 
 type maintainer view
 
-// Drain implements platform.Maintenance.
+// Drain implements provider.Maintenance.
 func (m maintainer) Drain(ctx context.Context, instance string) error {
 	return view(m).step(ctx, StepDrain, func() error {
-		return m.store.begin(instance, platform.StatusDraining, 0)
+		return m.store.begin(instance, provider.StatusDraining, 0)
 	})
 }
 
-// Reboot implements platform.Maintenance.
+// Reboot implements provider.Maintenance.
 func (m maintainer) Reboot(ctx context.Context, instance string) error {
 	return view(m).step(ctx, StepReboot, func() error {
-		return m.store.begin(instance, platform.StatusRebooting, m.store.Clock.Now()+m.store.RebootTime)
+		return m.store.begin(instance, provider.StatusRebooting, m.store.Clock.Now()+m.store.RebootTime)
 	})
 }
 
-// Status implements platform.Maintenance.
-func (m maintainer) Status(ctx context.Context, instance string) (status platform.MaintenanceStatus, err error) {
+// Status implements provider.Maintenance.
+func (m maintainer) Status(ctx context.Context, instance string) (status provider.MaintenanceStatus, err error) {
 	err = view(m).step(ctx, StepStatus, func() error {
 		status, err = m.store.status(instance)
 		return err
@@ -340,9 +340,9 @@
 	return status, err
 }
 
-func (s *Store) begin(instance string, status platform.MaintenanceStatus, until clock.Millis) error {
+func (s *Store) begin(instance string, status provider.MaintenanceStatus, until clock.Millis) error {
 	if _, listed := s.instances[instance]; !listed {
-		return platform.ErrNotFound.New("instance %q does not exist", instance)
+		return provider.ErrNotFound.New("instance %q does not exist", instance)
 	}
 	current := s.maintenance[instance]
 	if current != nil && current.status == status {
@@ -352,20 +352,20 @@
 	return nil
 }
 
-func (s *Store) status(instance string) (platform.MaintenanceStatus, error) {
+func (s *Store) status(instance string) (provider.MaintenanceStatus, error) {
 	if _, listed := s.instances[instance]; !listed {
-		return "", platform.ErrNotFound.New("instance %q does not exist", instance)
+		return "", provider.ErrNotFound.New("instance %q does not exist", instance)
 	}
 	current := s.maintenance[instance]
 	if current == nil {
-		return platform.StatusServing, nil
+		return provider.StatusServing, nil
 	}
 	switch {
-	case current.status == platform.StatusDraining && (s.InFlight == nil || s.InFlight(instance) == 0):
-		current.status = platform.StatusDrained
-	case current.status == platform.StatusRebooting && s.Clock.Now() >= current.until:
+	case current.status == provider.StatusDraining && (s.InFlight == nil || s.InFlight(instance) == 0):
+		current.status = provider.StatusDrained
+	case current.status == provider.StatusRebooting && s.Clock.Now() >= current.until:
 		delete(s.maintenance, instance)
-		return platform.StatusServing, nil
+		return provider.StatusServing, nil
 	}
 	return current.status, nil
 }
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -8,18 +8,18 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // Guards against a table that applies part of a transaction, or the whole of one whose condition fails.
 func TestCommitIsAllOrNothing(t *testing.T) {
 	ctx := context.Background()
 	table := New(clock.NewFake(0), nil).View("a").Table()
-	if err := table.Commit(ctx, platform.NewTransaction("1", platform.Put("x", []byte("1"), 0))); err != nil {
+	if err := table.Commit(ctx, provider.NewTransaction("1", provider.Put("x", []byte("1"), 0))); err != nil {
 		t.Fatalf("first Commit got %v, want nil", err)
 	}
-	err := table.Commit(ctx, platform.NewTransaction("2", platform.Put("y", nil, 0), platform.Put("x", nil, 0)))
-	if !errorx.IsOfType(err, platform.ErrConflict) {
+	err := table.Commit(ctx, provider.NewTransaction("2", provider.Put("y", nil, 0), provider.Put("x", nil, 0)))
+	if !errorx.IsOfType(err, provider.ErrConflict) {
 		t.Errorf("second Commit got %v, want a conflict", err)
 	}
 	rows, err := table.Read(ctx, "x", "y")
@@ -41,16 +41,16 @@
 		want    *errorx.Type
 		applied bool
 	}{
-		{fault.Down, platform.ErrUnavailable, false},
-		{fault.LoseRequest, platform.ErrUnknownOutcome, false},
-		{fault.LoseAnswer, platform.ErrUnknownOutcome, true},
+		{fault.Down, provider.ErrUnavailable, false},
+		{fault.LoseRequest, provider.ErrUnknownOutcome, false},
+		{fault.LoseAnswer, provider.ErrUnknownOutcome, true},
 	}
 	for _, test := range tests {
 		ctx := context.Background()
 		faults := &fault.Driver{}
 		table := New(clock.NewFake(0), faults).View("a").Table()
 		faults.Next(StepCommit, test.kind, 1)
-		err := table.Commit(ctx, platform.NewTransaction("1", platform.Put("x", nil, 0)))
+		err := table.Commit(ctx, provider.NewTransaction("1", provider.Put("x", nil, 0)))
 		if !errorx.IsOfType(err, test.want) {
 			t.Errorf("%s: Commit got %v, want %v", test.kind, err, test.want)
 		}
@@ -67,7 +67,7 @@
 	faults := &fault.Driver{}
 	store := New(clock.NewFake(0), faults)
 	faults.Partition("a")
-	if _, err := store.View("a").Table().Read(ctx, "x"); !errorx.IsOfType(err, platform.ErrUnavailable) {
+	if _, err := store.View("a").Table().Read(ctx, "x"); !errorx.IsOfType(err, provider.ErrUnavailable) {
 		t.Errorf("zone a got %v, want unavailable", err)
 	}
 	if _, err := store.View("b").Table().Read(ctx, "x"); err != nil {
--- a/memory/plugin.go
+++ b/memory/plugin.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 var (
@@ -26,7 +26,7 @@
 }
 
 func init() {
-	platform.Plugins.Register("memory", func(address, zone string) (platform.Platform, error) {
+	provider.Plugins.Register("memory", func(address, zone string) (provider.Platform, error) {
 		return Shared(address).View(zone), nil
 	})
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -15,7 +15,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -325,7 +325,7 @@
 		return nil
 	case errors.As(err, &r):
 		return fromRefusal(r, nil)
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, provider.ErrNotFound):
 		return refuse(CodeNotFound, nil, "%v", err)
 	}
 	return unavailable(CodeTableUnavailable, err)
@@ -337,9 +337,9 @@
 	switch {
 	case errors.As(err, &r):
 		return fromRefusal(r, nil)
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, provider.ErrNotFound):
 		return refuse(CodeNotFound, nil, "%v", err)
-	case errorx.IsOfType(err, platform.ErrUnavailable):
+	case errorx.IsOfType(err, provider.ErrUnavailable):
 		return unavailable(CodeTableUnavailable, err)
 	}
 	return refuse(CodeOutcomeUnknown, nil, "%v", err).later(retryAfter)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -16,7 +16,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -219,10 +219,10 @@
 		want result.Outcome
 	}{
 		{errors.New("unexpected"), CodeOutcomeUnknown.Number(), result.Unknown},
-		{platform.ErrUnknownOutcome.New("no answer"), CodeOutcomeUnknown.Number(), result.Unknown},
+		{provider.ErrUnknownOutcome.New("no answer"), CodeOutcomeUnknown.Number(), result.Unknown},
 		{context.DeadlineExceeded, CodeOutcomeUnknown.Number(), result.Unknown},
-		{platform.ErrUnavailable.New("down"), CodeTableUnavailable.Number(), result.NotRun},
-		{platform.ErrNotFound.New("no such instance"), CodeNotFound.Number(), result.NotRun},
+		{provider.ErrUnavailable.New("down"), CodeTableUnavailable.Number(), result.NotRun},
+		{provider.ErrNotFound.New("no such instance"), CodeNotFound.Number(), result.NotRun},
 		{result.Refuse(CodeMalformed, "budget 3 of 3 is used", 0).WithContact("ops"), CodeMalformed.Number(), result.NotRun},
 	}
 	b := newBench(t)
--- a/operator/store.go
+++ b/operator/store.go
@@ -8,16 +8,16 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/config"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
-// Table is the part of platform.Table that submissions need.
+// Table is the part of provider.Table that submissions need.
 type Table interface {
-	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
-	Commit(ctx context.Context, tx platform.Transaction) error
+	Read(ctx context.Context, keys ...string) ([]provider.Row, error)
+	Commit(ctx context.Context, tx provider.Transaction) error
 }
 
-// Objects is the part of platform.ObjectStore that submissions need.
+// Objects is the part of provider.ObjectStore that submissions need.
 type Objects interface {
 	Put(ctx context.Context, name string, body []byte) error
 	Get(ctx context.Context, name string) ([]byte, error)
@@ -170,17 +170,17 @@
 
 // commit writes the row and settles a lost answer.
 func (s *Store) commit(ctx context.Context, sub Submission, r row, next config.Stored) (Version, *Problem) {
-	tx := platform.NewTransaction(sub.Operation, platform.Put(config.CurrentKey, next.Encode(), r.version))
+	tx := provider.NewTransaction(sub.Operation, provider.Put(config.CurrentKey, next.Encode(), r.version))
 	err := s.Table.Commit(ctx, tx)
 	switch {
 	case err == nil:
 		return s.accept(next, sub.Configuration), nil
-	case errorx.IsOfType(err, platform.ErrUnavailable):
+	case errorx.IsOfType(err, provider.ErrUnavailable):
 		return Version{}, s.doubt(sub, unavailable(CodeTableUnavailable, err))
 	}
 	// Every other answer is settled by the row. After a conflict the row has moved on; after anything else, also an
 	// error of an unknown kind, the write may have taken effect now or later.
-	sub.Repeat = sub.Repeat || !errorx.IsOfType(err, platform.ErrConflict)
+	sub.Repeat = sub.Repeat || !errorx.IsOfType(err, provider.ErrConflict)
 	for try := range settleTries {
 		if try > 0 && s.Clock.Sleep(ctx, settlePause) != nil {
 			break
@@ -198,7 +198,7 @@
 		if err = s.Table.Commit(ctx, tx); err == nil {
 			return s.accept(next, sub.Configuration), nil
 		}
-		sub.Repeat = sub.Repeat || !errorx.IsOfType(err, platform.ErrConflict)
+		sub.Repeat = sub.Repeat || !errorx.IsOfType(err, provider.ErrConflict)
 	}
 	return Version{}, refuse(CodeOutcomeUnknown, map[string]int64{"seen-version": sub.Seen, "tries": settleTries},
 		"the table gave no certain answer: %v", err).later(retryAfter).forOperation(sub.Operation)
@@ -253,7 +253,7 @@
 		return cached, nil
 	}
 	body, err := s.Objects.Get(ctx, config.ObjectName(digest))
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, provider.ErrNotFound) {
 		return nil, refuse(CodeStateDamaged, nil, "%v", err)
 	}
 	if err != nil {
--- a/operator/submit_test.go
+++ b/operator/submit_test.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/result"
 )
 
@@ -115,7 +115,7 @@
 	once sync.Once
 }
 
-func (a *afterCommit) Commit(ctx context.Context, tx platform.Transaction) error {
+func (a *afterCommit) Commit(ctx context.Context, tx provider.Transaction) error {
 	err := a.Table.Commit(ctx, tx)
 	a.once.Do(a.then)
 	return err
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // BenchmarkSpreading measures, in fake time, how long a version takes to be in force everywhere and what each node
@@ -35,7 +35,7 @@
 	w.codec = fakeCodec{padding: 400, bodyBytes: 100_000}
 	for i := range n {
 		s := w.add(i, 1_764_800_000_000)
-		s.locked(func() { s.Rows = map[string]func(platform.Row){"changes/" + s.Zone: func(platform.Row) {}} })
+		s.locked(func() { s.Rows = map[string]func(provider.Row){"changes/" + s.Zone: func(provider.Row) {}} })
 	}
 	changes := func() {
 		for z := range w.zones {
--- a/peer/node.go
+++ b/peer/node.go
@@ -16,7 +16,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/event"
 	"magnoliaferry/peer/peerpb"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const (
@@ -90,12 +90,12 @@
 	Transport Transport
 	Codec     Codec
 	// Table and Objects are those of the platform.
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   provider.Table
+	Objects provider.ObjectStore
 	// Apply is told each version that comes into force, in order, never the same or an older one.
 	Apply func(Version)
 	// Rows are further rows to read with each poll, with the function that is told each reading.
-	Rows map[string]func(platform.Row)
+	Rows map[string]func(provider.Row)
 
 	// Rosters computes the row of the roster; nil keeps out of the roster.
 	Rosters Rosters
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
 	"magnoliaferry/peer/peerpb"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 const seconds = clock.Second
@@ -314,9 +314,9 @@
 	w.run(10 * seconds)
 	w.stale = false
 	// The table loses the row, and somebody starts again from version 1.
-	for _, write := range []platform.Write{platform.Delete("config/current", platform.AnyVersion),
-		platform.Put("config/current", []byte(`{"version":1,"digest":"x"}`), 0)} {
-		check(t, w.store.View("").Table().Commit(ctx, platform.NewTransaction("loss", write)))
+	for _, write := range []provider.Write{provider.Delete("config/current", provider.AnyVersion),
+		provider.Put("config/current", []byte(`{"version":1,"digest":"x"}`), 0)} {
+		check(t, w.store.View("").Table().Commit(ctx, provider.NewTransaction("loss", write)))
 		w.run(10 * seconds)
 	}
 	old.resume()
@@ -638,7 +638,7 @@
 	ctx := context.Background()
 	rows, _ := w.store.View("").Table().Read(ctx, key)
 	value, _ := fakeRosters{}.Remove(rows[0].Value(), s.ID, 1)
-	w.before[key] = platform.NewRow(key, value, rows[0].Version()-1, "before")
+	w.before[key] = provider.NewRow(key, value, rows[0].Version()-1, "before")
 	w.stale = true
 	w.run(4 * seconds)
 	w.stale = false
@@ -664,8 +664,8 @@
 			t.Errorf("a member is removed before the lease period is over")
 		}
 	})
-	check(t, w.store.View("").Table().Commit(ctx, platform.NewTransaction("removal",
-		platform.Put(key, value, platform.AnyVersion))))
+	check(t, w.store.View("").Table().Commit(ctx, provider.NewTransaction("removal",
+		provider.Put(key, value, provider.AnyVersion))))
 	w.until(2*seconds, "removal noticed", func() bool { return s.state == "suspended" })
 	w.until(5*seconds, "member again", func() bool { return usable(s) })
 	if got := w.roster("z01")[s.ID].Incarnation; got <= 1 {
--- a/peer/roster.go
+++ b/peer/roster.go
@@ -10,7 +10,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/peer/peerpb"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // RosterMember is one entry of the row roster/<zone>.
@@ -46,7 +46,7 @@
 // Ledger shares the slots between the members of the roster.
 type Ledger interface {
 	// SetRoster is told each new row of the own zone, in order.
-	SetRoster(row platform.Row)
+	SetRoster(row provider.Row)
 	// Confirmed is told that an attempt to confirm the membership, begun at the given time, is complete. The flag says
 	// whether the table answered; without it, unbroken is the greatest Unbroken that a peer of the zone answered with.
 	Confirmed(started clock.Millis, table bool, unbroken clock.Millis)
@@ -62,7 +62,7 @@
 
 // roster is the state of the own zone's roster; the node's lock guards it.
 type roster struct {
-	row         platform.Row // the newest one
+	row         provider.Row // the newest one
 	members     []RosterMember
 	incarnation int64 // under which this node joins
 	joined      bool
@@ -76,7 +76,7 @@
 }
 
 type rosterWrite struct {
-	tx        platform.Transaction
+	tx        provider.Transaction
 	ifVersion int64
 	running   bool
 }
@@ -96,7 +96,7 @@
 
 // onRoster takes a reading of the own zone's roster that was asked for at the given time. A reading from before a pause
 // says nothing about what happened during the pause.
-func (n *Node) onRoster(row platform.Row, asked clock.Millis) {
+func (n *Node) onRoster(row provider.Row, asked clock.Millis) {
 	r, now := &n.roster, n.Clock.Now()
 	if now-asked > LeasePeriod || n.members.self.state == peerpb.State_LEFT {
 		return
@@ -206,8 +206,8 @@
 	}
 	r.writes++
 	operation := fmt.Sprintf("roster-%s-%d-%d", n.ID, n.members.self.incarnation, r.writes)
-	r.write = &rosterWrite{ifVersion: r.row.Version(), tx: platform.NewTransaction(operation,
-		platform.Put(rosterKeyPrefix+n.Zone, value, r.row.Version()))}
+	r.write = &rosterWrite{ifVersion: r.row.Version(), tx: provider.NewTransaction(operation,
+		provider.Put(rosterKeyPrefix+n.Zone, value, r.row.Version()))}
 	n.repeatWrite()
 }
 
@@ -227,10 +227,10 @@
 	}, func() {
 		n.locked(func() {
 			w.running = false
-			if !errorx.IsOfType(err, platform.ErrUnknownOutcome) && n.roster.write == w {
+			if !errorx.IsOfType(err, provider.ErrUnknownOutcome) && n.roster.write == w {
 				n.roster.write = nil
 			}
-			if err == nil || errorx.IsOfType(err, platform.ErrConflict) {
+			if err == nil || errorx.IsOfType(err, provider.ErrConflict) {
 				n.pollSoon()
 			}
 		})
@@ -404,7 +404,7 @@
 		}
 		value, err := n.Rosters.Remove(rows[0].Value(), n.ID, incarnation)
 		if err == nil {
-			err = n.Table.Commit(ctx, platform.NewTransaction(operation, platform.Put(key, value, rows[0].Version())))
+			err = n.Table.Commit(ctx, provider.NewTransaction(operation, provider.Put(key, value, rows[0].Version())))
 			left = err == nil
 		}
 	}, func() {
--- a/peer/sim_test.go
+++ b/peer/sim_test.go
@@ -14,7 +14,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
 )
 
@@ -33,8 +33,8 @@
 	net     *Network
 	latency clock.Millis // of the table, each way
 	stale   bool         // reads show the rows before their last write
-	before  map[string]platform.Row
-	latest  map[string]platform.Row
+	before  map[string]provider.Row
+	latest  map[string]provider.Row
 	written int64
 }
 
@@ -45,11 +45,11 @@
 	dead    bool
 	late    []func() // what runs when the pause ends
 	applied []int64
-	rows    []platform.Row
+	rows    []provider.Row
 	state   string // of the ledger
 	link    *Link
 	table   int // bytes of the table's protocol
-	held    map[string]platform.Row
+	held    map[string]provider.Row
 	commits []string
 	gone    map[string]int64
 }
@@ -58,7 +58,7 @@
 	c := clock.NewFake(1_000_000)
 	w := &world{t: t, clock: c, random: rand.New(rand.NewPCG(seed, 1)), faults: &fault.Driver{}, zones: zones,
 		nodes: map[string]*simNode{}, latency: 5, net: NewNetwork(c, seed),
-		before: map[string]platform.Row{}, latest: map[string]platform.Row{}, codec: fakeCodec{padding: 300, bodyBytes: 3000}}
+		before: map[string]provider.Row{}, latest: map[string]provider.Row{}, codec: fakeCodec{padding: 300, bodyBytes: 3000}}
 	w.store = memory.New(c, w.faults)
 	return w
 }
@@ -67,7 +67,7 @@
 
 // add starts a node; its seeds are the first three addresses.
 func (w *world) add(i int, incarnation int64) *simNode {
-	s := &simNode{w: w, gone: map[string]int64{}, held: map[string]platform.Row{}, state: "none"}
+	s := &simNode{w: w, gone: map[string]int64{}, held: map[string]provider.Row{}, state: "none"}
 	s.Node = &Node{ID: fmt.Sprintf("e%03d", i), Address: address(i), Zone: w.zone(i), Incarnation: incarnation,
 		Seeds: []string{address(0), address(1), address(2)}, Random: w.random.Uint64(), Clock: w.clock,
 		Codec: w.codec, Table: simTable{w.store.View(w.zone(i)).Table(), s},
@@ -149,7 +149,7 @@
 	s.applied = append(s.applied, v.Number())
 }
 
-func (s *simNode) SetRoster(row platform.Row)     { s.rows = append(s.rows, row) }
+func (s *simNode) SetRoster(row provider.Row)     { s.rows = append(s.rows, row) }
 func (s *simNode) Suspend()                       { s.state = "suspended" }
 func (s *simNode) Rejoin(int64)                   {}
 func (s *simNode) Unbroken() clock.Millis         { return 0 }
@@ -250,8 +250,8 @@
 		return
 	}
 	w.before[key] = w.latest[key]
-	check(w.t, direct.Table().Commit(ctx, platform.NewTransaction(fmt.Sprintf("put-%s-%d", key, w.clock.Now()),
-		platform.Put(key, value, platform.AnyVersion))))
+	check(w.t, direct.Table().Commit(ctx, provider.NewTransaction(fmt.Sprintf("put-%s-%d", key, w.clock.Now()),
+		provider.Put(key, value, provider.AnyVersion))))
 	rows, err := direct.Table().Read(ctx, key)
 	check(w.t, err)
 	w.latest[key] = rows[0]
@@ -279,11 +279,11 @@
 
 // simTable counts the bytes that platformhttp sends, and can show old rows.
 type simTable struct {
-	platform.Table
+	provider.Table
 	node *simNode
 }
 
-func (t simTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t simTable) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	rows, err := t.Table.Read(ctx, keys...)
 	if err != nil {
 		return nil, err
@@ -309,7 +309,7 @@
 }
 
 // Commit records the operation ids.
-func (t simTable) Commit(ctx context.Context, tx platform.Transaction) error {
+func (t simTable) Commit(ctx context.Context, tx provider.Transaction) error {
 	t.node.commits = append(t.node.commits, tx.Operation())
 	return t.Table.Commit(ctx, tx)
 }
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -8,7 +8,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/peer/peerpb"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // source tells where a version came from, which decides whether it is handed on.
@@ -328,7 +328,7 @@
 		keys = append(keys, key)
 	}
 	sort.Strings(keys[own:])
-	var rows []platform.Row
+	var rows []provider.Row
 	var err error
 	asked := n.Clock.Now()
 	n.Background(func() {
@@ -369,7 +369,7 @@
 
 // onCurrent takes the row config/current. A reading that shows an older version, or none, changes nothing: it is a
 // lagging read, or the table has lost the row, and a version in force never goes back.
-func (n *Node) onCurrent(row platform.Row) {
+func (n *Node) onCurrent(row provider.Row) {
 	own := n.versions.current
 	var number int64
 	var digest string
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -16,7 +16,7 @@
 	"github.com/joomcode/errorx"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // Defaults of a Client.
@@ -28,7 +28,7 @@
 )
 
 func init() {
-	platform.Plugins.Register("http", func(address, zone string) (platform.Platform, error) {
+	provider.Plugins.Register("http", func(address, zone string) (provider.Platform, error) {
 		if !strings.Contains(address, "://") {
 			address = "http://" + address
 		}
@@ -57,24 +57,24 @@
 	parts map[string]*Backoff // by the second path segment: the table can be down while the object store works
 
 	rowsMu sync.Mutex
-	rows   map[string]platform.Row // read last, by key
+	rows   map[string]provider.Row // read last, by key
 	lists  map[string]heldList     // read last, by zone
 }
 
-// Table implements platform.Platform.
-func (c *Client) Table() platform.Table { return table{c} }
+// Table implements provider.Platform.
+func (c *Client) Table() provider.Table { return table{c} }
 
-// Objects implements platform.Platform.
-func (c *Client) Objects() platform.ObjectStore { return objects{c} }
+// Objects implements provider.Platform.
+func (c *Client) Objects() provider.ObjectStore { return objects{c} }
 
-// Instances implements platform.Platform.
-func (c *Client) Instances() platform.Instances { return instances{c} }
+// Instances implements provider.Platform.
+func (c *Client) Instances() provider.Instances { return instances{c} }
 
-// Tasks implements platform.Platform.
-func (c *Client) Tasks() platform.Tasks { return tasks{c} }
+// Tasks implements provider.Platform.
+func (c *Client) Tasks() provider.Tasks { return tasks{c} }
 
-// Maintenance implements platform.Platform.
-func (c *Client) Maintenance() platform.Maintenance { return maintenance{c} }
+// Maintenance implements provider.Platform.
+func (c *Client) Maintenance() provider.Maintenance { return maintenance{c} }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.once.Do(c.start); c.http.CloseIdleConnections() }
@@ -187,11 +187,11 @@
 	c.once.Do(c.start)
 	part := c.parts[strings.Split(path, "/")[2]]
 	if pause := part.Wait(); pause > 0 {
-		return Answer{}, platform.ErrUnavailable.New("%s: held back for %d ms after failures", path, pause)
+		return Answer{}, provider.ErrUnavailable.New("%s: held back for %d ms after failures", path, pause)
 	}
 	answer, err := c.send(ctx, path, effect, body)
 	switch {
-	case err == nil, errorx.IsOfType(err, platform.ErrConflict), errorx.IsOfType(err, platform.ErrNotFound):
+	case err == nil, errorx.IsOfType(err, provider.ErrConflict), errorx.IsOfType(err, provider.ErrNotFound):
 		part.Succeeded()
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller gave up, which says nothing about the platform.
@@ -211,15 +211,15 @@
 	var try attempt
 	failed := func(err error) error {
 		if effect && try.written() {
-			return platform.ErrUnknownOutcome.Wrap(err, "%s: the answer was lost", path)
+			return provider.ErrUnknownOutcome.Wrap(err, "%s: the answer was lost", path)
 		}
-		return platform.ErrUnavailable.Wrap(err, "%s", path)
+		return provider.ErrUnavailable.Wrap(err, "%s", path)
 	}
 	trace := &httptrace.ClientTrace{GotConn: try.got}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
 		c.Address+path, bytes.NewReader(encoded))
 	if err != nil {
-		return Answer{}, platform.ErrUnavailable.Wrap(err, "%s", path)
+		return Answer{}, provider.ErrUnavailable.Wrap(err, "%s", path)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(ZoneHeader, c.Zone)
@@ -243,8 +243,8 @@
 		return Answer{}, failed(fmt.Errorf("status %d without an error", response.StatusCode))
 	}
 	err = decodeError(path, answer)
-	if err != nil && !effect && errorx.IsOfType(err, platform.ErrUnknownOutcome) {
-		return Answer{}, platform.ErrUnavailable.Wrap(err, "%s", path)
+	if err != nil && !effect && errorx.IsOfType(err, provider.ErrUnknownOutcome) {
+		return Answer{}, provider.ErrUnavailable.Wrap(err, "%s", path)
 	}
 	return answer, err
 }
--- a/platformhttp/client_test.go
+++ b/platformhttp/client_test.go
@@ -16,7 +16,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
 	"magnoliaferry/standin"
 )
@@ -42,12 +42,12 @@
 func TestClientEqualsMemory(t *testing.T) {
 	f := newFixture(t)
 	ctx := context.Background()
-	f.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: "w1", Address: "127.0.0.1:1", Zone: "a",
-		Rack: "r", Role: platform.RoleWorker, State: platform.Leaving, Cores: 16, MemoryMB: 9, Accelerators: 2,
+	f.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: "w1", Address: "127.0.0.1:1", Zone: "a",
+		Rack: "r", Role: provider.RoleWorker, State: provider.Leaving, Cores: 16, MemoryMB: 9, Accelerators: 2,
 		Slots: 8, Connections: 64, Incarnation: 3}))
-	tx := platform.NewTransaction("op", platform.Put("x", []byte{0, 255}, 0), platform.Put("y", []byte("v"), 0),
-		platform.Check("z", 0))
-	task := platform.NewTaskRequest(platform.TaskFields{ID: "j/1", Job: "j", Instance: "w1", Cores: 2,
+	tx := provider.NewTransaction("op", provider.Put("x", []byte{0, 255}, 0), provider.Put("y", []byte("v"), 0),
+		provider.Check("z", 0))
+	task := provider.NewTaskRequest(provider.TaskFields{ID: "j/1", Job: "j", Instance: "w1", Cores: 2,
 		Lease: 5000, Command: []string{"run", "it"}})
 	for _, err := range []error{
 		f.client.Table().Commit(ctx, tx),
@@ -63,13 +63,13 @@
 		}
 	}
 	direct := f.store.View("a")
-	reads := map[string]func(platform.Platform) (any, error){
-		"Read":   func(p platform.Platform) (any, error) { return p.Table().Read(ctx, "y", "x", "none") },
-		"Scan":   func(p platform.Platform) (any, error) { return p.Table().Scan(ctx, "", "x", 5) },
-		"Get":    func(p platform.Platform) (any, error) { return p.Objects().Get(ctx, "config/d") },
-		"List":   func(p platform.Platform) (any, error) { return p.Instances().List(ctx, "a") },
-		"Usage":  func(p platform.Platform) (any, error) { return p.Tasks().Usage(ctx, "w1") },
-		"Status": func(p platform.Platform) (any, error) { return p.Maintenance().Status(ctx, "w1") },
+	reads := map[string]func(provider.Platform) (any, error){
+		"Read":   func(p provider.Platform) (any, error) { return p.Table().Read(ctx, "y", "x", "none") },
+		"Scan":   func(p provider.Platform) (any, error) { return p.Table().Scan(ctx, "", "x", 5) },
+		"Get":    func(p provider.Platform) (any, error) { return p.Objects().Get(ctx, "config/d") },
+		"List":   func(p provider.Platform) (any, error) { return p.Instances().List(ctx, "a") },
+		"Usage":  func(p provider.Platform) (any, error) { return p.Tasks().Usage(ctx, "w1") },
+		"Status": func(p provider.Platform) (any, error) { return p.Maintenance().Status(ctx, "w1") },
 	}
 	for name, read := range reads {
 		got, err := read(f.client)
@@ -87,8 +87,8 @@
 	ctx := context.Background()
 	large := strings.Repeat("v", 10_000)
 	write := func(store *memory.Store, operation, value string) {
-		if err := store.View("").Table().Commit(ctx, platform.NewTransaction(operation,
-			platform.Put("x", []byte(value), platform.AnyVersion))); err != nil {
+		if err := store.View("").Table().Commit(ctx, provider.NewTransaction(operation,
+			provider.Put("x", []byte(value), provider.AnyVersion))); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -120,7 +120,7 @@
 	write(f.store, "two", "small")
 	read("small")
 	for n := range 3 {
-		f.store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: "w1", Zone: "a", Cores: n / 2}))
+		f.store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: "w1", Zone: "a", Cores: n / 2}))
 		sent.Store(0)
 		list, err := client.Instances().List(ctx, "a")
 		if err != nil || len(list) != 1 || list[0].Cores() != n/2 || (sent.Load() < 50) != (n == 1) {
@@ -138,7 +138,7 @@
 func TestFailuresAreClassified(t *testing.T) {
 	ctx := context.Background()
 	commit := func(c *platformhttp.Client) error {
-		return c.Table().Commit(ctx, platform.NewTransaction("op", platform.Put("x", nil, 0)))
+		return c.Table().Commit(ctx, provider.NewTransaction("op", provider.Put("x", nil, 0)))
 	}
 	read := func(c *platformhttp.Client) error { _, err := c.Table().Read(ctx, "x"); return err }
 	scan := func(c *platformhttp.Client) error { _, err := c.Table().Scan(ctx, "", "", 1); return err }
@@ -152,14 +152,14 @@
 		want    *errorx.Type
 		applied bool
 	}{
-		{"commit down", memory.StepCommit, fault.Down, commit, platform.ErrUnavailable, false},
-		{"commit request lost", memory.StepCommit, fault.LoseRequest, commit, platform.ErrUnknownOutcome, false},
-		{"commit answer lost", memory.StepCommit, fault.LoseAnswer, commit, platform.ErrUnknownOutcome, true},
-		{"put answer lost", memory.StepObjectPut, fault.LoseAnswer, put, platform.ErrUnknownOutcome, false},
-		{"read answer lost", memory.StepRead, fault.LoseAnswer, read, platform.ErrUnavailable, false},
-		{"scan request lost", memory.StepScan, fault.LoseRequest, scan, platform.ErrUnavailable, false},
-		{"get without object", memory.StepList, fault.Down, get, platform.ErrNotFound, false},
-		{"zone cut off", "zone:a", fault.Down, commit, platform.ErrUnavailable, false},
+		{"commit down", memory.StepCommit, fault.Down, commit, provider.ErrUnavailable, false},
+		{"commit request lost", memory.StepCommit, fault.LoseRequest, commit, provider.ErrUnknownOutcome, false},
+		{"commit answer lost", memory.StepCommit, fault.LoseAnswer, commit, provider.ErrUnknownOutcome, true},
+		{"put answer lost", memory.StepObjectPut, fault.LoseAnswer, put, provider.ErrUnknownOutcome, false},
+		{"read answer lost", memory.StepRead, fault.LoseAnswer, read, provider.ErrUnavailable, false},
+		{"scan request lost", memory.StepScan, fault.LoseRequest, scan, provider.ErrUnavailable, false},
+		{"get without object", memory.StepList, fault.Down, get, provider.ErrNotFound, false},
+		{"zone cut off", "zone:a", fault.Down, commit, provider.ErrUnavailable, false},
 	}
 	for _, test := range tests {
 		f := newFixture(t)
@@ -180,8 +180,8 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	client := &platformhttp.Client{Address: server.URL, Clock: clock.NewFake(0)}
-	err := client.Table().Commit(context.Background(), platform.NewTransaction("op", platform.Put("x", nil, 0)))
-	if !errorx.IsOfType(err, platform.ErrUnavailable) {
+	err := client.Table().Commit(context.Background(), provider.NewTransaction("op", provider.Put("x", nil, 0)))
+	if !errorx.IsOfType(err, provider.ErrUnavailable) {
 		t.Errorf("Commit got %v, want unavailable", err)
 	}
 }
@@ -202,7 +202,7 @@
 	errs := [2]chan error{make(chan error, 1), make(chan error, 1)}
 	commit := func(i int) {
 		errs[i] <- client.Table().Commit(context.Background(),
-			platform.NewTransaction("op", platform.Put("x", nil, 0)))
+			provider.NewTransaction("op", provider.Put("x", nil, 0)))
 	}
 	go commit(0)
 	<-arrived
@@ -211,10 +211,10 @@
 		runtime.Gosched()
 	}
 	c.Advance(500)
-	if err := <-errs[0]; !errorx.IsOfType(err, platform.ErrUnknownOutcome) {
+	if err := <-errs[0]; !errorx.IsOfType(err, provider.ErrUnknownOutcome) {
 		t.Errorf("written call got %v, want unknown outcome", err)
 	}
-	if err := <-errs[1]; !errorx.IsOfType(err, platform.ErrUnavailable) {
+	if err := <-errs[1]; !errorx.IsOfType(err, provider.ErrUnavailable) {
 		t.Errorf("waiting call got %v, want unavailable", err)
 	}
 }
@@ -258,12 +258,12 @@
 			_, _ = w.Write([]byte(answer))
 		}))
 		client := &platformhttp.Client{Address: server.URL, Clock: clock.NewFake(0), MaxAnswer: 1000}
-		if _, err := client.Table().Read(context.Background(), "x"); !errorx.IsOfType(err, platform.ErrUnavailable) {
+		if _, err := client.Table().Read(context.Background(), "x"); !errorx.IsOfType(err, provider.ErrUnavailable) {
 			t.Errorf("%s: Read got %v, want unavailable", name, err)
 		}
 		if name == "too long" {
-			err := client.Table().Commit(context.Background(), platform.NewTransaction("op"))
-			if !errorx.IsOfType(err, platform.ErrUnknownOutcome) {
+			err := client.Table().Commit(context.Background(), provider.NewTransaction("op"))
+			if !errorx.IsOfType(err, provider.ErrUnknownOutcome) {
 				t.Errorf("%s: Commit got %v, want unknown outcome", name, err)
 			}
 		}
--- a/platformhttp/parts.go
+++ b/platformhttp/parts.go
@@ -4,14 +4,14 @@
 	"context"
 	"slices"
 
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 type table struct{ c *Client }
 
-// Read implements platform.Table. A row that is read again and has not changed comes without its value: a poll once a
+// Read implements provider.Table. A row that is read again and has not changed comes without its value: a poll once a
 // second would otherwise carry each value about 86,400 times a day.
-func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t table) Read(ctx context.Context, keys ...string) ([]provider.Row, error) {
 	held := t.c.held(keys)
 	call := Call{Keys: keys}
 	for _, r := range held {
@@ -22,18 +22,18 @@
 		return nil, err
 	}
 	if len(answer.Rows) != len(keys) {
-		return nil, platform.ErrUnavailable.New("%s: %d rows for %d keys", PathRead, len(answer.Rows), len(keys))
+		return nil, provider.ErrUnavailable.New("%s: %d rows for %d keys", PathRead, len(answer.Rows), len(keys))
 	}
 	read := rows(answer)
 	for i, r := range answer.Rows {
 		if r.Key != keys[i] {
-			return nil, platform.ErrUnavailable.New("%s: row %q in place of %q", PathRead, r.Key, keys[i])
+			return nil, provider.ErrUnavailable.New("%s: row %q in place of %q", PathRead, r.Key, keys[i])
 		}
 		if !r.Same {
 			continue
 		}
 		if held == nil || held[i].Version() == 0 || held[i].Version() != r.Version || held[i].Operation() != r.Operation {
-			return nil, platform.ErrUnavailable.New("%s: row %q is not the one that is held", PathRead, r.Key)
+			return nil, provider.ErrUnavailable.New("%s: row %q is not the one that is held", PathRead, r.Key)
 		}
 		read[i] = held[i]
 	}
@@ -41,8 +41,8 @@
 	return read, nil
 }
 
-// Scan implements platform.Table.
-func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements provider.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
 	answer, err := t.c.call(ctx, PathScan, false, Call{Prefix: prefix, After: after, Limit: limit})
 	if err != nil {
 		return nil, err
@@ -50,8 +50,8 @@
 	return rows(answer), nil
 }
 
-// Commit implements platform.Table.
-func (t table) Commit(ctx context.Context, tx platform.Transaction) error {
+// Commit implements provider.Table.
+func (t table) Commit(ctx context.Context, tx provider.Transaction) error {
 	call := Call{Operation: tx.Operation()}
 	for _, w := range tx.Writes() {
 		call.Writes = append(call.Writes,
@@ -61,8 +61,8 @@
 	return err
 }
 
-func rows(a Answer) []platform.Row {
-	frozen := make([]platform.Row, len(a.Rows))
+func rows(a Answer) []provider.Row {
+	frozen := make([]provider.Row, len(a.Rows))
 	for i, f := range a.Rows {
 		frozen[i] = f.Row()
 	}
@@ -78,11 +78,11 @@
 )
 
 // held returns what is remembered of the rows, or nil when it is nothing.
-func (c *Client) held(keys []string) []platform.Row {
+func (c *Client) held(keys []string) []provider.Row {
 	c.rowsMu.Lock()
 	defer c.rowsMu.Unlock()
 	known := false
-	held := make([]platform.Row, len(keys))
+	held := make([]provider.Row, len(keys))
 	for i, key := range keys {
 		held[i] = c.rows[key]
 		known = known || held[i].Version() > 0
@@ -94,11 +94,11 @@
 }
 
 // hold remembers rows; when there are too many, any one makes room, because the polled rows return with the next poll.
-func (c *Client) hold(read []platform.Row) {
+func (c *Client) hold(read []provider.Row) {
 	c.rowsMu.Lock()
 	defer c.rowsMu.Unlock()
 	if c.rows == nil {
-		c.rows = map[string]platform.Row{}
+		c.rows = map[string]provider.Row{}
 	}
 	for _, r := range read {
 		if r.Version() == 0 || len(r.Value()) > maxHeldValue {
@@ -117,13 +117,13 @@
 
 type objects struct{ c *Client }
 
-// Put implements platform.ObjectStore.
+// Put implements provider.ObjectStore.
 func (o objects) Put(ctx context.Context, name string, body []byte) error {
 	_, err := o.c.call(ctx, PathObjectPut, true, Call{Name: name, Body: body})
 	return err
 }
 
-// Get implements platform.ObjectStore.
+// Get implements provider.ObjectStore.
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
 	answer, err := o.c.call(ctx, PathObjectGet, false, Call{Name: name})
 	return answer.Body, err
@@ -137,12 +137,12 @@
 // heldList is the list of a zone that was read last; it must not be changed.
 type heldList struct {
 	digest string
-	list   []platform.Instance
+	list   []provider.Instance
 }
 
-// List implements platform.Instances. A list that has not changed is not sent again: at the target size the list of a
+// List implements provider.Instances. A list that has not changed is not sent again: at the target size the list of a
 // zone has about 485 workers and 100 KB, and is polled once a second.
-func (i instances) List(ctx context.Context, zone string) ([]platform.Instance, error) {
+func (i instances) List(ctx context.Context, zone string) ([]provider.Instance, error) {
 	c := i.c
 	c.rowsMu.Lock()
 	held := c.lists[zone]
@@ -153,13 +153,13 @@
 	}
 	if answer.Same {
 		if held.digest == "" {
-			return nil, platform.ErrUnavailable.New("%s: the list is left out although none is held", PathList)
+			return nil, provider.ErrUnavailable.New("%s: the list is left out although none is held", PathList)
 		}
 		return slices.Clone(held.list), nil
 	}
-	list := make([]platform.Instance, len(answer.Instances))
+	list := make([]provider.Instance, len(answer.Instances))
 	for n, f := range answer.Instances {
-		list[n] = platform.NewInstance(f)
+		list[n] = provider.NewInstance(f)
 	}
 	c.rowsMu.Lock()
 	defer c.rowsMu.Unlock()
@@ -172,60 +172,60 @@
 
 type tasks struct{ c *Client }
 
-// Start implements platform.Tasks.
-func (t tasks) Start(ctx context.Context, request platform.TaskRequest) error {
+// Start implements provider.Tasks.
+func (t tasks) Start(ctx context.Context, request provider.TaskRequest) error {
 	fields := request.Fields()
 	_, err := t.c.call(ctx, PathTaskStart, true, Call{Task: &fields})
 	return err
 }
 
-// Checkpoint implements platform.Tasks.
+// Checkpoint implements provider.Tasks.
 func (t tasks) Checkpoint(ctx context.Context, id string) error {
 	_, err := t.c.call(ctx, PathCheckpoint, true, Call{ID: id})
 	return err
 }
 
-// Throttle implements platform.Tasks.
+// Throttle implements provider.Tasks.
 func (t tasks) Throttle(ctx context.Context, id string, percent int) error {
 	_, err := t.c.call(ctx, PathThrottle, true, Call{ID: id, Percent: percent})
 	return err
 }
 
-// Stop implements platform.Tasks.
+// Stop implements provider.Tasks.
 func (t tasks) Stop(ctx context.Context, id string) error {
 	_, err := t.c.call(ctx, PathTaskStop, true, Call{ID: id})
 	return err
 }
 
-// Usage implements platform.Tasks.
-func (t tasks) Usage(ctx context.Context, instance string) ([]platform.TaskUsage, error) {
+// Usage implements provider.Tasks.
+func (t tasks) Usage(ctx context.Context, instance string) ([]provider.TaskUsage, error) {
 	answer, err := t.c.call(ctx, PathUsage, false, Call{ID: instance})
 	if err != nil {
 		return nil, err
 	}
-	usage := make([]platform.TaskUsage, len(answer.Usage))
+	usage := make([]provider.TaskUsage, len(answer.Usage))
 	for i, f := range answer.Usage {
-		usage[i] = platform.NewTaskUsage(f)
+		usage[i] = provider.NewTaskUsage(f)
 	}
 	return usage, nil
 }
 
 type maintenance struct{ c *Client }
 
-// Drain implements platform.Maintenance.
+// Drain implements provider.Maintenance.
 func (m maintenance) Drain(ctx context.Context, instance string) error {
 	_, err := m.c.call(ctx, PathDrain, true, Call{ID: instance})
 	return err
 }
 
-// Reboot implements platform.Maintenance.
+// Reboot implements provider.Maintenance.
 func (m maintenance) Reboot(ctx context.Context, instance string) error {
 	_, err := m.c.call(ctx, PathReboot, true, Call{ID: instance})
 	return err
 }
 
-// Status implements platform.Maintenance.
-func (m maintenance) Status(ctx context.Context, instance string) (platform.MaintenanceStatus, error) {
+// Status implements provider.Maintenance.
+func (m maintenance) Status(ctx context.Context, instance string) (provider.MaintenanceStatus, error) {
 	answer, err := m.c.call(ctx, PathStatus, false, Call{ID: instance})
 	return answer.Status, err
 }
--- a/platformhttp/wire.go
+++ b/platformhttp/wire.go
@@ -8,7 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // ZoneHeader names the availability zone of the calling process.
@@ -50,11 +50,11 @@
 }
 
 // Row freezes the fields.
-func (f RowFields) Row() platform.Row { return platform.NewRow(f.Key, f.Value, f.Version, f.Operation) }
+func (f RowFields) Row() provider.Row { return provider.NewRow(f.Key, f.Value, f.Version, f.Operation) }
 
 // WriteFields is one conditional change on the wire.
 type WriteFields struct {
-	Kind      platform.WriteKind `json:"kind"`
+	Kind      provider.WriteKind `json:"kind"`
 	Key       string             `json:"key"`
 	Value     []byte             `json:"value,omitempty"`
 	IfVersion int64              `json:"if-version"`
@@ -75,7 +75,7 @@
 	Digest    string               `json:"digest,omitempty"` // of the list that the caller holds
 	ID        string               `json:"id,omitempty"`
 	Percent   int                  `json:"percent,omitempty"`
-	Task      *platform.TaskFields `json:"task,omitempty"`
+	Task      *provider.TaskFields `json:"task,omitempty"`
 }
 
 // Answer is the body of every answer; Error is empty for success.
@@ -84,10 +84,10 @@
 	Text      string                     `json:"text,omitempty"`
 	Rows      []RowFields                `json:"rows,omitempty"`
 	Body      []byte                     `json:"body,omitempty"`
-	Instances []platform.InstanceFields  `json:"instances,omitempty"`
+	Instances []provider.InstanceFields  `json:"instances,omitempty"`
 	Same      bool                       `json:"same,omitempty"` // the list has the digest that the call named
-	Usage     []platform.UsageFields     `json:"usage,omitempty"`
-	Status    platform.MaintenanceStatus `json:"status,omitempty"`
+	Usage     []provider.UsageFields     `json:"usage,omitempty"`
+	Status    provider.MaintenanceStatus `json:"status,omitempty"`
 }
 
 // errorKinds pairs the error types with their names and HTTP statuses on the wire.
@@ -96,14 +96,14 @@
 	status int
 	kind   *errorx.Type
 }{
-	{"conflict", http.StatusConflict, platform.ErrConflict},
-	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
-	{"unknown-outcome", http.StatusGatewayTimeout, platform.ErrUnknownOutcome},
-	{"not-found", http.StatusNotFound, platform.ErrNotFound},
+	{"conflict", http.StatusConflict, provider.ErrConflict},
+	{"unavailable", http.StatusServiceUnavailable, provider.ErrUnavailable},
+	{"unknown-outcome", http.StatusGatewayTimeout, provider.ErrUnknownOutcome},
+	{"not-found", http.StatusNotFound, provider.ErrNotFound},
 }
 
 // ListDigest returns the digest that tells whether two lists of instances are the same.
-func ListDigest(list []platform.Instance) string {
+func ListDigest(list []provider.Instance) string {
 	digest := sha256.New()
 	encoder := json.NewEncoder(digest)
 	for _, i := range list {
@@ -133,5 +133,5 @@
 			return k.kind.New("%s: %s", path, a.Text)
 		}
 	}
-	return platform.ErrUnknownOutcome.New("%s: unknown error %q: %s", path, a.Error, a.Text)
+	return provider.ErrUnknownOutcome.New("%s: unknown error %q: %s", path, a.Error, a.Text)
 }
--- /dev/null
+++ b/pool/codes.go
@@ -0,0 +1,26 @@
+package pool
+
+import (
+	"log/slog"
+
+	"magnoliaferry/event"
+)
+
+var (
+	eventPlaced     = event.New(4200, "task-placed", slog.LevelInfo, "a task gets a place on a worker")
+	eventEnded      = event.New(4201, "run-ended", slog.LevelInfo, "a run of a task has ended")
+	eventLapsed     = event.New(4202, "runs-lapsed", slog.LevelWarn, "a worker did not answer until the lease of its runs was over; they count as lost")
+	eventReborn     = event.New(4203, "worker-restarted", slog.LevelWarn, "a worker has restarted; its runs are gone")
+	eventWorker     = event.New(4204, "worker-changed", slog.LevelInfo, "a worker came, drains, or left")
+	eventSilent     = event.New(4205, "worker-silent", slog.LevelWarn, "a worker stopped answering")
+	eventAnswers    = event.New(4206, "worker-answers", slog.LevelInfo, "a worker answers again")
+	eventJobEnded   = event.New(4207, "job-ended", slog.LevelInfo, "a job has reached its final state")
+	eventRefused    = event.New(4208, "start-refused", slog.LevelWarn, "a worker did not start a task")
+	eventStopping   = event.New(4209, "run-stopping", slog.LevelInfo, "a run is told to stop")
+	eventFenced     = event.New(4210, "worker-fenced", slog.LevelWarn, "a worker has seen a higher fencing token")
+	eventStray      = event.New(4211, "stray-run", slog.LevelError, "a worker lists a run that is not ours; it is told to stop")
+	eventPaced      = event.New(4212, "run-paced", slog.LevelInfo, "the share of processor time of a run changes")
+	eventJobTaken   = event.New(4213, "job-taken", slog.LevelInfo, "the owner of the pool has a job")
+	eventNeverBegan = event.New(4214, "run-never-began", slog.LevelInfo, "a start without an answer was not carried out and cannot be any more")
+	eventSlowRun    = event.New(4215, "run-stalled", slog.LevelWarn, "a run makes no progress; it is moved to another worker")
+)
--- /dev/null
+++ b/pool/holds.go
@@ -0,0 +1,256 @@
+package pool
+
+import (
+	"log/slog"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+// holds orders the holds that are due: they renew leases, bring the ends, and raise tokens.
+func (s *Scheduler) holds() {
+	for _, w := range s.sortedWorkers() {
+		if w.holding || s.now < w.nextHold || w.needToken || w.entry.Address == "" {
+			continue
+		}
+		if !w.listed && len(w.runs) == 0 && w.seenEnd == w.ack {
+			continue
+		}
+		// An order without an answer can be carried out later, unless the worker has seen a higher token by then.
+		for _, r := range w.runs {
+			if r.state == uncertain && r.token >= w.token && s.token > r.token {
+				w.token = s.token
+			}
+		}
+		order := Hold{Target: w.target(), Token: w.token, Ack: w.ack, Wait: idleWait}
+		if !w.confirmed {
+			order.Wait = 0
+		}
+		if len(w.runs) > 0 {
+			order.Wait = min(order.Wait, busyWait)
+			if w.clockAt != 0 {
+				order.Deadline = w.clockNow(s.now) + s.Lease
+				w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
+			}
+			if s.hasUncertain(w) {
+				order.Wait = 0
+			}
+		}
+		w.holding = true
+		s.orders = append(s.orders, order)
+	}
+}
+
+func (s *Scheduler) hasUncertain(w *worker) bool {
+	for _, r := range w.runs {
+		if r.state == uncertain {
+			return true
+		}
+	}
+	return false
+}
+
+// Held takes in the answer to a hold that was sent at the given time.
+func (s *Scheduler) Held(order Hold, listing Listing, sent clock.Millis) {
+	w := s.workers[order.Target.ID]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.nextHold = s.now + holdRetry
+	switch listing.Outcome {
+	case Accepted:
+	case Fenced:
+		s.refusedByToken(w, order.Token)
+		return
+	default:
+		if w.confirmed && s.now-w.heard > silentAfter {
+			s.log(eventSilent, slog.String("worker", w.entry.ID), slog.Int64("silent-ms", int64(s.now-w.heard)))
+			w.confirmed = false // its lists come first when it answers again
+		}
+		return
+	}
+	if listing.Born != 0 && listing.Born != w.born {
+		if listing.Born < w.born {
+			return // an answer of an earlier life that was overtaken
+		}
+		s.reborn(w, listing.Born)
+		return
+	}
+	if !w.confirmed {
+		s.log(eventAnswers, slog.String("worker", w.entry.ID), slog.Int64("token", order.Token),
+			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
+	}
+	w.nextHold = s.now + holdPause
+	w.heard, w.confirmed = s.now, true
+	w.clock, w.clockAt = listing.Clock, s.now
+	if order.Deadline > 0 {
+		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
+	}
+	s.takeEnds(w, listing.Ended)
+	s.takeRunning(w, listing, order, sent)
+	s.pace(w)
+}
+
+func (s *Scheduler) refusedByToken(w *worker, token int64) {
+	if token < s.token {
+		w.token = s.token // raised meanwhile
+		w.nextHold = s.now
+		return
+	}
+	if !s.fenced {
+		s.log(eventFenced, slog.String("worker", w.entry.ID), slog.Int64("token", token))
+	}
+	s.fenced = true
+}
+
+func (s *Scheduler) takeEnds(w *worker, ends []Ended) {
+	for _, end := range ends {
+		if end.Number <= w.seenEnd {
+			continue
+		}
+		w.seenEnd = end.Number
+		r := w.runs[end.Task]
+		if r == nil || r.number != end.Run || r.state == planned {
+			continue // counted as lost before, or stopped before it began
+		}
+		s.finish(r, end.How, end.Checkpoint)
+	}
+}
+
+func (s *Scheduler) takeRunning(w *worker, listing Listing, order Hold, sent clock.Millis) {
+	listed := make(map[string]int, len(listing.Running))
+	strays := map[string]batch.Resources{}
+	for i := range listing.Running {
+		entry := &listing.Running[i]
+		r := w.runs[entry.Task]
+		if r == nil || r.number != entry.Run || r.state == planned {
+			s.stray(w, entry, strays)
+			continue
+		}
+		listed[entry.Task] = entry.Run
+		if r.state != running {
+			r.state, r.moved = running, s.now
+		}
+		if entry.Percent != r.percent {
+			r.percent, r.moved = entry.Percent, s.now
+		}
+		if r.percent >= 100 {
+			r.task.retries = 0
+		}
+		r.figure = entry.Figure
+		if entry.Checkpoint != "" {
+			r.task.checkpoint = entry.Checkpoint
+		}
+	}
+	w.strays = strays
+	if len(listing.Ended) >= EndsPerListing {
+		return // more ends are to come; what is not listed may be among them
+	}
+	for _, r := range sortedRuns(w) {
+		if _, ok := listed[r.task.name]; ok {
+			continue
+		}
+		switch {
+		case r.state == running && r.answered < sent:
+			s.finish(r, EndLost, "")
+		case r.state == uncertain && order.Token > r.token && r.answered <= sent:
+			s.log(eventNeverBegan, slog.String("task", r.task.name), slog.Int("run", r.number),
+				slog.String("worker", w.entry.ID), slog.Int64("token", order.Token))
+			s.finish(r, EndLost, "")
+		}
+	}
+}
+
+// stray stops a listed run that is not ours, such as one whose job ended under an earlier owner. Its resources count
+// until it is gone.
+func (s *Scheduler) stray(w *worker, entry *Running, strays map[string]batch.Resources) {
+	need := batch.Resources{}
+	if id, key, ok := batch.ParseTask(entry.Task); ok {
+		if j := s.jobs[id]; j != nil && key.Step < len(j.def.Steps) {
+			need = j.def.Steps[key.Step].Reserve()
+		}
+	}
+	if _, known := w.strays[entry.Task]; !known {
+		s.log(eventStray, slog.String("task", entry.Task), slog.Int("run", entry.Run), slog.String("worker", w.entry.ID))
+	}
+	strays[entry.Task] = need
+	s.orders = append(s.orders, Stop{Target: w.target(), Task: entry.Task, Run: entry.Run, Token: w.token})
+}
+
+// Started takes in the answer to a start.
+func (s *Scheduler) Started(order Start, reply Reply) {
+	w := s.workers[order.Target.ID]
+	if w == nil {
+		return
+	}
+	r := w.runs[order.Task]
+	if r == nil || r.number != order.Run || r.state != starting {
+		return // listed, ended or lost meanwhile
+	}
+	r.answered = s.now
+	switch reply.Outcome {
+	case Accepted:
+		r.state, r.moved = running, s.now
+		return
+	case Unanswered:
+		r.state = uncertain
+		w.nextHold = min(w.nextHold, s.now)
+		return
+	case Fenced:
+		if order.Token < w.token {
+			s.send(r)
+			return
+		}
+		s.refusedByToken(w, order.Token)
+		if !s.fenced {
+			s.send(r)
+		}
+		return
+	}
+	s.log(eventRefused, slog.String("task", order.Task), slog.Int("run", order.Run), slog.String("worker", w.entry.ID),
+		slog.Int("outcome", int(reply.Outcome)))
+	t := r.task
+	s.finish(r, EndLost, "")
+	switch reply.Outcome {
+	case NoTicket:
+		t.step.advice = nil
+	case Outdated, TooLate:
+	default:
+		w.avoidUntil = max(w.avoidUntil, s.now+startRepeat)
+	}
+	t.retryAt = max(t.retryAt, s.now+holdPause)
+}
+
+// Stopped takes in the answer to a stop; the end itself comes with a listing.
+func (s *Scheduler) Stopped(order Stop, reply Reply) {
+	if w := s.workers[order.Target.ID]; w != nil && reply.Outcome == Fenced {
+		s.refusedByToken(w, order.Token)
+	}
+}
+
+// lapse gives up the runs of workers whose lease is over.
+func (s *Scheduler) lapse() {
+	for _, w := range s.sortedWorkers() {
+		if len(w.runs) > 0 && s.now > w.leaseUntil && (w.leaseUntil > 0 || !w.listed) {
+			certain := false
+			for _, r := range w.runs {
+				certain = certain || r.state != planned
+			}
+			if !certain {
+				continue
+			}
+			s.log(eventLapsed, slog.String("worker", w.entry.ID), slog.Int("runs", len(w.runs)),
+				slog.Int64("silent-ms", int64(s.now-w.heard)))
+			for _, r := range sortedRuns(w) {
+				if r.state != planned {
+					s.finish(r, EndLost, "")
+				}
+			}
+			w.confirmed = false
+		}
+		if len(w.runs) == 0 && !w.listed && !w.holding && s.now-w.heard > clock.Minute {
+			delete(s.workers, w.entry.ID)
+		}
+	}
+}
--- /dev/null
+++ b/pool/place.go
@@ -0,0 +1,415 @@
+package pool
+
+import (
+	"fmt"
+	"log/slog"
+	"sort"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+// Weights of the choice of a worker; a worker's use counts from 0 to 1000.
+const (
+	costOtherRack  = 1500 // the data is elsewhere
+	costAvoided    = 4000 // the last run of the task failed there
+	costServing    = 600  // a task that fills beside one that serves
+	costPerFilling = 300  // each task that fills beside another
+	costPerPeer    = 200  // each task of the same step
+)
+
+// lateFactor is how many times the objective a job is still worth something.
+const lateFactor = 3
+
+// adviseLimit is how many workers one call to the advisor names.
+const adviseLimit = 30
+
+// Plan decides what to do now: lapses, stops, places, holds. Orders and Draft return the outcome.
+func (s *Scheduler) Plan() {
+	s.lapse()
+	s.due()
+	s.repeatStops()
+	s.evacuate()
+	s.place()
+	s.holds()
+}
+
+// due starts occurrences whose time has come, and drops jobs with a final state from the list.
+func (s *Scheduler) due() {
+	kept := s.active[:0]
+	for _, j := range s.active {
+		if j.def.Occurrences > 0 && len(j.occurrences) < j.def.Runs() {
+			s.advance(j)
+		}
+		if !j.state.Final() {
+			kept = append(kept, j)
+		}
+	}
+	clear(s.active[len(kept):])
+	s.active = kept
+}
+
+func (s *Scheduler) repeatStops() {
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			if r.stopping && s.now-r.stopSent > stopRepeat && w.confirmed {
+				s.stop(r, "repeated")
+			}
+		}
+	}
+}
+
+// rank orders jobs: what can still meet its objective goes first, and what is worth nothing any more goes last.
+type rank struct {
+	job      *job
+	class    int
+	priority int
+}
+
+const (
+	classLasting = iota // long-running jobs and those that can meet their objective
+	classLate           // past the objective, still worth a part
+	classOwed           // worth nothing any more, but still owed
+)
+
+func (s *Scheduler) rank(j *job) rank {
+	r := rank{job: j, priority: 1 << 20}
+	queue, ok := s.configuration.Queue(j.def.Queue)
+	if !ok {
+		r.class = classOwed
+		return r
+	}
+	r.priority = queue.Priority
+	if j.def.LongRunning() || j.def.Occurrences > 0 {
+		return r
+	}
+	chain, left := j.chain()
+	objective := clock.Millis(queue.Stretch*float64(chain)) + queue.Objective
+	switch age := s.now - j.seen; {
+	case age+left > lateFactor*objective:
+		r.class = classOwed
+	case age+left > objective:
+		r.class = classLate
+	}
+	return r
+}
+
+// chain returns the longest chain of declared run times over the steps, and the part of it that is left.
+func (j *job) chain() (whole, left clock.Millis) {
+	o := j.occurrences[0]
+	ends := make([]clock.Millis, len(j.def.Steps))
+	lefts := make([]clock.Millis, len(j.def.Steps))
+	for i := range j.def.Steps {
+		st := &j.def.Steps[i]
+		for _, earlier := range st.After {
+			ends[i] = max(ends[i], ends[earlier])
+			lefts[i] = max(lefts[i], lefts[earlier])
+		}
+		ends[i] += st.Estimate
+		if o == nil || !o.steps[i].complete() {
+			lefts[i] += st.Estimate
+		}
+		whole, left = max(whole, ends[i]), max(left, lefts[i])
+	}
+	return whole, left
+}
+
+func (s *Scheduler) place() {
+	var ranks []rank
+	for _, j := range s.active {
+		if j.waiting > 0 {
+			ranks = append(ranks, s.rank(j))
+		}
+	}
+	if len(ranks) == 0 {
+		return
+	}
+	sort.SliceStable(ranks, func(a, b int) bool {
+		if ranks[a].class != ranks[b].class {
+			return ranks[a].class < ranks[b].class
+		}
+		return ranks[a].priority < ranks[b].priority
+	})
+	workers := s.usable()
+	if len(workers) == 0 {
+		return
+	}
+	for _, r := range ranks {
+		for k := range r.job.def.Runs() {
+			if o := r.job.occurrences[k]; o != nil && !o.done {
+				for _, st := range o.steps {
+					if !st.complete() && o.mayRun(st) {
+						s.placeStep(st, workers)
+					}
+				}
+			}
+		}
+	}
+}
+
+// usable returns the workers that may get new tasks. Workers that failed several runs in a row are left out, unless
+// they are the larger part of the pool: then the fault is more likely in the jobs.
+func (s *Scheduler) usable() []*worker {
+	var good, avoided []*worker
+	for _, w := range s.sortedWorkers() {
+		switch {
+		case !w.listed || w.entry.Draining || w.wanted || w.entry.Pool != s.Pool:
+		case !w.confirmed || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
+		case w.avoidUntil > s.now:
+			avoided = append(avoided, w)
+		default:
+			good = append(good, w)
+		}
+	}
+	if len(avoided) > len(good) {
+		return append(good, avoided...)
+	}
+	return good
+}
+
+func (s *Scheduler) sortedWorkers() []*worker {
+	all := make([]*worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		all = append(all, w)
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].entry.ID < all[b].entry.ID })
+	return all
+}
+
+func (s *Scheduler) placeStep(st *step, workers []*worker) {
+	if !s.adviceReady(st, workers) {
+		return
+	}
+	if st.def.Gang {
+		s.placeGang(st, workers)
+		return
+	}
+	for _, t := range st.tasks {
+		if t.done || t.run != nil || t.retryAt > s.now {
+			continue
+		}
+		w := s.choose(t, workers, nil)
+		if w == nil {
+			return // tasks of a step are equal: where one does not fit, the next one does not either
+		}
+		s.assign(t, w, t.number+1)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (s *Scheduler) placeGang(st *step, workers []*worker) {
+	number := 0
+	for _, t := range st.tasks {
+		if t.run != nil || t.retryAt > s.now {
+			return
+		}
+		number = max(number, t.number)
+	}
+	if st.def.TightlyCoupled {
+		for _, rack := range racks(workers) {
+			if s.placeGangOn(st, rack, number+1) {
+				return
+			}
+		}
+	}
+	s.placeGangOn(st, workers, number+1)
+}
+
+func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
+	for i, t := range st.tasks {
+		w := s.choose(t, workers, nil)
+		if w == nil {
+			for _, placed := range st.tasks[:i] {
+				s.withdraw(placed.run)
+			}
+			return false
+		}
+		s.assign(t, w, number)
+	}
+	return true
+}
+
+// withdraw takes back a place of which nothing is stored or ordered yet.
+func (s *Scheduler) withdraw(r *run) {
+	delete(r.worker.runs, r.task.name)
+	r.worker.used = r.worker.used.Sub(r.task.step.def.Reserve())
+	r.task.run = nil
+	r.task.step.job.waiting++
+}
+
+// racks groups workers by their last label, the rack.
+func racks(workers []*worker) [][]*worker {
+	byRack := map[string][]*worker{}
+	var names []string
+	for _, w := range workers {
+		name := ""
+		if n := len(w.entry.Labels); n > 0 {
+			name = w.entry.Labels[n-1]
+		}
+		if byRack[name] == nil {
+			names = append(names, name)
+		}
+		byRack[name] = append(byRack[name], w)
+	}
+	sort.Strings(names)
+	var groups [][]*worker
+	for _, name := range names {
+		groups = append(groups, byRack[name])
+	}
+	return groups
+}
+
+// choose returns the best worker with room for the task, or nil; without, if set, is left out.
+func (s *Scheduler) choose(t *task, workers []*worker, without *worker) *worker {
+	def := t.step.def
+	need := def.Reserve()
+	var best *worker
+	bestCost := 0
+	for _, w := range workers {
+		if w == without || !need.Fits(w.room()) || (def.Label != "" && !w.entry.HasLabel(def.Label)) {
+			continue
+		}
+		if t.step.advice != nil && t.step.advice.Tickets[w.entry.ID] == "" {
+			continue
+		}
+		peers, serving, filling := 0, 0, 0
+		for _, r := range w.runs {
+			other := r.task.step
+			if other == t.step {
+				peers++
+			}
+			if other.def.Fills {
+				filling++
+			} else if other.def.TargetLatency > 0 {
+				serving++
+			}
+		}
+		if def.MaxPerWorker > 0 && peers >= def.MaxPerWorker {
+			continue
+		}
+		cost := w.used.CPU * 1000 / max(w.entry.Capacity.CPU, 1)
+		cost = max(cost, w.used.MemoryMB*1000/max(w.entry.Capacity.MemoryMB, 1))
+		if def.Rack != "" && !w.entry.HasLabel(def.Rack) {
+			cost += costOtherRack
+		}
+		if t.avoid == w {
+			cost += costAvoided
+		}
+		if def.Fills {
+			cost += serving*costServing + filling*costPerFilling
+		} else if def.TargetLatency > 0 {
+			cost += filling * costServing
+		}
+		if def.LongRunning {
+			cost += peers * costPerPeer
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// assign reserves the place of a task; the order goes out once the place is stored.
+func (s *Scheduler) assign(t *task, w *worker, number int) {
+	t.number = number
+	r := &run{task: t, worker: w, number: number, state: planned, born: w.born, pace: 100}
+	t.run = r
+	w.runs[t.name] = r
+	w.used = w.used.Add(t.step.def.Reserve())
+	j := t.step.job
+	j.waiting--
+	j.started = true
+	s.mark(j)
+	s.log(eventPlaced, slog.String("task", t.name), slog.Int("run", number), slog.String("worker", w.entry.ID),
+		slog.Int("used-cpu", w.used.CPU), slog.Int64("age-ms", int64(s.now-j.seen)),
+		slog.Int64("configuration", s.configuration.Version))
+}
+
+// adviceReady reports whether the tickets of a step are known, and asks for them otherwise.
+func (s *Scheduler) adviceReady(st *step, workers []*worker) bool {
+	queue, ok := s.configuration.Queue(st.job.def.Queue)
+	if !ok || !queue.Advised {
+		st.advice = nil
+		return true
+	}
+	if st.advice != nil && s.now-st.advised < st.advice.Validity/2 {
+		return true
+	}
+	if st.advising {
+		return false
+	}
+	st.advising = true
+	order := Advise{Step: st.name()}
+	for _, w := range workers {
+		if len(order.Workers) < adviseLimit {
+			order.Workers = append(order.Workers, w.entry.ID)
+		}
+	}
+	s.orders = append(s.orders, order)
+	return false
+}
+
+// Advised takes in the answer of the advisor; ok is false when there was none.
+func (s *Scheduler) Advised(order Advise, advice Advice, ok bool) {
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.advising && st.name() == order.Step {
+					st.advising = false
+					if ok {
+						st.advice, st.advised = &advice, s.now
+					}
+				}
+			}
+		}
+	}
+}
+
+// Load is what the owner of a pool tells the others about it.
+type Load struct {
+	Running batch.Resources `json:"running"` // reserved on workers
+	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run
+	Room    batch.Resources `json:"room"`    // capacity of the usable workers
+	Workers int             `json:"workers"` // usable ones
+}
+
+// Load returns the state of the pool.
+func (s *Scheduler) Load() Load {
+	var load Load
+	for _, w := range s.usable() {
+		load.Workers++
+		load.Room = load.Room.Add(w.entry.Capacity)
+		load.Running = load.Running.Add(w.used)
+	}
+	for _, j := range s.active {
+		if j.waiting == 0 {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if o.done || st.complete() || !o.mayRun(st) {
+					continue
+				}
+				for _, t := range st.tasks {
+					if !t.done && t.run == nil {
+						load.Waiting = load.Waiting.Add(st.def.Reserve())
+					}
+				}
+			}
+		}
+	}
+	return load
+}
+
+func (st *step) name() string {
+	o := 0
+	if len(st.tasks) > 0 {
+		o = st.tasks[0].key.Occurrence
+	}
+	return stepName(st.job.def.ID, o, st.tasks[0].key.Step)
+}
+
+func stepName(job string, occurrence, step int) string {
+	return fmt.Sprintf("%s.%d.%d", job, occurrence, step)
+}
--- /dev/null
+++ b/pool/scheduler.go
@@ -0,0 +1,477 @@
+package pool
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+)
+
+// Times of the scheduler.
+const (
+	// MaxLease bounds the lease of a worker below what the platform allows: a worker that is lost keeps its tasks
+	// from running elsewhere for that long.
+	MaxLease = 6 * clock.Second
+
+	clockDriftPercent = 3                     // workers' clocks may be 2% slow
+	leaseMargin       = 100 * clock.Millis(1) // for rounding and late timers
+
+	busyWait      = 600 * clock.Millis(1)  // a hold on a worker that runs something
+	idleWait      = 1500 * clock.Millis(1) // a hold on an idle one; the platform allows 2000
+	holdPause     = 60 * clock.Millis(1)   // between two holds of a worker, so that one brings several ends
+	holdRetry     = 250 * clock.Millis(1)  // after a hold without an answer
+	silentAfter   = 2500 * clock.Millis(1) // without an answer a worker gets no new tasks
+	stopRepeat    = 700 * clock.Millis(1)  // until the end is listed
+	startRepeat   = 300 * clock.Millis(1)  // pause after a start that a worker refused
+	renewPeriod   = 500 * clock.Millis(1)  // of the ownership when nothing is to be stored
+	failuresLimit = 3                      // failed runs in a row after which a worker is avoided
+	avoidTime     = 4 * clock.Second
+	restartPause  = 300 * clock.Millis(1) // before a long-running task starts again, doubled up to restartLimit
+	restartLimit  = 2 * clock.Second
+)
+
+// MaxRows bounds the jobs stored in one transaction, below what the platform allows.
+const MaxRows = 80
+
+// Scheduler runs the jobs of one pool. It is not safe for concurrent use. Exported fields are set before the first call.
+type Scheduler struct {
+	Pool   string
+	Logger *slog.Logger
+	Lease  clock.Millis
+	// Retention is how long the rows of a job in a final state are kept.
+	Retention clock.Millis
+
+	now           clock.Millis
+	wall          clock.Millis
+	configuration *batch.Configuration
+	jobs          map[string]*job
+	active        []*job // not final, in the order in which they came
+	final         []finalJob
+	workers       map[string]*worker
+	token         int64
+	fenced        bool
+
+	dirty    []*job
+	draft    *Draft
+	orders   []any
+	released bool // orders may go out; false before the first Committed
+}
+
+type finalJob struct {
+	id    string
+	since clock.Millis
+}
+
+// NewScheduler returns a scheduler for a pool without jobs and workers.
+func NewScheduler(pool string, lease, retention clock.Millis, logger *slog.Logger) *Scheduler {
+	return &Scheduler{
+		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
+		configuration: &batch.Configuration{}, jobs: map[string]*job{}, workers: map[string]*worker{},
+	}
+}
+
+func (s *Scheduler) log(e *event.Event, attributes ...slog.Attr) {
+	e.Log(context.Background(), s.Logger, append(attributes, slog.String("pool", s.Pool))...)
+}
+
+// Configure puts a configuration in force.
+func (s *Scheduler) Configure(c *batch.Configuration) { s.configuration = c }
+
+// Tick tells the steady time and the Unix time.
+func (s *Scheduler) Tick(now, wall clock.Millis) { s.now, s.wall = now, wall }
+
+// Fenced reports whether a worker has refused an order because of a higher token, which only another owner can have.
+func (s *Scheduler) Fenced() bool { return s.fenced }
+
+// SetToken tells the fencing token under which the first orders go out.
+func (s *Scheduler) SetToken(token int64) { s.token = token }
+
+// AddJob takes a job in; progress is what a previous owner stored of it, or nil. owned bounds, on our clock, the leases
+// that a previous owner can have granted.
+func (s *Scheduler) AddJob(def *batch.Job, progress *batch.Progress, cancelled bool, leases clock.Millis) {
+	if s.jobs[def.ID] != nil {
+		return
+	}
+	j := &job{def: def, state: batch.Pending, occurrences: map[int]*occurrence{}}
+	age := min(max(s.wall-def.Accepted, 0), clock.Minute) // clocks of instances differ
+	j.seen = s.now - age
+	s.jobs[def.ID] = j
+	if progress != nil {
+		j.state = progress.State
+		if j.state.Final() {
+			s.final = append(s.final, finalJob{def.ID, s.now})
+			return
+		}
+		s.restore(j, progress, leases)
+	}
+	s.active = append(s.active, j)
+	s.log(eventJobTaken, slog.String("job", def.ID), slog.String("queue", def.Queue), slog.Int64("age-ms", int64(age)),
+		slog.String("state", j.state.String()))
+	if cancelled {
+		s.Cancel(def.ID)
+	}
+	s.advance(j)
+}
+
+// restore rebuilds the tasks of a job from what was stored. Runs that a worker may hold are uncertain until that worker
+// lists them, shows that it does not have them, or its lease is over.
+func (s *Scheduler) restore(j *job, progress *batch.Progress, leases clock.Millis) {
+	for i := range progress.Runs {
+		stored := &progress.Runs[i]
+		o := s.occurrence(j, stored.Occurrence)
+		if stored.Step >= len(o.steps) || stored.Index >= len(o.steps[stored.Step].tasks) {
+			continue // a job never changes, so that only a damaged row can say this; the task starts from the beginning
+		}
+		st := o.steps[stored.Step]
+		t := st.tasks[stored.Index]
+		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
+		j.started = true
+		if stored.Done {
+			t.done = true
+			st.done++
+			continue
+		}
+		if stored.Worker == "" {
+			continue
+		}
+		w := s.workers[stored.Worker]
+		if w == nil {
+			w = &worker{entry: batch.Worker{ID: stored.Worker, Pool: s.Pool}, runs: map[string]*run{},
+				strays: map[string]batch.Resources{}, born: stored.Born, token: s.token}
+			s.workers[stored.Worker] = w
+		}
+		w.leaseUntil = max(w.leaseUntil, leases)
+		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, born: stored.Born, pace: 100}
+		t.run = r
+		w.runs[t.name] = r
+		w.used = w.used.Add(st.def.Reserve())
+		if w.born != 0 && stored.Born != 0 && stored.Born < w.born {
+			s.finish(r, EndLost, "")
+		}
+	}
+}
+
+func (s *Scheduler) occurrence(j *job, number int) *occurrence {
+	if o := j.occurrences[number]; o != nil {
+		return o
+	}
+	o := &occurrence{number: number}
+	for i := range j.def.Steps {
+		st := &step{job: j, def: &j.def.Steps[i]}
+		for index := range st.def.Count {
+			key := batch.TaskKey{Occurrence: number, Step: i, Index: index}
+			st.tasks = append(st.tasks, &task{step: st, key: key, name: key.Name(j.def.ID)})
+		}
+		o.steps = append(o.steps, st)
+	}
+	j.occurrences[number] = o
+	return o
+}
+
+// Cancel ends a job at a caller's request.
+func (s *Scheduler) Cancel(id string) {
+	j := s.jobs[id]
+	if j == nil || j.state.Final() || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	s.conclude(j, batch.Cancelled)
+}
+
+// conclude gives a job its final state and stops what still runs.
+func (s *Scheduler) conclude(j *job, state batch.State) {
+	j.state = state
+	s.mark(j)
+	s.final = append(s.final, finalJob{j.def.ID, s.now})
+	s.log(eventJobEnded, slog.String("job", j.def.ID), slog.String("queue", j.def.Queue),
+		slog.String("state", state.String()), slog.Int64("after-ms", int64(s.now-j.seen)))
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				switch {
+				case t.run == nil:
+				case t.run.state == planned && !t.run.drafted:
+					s.finish(t.run, EndLost, "")
+				default:
+					s.stop(t.run, "job "+state.String())
+				}
+			}
+		}
+	}
+}
+
+func (s *Scheduler) mark(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// advance starts occurrences that are due and gives the job its final state once all have ended.
+func (s *Scheduler) advance(j *job) {
+	if j.state.Final() {
+		return
+	}
+	for k := range j.def.Runs() {
+		if j.occurrences[k] == nil && (j.def.Occurrences == 0 || s.wall >= j.def.Due(k)) {
+			s.occurrence(j, k)
+		}
+	}
+	j.waiting, j.finished = 0, 0
+	for _, o := range j.occurrences {
+		if s.advanceOccurrence(j, o) {
+			j.finished++
+		}
+	}
+	if j.finished == j.def.Runs() {
+		s.conclude(j, batch.Completed)
+	}
+}
+
+func (s *Scheduler) advanceOccurrence(j *job, o *occurrence) (finished bool) {
+	if o.done {
+		return true
+	}
+	o.done = true
+	for _, st := range o.steps {
+		if st.complete() {
+			continue
+		}
+		o.done = false
+		if !o.mayRun(st) {
+			continue
+		}
+		for _, t := range st.tasks {
+			if !t.done && t.run == nil {
+				j.waiting++
+			}
+		}
+	}
+	return o.done
+}
+
+func (o *occurrence) mayRun(st *step) bool {
+	for _, earlier := range st.def.After {
+		if !o.steps[earlier].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// SetWorker takes in what a worker says of itself in the platform's store.
+func (s *Scheduler) SetWorker(entry batch.Worker) {
+	w := s.workers[entry.ID]
+	if w == nil {
+		w = &worker{runs: map[string]*run{}, strays: map[string]batch.Resources{}, token: s.token, born: entry.Born}
+		s.workers[entry.ID] = w
+		s.succeed(entry)
+	}
+	if !w.listed || w.entry.Draining != entry.Draining {
+		s.log(eventWorker, slog.String("worker", entry.ID), slog.String("machine", entry.Machine),
+			slog.Bool("draining", entry.Draining), slog.Int64("born", entry.Born))
+	}
+	w.entry, w.listed = entry, true
+	if entry.Born > w.born {
+		s.reborn(w, entry.Born)
+	}
+}
+
+// succeed ends the runs of earlier lives of the machine: the new life has taken its place.
+func (s *Scheduler) succeed(entry batch.Worker) {
+	if entry.Machine == "" {
+		return
+	}
+	for _, old := range s.workers {
+		if old.entry.Machine != entry.Machine || old.entry.ID == entry.ID || old.entry.Born >= entry.Born {
+			continue
+		}
+		s.log(eventReborn, slog.String("worker", old.entry.ID), slog.String("successor", entry.ID),
+			slog.Int("runs", len(old.runs)))
+		s.loseRuns(old)
+	}
+}
+
+// RemoveWorker tells that a worker is no longer in the platform's store. Its runs count on until its lease is over.
+func (s *Scheduler) RemoveWorker(id string) {
+	if w := s.workers[id]; w != nil && w.listed {
+		w.listed = false
+		s.log(eventWorker, slog.String("worker", id), slog.Bool("left", true), slog.Int("runs", len(w.runs)))
+	}
+}
+
+// Workers returns the ids of the workers that the platform's store lists.
+func (s *Scheduler) Workers() []string {
+	var ids []string
+	for id, w := range s.workers {
+		if w.listed {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (s *Scheduler) reborn(w *worker, born int64) {
+	if len(w.runs) > 0 || w.born != 0 {
+		s.log(eventReborn, slog.String("worker", w.entry.ID), slog.Int64("born", born), slog.Int64("before", w.born),
+			slog.Int("runs", len(w.runs)))
+	}
+	s.loseRuns(w)
+	w.born, w.seenEnd, w.ack, w.clockAt, w.confirmed = born, 0, 0, 0, false
+	w.strays = map[string]batch.Resources{}
+	// The new life has seen no token: a late order for the old one is refused only under a token above its own.
+	w.needToken = true
+	w.nextHold = s.now
+}
+
+func (s *Scheduler) loseRuns(w *worker) {
+	for _, r := range sortedRuns(w) {
+		s.finish(r, EndLost, "")
+	}
+}
+
+func sortedRuns(w *worker) []*run {
+	all := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		all = append(all, r)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].task.name < all[j].task.name })
+	return all
+}
+
+// finish takes in the end of a run and frees its resources.
+func (s *Scheduler) finish(r *run, how End, checkpoint string) {
+	t, j := r.task, r.task.step.job
+	w := r.worker
+	delete(w.runs, t.name)
+	w.used = w.used.Sub(t.step.def.Reserve())
+	t.run = nil
+	s.log(eventEnded, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
+		slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)))
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	if how == EndDone {
+		w.failures = 0
+	}
+	if j.state.Final() {
+		return
+	}
+	s.mark(j)
+	switch {
+	case t.step.def.LongRunning:
+		s.restartLater(r, how)
+	case how == EndDone && t.step.def.Gang:
+		s.gangDone(t.step)
+	case how == EndDone:
+		t.done = true
+		t.step.done++
+	case how == EndFailed:
+		s.failed(r)
+	}
+	s.advance(j)
+}
+
+func (s *Scheduler) restartLater(r *run, how End) {
+	t := r.task
+	if how == EndFailed && r.percent < 100 {
+		t.retries++
+		t.avoid = r.worker
+		t.retryAt = s.now + min(restartPause<<min(t.retries-1, 8), restartLimit)
+		s.suspect(r.worker)
+		return
+	}
+	t.retries = 0
+}
+
+// gangDone ends all tasks of a gang: one end stands for all of them.
+func (s *Scheduler) gangDone(st *step) {
+	for _, t := range st.tasks {
+		if t.run != nil {
+			other := t.run
+			delete(other.worker.runs, t.name)
+			other.worker.used = other.worker.used.Sub(st.def.Reserve())
+			t.run = nil
+		}
+		t.done = true
+	}
+	st.done = len(st.tasks)
+}
+
+func (s *Scheduler) failed(r *run) {
+	t := r.task
+	counted := t
+	if t.step.def.Gang {
+		counted = t.step.tasks[0]
+	}
+	counted.failures++
+	t.avoid = r.worker
+	s.suspect(r.worker)
+	attempts := 1
+	if queue, ok := s.configuration.Queue(t.step.job.def.Queue); ok {
+		attempts = max(queue.MaxAttempts, 1)
+	} else {
+		attempts = counted.failures + 1 // the queue is gone, and with it the limit; the job is still owed
+	}
+	if counted.failures >= attempts {
+		s.conclude(t.step.job, batch.Failed)
+	}
+}
+
+// suspect counts failed runs of a worker in a row; too many may be the worker's fault.
+func (s *Scheduler) suspect(w *worker) {
+	w.failures++
+	if w.failures >= failuresLimit {
+		w.avoidUntil = s.now + avoidTime
+	}
+}
+
+// Committed tells that the draft is stored, under which token, and releases what waited for it.
+func (s *Scheduler) Committed(token int64) {
+	d := s.draft
+	s.draft = nil
+	s.token = token
+	s.released = true
+	for _, w := range s.workers {
+		if w.needToken && !w.holding {
+			w.needToken = false
+			w.token = token
+			w.nextHold = s.now
+		}
+	}
+	if d == nil {
+		return
+	}
+	for w, end := range d.acks {
+		if w.born == d.lives[w] && end > w.ack {
+			w.ack = end
+			if len(w.runs) == 0 {
+				w.nextHold = min(w.nextHold, s.now+holdPause)
+			}
+		}
+	}
+	for _, r := range d.starts {
+		if r.task.run != r { // the worker restarted meanwhile
+			continue
+		}
+		if r.task.step.job.state.Final() {
+			s.finish(r, EndLost, "")
+			continue
+		}
+		s.send(r)
+	}
+	for id := range d.deleted {
+		delete(s.jobs, id)
+	}
+}
+
+// Orders returns the orders that are due since the last call: values of Start, Stop, Pace, Hold and Advise.
+func (s *Scheduler) Orders() []any {
+	orders := s.orders
+	s.orders = nil
+	return orders
+}
--- /dev/null
+++ b/pool/state.go
@@ -0,0 +1,127 @@
+package pool
+
+import (
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+type runState int
+
+const (
+	planned   runState = iota // its place is not stored yet
+	starting                  // the order is out
+	uncertain                 // the order got no answer
+	running                   // the worker said that it runs
+)
+
+// run is one start of a task on a worker. Its resources stay reserved until it is certain that it does not run.
+type run struct {
+	task     *task
+	worker   *worker
+	number   int
+	state    runState
+	drafted  bool         // part of the transaction in flight, or stored
+	token    int64        // highest fencing token of its orders
+	sent     clock.Millis // when the newest start was sent
+	answered clock.Millis // when the newest start was answered or given up
+	stopping bool
+	stopSent clock.Millis
+	percent  int
+	figure   int
+	moved    clock.Millis // when percent last changed
+	pace     int          // percent of the processor time it may use
+	born     int64
+}
+
+type task struct {
+	step       *step
+	key        batch.TaskKey
+	name       string
+	number     int // of the newest run
+	failures   int
+	done       bool
+	run        *run
+	checkpoint string
+	retryAt    clock.Millis
+	avoid      *worker // where the last run failed
+	retries    int     // ends of a long-running task in a row, without having been at work
+}
+
+// atWork reports whether a long-running task does its work.
+func (t *task) atWork() bool {
+	return t.run != nil && t.run.state == running && !t.run.stopping && t.run.percent >= 100
+}
+
+type step struct {
+	job      *job
+	def      *batch.Step
+	tasks    []*task
+	done     int
+	advice   *Advice // newest tickets
+	advised  clock.Millis
+	advising bool
+}
+
+func (s *step) complete() bool { return s.done == len(s.tasks) }
+
+type occurrence struct {
+	number int
+	steps  []*step
+	done   bool
+}
+
+type job struct {
+	def         *batch.Job
+	state       batch.State
+	seen        clock.Millis // when it was accepted, on our clock
+	occurrences map[int]*occurrence
+	finished    int // occurrences that are done
+	dirty       bool
+	cancelled   bool
+	started     bool
+	waiting     int // tasks without a run whose step may run
+}
+
+type worker struct {
+	entry      batch.Worker
+	listed     bool // in the platform's store
+	born       int64
+	token      int64
+	needToken  bool // waits for a token above every one it may have seen
+	confirmed  bool // this life has answered with this token
+	clock      clock.Millis
+	clockAt    clock.Millis // our time when clock was received; 0 when unknown
+	leaseUntil clock.Millis // latest end of the lease on our clock
+	seenEnd    int64        // newest end taken in
+	ack        int64        // newest end that is stored
+	runs       map[string]*run
+	used       batch.Resources
+	strays     map[string]batch.Resources // listed runs that nobody here ordered
+	holding    bool
+	nextHold   clock.Millis
+	heard      clock.Millis // when it last answered
+	failures   int          // failed runs in a row
+	avoidUntil clock.Millis
+	wanted     bool // a machine order waits for it to be empty
+	paced      clock.Millis
+}
+
+func (w *worker) target() Target { return Target{w.entry.ID, w.entry.Address} }
+
+func (w *worker) room() batch.Resources {
+	room := w.entry.Capacity.Sub(w.used)
+	for _, stray := range w.strays {
+		room = room.Sub(stray)
+	}
+	return room
+}
+
+// leaseEnd returns until when the lease lasts on our clock at the latest, if it ends at the deadline on the worker's
+// clock, which may be slow.
+func (w *worker) leaseEnd(deadline clock.Millis) clock.Millis {
+	left := max(deadline-w.clock, 0)
+	return w.clockAt + left + left*clockDriftPercent/100 + leaseMargin
+}
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now clock.Millis) clock.Millis { return w.clock + now - w.clockAt }
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,7 +9,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/diag"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/strictjson"
 )
 
@@ -171,8 +171,8 @@
 			used[each.l.Listen] = at
 		}
 	}
-	if _, known := platform.Plugins.Lookup(w.Platform.Plugin); !known && w.Platform.Plugin != "" {
-		d.Report(CodePlugin, "/platform/plugin", "%q is none of %q", w.Platform.Plugin, platform.Plugins.Names())
+	if _, known := provider.Plugins.Lookup(w.Platform.Plugin); !known && w.Platform.Plugin != "" {
+		d.Report(CodePlugin, "/platform/plugin", "%q is none of %q", w.Platform.Plugin, provider.Plugins.Names())
 	}
 	if w.Stop.Leave > w.Stop.Deadline {
 		d.Report(CodeStopTimes, "/stop/leave", "the time to leave is longer than the deadline to stop")
--- a/slots/property_test.go
+++ b/slots/property_test.go
@@ -11,7 +11,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // A fixed seed and size, so that every run gives the same verdict; the flags come later and override them.
@@ -48,7 +48,7 @@
 type fleet struct {
 	clock       *clock.Clock
 	faults      *fault.Driver
-	table       platform.Table
+	table       provider.Table
 	processes   []*process
 	requests    []running
 	operations  int
@@ -85,8 +85,8 @@
 	if changed {
 		f.operations++
 		// The outcome is ignored: the next read of the row shows it.
-		_ = f.table.Commit(context.Background(), platform.NewTransaction(fmt.Sprint(f.operations),
-			platform.Put("roster/z", r.Encode(), r.Version())))
+		_ = f.table.Commit(context.Background(), provider.NewTransaction(fmt.Sprint(f.operations),
+			provider.Put("roster/z", r.Encode(), r.Version())))
 	}
 }
 
