--- a/standin/control.go
+++ b/standin/control.go
@@ -9,7 +9,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // maxControl bounds the body of a control request.
@@ -68,10 +68,10 @@
 	mux.HandleFunc("POST /control/partition", zone(func(z string) { p.Faults.Partition(z) }))
 	mux.HandleFunc("POST /control/heal", zone(func(z string) { p.Faults.Heal(z) }))
 	mux.HandleFunc("POST /control/instances", func(w http.ResponseWriter, r *http.Request) {
-		var body []platform.InstanceFields
+		var body []provider.InstanceFields
 		if decode(w, r, maxControl, &body) {
 			for _, f := range body {
-				p.Store.SetInstance(platform.NewInstance(f))
+				p.Store.SetInstance(provider.NewInstance(f))
 			}
 		}
 	})
@@ -86,7 +86,7 @@
 	mux.HandleFunc("POST /control/tasks", func(w http.ResponseWriter, r *http.Request) {
 		var body struct {
 			ID     string             `json:"id"`
-			State  platform.TaskState `json:"state"`
+			State  provider.TaskState `json:"state"`
 			Reason string             `json:"reason"`
 		}
 		if decode(w, r, maxControl, &body) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
 )
 
@@ -93,11 +93,11 @@
 }
 
 // work carries out one call for a process in a zone.
-type work func(ctx context.Context, view platform.Platform, call platformhttp.Call, answer *platformhttp.Answer) error
+type work func(ctx context.Context, view provider.Platform, call platformhttp.Call, answer *platformhttp.Answer) error
 
 func (p *Platform) protocol(mux *http.ServeMux) {
 	for path, w := range map[string]work{
-		platformhttp.PathRead: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathRead: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) error {
 			rows, err := v.Table().Read(ctx, c.Keys...)
 			a.Rows = encodeRows(rows)
@@ -108,30 +108,30 @@
 			}
 			return err
 		},
-		platformhttp.PathScan: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathScan: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) error {
 			rows, err := v.Table().Scan(ctx, c.Prefix, c.After, max(0, c.Limit))
 			a.Rows = encodeRows(rows)
 			return err
 		},
-		platformhttp.PathCommit: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathCommit: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			writes, err := decodeWrites(c.Writes)
 			if err != nil {
 				return err
 			}
-			return v.Table().Commit(ctx, platform.NewTransaction(c.Operation, writes...))
+			return v.Table().Commit(ctx, provider.NewTransaction(c.Operation, writes...))
 		},
-		platformhttp.PathObjectPut: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathObjectPut: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Objects().Put(ctx, c.Name, c.Body)
 		},
-		platformhttp.PathObjectGet: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathObjectGet: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) (err error) {
 			a.Body, err = v.Objects().Get(ctx, c.Name)
 			return err
 		},
-		platformhttp.PathList: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathList: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) error {
 			list, err := v.Instances().List(ctx, c.Zone)
 			if err == nil && c.Digest != "" && c.Digest == platformhttp.ListDigest(list) {
@@ -143,26 +143,26 @@
 			}
 			return err
 		},
-		platformhttp.PathTaskStart: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathTaskStart: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			if c.Task == nil {
-				return platform.ErrUnavailable.New("the call names no task")
+				return provider.ErrUnavailable.New("the call names no task")
 			}
-			return v.Tasks().Start(ctx, platform.NewTaskRequest(*c.Task))
+			return v.Tasks().Start(ctx, provider.NewTaskRequest(*c.Task))
 		},
-		platformhttp.PathCheckpoint: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathCheckpoint: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Tasks().Checkpoint(ctx, c.ID)
 		},
-		platformhttp.PathThrottle: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathThrottle: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Tasks().Throttle(ctx, c.ID, c.Percent)
 		},
-		platformhttp.PathTaskStop: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathTaskStop: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Tasks().Stop(ctx, c.ID)
 		},
-		platformhttp.PathUsage: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathUsage: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) error {
 			usage, err := v.Tasks().Usage(ctx, c.ID)
 			for _, u := range usage {
@@ -170,15 +170,15 @@
 			}
 			return err
 		},
-		platformhttp.PathDrain: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathDrain: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Maintenance().Drain(ctx, c.ID)
 		},
-		platformhttp.PathReboot: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathReboot: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			_ *platformhttp.Answer) error {
 			return v.Maintenance().Reboot(ctx, c.ID)
 		},
-		platformhttp.PathStatus: func(ctx context.Context, v platform.Platform, c platformhttp.Call,
+		platformhttp.PathStatus: func(ctx context.Context, v provider.Platform, c platformhttp.Call,
 			a *platformhttp.Answer) (err error) {
 			p.askWorker(ctx, c.ID)
 			a.Status, err = v.Maintenance().Status(ctx, c.ID)
@@ -201,7 +201,7 @@
 	switch {
 	case err == nil:
 		reply(rw, http.StatusOK, answer)
-	case errorx.IsOfType(err, platform.ErrUnknownOutcome):
+	case errorx.IsOfType(err, provider.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
 	default:
 		status, failure := platformhttp.EncodeError(err)
@@ -222,7 +222,7 @@
 	p.inFlight[instance] = count
 }
 
-func encodeRows(rows []platform.Row) []platformhttp.RowFields {
+func encodeRows(rows []provider.Row) []platformhttp.RowFields {
 	fields := make([]platformhttp.RowFields, len(rows))
 	for i, r := range rows {
 		fields[i] = platformhttp.RowFields{Key: r.Key(), Value: r.Value(), Version: r.Version(),
@@ -231,18 +231,18 @@
 	return fields
 }
 
-func decodeWrites(fields []platformhttp.WriteFields) ([]platform.Write, error) {
-	writes := make([]platform.Write, len(fields))
+func decodeWrites(fields []platformhttp.WriteFields) ([]provider.Write, error) {
+	writes := make([]provider.Write, len(fields))
 	for i, f := range fields {
 		switch f.Kind {
-		case platform.KindPut:
-			writes[i] = platform.Put(f.Key, f.Value, f.IfVersion)
-		case platform.KindDelete:
-			writes[i] = platform.Delete(f.Key, f.IfVersion)
-		case platform.KindCheck:
-			writes[i] = platform.Check(f.Key, f.IfVersion)
+		case provider.KindPut:
+			writes[i] = provider.Put(f.Key, f.Value, f.IfVersion)
+		case provider.KindDelete:
+			writes[i] = provider.Delete(f.Key, f.IfVersion)
+		case provider.KindCheck:
+			writes[i] = provider.Check(f.Key, f.IfVersion)
 		default:
-			return nil, platform.ErrUnavailable.New("write %d has the unknown kind %q", i, f.Kind)
+			return nil, provider.ErrUnavailable.New("write %d has the unknown kind %q", i, f.Kind)
 		}
 	}
 	return writes, nil
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -18,7 +18,7 @@
 
 	"magnoliaferry/clock"
 	"magnoliaferry/memory"
-	"magnoliaferry/platform"
+	"magnoliaferry/provider"
 )
 
 // start runs a worker on loopback until the test ends.
@@ -102,7 +102,7 @@
 func TestSlotsAndDrain(t *testing.T) {
 	c := clock.NewFake(0)
 	store := memory.New(c, nil)
-	store.SetInstance(platform.NewInstance(platform.InstanceFields{ID: "w1"}))
+	store.SetInstance(provider.NewInstance(provider.InstanceFields{ID: "w1"}))
 	p := &Platform{Clock: c, Store: store}
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
