--- a/command/run.go
+++ b/command/run.go
@@ -47,5 +47,8 @@
 		Workers:  platform.NewWorkers(),
 		Advisor:  platform.NewAdvisor(o.Settings.Advisor),
 	}
+	if o.Settings.Machines != "" {
+		d.Machines = platform.NewMachines(o.Settings.Machines)
+	}
 	return d.Run(ctx)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/event"
 	"magnoliaferry/front"
+	"magnoliaferry/machines"
 	"magnoliaferry/platform"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
@@ -50,6 +51,8 @@
 	Table    store.Table
 	Workers  pool.Workers
 	Advisor  pool.Advisor
+	// Machines is nil where machines are not to be ordered.
+	Machines machines.Platform
 
 	clock         *clock.Clock
 	boot          string
@@ -63,6 +66,7 @@
 	mu       sync.Mutex
 	owners   map[*poolOwner]bool
 	electors map[string]bool
+	waves    map[int64]batch.Wave
 }
 
 func (d *Daemon) wall() clock.Millis { return clock.Millis(time.Now().UnixMilli()) }
@@ -74,6 +78,7 @@
 	d.clock = clock.System()
 	d.boot = uuid.NewString()
 	d.owners, d.electors = map[*poolOwner]bool{}, map[string]bool{}
+	d.waves = map[int64]batch.Wave{}
 	d.jobs = store.NewJobs(d.clock, d.Logger)
 	d.jobs.OnRows = func(rows []store.Row, _ bool) {
 		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.rows(rows) }) })
@@ -156,7 +161,19 @@
 // operatorRows puts a new configuration in force.
 func (d *Daemon) operatorRows(ctx context.Context, owning *sync.WaitGroup, rows []store.Row) {
 	for _, row := range rows {
-		if row.Key != platform.KeyConfiguration || row.Deleted {
+		if row.Deleted {
+			continue
+		}
+		wave, isWave, err := platform.DecodeWave(row)
+		if err != nil {
+			eventBadConf.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
+		}
+		if isWave {
+			d.mu.Lock()
+			d.waves[wave.Number] = wave
+			d.mu.Unlock()
+		}
+		if row.Key != platform.KeyConfiguration {
 			continue
 		}
 		c, err := platform.DecodeConfiguration(row.Value)
@@ -170,6 +187,9 @@
 		d.configuration.Store(c)
 		eventConfig.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
 		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.scheduler.Configure(c) }) })
+		if d.Machines != nil {
+			d.elect(ctx, owning, store.FleetPart, d.leadMachines)
+		}
 		for i := range c.Pools {
 			d.elect(ctx, owning, c.Pools[i].Name, d.leadPool(c.Pools[i].Name))
 		}
--- /dev/null
+++ b/daemon/machines.go
@@ -0,0 +1,272 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/machines"
+	"magnoliaferry/platform"
+	"magnoliaferry/pool"
+	"magnoliaferry/store"
+)
+
+var (
+	eventMachineTenure = event.New(1085, "machines-taken", slog.LevelInfo, "this instance decides on machines")
+	eventNoList        = event.New(1086, "machines-unlisted", slog.LevelWarn, "the platform does not list its machines")
+)
+
+// Times of the owner of the machines.
+const (
+	machinesPeriod   = 100 * clock.Millis(1) // between two plans
+	listActivePeriod = 400 * clock.Millis(1) // between two lists while machines are out
+	listIdlePeriod   = 2 * clock.Second
+	handOverMargin   = 500 * clock.Millis(1) // beyond the time between orders of two holders
+)
+
+// machineOwner decides on machines during one tenure.
+type machineOwner struct {
+	daemon      *Daemon
+	chain       *store.Chain
+	coordinator *machines.Coordinator
+	events      *mailbox[func()]
+
+	committing bool
+	committed  clock.Millis
+	listing    bool
+	listed     clock.Millis
+	lost       error
+	rows       map[string][]byte // as the table has them, by key
+}
+
+func (d *Daemon) leadMachines(ctx context.Context, chain *store.Chain, before store.Seen, existed bool) error {
+	catchUp, cancel := d.clock.WithTimeout(ctx, catchUpLimit)
+	err := d.work.WaitFor(catchUp, chain.Token())
+	cancel()
+	if err != nil {
+		return err
+	}
+	from := d.clock.Now()
+	if existed && !before.Owner.Released {
+		from += d.Settings.MachineLease + handOverMargin
+	}
+	o := &machineOwner{daemon: d, chain: chain, events: newMailbox[func()](), rows: map[string][]byte{},
+		coordinator: machines.NewCoordinator(chain.Token(), from, d.Logger)}
+	if err := o.begin(); err != nil {
+		return err
+	}
+	eventMachineTenure.Log(ctx, d.Logger, slog.Int64("token", chain.Token()), slog.Int("rows", len(o.rows)))
+	for ctx.Err() == nil && o.lost == nil {
+		for _, handle := range o.events.take() {
+			handle()
+		}
+		o.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-o.events.signal:
+		case <-d.clock.After(machinesPeriod):
+		}
+	}
+	end := d.clock.Now() + releaseWait
+	for o.committing && d.clock.Now() < end {
+		for _, handle := range o.events.take() {
+			handle()
+		}
+		_ = d.clock.Sleep(context.Background(), planPeriod) // this context has no end
+	}
+	return o.lost
+}
+
+func (o *machineOwner) begin() error {
+	d := o.daemon
+	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWant) {
+		want, err := machines.DecodeWant(row.Value)
+		if err != nil {
+			return fmt.Errorf("row %s: %w", row.Key, err)
+		}
+		o.rows[row.Key] = row.Value
+		o.coordinator.Restore(want)
+	}
+	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWave) {
+		o.rows[row.Key] = row.Value
+	}
+	return nil
+}
+
+func (o *machineOwner) step(ctx context.Context) {
+	d, c := o.daemon, o.coordinator
+	c.Tick(d.clock.Now(), d.wall())
+	c.Configure(d.configuration.Load())
+	o.takeWaves()
+	o.takeReports()
+	o.list(ctx)
+	if o.chain.Age() <= actLimit {
+		c.Plan()
+		for _, order := range c.Orders() {
+			go func() {
+				outcome := d.Machines.Carry(ctx, d.Settings.Node, order)
+				o.events.put(func() {
+					c.Tick(d.clock.Now(), d.wall())
+					c.Carried(order, outcome)
+				})
+			}()
+		}
+	}
+	o.commit(ctx)
+}
+
+func (o *machineOwner) takeWaves() {
+	d := o.daemon
+	d.mu.Lock()
+	waves := make([]batch.Wave, 0, len(d.waves))
+	for _, wave := range d.waves {
+		waves = append(waves, wave)
+	}
+	d.mu.Unlock()
+	for _, wave := range waves {
+		var state *machines.WaveState
+		if value, ok := o.rows[store.Key(store.KindWave, fmt.Sprint(wave.Number))]; ok {
+			state = &machines.WaveState{}
+			if err := json.Unmarshal(value, state); err != nil {
+				o.lost = err
+				return
+			}
+		}
+		o.coordinator.SetWave(wave, state)
+	}
+}
+
+// takeReports takes in what the owners of pools tell: their load, and which wanted workers are empty.
+func (o *machineOwner) takeReports() {
+	d := o.daemon
+	cordons := map[string]string{}
+	configuration := d.configuration.Load()
+	for i := range configuration.Pools {
+		name := configuration.Pools[i].Name
+		if seen, ok := d.jobs.Owner(name); ok && len(seen.Owner.Load) > 0 {
+			var load pool.Load
+			if err := json.Unmarshal(seen.Owner.Load, &load); err == nil { // an older instance may tell less
+				o.coordinator.SetLoad(name, load)
+			}
+		}
+		for _, row := range d.jobs.Rows(name, store.KindCordon) {
+			if cordon, err := machines.DecodeCordon(row.Value); err == nil { // its writer writes it again
+				_, machine := store.SplitKey(row.Key)
+				cordons[machine] = cordon.Want
+			}
+		}
+	}
+	o.coordinator.SetCordons(cordons)
+}
+
+func (o *machineOwner) list(ctx context.Context) {
+	d, c := o.daemon, o.coordinator
+	period := listIdlePeriod
+	if c.Active() {
+		period = listActivePeriod
+	}
+	now := d.clock.Now()
+	if o.listing || (o.listed != 0 && now-o.listed < period) {
+		return
+	}
+	o.listing, o.listed = true, now
+	go func() {
+		list, err := d.Machines.List(ctx)
+		o.events.put(func() {
+			o.listing = false
+			if err != nil {
+				eventNoList.Log(ctx, d.Logger, slog.String("error", err.Error()))
+				return
+			}
+			c.Tick(d.clock.Now(), d.wall())
+			c.Listed(list, now)
+		})
+	}()
+}
+
+func (o *machineOwner) commit(ctx context.Context) {
+	d := o.daemon
+	now := d.clock.Now()
+	if o.committing || now-o.committed < commitPeriod {
+		return
+	}
+	draft := o.coordinator.Draft()
+	if draft == nil && now-o.committed < renewPeriod && !o.coordinator.Fenced() {
+		return
+	}
+	var puts, deletes []store.Row
+	var err error
+	if draft != nil {
+		if puts, deletes, err = o.encode(draft); err != nil {
+			o.lost = err
+			return
+		}
+	}
+	o.committing, o.committed = true, now
+	go func() {
+		err := o.chain.Commit(ctx, puts, deletes, nil)
+		o.events.put(func() {
+			o.committing = false
+			switch {
+			case err == nil && draft != nil:
+				for _, row := range puts {
+					o.rows[row.Key] = row.Value
+				}
+				for _, row := range deletes {
+					delete(o.rows, row.Key)
+				}
+				o.coordinator.Committed(draft)
+			case err != nil && ctx.Err() == nil:
+				o.lost = err
+			}
+		})
+	}()
+}
+
+// encode returns the rows that differ from what the table has.
+func (o *machineOwner) encode(draft *machines.Draft) (puts, deletes []store.Row, err error) {
+	rows := map[string]bool{}
+	put := func(table, key string, content any) error {
+		value, err := json.Marshal(content)
+		if err != nil {
+			return err
+		}
+		rows[key] = true
+		if !bytes.Equal(o.rows[key], value) {
+			puts = append(puts, store.Row{Table: table, Part: store.FleetPart, Key: key, Value: value})
+		}
+		return nil
+	}
+	for _, want := range draft.Wants {
+		if err := put(store.WorkTable, store.Key(store.KindWant, want.Machine), want); err != nil {
+			return nil, nil, err
+		}
+	}
+	for number, state := range draft.Waves {
+		key := store.Key(store.KindWave, fmt.Sprint(number))
+		before := o.rows[key]
+		if err := put(store.WorkTable, key, state); err != nil {
+			return nil, nil, err
+		}
+		var stored machines.WaveState
+		told := before != nil && json.Unmarshal(before, &stored) == nil && stored.Completed == state.Completed
+		if !told {
+			status, err := platform.EncodeWaveStatus(number, state.Completed)
+			if err != nil {
+				return nil, nil, err
+			}
+			puts = append(puts, status)
+		}
+	}
+	for key := range o.rows {
+		if kind, _ := store.SplitKey(key); kind == store.KindWant && !rows[key] {
+			deletes = append(deletes, store.Row{Table: store.WorkTable, Part: store.FleetPart, Key: key})
+		}
+	}
+	return puts, deletes, nil
+}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -8,6 +8,7 @@
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 	"magnoliaferry/event"
+	"magnoliaferry/machines"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
 )
@@ -45,6 +46,8 @@
 	doubtful   bool
 	load       json.RawMessage
 	loaded     clock.Millis
+	wants      map[string]machines.Want // by machine
+	told       map[string]string        // ids of wants that the table says are empty, by machine
 }
 
 func (d *Daemon) leadPool(name string) tenure {
@@ -55,7 +58,8 @@
 		if err != nil {
 			return err
 		}
-		o := &poolOwner{daemon: d, pool: name, chain: chain, events: newMailbox[func()]()}
+		o := &poolOwner{daemon: d, pool: name, chain: chain, events: newMailbox[func()](),
+			wants: map[string]machines.Want{}, told: map[string]string{}}
 		o.begin(before, existed)
 		d.addOwner(o)
 		defer d.removeOwner(o)
@@ -86,6 +90,12 @@
 	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWant) {
 		o.want(row)
 	}
+	for _, row := range d.jobs.Rows(o.pool, store.KindCordon) {
+		_, machine := store.SplitKey(row.Key)
+		if cordon, err := machines.DecodeCordon(row.Value); err == nil { // one that cannot be read is written again
+			o.told[machine] = cordon.Want
+		}
+	}
 	eventTenure.Log(context.Background(), d.Logger, slog.String("pool", o.pool), slog.Int64("token", o.chain.Token()),
 		slog.Int("jobs", len(jobs)), slog.Int("workers", len(s.Workers())))
 }
@@ -106,6 +116,8 @@
 var eventUnreadableProgress = event.New(1076, "progress-unreadable", slog.LevelError,
 	"the stored progress of a job cannot be read; the job is left as it is")
 
+var eventUnreadableWant = event.New(1084, "want-unreadable", slog.LevelError, "a stored decision about a machine cannot be read")
+
 // rows takes in changes of the work table.
 func (o *poolOwner) rows(rows []store.Row) {
 	for _, row := range rows {
@@ -127,9 +139,57 @@
 	}
 }
 
+// want takes in a decision about a machine; it is for this pool if the worker is one of its own.
 func (o *poolOwner) want(row store.Row) {
 	_, machine := store.SplitKey(row.Key)
-	o.scheduler.Want(machine, !row.Deleted)
+	if before, ok := o.wants[machine]; ok {
+		o.scheduler.Want(before.Worker, "")
+		delete(o.wants, machine)
+	}
+	if row.Deleted {
+		return
+	}
+	want, err := machines.DecodeWant(row.Value)
+	if err != nil {
+		eventUnreadableWant.Log(context.Background(), o.daemon.Logger, slog.String("machine", machine), slog.String("error", err.Error()))
+		return
+	}
+	if want.Worker == "" {
+		return // a machine that is off
+	}
+	o.wants[machine] = want
+	o.scheduler.Want(want.Worker, want.ID)
+}
+
+// cordons returns the rows that tell which wanted workers are empty, as far as the table does not say it yet.
+func (o *poolOwner) cordons() (puts, deletes []store.Row, err error) {
+	empty := map[string]bool{}
+	for _, id := range o.scheduler.Empty() {
+		empty[id] = true
+	}
+	current := map[string]bool{}
+	for machine, want := range o.wants {
+		if !empty[want.ID] {
+			continue
+		}
+		current[machine] = true
+		if o.told[machine] == want.ID {
+			continue
+		}
+		value, err := json.Marshal(machines.Cordon{Want: want.ID})
+		if err != nil {
+			return nil, nil, err
+		}
+		puts = append(puts, store.Row{Table: store.WorkTable, Part: o.pool, Key: store.Key(store.KindCordon, machine), Value: value})
+		o.told[machine] = want.ID
+	}
+	for machine := range o.told {
+		if !current[machine] {
+			delete(o.told, machine)
+			deletes = append(deletes, store.Row{Table: store.WorkTable, Part: o.pool, Key: store.Key(store.KindCordon, machine)})
+		}
+	}
+	return puts, deletes, nil
 }
 
 func (o *poolOwner) run(ctx context.Context) error {
@@ -190,7 +250,15 @@
 	if o.committing || now-o.committed < commitPeriod {
 		return
 	}
+	cordons, lifted, err := o.cordons()
+	if err != nil {
+		o.lost = err
+		return
+	}
 	draft := o.scheduler.Draft()
+	if draft == nil && len(cordons)+len(lifted) > 0 {
+		draft = o.scheduler.Renewal()
+	}
 	if draft == nil && (force || now-o.committed >= renewPeriod) {
 		draft = o.scheduler.Renewal()
 	}
@@ -202,6 +270,7 @@
 		o.lost = err
 		return
 	}
+	puts, deletes = append(puts, cordons...), append(deletes, lifted...)
 	if o.load == nil || now-o.loaded >= loadPeriod {
 		if o.load, err = json.Marshal(o.scheduler.Load()); err != nil {
 			o.lost = err
@@ -305,4 +374,7 @@
 			o.scheduler.Cancel(known.Job.ID)
 		}
 	}
+	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWant) {
+		o.want(row)
+	}
 }
--- /dev/null
+++ b/machines/coordinator.go
@@ -0,0 +1,374 @@
+package machines
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sort"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/event"
+	"magnoliaferry/pool"
+)
+
+// Times of the coordinator.
+const (
+	// cycleTime is how long one machine is usually out for a wave: some seconds to empty it, and the upkeep.
+	cycleTime = 6 * clock.Second
+	// waveShare is the part of a wave's time, in percent, in which its last machine is to begin.
+	waveShare = 75
+	// orderRetry is the pause before an order without success is repeated.
+	orderRetry = 300 * clock.Millis(1)
+	// backLimit is how long a machine counts as down after its order was accepted, if the list never shows it back.
+	backLimit = 30 * clock.Second
+)
+
+// Coordinator decides on machines. It is not safe for concurrent use. Exported fields are set before the first call.
+type Coordinator struct {
+	Logger *slog.Logger
+	// Token is the fencing token of this tenure.
+	Token int64
+	// OrdersFrom is when the first order may go out: an earlier holder's orders must be some time ago.
+	OrdersFrom clock.Millis
+
+	now, wall     clock.Millis
+	configuration *batch.Configuration
+	listed        map[string]batch.Machine
+	listedAt      clock.Millis // 0: never
+	waves         map[int64]*wave
+	wants         map[string]*want
+	cordons       map[string]string // id of the want by machine
+	opened        int64
+	loads         map[string]pool.Load
+	orders        []Order
+	fenced        bool
+	dirty         bool
+}
+
+type wave struct {
+	batch.Wave
+	state  WaveState
+	status string // as operators read it
+	begun  map[string]bool
+}
+
+type want struct {
+	Want
+	stored   bool // the row says what this says
+	sent     bool // an order is out
+	accepted clock.Millis
+	retryAt  clock.Millis
+}
+
+// NewCoordinator returns a coordinator that knows of nothing yet.
+func NewCoordinator(token int64, ordersFrom clock.Millis, logger *slog.Logger) *Coordinator {
+	return &Coordinator{Logger: logger, Token: token, OrdersFrom: ordersFrom, configuration: &batch.Configuration{},
+		listed: map[string]batch.Machine{}, waves: map[int64]*wave{}, wants: map[string]*want{},
+		cordons: map[string]string{}, loads: map[string]pool.Load{}}
+}
+
+func (c *Coordinator) log(e *event.Event, attributes ...slog.Attr) {
+	e.Log(context.Background(), c.Logger, attributes...)
+}
+
+// Tick tells the steady time and the Unix time.
+func (c *Coordinator) Tick(now, wall clock.Millis) { c.now, c.wall = now, wall }
+
+// Configure puts a configuration in force.
+func (c *Coordinator) Configure(configuration *batch.Configuration) { c.configuration = configuration }
+
+// SetLoad takes in what the owner of a pool tells about it.
+func (c *Coordinator) SetLoad(name string, load pool.Load) { c.loads[name] = load }
+
+// SetCordons takes in, by machine, for which wants the workers are empty.
+func (c *Coordinator) SetCordons(wants map[string]string) { c.cordons = wants }
+
+// Restore takes in a want that an earlier coordinator stored.
+func (c *Coordinator) Restore(stored Want) {
+	if c.wants[stored.Machine] == nil {
+		c.wants[stored.Machine] = &want{Want: stored, stored: true}
+	}
+}
+
+// SetWave takes in a wave that operators ask for, and what an earlier coordinator stored of it, or nil.
+func (c *Coordinator) SetWave(asked batch.Wave, stored *WaveState) {
+	if c.waves[asked.Number] != nil {
+		return
+	}
+	w := &wave{Wave: asked, begun: map[string]bool{}}
+	if stored != nil {
+		w.state = *stored
+		for _, machine := range stored.Begun {
+			w.begun[machine] = true
+		}
+		w.status = "running"
+	} else {
+		w.state.Asked = int64(c.wall)
+		c.dirty = true
+	}
+	c.waves[asked.Number] = w
+	c.log(eventWave, slog.Int64("wave", asked.Number), slog.Int("machines", len(asked.Machines)),
+		slog.Int("max-down", asked.MaxDown), slog.Int64("duration-ms", int64(asked.Duration)), slog.Int("begun", len(w.begun)))
+}
+
+// Listed takes in the platform's list of machines, which was asked for at the given time.
+func (c *Coordinator) Listed(list []batch.Machine, asked clock.Millis) {
+	c.listed = make(map[string]batch.Machine, len(list))
+	for _, m := range list {
+		c.listed[m.ID] = m
+	}
+	c.listedAt = c.now
+	for _, machine := range sorted(c.wants) {
+		w := c.wants[machine]
+		m, exists := c.listed[machine]
+		switch {
+		case !exists:
+			c.drop(w, "gone")
+		case !w.Ordered && m.Worker != w.Worker:
+			c.drop(w, "another life of the machine")
+		case w.accepted != 0 && m.State == batch.MachineUp && m.Worker != w.Worker && m.Worker != "":
+			c.log(eventBack, slog.String("machine", machine), slog.String("worker", m.Worker),
+				slog.Int64("after-ms", int64(c.now-w.accepted)))
+			c.drop(w, "")
+		case w.accepted != 0 && m.State == batch.MachineUp && c.standby(m.Pool) && asked > w.accepted:
+			c.drop(w, "") // a machine of a standby pool is off and has no worker
+		case w.accepted != 0 && c.now-w.accepted > backLimit:
+			c.drop(w, "not seen back")
+		}
+	}
+}
+
+func (c *Coordinator) standby(name string) bool {
+	p, ok := c.configuration.Pool(name)
+	return ok && p.Standby
+}
+
+func (c *Coordinator) drop(w *want, reason string) {
+	if reason != "" {
+		c.log(eventDropped, slog.String("machine", w.Machine), slog.String("reason", reason))
+	}
+	delete(c.wants, w.Machine)
+	c.dirty = true
+}
+
+// Plan decides what to do now. Draft and Orders return the outcome.
+func (c *Coordinator) Plan() {
+	if c.listedAt == 0 {
+		return
+	}
+	for _, number := range sorted(c.waves) {
+		c.planWave(c.waves[number])
+	}
+	for _, machine := range sorted(c.wants) {
+		c.planOrder(c.wants[machine])
+	}
+}
+
+// planWave opens wants for a wave: as many as its time asks for, and never more than may be down.
+func (c *Coordinator) planWave(w *wave) {
+	if w.state.Completed {
+		return
+	}
+	var left []string
+	open := 0
+	for _, machine := range w.Machines {
+		_, exists := c.listed[machine]
+		if !exists || w.begun[machine] {
+			if want := c.wants[machine]; want != nil && want.Wave == w.Number {
+				open++ // down
+			}
+			continue
+		}
+		if want := c.wants[machine]; want != nil {
+			if want.Wave == w.Number {
+				open++
+			}
+			left = append(left, machine)
+			continue
+		}
+		left = append(left, machine)
+	}
+	if len(left) == 0 {
+		w.state.Completed = true
+		c.dirty = true
+		c.log(eventDone, slog.Int64("wave", w.Number), slog.Int64("after-ms", int64(c.wall)-w.state.Asked))
+		return
+	}
+	end := clock.Millis(w.state.Asked) + w.Duration*waveShare/100
+	need := len(left)
+	if timeLeft := end - c.wall; timeLeft > cycleTime {
+		need = int((clock.Millis(len(left))*cycleTime + timeLeft - 1) / timeLeft)
+	}
+	need = min(need, max(w.MaxDown, 1))
+	for _, machine := range c.byLoad(left) {
+		if open >= need {
+			return
+		}
+		m := c.listed[machine]
+		if c.wants[machine] != nil || m.State != batch.MachineUp {
+			continue
+		}
+		c.open(Want{Machine: machine, Worker: m.Worker, Op: Upkeep, Wave: w.Number})
+		open++
+	}
+}
+
+// byLoad sorts machines so that those of the pools with the least work come first, one of each pool in turn.
+func (c *Coordinator) byLoad(machines []string) []string {
+	out := map[string]int{}
+	for _, w := range c.wants {
+		out[c.listed[w.Machine].Pool]++
+	}
+	type candidate struct {
+		machine string
+		cost    int
+	}
+	var candidates []candidate
+	for _, machine := range machines {
+		name := c.listed[machine].Pool
+		load := c.loads[name]
+		cost := 0
+		if !c.standby(name) {
+			cost = 1 + (load.Running.CPU+load.Waiting.CPU)*1000/max(load.Room.CPU, 1) + out[name]*1000/max(load.Workers, 1)
+			out[name]++
+		}
+		candidates = append(candidates, candidate{machine, cost})
+	}
+	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].cost < candidates[b].cost })
+	ordered := make([]string, len(candidates))
+	for i, candidate := range candidates {
+		ordered[i] = candidate.machine
+	}
+	return ordered
+}
+
+func (c *Coordinator) open(stored Want) {
+	c.opened++
+	stored.ID = fmt.Sprintf("%d-%d", c.Token, c.opened)
+	c.wants[stored.Machine] = &want{Want: stored}
+	c.dirty = true
+	m := c.listed[stored.Machine]
+	load := c.loads[m.Pool]
+	c.log(eventWant, slog.String("machine", stored.Machine), slog.String("worker", stored.Worker),
+		slog.String("op", string(stored.Op)), slog.String("from", m.Pool), slog.String("to", stored.Pool),
+		slog.Int64("wave", stored.Wave), slog.Int("running-cpu", load.Running.CPU), slog.Int("waiting-cpu", load.Waiting.CPU),
+		slog.Int("room-cpu", load.Room.CPU))
+}
+
+// planOrder sends the order for a machine that is empty. That the order may be out is stored first, so that a successor
+// counts the machine as down.
+func (c *Coordinator) planOrder(w *want) {
+	if w.sent || w.accepted != 0 || c.now < w.retryAt || c.now < c.OrdersFrom {
+		return
+	}
+	if !w.Ordered {
+		m := c.listed[w.Machine]
+		empty := c.cordons[w.Machine] == w.ID
+		if w.Worker == "" {
+			empty = c.standby(m.Pool)
+		}
+		if !empty || !w.stored {
+			return
+		}
+		w.Ordered, w.stored = true, false
+		c.dirty = true
+		return
+	}
+	if !w.stored {
+		return
+	}
+	w.sent = true
+	c.orders = append(c.orders, Order{Want: w.Want, Token: c.Token})
+	c.log(eventOrder, slog.String("machine", w.Machine), slog.String("op", string(w.Op)), slog.String("to", w.Pool),
+		slog.Int64("wave", w.Wave), slog.Int64("token", c.Token))
+}
+
+// Carried takes in the answer to an order.
+func (c *Coordinator) Carried(order Order, outcome Outcome) {
+	c.log(eventAnswer, slog.String("machine", order.Want.Machine), slog.Int("outcome", int(outcome)))
+	w := c.wants[order.Want.Machine]
+	if w == nil || !w.sent {
+		return
+	}
+	w.sent = false
+	w.retryAt = c.now + orderRetry
+	switch outcome {
+	case Accepted:
+		w.accepted = c.now
+		if wave := c.waves[w.Wave]; wave != nil && w.Op == Upkeep && !wave.begun[w.Machine] {
+			wave.begun[w.Machine] = true
+			wave.state.Begun = append(wave.state.Begun, w.Machine)
+			c.dirty = true
+		}
+	case Foreign:
+		c.drop(w, "the platform does not take the order")
+		if wave := c.waves[w.Wave]; wave != nil {
+			wave.begun[w.Machine] = true
+		}
+	case Fenced:
+		c.fenced = true
+	}
+}
+
+// Fenced reports whether the platform refused an order because of a higher token.
+func (c *Coordinator) Fenced() bool { return c.fenced }
+
+// Active reports whether machines are being taken out, so that the list has to be read often.
+func (c *Coordinator) Active() bool {
+	for _, w := range c.waves {
+		if !w.state.Completed {
+			return true
+		}
+	}
+	return len(c.wants) > 0
+}
+
+// Orders returns the orders that are due since the last call.
+func (c *Coordinator) Orders() []Order {
+	orders := c.orders
+	c.orders = nil
+	return orders
+}
+
+// Draft is what has to be stored; rows of wants that it does not have are to be deleted.
+type Draft struct {
+	Wants  []Want
+	Waves  map[int64]WaveState
+	Status map[int64]bool // whether the wave is completed, for operators
+}
+
+// Draft returns what has to be stored, or nil when nothing has changed.
+func (c *Coordinator) Draft() *Draft {
+	if !c.dirty {
+		return nil
+	}
+	c.dirty = false
+	d := &Draft{Waves: map[int64]WaveState{}, Status: map[int64]bool{}}
+	for _, machine := range sorted(c.wants) {
+		d.Wants = append(d.Wants, c.wants[machine].Want)
+	}
+	for number, w := range c.waves {
+		d.Waves[number] = w.state
+		d.Status[number] = w.state.Completed
+	}
+	return d
+}
+
+// Committed tells that a draft is stored.
+func (c *Coordinator) Committed(d *Draft) {
+	for _, stored := range d.Wants {
+		if w := c.wants[stored.Machine]; w != nil && w.Want == stored {
+			w.stored = true
+		}
+	}
+}
+
+func sorted[K string | int64, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(a, b int) bool { return keys[a] < keys[b] })
+	return keys
+}
--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -10,24 +10,29 @@
 // evacuatePatience is how long a task that keeps no checkpoints may go on where a machine is wanted.
 const evacuatePatience = 2500 * clock.Millis(1)
 
-// Want tells whether the machine of a worker is wanted for an order that ends everything on it: the worker gets no new
-// tasks and is emptied.
-func (s *Scheduler) Want(machine string, wanted bool) {
-	for _, w := range s.workers {
-		if w.entry.Machine == machine {
-			w.wanted = wanted
-		}
+// Want tells that the machine of a worker is wanted for an order that ends everything on it: the worker gets no new
+// tasks and is emptied. An empty id ends this.
+func (s *Scheduler) Want(worker, id string) {
+	if id == "" {
+		delete(s.wants, worker)
+	} else {
+		s.wants[worker] = id
+	}
+	if w := s.workers[worker]; w != nil {
+		w.wanted = id != ""
 	}
 }
 
-// Empty returns the worker that runs on a machine, and whether nothing runs or can still start there.
-func (s *Scheduler) Empty(machine string) (worker string, empty bool) {
-	for _, w := range s.workers {
-		if w.entry.Machine == machine && w.listed {
-			return w.entry.ID, w.wanted && len(w.runs) == 0 && len(w.strays) == 0 && w.confirmed
+// Empty returns the ids of the wants whose workers run nothing, and on which nothing can start any more.
+func (s *Scheduler) Empty() []string {
+	var ids []string
+	for worker, id := range s.wants {
+		if w := s.workers[worker]; w != nil && w.confirmed && len(w.runs) == 0 && len(w.strays) == 0 {
+			ids = append(ids, id)
 		}
 	}
-	return "", false
+	sort.Strings(ids)
+	return ids
 }
 
 // evacuate moves long-running tasks and those with checkpoints away from workers that drain or are wanted.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -51,6 +51,7 @@
 	active        []*job // not final, in the order in which they came
 	final         []finalJob
 	workers       map[string]*worker
+	wants         map[string]string // ids of wants by worker
 	token         int64
 	fenced        bool
 
@@ -69,7 +70,7 @@
 func NewScheduler(pool string, lease, retention clock.Millis, logger *slog.Logger) *Scheduler {
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
-		configuration: &batch.Configuration{}, jobs: map[string]*job{}, workers: map[string]*worker{},
+		configuration: &batch.Configuration{}, jobs: map[string]*job{}, workers: map[string]*worker{}, wants: map[string]string{},
 	}
 }
 
@@ -267,6 +268,7 @@
 	w := s.workers[entry.ID]
 	if w == nil {
 		w = &worker{runs: map[string]*run{}, strays: map[string]batch.Resources{}, token: s.token, born: entry.Born}
+		w.wanted = s.wants[entry.ID] != ""
 		s.workers[entry.ID] = w
 		s.succeed(entry)
 	}
