--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -58,7 +58,7 @@
 	}
 	switch {
 	case t.step.def.LongRunning:
-		if !t.step.mayStop(t, r.worker.entry.Draining) {
+		if !t.step.mayStop(t, r.worker.entry.Draining, s.now) {
 			return
 		}
 	case r.worker.entry.Draining:
@@ -77,10 +77,10 @@
 // mayStop reports whether the task may be stopped on purpose: at most MayMiss tasks of its step are away at once, and
 // one without a declared number. A worker that leaves by itself ends its tasks anyway, so that only those that are
 // being moved count.
-func (st *step) mayStop(t *task, leaving bool) bool {
+func (st *step) mayStop(t *task, leaving bool, now clock.Millis) bool {
 	away := 0
 	for _, other := range st.tasks {
-		if other == t || other.atWork() {
+		if other == t || other.atWork(now) {
 			continue
 		}
 		if leaving && (other.run == nil || !other.run.stopping) {
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -28,7 +28,9 @@
 		}
 		if len(w.runs) > 0 {
 			order.Wait = min(order.Wait, busyWait)
-			if w.clockAt != 0 {
+			// A hold without an answer may have renewed the lease. Only a worker that answers gets another renewal;
+			// otherwise the end of the lease would never be certain.
+			if w.clockAt != 0 && !w.silent {
 				order.Deadline = w.clockNow(s.now) + s.Lease
 				w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
 			}
@@ -64,6 +66,7 @@
 		s.refusedByToken(w, order.Token)
 		return
 	default:
+		w.silent = true
 		if w.confirmed && s.now-w.heard > silentAfter {
 			s.log(eventSilent, slog.String("worker", w.entry.ID), slog.Int64("silent-ms", int64(s.now-w.heard)))
 			w.confirmed = false // its lists come first when it answers again
@@ -82,7 +85,10 @@
 			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
 	}
 	w.nextHold = s.now + holdPause
-	w.heard, w.confirmed = s.now, true
+	if w.silent {
+		w.nextHold = s.now // the next one renews the lease
+	}
+	w.heard, w.confirmed, w.silent = s.now, true, false
 	w.clock, w.clockAt = listing.Clock, s.now
 	if order.Deadline > 0 {
 		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
--- a/pool/place.go
+++ b/pool/place.go
@@ -154,7 +154,7 @@
 	for _, w := range s.sortedWorkers() {
 		switch {
 		case !w.listed || w.entry.Draining || w.wanted || w.entry.Pool != s.Pool:
-		case !w.confirmed || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
+		case !w.confirmed || w.silent || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
 		case w.avoidUntil > s.now:
 			avoided = append(avoided, w)
 		default:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -24,6 +24,7 @@
 	holdPause     = 60 * clock.Millis(1)   // between two holds of a worker, so that one brings several ends
 	holdRetry     = 250 * clock.Millis(1)  // after a hold without an answer
 	silentAfter   = 2500 * clock.Millis(1) // without an answer a worker gets no new tasks
+	reportAge     = 1200 * clock.Millis(1) // two holds; what a worker said before may no longer hold
 	stopRepeat    = 700 * clock.Millis(1)  // until the end is listed
 	startRepeat   = 300 * clock.Millis(1)  // pause after a start that a worker refused
 	renewPeriod   = 500 * clock.Millis(1)  // of the ownership when nothing is to be stored
--- /dev/null
+++ b/pool/scheduler_test.go
@@ -0,0 +1,194 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+var testQueue = batch.Queue{Name: "q", Host: "h", Prefix: "/q/", MaxAttempts: 3, Stretch: 1.6, Objective: 600}
+
+func cpu(thousandths int) batch.Resources { return batch.Resources{CPU: thousandths, MemoryMB: 100} }
+
+// Guards against a step that starts before an earlier one is done, and against a job that never completes.
+func TestStepsRunInOrder(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.submit("j", batch.Step{Count: 3, Need: cpu(1000)}, batch.Step{Count: 2, Need: cpu(1000), After: []int{0}})
+	w.run(700)
+	if got := w.starts["j.0.1.0"]; got != 0 {
+		t.Errorf("starts of the second step got %d, want 0 before the first is done", got)
+	}
+	w.run(2500)
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed", got)
+	}
+}
+
+// Guards against orders that go out before the place of the task is stored: a successor would not know of the run.
+func TestStartsWaitForTheStore(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.run(100)
+	w.blocked = true
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000)})
+	w.run(500)
+	if got := w.starts["j.0.0.0"]; got != 0 {
+		t.Errorf("starts got %d, want 0 while nothing is stored", got)
+	}
+	w.blocked = false
+	w.run(100)
+	if got := w.starts["j.0.0.0"]; got != 1 {
+		t.Errorf("starts got %d, want 1", got)
+	}
+}
+
+// Guards against a second run while the first may still begin: the start got no answer and is carried out late.
+func TestLateStartIsFenced(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.run(100)
+	first := true
+	w.lose = func(order any) (bool, clock.Millis) {
+		if _, ok := order.(Start); ok && first {
+			first = false
+			return true, 4 * clock.Second
+		}
+		return false, 0
+	}
+	w.length = func(string) clock.Millis { return 8000 }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000)})
+	w.run(3 * clock.Second)
+	if got := w.starts["j.0.0.0"]; got != 1 {
+		t.Errorf("starts got %d, want 1: the lost one is replaced once it can no longer be carried out", got)
+	}
+	w.run(10 * clock.Second) // the world fails the test if the late one begins beside the second
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed", got)
+	}
+}
+
+// Guards against leases that are prolonged by holds without an answer: the runs of a worker that is gone for good would
+// count as running for ever.
+func TestRunsOfALostWorkerLapse(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	lost := w.where("j.0.0.0")
+	w.workers[lost].dark = true
+	w.s.RemoveWorker(lost)
+	w.run(9 * clock.Second)
+	if got := w.where("j.0.0.0"); got == lost || got == "" {
+		t.Errorf("task runs on %q, want another worker than %q", got, lost)
+	}
+}
+
+// Guards against a restart elsewhere while a worker that cannot be reached may still run the task.
+func TestSilentWorkerKeepsItsTaskUntilTheLeaseIsOver(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	silent := w.where("j.0.0.0")
+	w.workers[silent].dark = true
+	w.run(4 * clock.Second) // the world fails the test if the task runs twice
+	if got := w.starts["j.0.0.0"]; got != 1 {
+		t.Errorf("starts got %d, want 1 while the lease may last", got)
+	}
+	w.run(6 * clock.Second)
+	if got := w.starts["j.0.0.0"]; got != 2 {
+		t.Errorf("starts got %d, want 2 after the lease", got)
+	}
+}
+
+// Guards against stopping a task on purpose while another one of its step is on a worker that has gone silent.
+func TestNoStopWhileAPeerIsSilent(t *testing.T) {
+	w := newWorld(t, 5, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 3, Need: cpu(1000), LongRunning: true, MaxPerWorker: 1, MayMiss: 1})
+	w.run(3 * clock.Second)
+	silent, other := w.where("j.0.0.0"), w.where("j.0.0.1")
+	w.workers[silent].dark = true
+	w.run(1600)
+	w.s.Want(other, "want-1")
+	w.run(2 * clock.Second)
+	if got := w.where("j.0.0.1"); got != other {
+		t.Errorf("task runs on %q, want it left on %q", got, other)
+	}
+	w.run(8 * clock.Second)
+	if got := fmt.Sprint(w.s.Empty()); got != "[want-1]" {
+		t.Errorf("empty got %s, want [want-1] once the first task is back at work", got)
+	}
+}
+
+// Guards against a worker that restarts under its id and still counts as running what it ran before.
+func TestRestartedWorkerLosesItsRuns(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	w.workers["w0"].restart(w)
+	w.run(2 * clock.Second)
+	if got := w.starts["j.0.0.0"]; got != 2 {
+		t.Errorf("starts got %d, want 2", got)
+	}
+}
+
+// Guards against a job that is tried for ever, and against one that is given up too early.
+func TestAttemptsAreBounded(t *testing.T) {
+	w := newWorld(t, 4, testQueue)
+	w.fails = func(string, string) bool { return true }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000)})
+	w.run(12 * clock.Second)
+	if got := w.state("j"); got != batch.Failed {
+		t.Errorf("state got %v, want failed", got)
+	}
+	if got := w.starts["j.0.0.0"]; got != testQueue.MaxAttempts {
+		t.Errorf("starts got %d, want %d", got, testQueue.MaxAttempts)
+	}
+}
+
+// Guards against tasks that run on after their job was cancelled.
+func TestCancelStopsRuns(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 2, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	w.s.Cancel("j")
+	w.run(1 * clock.Second)
+	if got := len(w.workers["w0"].runs); got != 0 {
+		t.Errorf("runs got %d, want 0", got)
+	}
+	if got := w.state("j"); got != batch.Cancelled {
+		t.Errorf("state got %v, want cancelled", got)
+	}
+}
+
+// Guards against a successor that starts what its predecessor has running, or loses it.
+func TestSuccessorTakesRunsOver(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	var stored *batch.Progress
+	w.submit("j", batch.Step{Count: 2, Need: cpu(1000), LongRunning: true})
+	for range 200 {
+		w.run(10)
+		stored = w.s.progress(w.s.jobs["j"], &Draft{})
+	}
+	def := w.s.jobs["j"].def
+	successor := NewScheduler(testPool, 6*clock.Second, clock.Minute, nil)
+	successor.Configure(w.s.configuration)
+	w.token += 5
+	successor.SetToken(w.token)
+	successor.Tick(w.now, w.now)
+	for _, f := range w.workers {
+		successor.SetWorker(f.entry)
+	}
+	successor.AddJob(def, stored, false, w.now+10*clock.Second)
+	w.s, w.holds = successor, nil
+	w.run(3 * clock.Second)
+	for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
+		if got := w.starts[task]; got != 1 {
+			t.Errorf("starts of %s got %d, want 1", task, got)
+		}
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -47,9 +47,10 @@
 	retries    int     // ends of a long-running task in a row, without having been at work
 }
 
-// atWork reports whether a long-running task does its work.
-func (t *task) atWork() bool {
-	return t.run != nil && t.run.state == running && !t.run.stopping && t.run.percent >= 100
+// atWork reports whether a long-running task does its work, as far as its worker has said lately.
+func (t *task) atWork(now clock.Millis) bool {
+	r := t.run
+	return r != nil && r.state == running && !r.stopping && r.percent >= 100 && now-r.worker.heard <= reportAge
 }
 
 type step struct {
@@ -98,6 +99,7 @@
 	used       batch.Resources
 	strays     map[string]batch.Resources // listed runs that nobody here ordered
 	holding    bool
+	silent     bool // the newest hold got no answer
 	nextHold   clock.Millis
 	heard      clock.Millis // when it last answered
 	failures   int          // failed runs in a row
--- /dev/null
+++ b/pool/world_test.go
@@ -0,0 +1,326 @@
+package pool
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+const testPool = "p"
+
+// fakeWorker is a worker that keeps the rules of the platform: leases, fencing tokens, ends until they are acknowledged.
+type fakeWorker struct {
+	entry    batch.Worker
+	dark     bool // neither takes calls nor answers
+	token    int64
+	lease    clock.Millis // end, on its own clock
+	runs     map[string]*fakeRun
+	ended    []Ended
+	ends     int64
+	stopTime clock.Millis
+}
+
+type fakeRun struct {
+	start    Start
+	began    clock.Millis
+	length   clock.Millis // 0: lasts
+	stopping clock.Millis // when the stop was asked for; 0: not
+	pace     int
+	figure   int
+}
+
+// world runs a scheduler against fake workers in steps of 10 ms.
+type world struct {
+	t       *testing.T
+	s       *Scheduler
+	now     clock.Millis
+	workers map[string]*fakeWorker
+	length  func(task string) clock.Millis // run time of a task; 0: lasts
+	fails   func(task, worker string) bool
+	// lose, if set, tells which orders get no answer; late orders are carried out after the given time.
+	lose func(order any) (lost bool, late clock.Millis)
+
+	holds   []pendingHold
+	delayed []delayedOrder
+	starts  map[string]int // starts that a worker carried out, by task
+	token   int64
+	blocked bool // the store takes nothing
+}
+
+type pendingHold struct {
+	order Hold
+	sent  clock.Millis
+	due   clock.Millis
+}
+
+type delayedOrder struct {
+	order any
+	at    clock.Millis
+}
+
+func newWorld(t *testing.T, workers int, queue batch.Queue) *world {
+	w := &world{t: t, s: NewScheduler(testPool, 6*clock.Second, clock.Minute, nil), now: 1000, token: 10,
+		workers: map[string]*fakeWorker{}, starts: map[string]int{},
+		length: func(string) clock.Millis { return 1000 }, fails: func(string, string) bool { return false }}
+	queue.Pool = testPool
+	w.s.Configure(&batch.Configuration{Version: 1, Queues: []batch.Queue{queue}, Pools: []batch.Pool{{Name: testPool}}})
+	w.s.SetToken(w.token)
+	w.s.Tick(w.now, w.now)
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%d", i))
+	}
+	return w
+}
+
+func (w *world) addWorker(id string) *fakeWorker {
+	f := &fakeWorker{runs: map[string]*fakeRun{}, stopTime: 300, entry: batch.Worker{ID: id, Machine: "m-" + id, Pool: testPool,
+		Address: id, Born: int64(w.now), Capacity: batch.Resources{CPU: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1"}}}
+	w.workers[id] = f
+	w.s.SetWorker(f.entry)
+	return f
+}
+
+func (w *world) submit(id string, steps ...batch.Step) {
+	w.s.AddJob(&batch.Job{ID: id, Queue: "q", Pool: testPool, Spec: "spec", Steps: steps, Accepted: w.now}, nil, false, 0)
+}
+
+// run advances the world.
+func (w *world) run(d clock.Millis) {
+	for end := w.now + d; w.now < end; {
+		w.now += 10
+		w.s.Tick(w.now, w.now)
+		w.advanceWorkers()
+		w.deliver()
+		w.s.Plan()
+		w.dispatch()
+		if !w.blocked {
+			draft := w.s.Draft()
+			if draft == nil && w.now%500 == 0 {
+				draft = w.s.Renewal()
+			}
+			if draft != nil {
+				w.token++
+				w.s.Committed(w.token)
+				w.dispatch()
+			}
+		}
+		w.checkCapacity()
+	}
+}
+
+func (w *world) dispatch() {
+	for _, order := range w.s.Orders() {
+		lost, late := false, clock.Millis(0)
+		if w.lose != nil {
+			lost, late = w.lose(order)
+		}
+		if lost && late > 0 {
+			w.delayed = append(w.delayed, delayedOrder{order, w.now + late})
+		}
+		switch o := order.(type) {
+		case Start:
+			reply := Reply{}
+			if !lost {
+				reply = w.workers[o.Target.ID].take(w, o)
+			}
+			w.s.Started(o, reply)
+		case Stop:
+			reply := Reply{}
+			if !lost {
+				reply = w.workers[o.Target.ID].takeStop(w, o)
+			}
+			w.s.Stopped(o, reply)
+		case Pace:
+			w.s.Paced(o, w.workers[o.Target.ID].takePace(o))
+		case Hold:
+			w.holds = append(w.holds, pendingHold{o, w.now, w.now + o.Wait})
+		}
+	}
+}
+
+// deliver answers holds once an end is there or their wait is over, and carries out late orders.
+func (w *world) deliver() {
+	var waiting []pendingHold
+	for _, h := range w.holds {
+		f := w.workers[h.order.Target.ID]
+		switch {
+		case f.dark && w.now < h.due+600:
+			waiting = append(waiting, h)
+		case f.dark:
+			w.s.Held(h.order, Listing{}, h.sent)
+		case w.now >= h.due || f.hasNews(h.order.Ack):
+			w.s.Held(h.order, f.hold(w, h.order), h.sent)
+		default:
+			waiting = append(waiting, h)
+		}
+	}
+	w.holds = waiting
+	var later []delayedOrder
+	for _, d := range w.delayed {
+		if w.now < d.at {
+			later = append(later, d)
+			continue
+		}
+		if o, ok := d.order.(Start); ok && !w.workers[o.Target.ID].dark {
+			w.workers[o.Target.ID].take(w, o)
+		}
+	}
+	w.delayed = later
+}
+
+func (w *world) advanceWorkers() {
+	for _, f := range w.workers {
+		for _, name := range sortedNames(f.runs) {
+			r := f.runs[name]
+			switch {
+			case w.now > f.lease:
+				f.end(name, r, EndLapsed)
+			case r.stopping > 0 && w.now-r.stopping >= f.stopTime:
+				f.end(name, r, EndStopped)
+			case r.length > 0 && w.now-r.began >= r.length && w.fails(name, f.entry.ID):
+				f.end(name, r, EndFailed)
+			case r.length > 0 && w.now-r.began >= r.length:
+				f.end(name, r, EndDone)
+			}
+		}
+	}
+}
+
+func sortedNames(runs map[string]*fakeRun) []string {
+	names := make([]string, 0, len(runs))
+	for name := range runs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// checkCapacity guards against more than a worker has; what is being stopped counts.
+func (w *world) checkCapacity() {
+	for id, f := range w.workers {
+		used := 0
+		for _, r := range f.runs {
+			job, key, _ := batch.ParseTask(r.start.Task)
+			if j := w.s.jobs[job]; j != nil {
+				used += j.def.Steps[key.Step].Reserve().CPU
+			}
+		}
+		if used > f.entry.Capacity.CPU {
+			w.t.Fatalf("%d ms: worker %s runs %d thousandths of a core, want at most %d", w.now, id, used, f.entry.Capacity.CPU)
+		}
+	}
+	running := map[string]string{}
+	for id, f := range w.workers {
+		for name := range f.runs {
+			if other, twice := running[name]; twice {
+				w.t.Fatalf("%d ms: task %s runs on %s and on %s", w.now, name, id, other)
+			}
+			running[name] = id
+		}
+	}
+}
+
+func (f *fakeWorker) end(name string, r *fakeRun, how End) {
+	f.ends++
+	f.ended = append(f.ended, Ended{Number: f.ends, Task: name, Run: r.start.Run, How: how})
+	delete(f.runs, name)
+}
+
+func (f *fakeWorker) hasNews(ack int64) bool {
+	return len(f.ended) > 0 && f.ended[len(f.ended)-1].Number > ack
+}
+
+func (f *fakeWorker) reply(w *world, outcome Outcome) Reply {
+	return Reply{Outcome: outcome, Clock: w.now, Born: f.entry.Born}
+}
+
+func (f *fakeWorker) take(w *world, o Start) Reply {
+	switch {
+	case f.dark:
+		return Reply{}
+	case o.Token < f.token:
+		return f.reply(w, Fenced)
+	case w.now > o.Deadline:
+		return f.reply(w, TooLate)
+	}
+	f.token = o.Token
+	f.lease = max(f.lease, o.Deadline)
+	if f.runs[o.Task] == nil {
+		f.runs[o.Task] = &fakeRun{start: o, began: w.now, length: w.length(o.Task), pace: 100}
+		w.starts[o.Task]++
+	}
+	return f.reply(w, Accepted)
+}
+
+func (f *fakeWorker) takeStop(w *world, o Stop) Reply {
+	switch {
+	case f.dark:
+		return Reply{}
+	case o.Token < f.token:
+		return f.reply(w, Fenced)
+	}
+	if r := f.runs[o.Task]; r != nil && r.stopping == 0 {
+		r.stopping = w.now
+	}
+	return f.reply(w, Accepted)
+}
+
+func (f *fakeWorker) takePace(o Pace) Reply {
+	if r := f.runs[o.Task]; r != nil && !f.dark {
+		r.pace = o.Percent
+		return Reply{Outcome: Accepted}
+	}
+	return Reply{}
+}
+
+func (f *fakeWorker) hold(w *world, o Hold) Listing {
+	if o.Token < f.token {
+		return Listing{Reply: f.reply(w, Fenced)}
+	}
+	f.token = o.Token
+	f.lease = max(f.lease, o.Deadline)
+	kept := f.ended[:0]
+	for _, e := range f.ended {
+		if e.Number > o.Ack {
+			kept = append(kept, e)
+		}
+	}
+	f.ended = kept
+	listing := Listing{Reply: f.reply(w, Accepted), Ended: append([]Ended(nil), f.ended...)}
+	for _, name := range sortedNames(f.runs) {
+		r := f.runs[name]
+		percent := 100
+		if r.length > 0 {
+			percent = int(min((w.now-r.began)*100/r.length, 99))
+		} else if w.now-r.began < 900 {
+			percent = int((w.now - r.began) / 9)
+		}
+		listing.Running = append(listing.Running, Running{Task: name, Run: r.start.Run, Percent: percent, Figure: r.figure})
+	}
+	return listing
+}
+
+// restart gives the worker a new life under the same id.
+func (f *fakeWorker) restart(w *world) {
+	f.runs, f.ended, f.ends, f.token, f.lease = map[string]*fakeRun{}, nil, 0, 0, 0
+	f.entry.Born = int64(w.now)
+}
+
+func (w *world) state(id string) batch.State {
+	if j := w.s.jobs[id]; j != nil {
+		return j.state
+	}
+	return 0
+}
+
+func (w *world) where(task string) string {
+	for id, f := range w.workers {
+		if f.runs[task] != nil {
+			return id
+		}
+	}
+	return ""
+}
