--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -26,9 +26,9 @@
 	idlePeriod    = 50 * clock.Millis(1) // between two plans without events
 	commitPeriod  = 20 * clock.Millis(1) // between two transactions
 	renewPeriod   = 500 * clock.Millis(1)
-	loadPeriod    = 250 * clock.Millis(1)
 	catchUpLimit  = 5 * clock.Second
-	leaseDriftDiv = 30 // leases on slow clocks last up to a thirtieth longer
+	leaseSlack    = 300 * clock.Millis(1) // for orders on their way
+	leaseDriftDiv = 30                    // leases on slow clocks last up to a thirtieth longer
 )
 
 // poolOwner runs the jobs of one pool during one tenure.
@@ -44,8 +44,6 @@
 	lost       error
 	pending    []any // orders that wait for authority
 	doubtful   bool
-	load       json.RawMessage
-	loaded     clock.Millis
 	wants      map[string]machines.Want // by machine
 	told       map[string]string        // ids of wants that the table says are empty, by machine
 }
@@ -76,16 +74,13 @@
 	s.SetToken(o.chain.Token())
 	s.Tick(d.clock.Now(), d.wall())
 	s.Configure(d.configuration.Load())
-	leases := d.clock.Now() + lease + lease/leaseDriftDiv + clock.Second
-	if existed && !before.Owner.Released {
-		leases += actLimit // the previous owner may have renewed leases until its authority ended
-	}
+	o.inherit(before, existed, lease)
 	for _, w := range d.workers.all(o.pool) {
 		s.SetWorker(w)
 	}
 	jobs := d.jobs.Part(o.pool)
 	for _, known := range jobs {
-		o.addJob(known, leases)
+		o.addJob(known)
 	}
 	for _, row := range d.jobs.Rows(store.FleetPart, store.KindWant) {
 		o.want(row)
@@ -100,7 +95,30 @@
 		slog.Int("jobs", len(jobs)), slog.Int("workers", len(s.Workers())))
 }
 
-func (o *poolOwner) addJob(known store.Known, leases clock.Millis) {
+// inherit bounds the leases that the previous owner can have renewed: until its authority ended, or until it gave the
+// pool up.
+func (o *poolOwner) inherit(before store.Seen, existed bool, lease clock.Millis) {
+	if !existed {
+		return
+	}
+	others := before.At + lease + lease/leaseDriftDiv + leaseSlack
+	if !before.Owner.Released {
+		others += actLimit
+	}
+	var load pool.Load
+	if len(before.Owner.Load) > 0 {
+		if err := json.Unmarshal(before.Owner.Load, &load); err != nil {
+			eventUnreadableLoad.Log(context.Background(), o.daemon.Logger, slog.String("pool", o.pool), slog.String("error", err.Error()))
+		}
+	}
+	known := map[string]clock.Millis{}
+	for worker, left := range load.Leases {
+		known[worker] = before.At + left
+	}
+	o.scheduler.Inherit(others, known)
+}
+
+func (o *poolOwner) addJob(known store.Known) {
 	var progress *batch.Progress
 	if known.Progress != nil {
 		var err error
@@ -110,12 +128,15 @@
 			return
 		}
 	}
-	o.scheduler.AddJob(known.Job, progress, known.Cancelled, leases)
+	o.scheduler.AddJob(known.Job, progress, known.Cancelled)
 }
 
 var eventUnreadableProgress = event.New(1076, "progress-unreadable", slog.LevelError,
 	"the stored progress of a job cannot be read; the job is left as it is")
 
+var eventUnreadableLoad = event.New(1087, "load-unreadable", slog.LevelError,
+	"what the previous owner of a pool told about it cannot be read; the longest leases are assumed")
+
 var eventUnreadableWant = event.New(1084, "want-unreadable", slog.LevelError, "a stored decision about a machine cannot be read")
 
 // rows takes in changes of the work table.
@@ -131,7 +152,7 @@
 			if !ok {
 				continue
 			}
-			o.addJob(known, 0)
+			o.addJob(known)
 			if known.Cancelled {
 				o.scheduler.Cancel(id)
 			}
@@ -271,15 +292,12 @@
 		return
 	}
 	puts, deletes = append(puts, cordons...), append(deletes, lifted...)
-	if o.load == nil || now-o.loaded >= loadPeriod {
-		if o.load, err = json.Marshal(o.scheduler.Load()); err != nil {
-			o.lost = err
-			return
-		}
-		o.loaded = now
+	load, err := json.Marshal(o.scheduler.Load())
+	if err != nil {
+		o.lost = err
+		return
 	}
 	o.committing, o.committed = true, now
-	load := o.load
 	go func() {
 		err := o.chain.Commit(ctx, puts, deletes, load)
 		o.events.put(func() {
@@ -369,7 +387,7 @@
 		o.scheduler.SetWorker(w)
 	}
 	for _, known := range d.jobs.Part(o.pool) {
-		o.addJob(known, 0)
+		o.addJob(known)
 		if known.Cancelled {
 			o.scheduler.Cancel(known.Job.ID)
 		}
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -30,7 +30,7 @@
 			order.Wait = min(order.Wait, busyWait)
 			// A hold without an answer may have renewed the lease. Only a worker that answers gets another renewal;
 			// otherwise the end of the lease would never be certain.
-			if w.clockAt != 0 && !w.silent {
+			if w.clockAt != 0 && !w.silent && !w.leaseTold && !w.leaseKept {
 				order.Deadline = w.clockNow(s.now) + s.Lease
 				w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
 			}
--- /dev/null
+++ b/pool/load.go
@@ -0,0 +1,59 @@
+package pool
+
+import (
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+// Load is what the owner of a pool tells the others about it.
+type Load struct {
+	Running batch.Resources `json:"running"` // reserved on workers
+	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run
+	Room    batch.Resources `json:"room"`    // capacity of the usable workers
+	Workers int             `json:"workers"` // usable ones
+	// Leases tells, for workers that do not answer, how long their leases can last from now on, in milliseconds. They get
+	// no renewal while the table says so, so that a successor need not assume the longest lease.
+	Leases map[string]clock.Millis `json:"leases,omitempty"`
+}
+
+// Load returns the state of the pool, to be stored with the draft that is out.
+func (s *Scheduler) Load() Load {
+	var load Load
+	for _, w := range s.usable() {
+		load.Workers++
+		load.Room = load.Room.Add(w.entry.Capacity)
+		load.Running = load.Running.Add(w.used)
+	}
+	for _, j := range s.active {
+		if j.waiting == 0 {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if o.done || st.complete() || !o.mayRun(st) {
+					continue
+				}
+				for _, t := range st.tasks {
+					if !t.done && t.run == nil {
+						load.Waiting = load.Waiting.Add(st.def.Reserve())
+					}
+				}
+			}
+		}
+	}
+	for id, w := range s.workers {
+		w.leaseTold = w.silent && len(w.runs) > 0
+		if w.leaseTold {
+			if load.Leases == nil {
+				load.Leases = map[string]clock.Millis{}
+			}
+			load.Leases[id] = max(w.leaseUntil-s.now, 0)
+		}
+	}
+	return load
+}
+
+// Inherit tells, on our clock, until when a previous owner can have renewed leases: of the workers named, and of others.
+func (s *Scheduler) Inherit(others clock.Millis, known map[string]clock.Millis) {
+	s.inherited, s.inheritedBy = others, known
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"sort"
 
-	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 )
 
@@ -154,7 +153,7 @@
 	for _, w := range s.sortedWorkers() {
 		switch {
 		case !w.listed || w.entry.Draining || w.wanted || w.entry.Pool != s.Pool:
-		case !w.confirmed || w.silent || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
+		case !w.confirmed || w.silent || w.leaseTold || w.leaseKept || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
 		case w.avoidUntil > s.now:
 			avoided = append(avoided, w)
 		default:
@@ -366,42 +365,6 @@
 	}
 }
 
-// Load is what the owner of a pool tells the others about it.
-type Load struct {
-	Running batch.Resources `json:"running"` // reserved on workers
-	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run
-	Room    batch.Resources `json:"room"`    // capacity of the usable workers
-	Workers int             `json:"workers"` // usable ones
-}
-
-// Load returns the state of the pool.
-func (s *Scheduler) Load() Load {
-	var load Load
-	for _, w := range s.usable() {
-		load.Workers++
-		load.Room = load.Room.Add(w.entry.Capacity)
-		load.Running = load.Running.Add(w.used)
-	}
-	for _, j := range s.active {
-		if j.waiting == 0 {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for _, st := range o.steps {
-				if o.done || st.complete() || !o.mayRun(st) {
-					continue
-				}
-				for _, t := range st.tasks {
-					if !t.done && t.run == nil {
-						load.Waiting = load.Waiting.Add(st.def.Reserve())
-					}
-				}
-			}
-		}
-	}
-	return load
-}
-
 func (st *step) name() string {
 	o := 0
 	if len(st.tasks) > 0 {
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -56,10 +56,11 @@
 	token         int64
 	fenced        bool
 
-	dirty    []*job
-	draft    *Draft
-	orders   []any
-	released bool // orders may go out; false before the first Committed
+	dirty       []*job
+	draft       *Draft
+	orders      []any
+	inherited   clock.Millis            // see Inherit
+	inheritedBy map[string]clock.Millis // by worker
 }
 
 type finalJob struct {
@@ -91,9 +92,8 @@
 // SetToken tells the fencing token under which the first orders go out.
 func (s *Scheduler) SetToken(token int64) { s.token = token }
 
-// AddJob takes a job in; progress is what a previous owner stored of it, or nil. owned bounds, on our clock, the leases
-// that a previous owner can have granted.
-func (s *Scheduler) AddJob(def *batch.Job, progress *batch.Progress, cancelled bool, leases clock.Millis) {
+// AddJob takes a job in; progress is what a previous owner stored of it, or nil.
+func (s *Scheduler) AddJob(def *batch.Job, progress *batch.Progress, cancelled bool) {
 	if s.jobs[def.ID] != nil {
 		return
 	}
@@ -107,7 +107,7 @@
 			s.final = append(s.final, finalJob{def.ID, s.now})
 			return
 		}
-		s.restore(j, progress, leases)
+		s.restore(j, progress)
 	}
 	s.active = append(s.active, j)
 	s.log(eventJobTaken, slog.String("job", def.ID), slog.String("queue", def.Queue), slog.Int64("age-ms", int64(age)),
@@ -120,7 +120,7 @@
 
 // restore rebuilds the tasks of a job from what was stored. Runs that a worker may hold are uncertain until that worker
 // lists them, shows that it does not have them, or its lease is over.
-func (s *Scheduler) restore(j *job, progress *batch.Progress, leases clock.Millis) {
+func (s *Scheduler) restore(j *job, progress *batch.Progress) {
 	for i := range progress.Runs {
 		stored := &progress.Runs[i]
 		o := s.occurrence(j, stored.Occurrence)
@@ -145,7 +145,11 @@
 				strays: map[string]batch.Resources{}, born: stored.Born, token: s.token}
 			s.workers[stored.Worker] = w
 		}
-		w.leaseUntil = max(w.leaseUntil, leases)
+		until, known := s.inheritedBy[stored.Worker]
+		if !known {
+			until = s.inherited
+		}
+		w.leaseUntil = max(w.leaseUntil, until)
 		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, born: stored.Born, pace: 100}
 		t.run = r
 		w.runs[t.name] = r
@@ -438,7 +442,9 @@
 	d := s.draft
 	s.draft = nil
 	s.token = token
-	s.released = true
+	for _, w := range s.workers {
+		w.leaseKept = w.leaseTold
+	}
 	for _, w := range s.workers {
 		if w.needToken && !w.holding {
 			w.needToken = false
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -183,7 +183,8 @@
 	for _, f := range w.workers {
 		successor.SetWorker(f.entry)
 	}
-	successor.AddJob(def, stored, false, w.now+10*clock.Second)
+	successor.Inherit(w.now+10*clock.Second, nil)
+	successor.AddJob(def, stored, false)
 	w.s, w.holds = successor, nil
 	w.run(3 * clock.Second)
 	for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
@@ -192,3 +193,31 @@
 		}
 	}
 }
+
+// Guards against a successor that assumes the longest lease of a worker that had been silent for long, and against a
+// renewal that makes what the table says of its lease untrue.
+func TestLeasesOfSilentWorkersAreTold(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	silent := w.where("j.0.0.0")
+	w.workers[silent].dark = true
+	w.run(3 * clock.Second)
+	left, told := w.load.Leases[silent]
+	if !told || left > 4*clock.Second {
+		t.Errorf("lease told got %v, %d ms, want at most 4 s", told, left)
+	}
+	w.blocked = true
+	w.workers[silent].dark = false
+	before := w.workers[silent].lease
+	w.run(1 * clock.Second)
+	if got := w.workers[silent].lease; got != before {
+		t.Errorf("lease got %d, want %d while the table still says when it ends", got, before)
+	}
+	w.blocked = false
+	w.run(1500)
+	if got := w.workers[silent].lease; got == before {
+		t.Errorf("lease got %d, want a renewal once the table no longer says when it ends", got)
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -99,6 +99,8 @@
 	used       batch.Resources
 	strays     map[string]batch.Resources // listed runs that nobody here ordered
 	holding    bool
+	leaseTold  bool // the transaction in flight says when its lease ends
+	leaseKept  bool // the table says so; no renewal may make it untrue
 	silent     bool // the newest hold got no answer
 	nextHold   clock.Millis
 	heard      clock.Millis // when it last answered
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -47,6 +47,7 @@
 	delayed []delayedOrder
 	starts  map[string]int // starts that a worker carried out, by task
 	token   int64
+	load    Load // as stored last
 	blocked bool // the store takes nothing
 }
 
@@ -84,7 +85,7 @@
 }
 
 func (w *world) submit(id string, steps ...batch.Step) {
-	w.s.AddJob(&batch.Job{ID: id, Queue: "q", Pool: testPool, Spec: "spec", Steps: steps, Accepted: w.now}, nil, false, 0)
+	w.s.AddJob(&batch.Job{ID: id, Queue: "q", Pool: testPool, Spec: "spec", Steps: steps, Accepted: w.now}, nil, false)
 }
 
 // run advances the world.
@@ -102,6 +103,7 @@
 				draft = w.s.Renewal()
 			}
 			if draft != nil {
+				w.load = w.s.Load()
 				w.token++
 				w.s.Committed(w.token)
 				w.dispatch()
--- a/store/chain.go
+++ b/store/chain.go
@@ -77,6 +77,7 @@
 	version int64
 	renewed clock.Millis
 	writes  int64
+	load    json.RawMessage // newest
 }
 
 // Token returns the newest fencing token: the version of the row that names the owner.
@@ -108,12 +109,18 @@
 // Commit applies the rows and the new load as the owner of the part. It repeats the transaction until the outcome is
 // known or the context ends. ErrLost says that another instance owns the part, and that nothing was applied.
 func (c *Chain) Commit(ctx context.Context, puts, deletes []Row, load json.RawMessage) error {
+	c.mu.Lock()
+	c.load = load
+	c.mu.Unlock()
 	return c.commit(ctx, puts, deletes, Owner{Load: load})
 }
 
-// Release gives the part up, so that another instance takes it without waiting.
+// Release gives the part up, so that another instance takes it without waiting. The row keeps the newest load.
 func (c *Chain) Release(ctx context.Context) error {
-	if err := c.commit(ctx, nil, nil, Owner{Released: true}); err != nil {
+	c.mu.Lock()
+	load := c.load
+	c.mu.Unlock()
+	if err := c.commit(ctx, nil, nil, Owner{Released: true, Load: load}); err != nil {
 		return err
 	}
 	eventReleased.Log(ctx, c.Logger, slog.String("part", c.Part))
