machines: pools grow and shrink by demand; full workers first

Cause: in a surge a pool had too few machines while others stood idle, and machines in pools are priced. Pools whose work waits get machines from standby and from idle pools; idle machines go to standby.

--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -25,7 +25,7 @@
 const (
 	machinesPeriod   = 100 * clock.Millis(1) // between two plans
 	listActivePeriod = 400 * clock.Millis(1) // between two lists while machines are out
-	listIdlePeriod   = 2 * clock.Second
+	listIdlePeriod   = 800 * clock.Millis(1)
 	handOverMargin   = 500 * clock.Millis(1) // beyond the time between orders of two holders
 )
 
--- /dev/null
+++ b/machines/balance.go
@@ -0,0 +1,205 @@
+package machines
+
+import (
+	"sort"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/pool"
+)
+
+// Parameters of the balance between pools.
+const (
+	// surgeFactor weighs work that waits: a pool whose work waits gets more machines than that work needs, as more comes
+	// while they are on their way.
+	surgeFactor = 2
+	// baseShare is the part of the machines, in percent, that an idle pool keeps for the beginning of a surge, of an equal share
+	// of all machines.
+	baseShare = 60
+	// shrinkAfter is how long the demand of a pool must have been low before it gives machines away.
+	shrinkAfter = 2 * clock.Second
+	// headroom is added, in percent, to the demand of a pool.
+	headroom = 15
+)
+
+// demand remembers the demand of a pool over the last shrinkAfter.
+type demand struct {
+	samples []demandSample
+}
+
+type demandSample struct {
+	at       clock.Millis
+	machines int
+}
+
+// note adds a sample and returns the highest of the last shrinkAfter.
+func (d *demand) note(now clock.Millis, machines int) int {
+	d.samples = append(d.samples, demandSample{now, machines})
+	first := 0
+	for now-d.samples[first].at > shrinkAfter {
+		first++
+	}
+	d.samples = d.samples[first:]
+	highest := 0
+	for _, s := range d.samples {
+		highest = max(highest, s.machines)
+	}
+	return highest
+}
+
+// poolPlan is what a pool has and needs, in machines.
+type poolPlan struct {
+	name    string
+	size    int // usable or on their way, less those that are wanted
+	desired int // for the work there is now
+	kept    int // that it does not give away
+	donors  []batch.Machine
+}
+
+// balance moves machines to pools whose work waits, first from standby and then from pools that do not need them, and
+// gives machines that are not needed back to standby, where they cost nothing.
+func (c *Coordinator) balance() {
+	plans, spare := c.poolPlans()
+	var needy []*poolPlan
+	for _, p := range plans {
+		if p.desired > p.size {
+			needy = append(needy, p)
+		}
+	}
+	sort.SliceStable(needy, func(a, b int) bool { return needy[a].desired-needy[a].size > needy[b].desired-needy[b].size })
+	for _, p := range needy {
+		for p.size < p.desired {
+			m, ok := takeDonor(&spare, plans, p)
+			if !ok {
+				return
+			}
+			c.open(Want{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: p.name})
+			p.size++
+		}
+	}
+	home := c.standbyPool()
+	if home == "" {
+		return
+	}
+	for _, p := range plans {
+		for p.size > p.kept && len(p.donors) > 0 {
+			m := p.donors[0]
+			p.donors = p.donors[1:]
+			p.size--
+			c.open(Want{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: home})
+		}
+	}
+}
+
+func (c *Coordinator) standbyPool() string {
+	for i := range c.configuration.Pools {
+		if c.configuration.Pools[i].Standby {
+			return c.configuration.Pools[i].Name
+		}
+	}
+	return ""
+}
+
+// takeDonor returns a machine from standby, or else an idle one from the pool with the most to spare.
+func takeDonor(spare *[]batch.Machine, plans []*poolPlan, to *poolPlan) (batch.Machine, bool) {
+	if len(*spare) > 0 {
+		m := (*spare)[0]
+		*spare = (*spare)[1:]
+		return m, true
+	}
+	var best *poolPlan
+	for _, p := range plans {
+		if p != to && p.size > p.kept && len(p.donors) > 0 && (best == nil || p.size-p.kept > best.size-best.kept) {
+			best = p
+		}
+	}
+	if best == nil {
+		return batch.Machine{}, false
+	}
+	m := best.donors[0]
+	best.donors = best.donors[1:]
+	best.size--
+	return m, true
+}
+
+// poolPlans works out what the pools need; spare are the machines in standby.
+func (c *Coordinator) poolPlans() (plans []*poolPlan, spare []batch.Machine) {
+	byName := map[string]*poolPlan{}
+	for i := range c.configuration.Pools {
+		if p := &c.configuration.Pools[i]; !p.Standby {
+			plan := &poolPlan{name: p.Name}
+			byName[p.Name] = plan
+			plans = append(plans, plan)
+		}
+	}
+	if len(plans) == 0 {
+		return nil, nil
+	}
+	for _, id := range sorted(c.listed) {
+		m := c.listed[id]
+		w := c.wants[id]
+		switch {
+		case w != nil && w.Op == Move:
+			if p := byName[w.Pool]; p != nil {
+				p.size++
+			}
+		case w != nil:
+			// For a wave: it comes back to its pool soon.
+			if p := byName[m.Pool]; p != nil {
+				p.size++
+			}
+		case m.State != batch.MachineUp && m.State != batch.MachineMoving:
+		case c.standby(m.Pool):
+			if m.State == batch.MachineUp && !c.inWave(id) {
+				spare = append(spare, m)
+			}
+		default:
+			if p := byName[m.Pool]; p != nil {
+				p.size++
+				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) && !c.inWave(id) {
+					p.donors = append(p.donors, m)
+				}
+			}
+		}
+	}
+	base := len(c.listed) * baseShare / 100 / len(plans)
+	for _, p := range plans {
+		load := c.loads[p.name]
+		machine := max(load.Room.CPU/max(load.Workers, 1), 1) // processor of one machine
+		if load.Workers == 0 {
+			p.desired, p.kept = p.size, p.size
+			continue
+		}
+		work := load.Running.CPU + load.Waiting.CPU*surgeFactor
+		p.desired = max((work*(100+headroom)/100+machine-1)/machine, load.Least)
+		if load.Waiting.CPU == 0 {
+			p.desired = min(p.desired, p.size) // everything has a place
+		}
+		if c.demands[p.name] == nil {
+			c.demands[p.name] = &demand{}
+		}
+		p.kept = max(c.demands[p.name].note(c.now, p.desired), load.Least+1, base)
+	}
+	return plans, spare
+}
+
+// inWave reports whether a machine still has to be taken down for a wave: it is left where it is.
+func (c *Coordinator) inWave(machine string) bool {
+	for _, w := range c.waves {
+		if w.state.Completed || w.begun[machine] {
+			continue
+		}
+		for _, m := range w.Machines {
+			if m == machine {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isIdle reports whether nothing runs on a worker that could be used.
+func isIdle(load pool.Load, worker string) bool {
+	busy, usable := load.Busy[worker]
+	return usable && busy == 0 && load.Lasting[worker] == 0
+}
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -22,6 +22,8 @@
 	orderRetry = 300 * clock.Millis(1)
 	// backLimit is how long a machine counts as down after its order was accepted, if the list never shows it back.
 	backLimit = 30 * clock.Second
+	// costLasting is what a task that lasts weighs in the choice of a machine, against 1000 for a fully used one.
+	costLasting = 500
 )
 
 // Coordinator decides on machines. It is not safe for concurrent use. Exported fields are set before the first call.
@@ -40,6 +42,7 @@
 	wants         map[string]*want
 	cordons       map[string]string // id of the want by machine
 	opened        int64
+	demands       map[string]*demand
 	loads         map[string]pool.Load
 	orders        []Order
 	fenced        bool
@@ -65,7 +68,7 @@
 func NewCoordinator(token int64, ordersFrom clock.Millis, logger *slog.Logger) *Coordinator {
 	return &Coordinator{Logger: logger, Token: token, OrdersFrom: ordersFrom, configuration: &batch.Configuration{},
 		listed: map[string]batch.Machine{}, waves: map[int64]*wave{}, wants: map[string]*want{},
-		cordons: map[string]string{}, loads: map[string]pool.Load{}}
+		cordons: map[string]string{}, demands: map[string]*demand{}, loads: map[string]pool.Load{}}
 }
 
 func (c *Coordinator) log(e *event.Event, attributes ...slog.Attr) {
@@ -160,6 +163,7 @@
 	for _, number := range sorted(c.waves) {
 		c.planWave(c.waves[number])
 	}
+	c.balance()
 	for _, machine := range sorted(c.wants) {
 		c.planOrder(c.wants[machine])
 	}
@@ -230,7 +234,9 @@
 		load := c.loads[name]
 		cost := 0
 		if !c.standby(name) {
+			worker := c.listed[machine].Worker
 			cost = 1 + (load.Running.CPU+load.Waiting.CPU)*1000/max(load.Room.CPU, 1) + out[name]*1000/max(load.Workers, 1)
+			cost += load.Busy[worker]*1000*load.Workers/max(load.Room.CPU, 1) + load.Lasting[worker]*costLasting
 			out[name]++
 		}
 		candidates = append(candidates, candidate{machine, cost})
--- a/pool/load.go
+++ b/pool/load.go
@@ -11,6 +11,12 @@
 	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run
 	Room    batch.Resources `json:"room"`    // capacity of the usable workers
 	Workers int             `json:"workers"` // usable ones
+	// Least is how many workers the tasks that last need, as some may not share one.
+	Least int `json:"least"`
+	// Busy tells the processor use of the usable workers in thousandths of a core, and Lasting which of them run tasks that
+	// last, by worker id.
+	Busy    map[string]int `json:"busy,omitempty"`
+	Lasting map[string]int `json:"lasting,omitempty"`
 	// Leases tells, for workers that do not answer, how long their leases can last from now on, in milliseconds. They get
 	// no renewal while the table says so, so that a successor need not assume the longest lease.
 	Leases map[string]clock.Millis `json:"leases,omitempty"`
@@ -18,13 +24,20 @@
 
 // Load returns the state of the pool, to be stored with the draft that is out.
 func (s *Scheduler) Load() Load {
-	var load Load
+	load := Load{Busy: map[string]int{}, Lasting: map[string]int{}}
 	for _, w := range s.usable() {
 		load.Workers++
+		load.Busy[w.entry.ID] = w.used.CPU
+		for _, r := range w.runs {
+			if r.task.step.def.LongRunning {
+				load.Lasting[w.entry.ID]++
+			}
+		}
 		load.Room = load.Room.Add(w.entry.Capacity)
 		load.Running = load.Running.Add(w.used)
 	}
 	for _, j := range s.active {
+		load.Least = max(load.Least, j.leastWorkers())
 		if j.waiting == 0 {
 			continue
 		}
@@ -57,3 +70,18 @@
 func (s *Scheduler) Inherit(others clock.Millis, known map[string]clock.Millis) {
 	s.inherited, s.inheritedBy = others, known
 }
+
+// leastWorkers returns how many workers the long-running steps of a job need.
+func (j *job) leastWorkers() int {
+	least := 0
+	for i := range j.def.Steps {
+		if st := &j.def.Steps[i]; st.LongRunning {
+			perWorker := st.Count
+			if st.MaxPerWorker > 0 {
+				perWorker = st.MaxPerWorker
+			}
+			least = max(least, (st.Count+perWorker-1)/perWorker)
+		}
+	}
+	return least
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -286,8 +286,8 @@
 		if def.MaxPerWorker > 0 && peers >= def.MaxPerWorker {
 			continue
 		}
-		cost := w.used.CPU * 1000 / max(w.entry.Capacity.CPU, 1)
-		cost = max(cost, w.used.MemoryMB*1000/max(w.entry.Capacity.MemoryMB, 1))
+		// Full workers first: the others stay free for large tasks, upkeep and moves.
+		cost := 1000 - w.used.CPU*1000/max(w.entry.Capacity.CPU, 1)
 		if def.Rack != "" && !w.entry.HasLabel(def.Rack) {
 			cost += costOtherRack
 		}
