machines: pools grow by the work that arrives, not by their backlog

Owners now tell the rate of arriving work, corrected by learned run times, and count only work that is still worth something; idle machines go to a pool in need at once; machines of a wave move too.

--- a/machines/balance.go
+++ b/machines/balance.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"log/slog"
 	"sort"
 
 	"magnoliaferry/batch"
@@ -10,9 +11,9 @@
 
 // Parameters of the balance between pools.
 const (
-	// surgeFactor weighs work that waits: a pool whose work waits gets more machines than that work needs, as more comes
-	// while they are on their way.
-	surgeFactor = 2
+	// waitingShare is the part, in percent, of the work that waits for which a pool gets more machines; most of it has a
+	// place before they come.
+	waitingShare = 50
 	// baseShare is the part of the machines, in percent, that an idle pool keeps for the beginning of a surge, of an equal share
 	// of all machines.
 	baseShare = 60
@@ -49,11 +50,12 @@
 
 // poolPlan is what a pool has and needs, in machines.
 type poolPlan struct {
-	name    string
-	size    int // usable or on their way, less those that are wanted
-	desired int // for the work there is now
-	kept    int // that it does not give away
-	donors  []batch.Machine
+	name     string
+	size     int // usable or on their way, less those that are wanted
+	desired  int // for the work there is now
+	kept     int // that it does not give to standby
+	lendable int // down to this size it gives idle machines to pools that need them
+	donors   []batch.Machine
 }
 
 // balance moves machines to pools whose work waits, first from standby and then from pools that do not need them, and
@@ -71,6 +73,7 @@
 		for p.size < p.desired {
 			m, ok := takeDonor(&spare, plans, p)
 			if !ok {
+				c.short(p, plans)
 				return
 			}
 			c.open(Want{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: p.name})
@@ -91,6 +94,22 @@
 	}
 }
 
+// short logs what a pool lacks, once a second.
+func (c *Coordinator) short(p *poolPlan, plans []*poolPlan) {
+	if c.now-c.shortLogged < clock.Second {
+		return
+	}
+	c.shortLogged = c.now
+	attributes := []slog.Attr{slog.String("pool", p.name)}
+	for _, other := range plans {
+		load := c.loads[other.name]
+		attributes = append(attributes, slog.Group(other.name, slog.Int("machines", other.size), slog.Int("desired", other.desired),
+			slog.Int("kept", other.kept), slog.Int("idle", len(other.donors)), slog.Int("usable", load.Workers),
+			slog.Int("running-cpu", load.Running.CPU), slog.Int("waiting-cpu", load.Waiting.CPU)))
+	}
+	c.log(eventShort, attributes...)
+}
+
 func (c *Coordinator) standbyPool() string {
 	for i := range c.configuration.Pools {
 		if c.configuration.Pools[i].Standby {
@@ -109,7 +128,7 @@
 	}
 	var best *poolPlan
 	for _, p := range plans {
-		if p != to && p.size > p.kept && len(p.donors) > 0 && (best == nil || p.size-p.kept > best.size-best.kept) {
+		if p != to && p.size > p.lendable && len(p.donors) > 0 && (best == nil || p.size-p.lendable > best.size-best.lendable) {
 			best = p
 		}
 	}
@@ -150,13 +169,13 @@
 			}
 		case m.State != batch.MachineUp && m.State != batch.MachineMoving:
 		case c.standby(m.Pool):
-			if m.State == batch.MachineUp && !c.inWave(id) {
+			if m.State == batch.MachineUp {
 				spare = append(spare, m)
 			}
 		default:
 			if p := byName[m.Pool]; p != nil {
 				p.size++
-				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) && !c.inWave(id) {
+				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) {
 					p.donors = append(p.donors, m)
 				}
 			}
@@ -167,14 +186,15 @@
 		load := c.loads[p.name]
 		machine := max(load.Room.CPU/max(load.Workers, 1), 1) // processor of one machine
 		if load.Workers == 0 {
-			p.desired, p.kept = p.size, p.size
+			p.desired, p.kept, p.lendable = p.size, p.size, p.size
 			continue
 		}
-		work := load.Running.CPU + load.Waiting.CPU*surgeFactor
+		work := max(load.Arriving, load.Running.CPU) + load.Waiting.CPU*waitingShare/100
 		p.desired = max((work*(100+headroom)/100+machine-1)/machine, load.Least)
-		if load.Waiting.CPU == 0 {
+		if load.Waiting.CPU == 0 && load.Arriving < load.Room.CPU {
 			p.desired = min(p.desired, p.size) // everything has a place
 		}
+		p.lendable = max(p.desired, load.Least+1, base/2)
 		if c.demands[p.name] == nil {
 			c.demands[p.name] = &demand{}
 		}
@@ -183,21 +203,6 @@
 	return plans, spare
 }
 
-// inWave reports whether a machine still has to be taken down for a wave: it is left where it is.
-func (c *Coordinator) inWave(machine string) bool {
-	for _, w := range c.waves {
-		if w.state.Completed || w.begun[machine] {
-			continue
-		}
-		for _, m := range w.Machines {
-			if m == machine {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // isIdle reports whether nothing runs on a worker that could be used.
 func isIdle(load pool.Load, worker string) bool {
 	busy, usable := load.Busy[worker]
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -43,6 +43,7 @@
 	cordons       map[string]string // id of the want by machine
 	opened        int64
 	demands       map[string]*demand
+	shortLogged   clock.Millis
 	loads         map[string]pool.Load
 	orders        []Order
 	fenced        bool
--- a/pool/draft.go
+++ b/pool/draft.go
@@ -111,6 +111,7 @@
 func (s *Scheduler) send(r *run) {
 	w, t := r.worker, r.task
 	r.state, r.sent, r.token = starting, s.now, w.token
+	r.checkpointed = t.checkpoint != ""
 	deadline := w.clockNow(s.now) + s.Lease
 	w.leaseUntil = max(w.leaseUntil, w.leaseEnd(deadline))
 	ticket := ""
--- a/pool/load.go
+++ b/pool/load.go
@@ -8,9 +8,11 @@
 // Load is what the owner of a pool tells the others about it.
 type Load struct {
 	Running batch.Resources `json:"running"` // reserved on workers
-	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run
+	Waiting batch.Resources `json:"waiting"` // of tasks whose step may run, and that are still worth something
 	Room    batch.Resources `json:"room"`    // capacity of the usable workers
-	Workers int             `json:"workers"` // usable ones
+	// Arriving is the processor that the jobs of the last moments need on average, in thousandths of a core.
+	Arriving int `json:"arriving"`
+	Workers  int `json:"workers"` // usable ones
 	// Least is how many workers the tasks that last need, as some may not share one.
 	Least int `json:"least"`
 	// Busy tells the processor use of the usable workers in thousandths of a core, and Lasting which of them run tasks that
@@ -24,7 +26,7 @@
 
 // Load returns the state of the pool, to be stored with the draft that is out.
 func (s *Scheduler) Load() Load {
-	load := Load{Busy: map[string]int{}, Lasting: map[string]int{}}
+	load := Load{Busy: map[string]int{}, Lasting: map[string]int{}, Arriving: s.arrivals.rate(s.now)}
 	for _, w := range s.usable() {
 		load.Workers++
 		load.Busy[w.entry.ID] = w.used.CPU
@@ -38,7 +40,7 @@
 	}
 	for _, j := range s.active {
 		load.Least = max(load.Least, j.leastWorkers())
-		if j.waiting == 0 {
+		if j.waiting == 0 || s.rank(j).class == classOwed {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/pool/place.go
+++ b/pool/place.go
@@ -83,6 +83,8 @@
 		return r
 	}
 	chain, left := j.chain()
+	percent := s.ratios[j.def.Queue].percent()
+	chain, left = chain*percent/100, left*percent/100
 	objective := clock.Millis(queue.Stretch*float64(chain)) + queue.Objective
 	switch age := s.now - j.seen; {
 	case age+left > lateFactor*objective:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -52,6 +52,8 @@
 	active        []*job // not final, in the order in which they came
 	final         []finalJob
 	workers       map[string]*worker
+	arrivals      arrivals
+	ratios        map[string]*ratio // by queue
 	wants         map[string]string // ids of wants by worker
 	token         int64
 	fenced        bool
@@ -73,6 +75,7 @@
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, workers: map[string]*worker{}, wants: map[string]string{},
+		ratios: map[string]*ratio{},
 	}
 }
 
@@ -101,6 +104,9 @@
 	age := min(max(s.wall-def.Accepted, 0), clock.Minute) // clocks of instances differ
 	j.seen = s.now - age
 	s.jobs[def.ID] = j
+	if def.Occurrences == 0 && age < arrivalWindow {
+		s.arrivals.note(s.now, s.work(def))
+	}
 	if progress != nil {
 		j.state = progress.State
 		if j.state.Final() {
@@ -364,6 +370,7 @@
 	}
 	if how == EndDone {
 		w.failures = 0
+		s.learn(r)
 	}
 	if j.state.Final() {
 		return
--- a/pool/state.go
+++ b/pool/state.go
@@ -16,21 +16,22 @@
 
 // run is one start of a task on a worker. Its resources stay reserved until it is certain that it does not run.
 type run struct {
-	task     *task
-	worker   *worker
-	number   int
-	state    runState
-	drafted  bool         // part of the transaction in flight, or stored
-	token    int64        // highest fencing token of its orders
-	sent     clock.Millis // when the newest start was sent
-	answered clock.Millis // when the newest start was answered or given up
-	stopping bool
-	stopSent clock.Millis
-	percent  int
-	figure   int
-	moved    clock.Millis // when percent last changed
-	pace     int          // percent of the processor time it may use
-	born     int64
+	task         *task
+	worker       *worker
+	number       int
+	state        runState
+	checkpointed bool         // it resumed from a checkpoint, so that it did only a part of the work
+	drafted      bool         // part of the transaction in flight, or stored
+	token        int64        // highest fencing token of its orders
+	sent         clock.Millis // when the newest start was sent
+	answered     clock.Millis // when the newest start was answered or given up
+	stopping     bool
+	stopSent     clock.Millis
+	percent      int
+	figure       int
+	moved        clock.Millis // when percent last changed
+	pace         int          // percent of the processor time it may use
+	born         int64
 }
 
 type task struct {
