--- a/cmd/doctables/main_test.go
+++ b/cmd/doctables/main_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"magnoliaferry/config"
+	"magnoliaferry/daemon"
 	"magnoliaferry/diag"
 	"magnoliaferry/settings"
 )
@@ -41,6 +42,7 @@
 	}
 	declared := config.Codes()
 	maps.Copy(declared, settings.Codes())
+	maps.Copy(declared, daemon.Codes())
 	if got, want := fmt.Sprint(documented), fmt.Sprint(declared); got != want {
 		t.Errorf("docs/diagnostics.md got %s, want %s", got, want)
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -18,6 +18,16 @@
 	DiagRange      diag.Code = 1063
 )
 
+// Codes returns the names of the diagnostics of settings by number.
+func Codes() map[diag.Code]string {
+	return map[diag.Code]string{
+		DiagUnreadable: "settings-unreadable",
+		DiagMissing:    "setting-missing",
+		DiagAddress:    "setting-address",
+		DiagRange:      "setting-range",
+	}
+}
+
 // Settings are the settings of one instance, as the platform writes them from deploy/settings.json. Times are in
 // milliseconds where the name does not say seconds. New fields may come; what is not known is left alone.
 type Settings struct {
--- a/peer/sim_test.go
+++ b/peer/sim_test.go
@@ -14,8 +14,8 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
+	"magnoliaferry/provider"
 )
 
 // world runs nodes on one fake clock with a network and a platform that fail on request. All of it runs in one
--- a/platformhttp/client_test.go
+++ b/platformhttp/client_test.go
@@ -16,8 +16,8 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
+	"magnoliaferry/provider"
 	"magnoliaferry/standin"
 )
 
--- a/pool/codes.go
+++ b/pool/codes.go
@@ -22,5 +22,6 @@
 	eventPaced      = event.New(4212, "run-paced", slog.LevelInfo, "the share of processor time of a run changes")
 	eventJobTaken   = event.New(4213, "job-taken", slog.LevelInfo, "the owner of the pool has a job")
 	eventNeverBegan = event.New(4214, "run-never-began", slog.LevelInfo, "a start without an answer was not carried out and cannot be any more")
-	eventSlowRun    = event.New(4215, "run-stalled", slog.LevelWarn, "a run makes no progress; it is moved to another worker")
+	eventStalled    = event.New(4215, "run-stalled", slog.LevelWarn, "a run makes little or no progress; it is moved to another worker")
+	eventSlowWorker = event.New(4216, "worker-slow", slog.LevelWarn, "tasks take much longer on a worker than elsewhere; it is avoided for a while")
 )
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -95,6 +95,7 @@
 	}
 	s.takeEnds(w, listing.Ended)
 	s.takeRunning(w, listing, order, sent)
+	s.watch(w)
 	s.pace(w)
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -370,6 +370,7 @@
 	}
 	if how == EndDone {
 		w.failures = 0
+		s.noteSpeed(r)
 		s.learn(r)
 	}
 	if j.state.Final() {
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -221,3 +221,20 @@
 		t.Errorf("lease got %d, want a renewal once the table no longer says when it ends", got)
 	}
 }
+
+// Guards against a task that stands still on a worker that otherwise looks well: its job would never end.
+func TestStalledRunMoves(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	stuck := ""
+	w.stalls = func(_, worker string) bool {
+		if stuck == "" {
+			stuck = worker
+		}
+		return worker == stuck
+	}
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), Estimate: 1000})
+	w.run(6 * clock.Second)
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed on the other worker", got)
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -59,12 +59,14 @@
 	def      *batch.Step
 	tasks    []*task
 	done     int
+	ran      clock.Millis // run times of the tasks that were timed
+	timed    int
 	advice   *Advice // newest tickets
 	advised  clock.Millis
 	advising bool
 }
 
-func (s *step) complete() bool { return s.done == len(s.tasks) }
+func (st *step) complete() bool { return st.done == len(st.tasks) }
 
 type occurrence struct {
 	number int
@@ -107,7 +109,8 @@
 	heard      clock.Millis // when it last answered
 	failures   int          // failed runs in a row
 	avoidUntil clock.Millis
-	wanted     bool // a machine order waits for it to be empty
+	slowness   clock.Millis // average run time of its tasks in percent of the expected one; 0: none yet
+	wanted     bool         // a machine order waits for it to be empty
 	paced      clock.Millis
 }
 
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -40,6 +40,7 @@
 	workers map[string]*fakeWorker
 	length  func(task string) clock.Millis // run time of a task; 0: lasts
 	fails   func(task, worker string) bool
+	stalls  func(task, worker string) bool // if set, tells which tasks make no progress
 	// lose, if set, tells which orders get no answer; late orders are carried out after the given time.
 	lose func(order any) (lost bool, late clock.Millis)
 
@@ -182,6 +183,8 @@
 				f.end(name, r, EndLapsed)
 			case r.stopping > 0 && w.now-r.stopping >= f.stopTime:
 				f.end(name, r, EndStopped)
+			case w.stalls != nil && w.stalls(name, f.entry.ID):
+				r.began = w.now
 			case r.length > 0 && w.now-r.began >= r.length && w.fails(name, f.entry.ID):
 				f.end(name, r, EndFailed)
 			case r.length > 0 && w.now-r.began >= r.length:
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,8 +11,8 @@
 	"magnoliaferry/clock"
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
-	"magnoliaferry/provider"
 	"magnoliaferry/platformhttp"
+	"magnoliaferry/provider"
 )
 
 // maxCall bounds the body of a call; the largest is a configuration body in base64.
