--- a/daemon/election.go
+++ b/daemon/election.go
@@ -27,9 +27,10 @@
 	takeoverAfter = 2 * clock.Second
 
 	watchPeriod   = 60 * clock.Millis(1)
-	copyFresh     = 1 * clock.Second      // the copy must be this new to judge an owner by it
-	claimSpread   = 120 * clock.Millis(1) // between instances, so that they do not all claim at once
-	claimPerOwned = 150 * clock.Millis(1) // an instance that owns other parts lets others go first
+	copyFresh     = 1 * clock.Second       // the copy must be this new to judge an owner by it
+	copyHealthy   = 1200 * clock.Millis(1) // for which the store must have answered: after an outage, owners renew first
+	claimSpread   = 120 * clock.Millis(1)  // between instances, so that they do not all claim at once
+	claimPerOwned = 150 * clock.Millis(1)  // an instance that owns other parts lets others go first
 	claimTimeout  = 3 * clock.Second
 	releaseWait   = 1500 * clock.Millis(1) // for the last transactions at the end of a process
 )
@@ -77,7 +78,7 @@
 		// An earlier life of this process, which cannot act any more.
 		return seen, existed, seen.Owner.Boot() != d.boot || d.clock.Now()-seen.At > takeoverAfter
 	}
-	return seen, existed, d.clock.Now()-seen.At > takeoverAfter
+	return seen, existed, d.clock.Now()-seen.At > takeoverAfter && d.work.Healthy() > copyHealthy
 }
 
 // spread gives each instance its own place in the queue for each part.
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -26,7 +26,10 @@
 	machinesPeriod   = 100 * clock.Millis(1) // between two plans
 	listActivePeriod = 400 * clock.Millis(1) // between two lists while machines are out
 	listIdlePeriod   = 800 * clock.Millis(1)
-	handOverMargin   = 500 * clock.Millis(1) // beyond the time between orders of two holders
+	// orderAge is how old the renewal of the ownership may be when an order goes out, so that a successor knows when the
+	// last one can have been.
+	orderAge       = 900 * clock.Millis(1)
+	handOverMargin = 100 * clock.Millis(1) // for an order on its way
 )
 
 // machineOwner decides on machines during one tenure.
@@ -53,7 +56,7 @@
 	}
 	from := d.clock.Now()
 	if existed && !before.Owner.Released {
-		from += d.Settings.MachineLease + handOverMargin
+		from = max(from, before.At+orderAge+d.Settings.MachineLease+handOverMargin)
 	}
 	o := &machineOwner{daemon: d, chain: chain, events: newMailbox[func()](), rows: map[string][]byte{},
 		coordinator: machines.NewCoordinator(chain.Token(), from, d.Logger)}
@@ -105,7 +108,7 @@
 	o.takeWaves()
 	o.takeReports()
 	o.list(ctx)
-	if o.chain.Age() <= actLimit {
+	if o.chain.Age() <= orderAge {
 		c.Plan()
 		for _, order := range c.Orders() {
 			go func() {
--- a/store/follower.go
+++ b/store/follower.go
@@ -43,6 +43,7 @@
 	version  int64
 	loaded   bool
 	asked    clock.Millis // when the newest answered call was sent
+	healthy  clock.Millis // since when calls are answered without a gap
 	advanced chan struct{}
 }
 
@@ -66,6 +67,16 @@
 	return f.Clock.Now() - f.asked
 }
 
+// Healthy returns for how long the copy has been kept up to date without a failed call; 0 while calls fail.
+func (f *Follower) Healthy() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.healthy == 0 {
+		return 0
+	}
+	return f.Clock.Now() - f.healthy
+}
+
 // WaitFor returns once the copy includes the version.
 func (f *Follower) WaitFor(ctx context.Context, version int64) error {
 	for {
@@ -108,6 +119,9 @@
 		if ctx.Err() != nil {
 			break
 		}
+		f.mu.Lock()
+		f.healthy = 0
+		f.mu.Unlock()
 		if !failing {
 			failing = true
 			eventFollowLost.Log(ctx, f.Logger, slog.String("table", f.Table), slog.String("error", err.Error()))
@@ -188,6 +202,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version, f.loaded, f.asked = version, true, sent
+	if f.healthy == 0 {
+		f.healthy = max(f.Clock.Now(), 1)
+	}
 	if f.advanced != nil {
 		close(f.advanced)
 		f.advanced = nil
