front: tell callers at once that the store is down

After a failed write one write at a time probes the store; the others are refused without being sent, and a caller waits 1.2 s at most. Idle pools keep 80% of an equal share and lend a quarter of it.

--- a/front/service.go
+++ b/front/service.go
@@ -19,8 +19,10 @@
 	DefaultDeadline = 3 * clock.Second
 	// rejectedAttempts bounds the repeats of a write that the store certainly did not take: the caller is told at once.
 	rejectedAttempts = 3
-	retryPause       = 30 * clock.Millis(1)
-	retryLimit       = 300 * clock.Millis(1)
+	// storeWait bounds how long a caller waits for the store: it is better told early that the outcome is unknown.
+	storeWait  = 1200 * clock.Millis(1)
+	retryPause = 30 * clock.Millis(1)
+	retryLimit = 300 * clock.Millis(1)
 	// retryAfter is when a caller may come back: outages of the store last seconds.
 	retryAfter = 1 * clock.Second
 	// staleAfter is the age of the copy above which a job that is not in it may exist all the same.
@@ -39,6 +41,8 @@
 	CopyAge func() clock.Millis
 	// Wall returns the Unix time.
 	Wall func() clock.Millis
+
+	gate gate
 }
 
 // Match returns the queue of a request and the rest of its path, or a refusal.
@@ -68,6 +72,9 @@
 	if err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
 	}
+	if !s.gate.enter(s.Clock.Now()) {
+		return s.refuse(ctx, CodeNotStored, job.ID, store.ErrRejected.New("the store does not answer; nothing was sent to it"), retryAfter)
+	}
 	row := store.Row{Table: store.WorkTable, Part: job.Pool, Key: store.Key(store.KindJob, job.ID), Value: value}
 	tx := store.Transaction{Conditions: []store.Condition{{Table: row.Table, Part: row.Part, Key: row.Key}}, Puts: []store.Row{row}}
 	outcome, err := s.write(ctx, tx, wait)
@@ -90,12 +97,13 @@
 // write carries out a transaction. Once an attempt's outcome is unknown, it repeats the transaction until the store
 // tells or the caller's time is over: the condition makes a second one harmless.
 func (s *Service) write(ctx context.Context, tx store.Transaction, wait clock.Millis) (store.Result, error) {
-	ctx, cancel := s.Clock.WithTimeout(ctx, wait)
+	ctx, cancel := s.Clock.WithTimeout(ctx, min(wait, storeWait))
 	defer cancel()
 	var unknown error
 	pause := retryPause
 	for attempt := 1; ; attempt++ {
 		outcome, err := s.Table.Commit(ctx, tx)
+		s.gate.leave(err == nil)
 		if err == nil {
 			return outcome, nil
 		}
--- a/machines/balance.go
+++ b/machines/balance.go
@@ -16,7 +16,9 @@
 	waitingShare = 50
 	// baseShare is the part of the machines, in percent, that an idle pool keeps for the beginning of a surge, of an equal share
 	// of all machines.
-	baseShare = 60
+	baseShare = 80
+	// lentShare is the part of that base, in percent, that it keeps when another pool is short.
+	lentShare = 75
 	// shrinkAfter is how long the demand of a pool must have been low before it gives machines away.
 	shrinkAfter = 2 * clock.Second
 	// headroom is added, in percent, to the demand of a pool.
@@ -194,7 +196,7 @@
 		if load.Waiting.CPU == 0 && load.Arriving < load.Room.CPU {
 			p.desired = min(p.desired, p.size) // everything has a place
 		}
-		p.lendable = max(p.desired, load.Least+1, base/2)
+		p.lendable = max(p.desired, load.Least+1, base*lentShare/100)
 		if c.demands[p.name] == nil {
 			c.demands[p.name] = &demand{}
 		}
