machines, platform, event: no pool starves; metrics; logs that never block

Cause of the starved classes (base share of 40%): machines wanted for a move that never became empty stayed out of every pool, and a pool without a usable worker asked for none. Such a move is dropped after 1.5 s, and such a pool asks.

--- a/Makefile
+++ b/Makefile
@@ -27,4 +27,5 @@
 fuzz:
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./config
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./settings
+	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./platform
 	go test -run FuzzHeaders -fuzz FuzzHeaders -fuzztime 60s ./caller
--- a/cmd/doctables/matrix_test.go
+++ b/cmd/doctables/matrix_test.go
@@ -15,7 +15,7 @@
 
 var (
 	matrixSteps = []string{"submit", "spread", "request", "claim", "dispatch", "answer", "drain", "reboot", "return",
-		"move", "place", "start", "cancel", "lease-renewal", "start-up", "shutdown", "pairs"}
+		"move", "place", "start", "cancel", "lease-renewal", "start-up", "shutdown", "pairs", "promises on the platform"}
 	matrixFaults = []string{"failures in waves", "racing processes", "wrong declarations", "jobs that never run",
 		"wave of cancellations", "workers that fail everything", "flood of the least urgent work",
 		"flood of the most urgent work", "store down", "store slow", "store answer lost",
@@ -23,6 +23,10 @@
 		"zone cut off from other zones", "zone cut off from the platform", "entry instance replaced"}
 )
 
+// platformPromises are the rules of the users' platform, in the order of their page.
+var platformPromises = []string{"LOST", "CONFIG", "RECOVER", "LIMIT", "TWICE", "ORDER", "ROUTE", "BUDGET", "GANG", "UNASKED", "REFUSED",
+	"HARM", "AVAIL", "MIXED", "ONE", "DRAIN", "acknowledgements"}
+
 // testNames returns the test functions of the module as package.TestName, each with the names of its subtests that are
 // string literals in it.
 func testNames(t *testing.T) map[string][]string {
@@ -100,7 +104,16 @@
 				}
 			}
 		}
-		if step != "pairs" && !slices.Equal(faults, matrixFaults) {
+		switch step {
+		case "pairs":
+			continue
+		case "promises on the platform":
+			if !slices.Equal(faults, platformPromises) {
+				t.Errorf("%s got %q, want %q", step, faults, platformPromises)
+			}
+			continue
+		}
+		if !slices.Equal(faults, matrixFaults) {
 			t.Errorf("%s got faults %q, want %q", step, faults, matrixFaults)
 		}
 	}
--- a/command/run.go
+++ b/command/run.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"magnoliaferry/daemon"
+	"magnoliaferry/event"
 	"magnoliaferry/platform"
 )
 
@@ -40,9 +41,11 @@
 	if o.Settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(o.Settings.MemoryMB) << 20 * memoryShare / 100)
 	}
+	sink := event.NewSink(os.Stdout)
+	defer sink.Close()
 	d := &daemon.Daemon{
 		Settings: o.Settings,
-		Logger:   slog.New(slog.NewJSONHandler(os.Stdout, nil)),
+		Logger:   slog.New(slog.NewJSONHandler(sink, nil)),
 		Table:    platform.NewTable(o.Settings.Store),
 		Workers:  platform.NewWorkers(),
 		Advisor:  platform.NewAdvisor(o.Settings.Advisor),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"magnoliaferry/event"
 	"magnoliaferry/front"
 	"magnoliaferry/machines"
+	"magnoliaferry/metrics"
 	"magnoliaferry/platform"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
@@ -44,6 +46,11 @@
 	leaveTime      = 3 * clock.Second // after SIGTERM, in which the balancer notices, before listening ends
 )
 
+var (
+	commitTime = metrics.NewHistogram("commit-ms") // of an owner's transaction
+	startTime  = metrics.NewHistogram("start-ms")  // from the order to the worker's answer
+)
+
 // Daemon is one instance. Exported fields are set before Run.
 type Daemon struct {
 	Settings Settings
@@ -107,7 +114,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	d.serveMetrics(failed)
 	for _, server := range []struct {
 		server  *http.Server
 		address string
@@ -150,6 +158,39 @@
 	}
 }
 
+// serveMetrics serves expvar where the settings ask for it. An instance works without it.
+func (d *Daemon) serveMetrics(failed chan<- error) {
+	if d.Settings.Metrics == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", d.Settings.Metrics)
+	if err != nil {
+		eventListen.Log(context.Background(), d.Logger, slog.String("error", err.Error()))
+		return
+	}
+	d.publish()
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { failed <- server.Serve(listener) }()
+}
+
+// publish adds the gauges of the instance to expvar.
+func (d *Daemon) publish() {
+	expvar.Publish("instance", expvar.Func(func() any {
+		version := int64(0)
+		if c := d.configuration.Load(); c != nil {
+			version = c.Version
+		}
+		return struct {
+			CopyAge       clock.Millis `json:"copy-age-ms"`
+			Configuration int64        `json:"configuration"`
+			Owned         int32        `json:"owned-parts"`
+			Jobs          int          `json:"jobs-known"`
+		}{d.work.Age(), version, d.owned.Load(), d.jobs.Len()}
+	}))
+}
+
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	if d.stopping.Load() || d.configuration.Load() == nil || d.work.Age() > readyAge {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -300,6 +300,7 @@
 	o.committing, o.committed = true, now
 	go func() {
 		err := o.chain.Commit(ctx, puts, deletes, load)
+		commitTime.Observe(d.clock.Now() - now)
 		o.events.put(func() {
 			o.committing = false
 			if err != nil {
@@ -337,6 +338,7 @@
 		switch order := order.(type) {
 		case pool.Start:
 			reply := d.Workers.Start(ctx, order)
+			startTime.Observe(d.clock.Now() - sent)
 			o.answer(func() { o.scheduler.Started(order, reply) })
 		case pool.Stop:
 			reply := d.Workers.Stop(ctx, order)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -40,6 +40,7 @@
 	Store    string `json:"store"`    // addresses of the platform's services
 	Machines string `json:"machines"` // empty where machines are not to be ordered
 	Advisor  string `json:"advisor"`  // empty where no queue needs advice
+	Metrics  string `json:"metrics"`  // address for expvar; empty: none
 	MemoryMB int    `json:"memory-mb"`
 
 	LeaseLimit      clock.Millis `json:"lease-limit"`       // longest lease of a worker
@@ -76,7 +77,7 @@
 		}
 	}
 	for field, value := range map[string]string{"/listen/callers": s.Listen.Callers, "/listen/ready": s.Listen.Ready,
-		"/store": s.Store, "/machines": s.Machines, "/advisor": s.Advisor} {
+		"/store": s.Store, "/machines": s.Machines, "/advisor": s.Advisor, "/metrics": s.Metrics} {
 		if value == "" {
 			continue
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"sort"
 	"sync"
+	"sync/atomic"
 )
 
 // Event is a numbered kind of log record; packages declare theirs with New.
@@ -14,6 +16,21 @@
 	name   string
 	level  slog.Level
 	text   string
+	count  atomic.Int64
+}
+
+var eventDropped = New(1090, "log-lines-dropped", slog.LevelWarn, "log lines were dropped because nothing read them")
+
+func init() {
+	expvar.Publish("events", expvar.Func(func() any {
+		counts := map[string]int64{}
+		for _, e := range All() {
+			if n := e.count.Load(); n > 0 {
+				counts[e.name] = n
+			}
+		}
+		return counts
+	}))
 }
 
 var (
@@ -57,8 +74,9 @@
 // Text returns the message of the event.
 func (e *Event) Text() string { return e.text }
 
-// Log writes the event with its number, its name and the given attributes; a nil logger drops it.
+// Log counts the event, and writes it with its number, its name and the given attributes; a nil logger drops it.
 func (e *Event) Log(ctx context.Context, logger *slog.Logger, attributes ...slog.Attr) {
+	e.count.Add(1)
 	if logger == nil || !logger.Enabled(ctx, e.level) {
 		return
 	}
--- /dev/null
+++ b/event/sink_test.go
@@ -0,0 +1,50 @@
+package event
+
+import (
+	"strings"
+	"sync"
+	"testing"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	entered chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	select {
+	case w.entered <- struct{}{}:
+	default:
+	}
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// Guards against a process that stands still because nobody reads its log, and against lines that vanish uncounted.
+func TestSinkNeverBlocks(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{}), entered: make(chan struct{}, 1)}
+	s := NewSink(out)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	if _, err := s.Write(line); err != nil {
+		t.Fatal(err)
+	}
+	<-out.entered
+	for range 2 * sinkBytes / len(line) {
+		if _, err := s.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.release)
+	s.Close()
+	if got := strings.Count(out.text.String(), "x\n"); got != sinkBytes/len(line)+1 {
+		t.Errorf("lines got %d, want %d", got, sinkBytes/len(line)+1)
+	}
+	if got := out.text.String(); !strings.Contains(got, `"name":"log-lines-dropped","lines":1024`) {
+		t.Errorf("the last line got %q, want the number of dropped lines", got[len(got)-200:])
+	}
+}
--- a/front/codes.go
+++ b/front/codes.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"magnoliaferry/event"
+	"magnoliaferry/metrics"
 	"magnoliaferry/result"
 )
 
@@ -27,3 +28,6 @@
 	eventRefused   = event.New(2552, "request-refused", slog.LevelWarn, "a request about a job was not carried out")
 	eventCancelled = event.New(2553, "job-cancel-stored", slog.LevelInfo, "the cancelling of a job is stored")
 )
+
+// acceptTime is the time from the request to the store's answer.
+var acceptTime = metrics.NewHistogram("job-accept-ms")
--- a/front/service.go
+++ b/front/service.go
@@ -77,7 +77,9 @@
 	}
 	row := store.Row{Table: store.WorkTable, Part: job.Pool, Key: store.Key(store.KindJob, job.ID), Value: value}
 	tx := store.Transaction{Conditions: []store.Condition{{Table: row.Table, Part: row.Part, Key: row.Key}}, Puts: []store.Row{row}}
+	started := s.Clock.Now()
 	outcome, err := s.write(ctx, tx, wait)
+	acceptTime.Observe(s.Clock.Now() - started)
 	switch {
 	case err == nil && outcome.Applied:
 		row.Version = outcome.Version
--- a/machines/balance.go
+++ b/machines/balance.go
@@ -21,6 +21,10 @@
 	lentShare = 75
 	// shrinkAfter is how long the demand of a pool must have been low before it gives machines away.
 	shrinkAfter = 2 * clock.Second
+	// moveLimit is how long a worker may take to become empty for a move; it was idle when it was chosen.
+	moveLimit = 1500 * clock.Millis(1)
+	// restTime is for how long such a worker is not chosen again.
+	restTime = 5 * clock.Second
 	// headroom is added, in percent, to the demand of a pool.
 	headroom = 15
 )
@@ -53,6 +57,7 @@
 // poolPlan is what a pool has and needs, in machines.
 type poolPlan struct {
 	name     string
+	fresh    int // on their way
 	size     int // usable or on their way, less those that are wanted
 	desired  int // for the work there is now
 	kept     int // that it does not give to standby
@@ -63,6 +68,13 @@
 // balance moves machines to pools whose work waits, first from standby and then from pools that do not need them, and
 // gives machines that are not needed back to standby, where they cost nothing.
 func (c *Coordinator) balance() {
+	for _, machine := range sorted(c.wants) {
+		w := c.wants[machine]
+		if w.Op == Move && !w.Ordered && c.now-w.opened > moveLimit && c.cordons[machine] != w.ID {
+			c.drop(w, "not empty in time")
+			c.restUntil[machine] = c.now + restTime
+		}
+	}
 	plans, spare := c.poolPlans()
 	var needy []*poolPlan
 	for _, p := range plans {
@@ -163,6 +175,7 @@
 		case w != nil && w.Op == Move:
 			if p := byName[w.Pool]; p != nil {
 				p.size++
+				p.fresh++
 			}
 		case w != nil:
 			// For a wave: it comes back to its pool soon.
@@ -177,7 +190,7 @@
 		default:
 			if p := byName[m.Pool]; p != nil {
 				p.size++
-				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) {
+				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) && c.now >= c.restUntil[id] {
 					p.donors = append(p.donors, m)
 				}
 			}
@@ -188,7 +201,11 @@
 		load := c.loads[p.name]
 		machine := max(load.Room.CPU/max(load.Workers, 1), 1) // processor of one machine
 		if load.Workers == 0 {
-			p.desired, p.kept, p.lendable = p.size, p.size, p.size
+			// Whatever is in the pool cannot be used, for example because all of it is wanted or crashed.
+			p.desired, p.kept, p.lendable = max(load.Least, 1)+p.size, p.size, p.size
+			if p.fresh > 0 {
+				p.desired = p.size // help is on its way
+			}
 			continue
 		}
 		work := max(load.Arriving, load.Running.CPU) + load.Waiting.CPU*waitingShare/100
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -44,6 +44,7 @@
 	opened        int64
 	demands       map[string]*demand
 	shortLogged   clock.Millis
+	restUntil     map[string]clock.Millis // by machine
 	loads         map[string]pool.Load
 	orders        []Order
 	fenced        bool
@@ -59,6 +60,7 @@
 
 type want struct {
 	Want
+	opened   clock.Millis
 	stored   bool // the row says what this says
 	sent     bool // an order is out
 	accepted clock.Millis
@@ -69,7 +71,7 @@
 func NewCoordinator(token int64, ordersFrom clock.Millis, logger *slog.Logger) *Coordinator {
 	return &Coordinator{Logger: logger, Token: token, OrdersFrom: ordersFrom, configuration: &batch.Configuration{},
 		listed: map[string]batch.Machine{}, waves: map[int64]*wave{}, wants: map[string]*want{},
-		cordons: map[string]string{}, demands: map[string]*demand{}, loads: map[string]pool.Load{}}
+		cordons: map[string]string{}, demands: map[string]*demand{}, restUntil: map[string]clock.Millis{}, loads: map[string]pool.Load{}}
 }
 
 func (c *Coordinator) log(e *event.Event, attributes ...slog.Attr) {
@@ -91,7 +93,7 @@
 // Restore takes in a want that an earlier coordinator stored.
 func (c *Coordinator) Restore(stored Want) {
 	if c.wants[stored.Machine] == nil {
-		c.wants[stored.Machine] = &want{Want: stored, stored: true}
+		c.wants[stored.Machine] = &want{Want: stored, stored: true, opened: c.now}
 	}
 }
 
@@ -214,11 +216,25 @@
 		if c.wants[machine] != nil || m.State != batch.MachineUp {
 			continue
 		}
+		if end-c.wall > cycleTime && !c.standby(m.Pool) && c.loads[m.Pool].Workers-c.wantedIn(m.Pool) <= c.loads[m.Pool].Least {
+			continue // the tasks that last need the workers that are left; there is time for others to come
+		}
 		c.open(Want{Machine: machine, Worker: m.Worker, Op: Upkeep, Wave: w.Number})
 		open++
 	}
 }
 
+// wantedIn returns how many machines of a pool are wanted.
+func (c *Coordinator) wantedIn(name string) int {
+	n := 0
+	for machine := range c.wants {
+		if c.listed[machine].Pool == name {
+			n++
+		}
+	}
+	return n
+}
+
 // byLoad sorts machines so that those of the pools with the least work come first, one of each pool in turn.
 func (c *Coordinator) byLoad(machines []string) []string {
 	out := map[string]int{}
@@ -253,7 +269,7 @@
 func (c *Coordinator) open(stored Want) {
 	c.opened++
 	stored.ID = fmt.Sprintf("%d-%d", c.Token, c.opened)
-	c.wants[stored.Machine] = &want{Want: stored}
+	c.wants[stored.Machine] = &want{Want: stored, opened: c.now}
 	c.dirty = true
 	m := c.listed[stored.Machine]
 	load := c.loads[m.Pool]
--- /dev/null
+++ b/machines/coordinator_test.go
@@ -0,0 +1,266 @@
+package machines
+
+import (
+	"fmt"
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/pool"
+)
+
+// site is a set of machines that carries orders out, and owners of pools that empty workers when they are asked to.
+type site struct {
+	t        *testing.T
+	c        *Coordinator
+	now      clock.Millis
+	machines map[string]*batch.Machine
+	back     map[string]clock.Millis // when a machine is up again
+	life     int
+	orders   []Order
+	cordons  map[string]string
+	held     map[string]bool // machines whose owners do not empty them
+	down     int             // most machines that were down at once
+	loads    map[string]pool.Load
+	answer   func(order Order) Outcome
+}
+
+func newSite(t *testing.T, pools map[string]int) *site {
+	s := &site{t: t, c: NewCoordinator(7, 0, nil), now: 1000, machines: map[string]*batch.Machine{}, back: map[string]clock.Millis{},
+		cordons: map[string]string{}, held: map[string]bool{}, loads: map[string]pool.Load{}}
+	configuration := &batch.Configuration{Version: 1}
+	for _, name := range sorted(pools) {
+		configuration.Pools = append(configuration.Pools, batch.Pool{Name: name, Standby: name == "standby"})
+		load := pool.Load{Busy: map[string]int{}, Lasting: map[string]int{}}
+		for i := range pools[name] {
+			m := &batch.Machine{ID: fmt.Sprintf("%s-%d", name, i), Pool: name, State: batch.MachineUp}
+			if name != "standby" {
+				m.Worker = "w-" + m.ID
+				load.Busy[m.Worker] = 0
+				load.Workers++
+				load.Room.CPU += 1000
+			}
+			s.machines[m.ID] = m
+		}
+		s.loads[name] = load
+	}
+	s.c.Configure(configuration)
+	return s
+}
+
+func (s *site) run(d clock.Millis) {
+	for end := s.now + d; s.now < end; s.now += 100 {
+		s.c.Tick(s.now, s.now)
+		s.bring()
+		var list []batch.Machine
+		for _, id := range sorted(s.machines) {
+			list = append(list, *s.machines[id])
+		}
+		s.c.Listed(list, s.now)
+		for name, load := range s.loads {
+			s.c.SetLoad(name, load)
+		}
+		s.c.SetCordons(s.cordons)
+		s.c.Plan()
+		s.carry()
+		if draft := s.c.Draft(); draft != nil {
+			s.store(draft)
+		}
+	}
+}
+
+func (s *site) bring() {
+	for id, at := range s.back {
+		if s.now >= at {
+			delete(s.back, id)
+			s.life++
+			m := s.machines[id]
+			m.State = batch.MachineUp
+			if m.Worker = ""; m.Pool != "standby" {
+				m.Worker = fmt.Sprintf("w-%s-%d", id, s.life)
+			}
+		}
+	}
+}
+
+func (s *site) carry() {
+	for _, order := range s.c.Orders() {
+		s.orders = append(s.orders, order)
+		outcome := Accepted
+		if s.answer != nil {
+			outcome = s.answer(order)
+		}
+		m := s.machines[order.Want.Machine]
+		if outcome == Accepted {
+			m.State, m.Worker = batch.MachineUpkeep, ""
+			if order.Want.Op == Move {
+				m.State, m.Pool = batch.MachineMoving, order.Want.Pool
+			}
+			s.back[m.ID] = s.now + 2000
+		}
+		s.c.Carried(order, outcome)
+	}
+	down := 0
+	for _, m := range s.machines {
+		if m.State == batch.MachineUpkeep {
+			down++
+		}
+	}
+	s.down = max(s.down, down)
+}
+
+// store answers the wants as owners of pools do.
+func (s *site) store(draft *Draft) {
+	s.cordons = map[string]string{}
+	for _, want := range draft.Wants {
+		if !s.held[want.Machine] {
+			s.cordons[want.Machine] = want.ID
+		}
+	}
+	s.c.Committed(draft)
+}
+
+func names(prefix string, n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprintf("%s-%d", prefix, i))
+	}
+	return all
+}
+
+// Guards against a wave that misses its time, and against more machines down for it than allowed.
+func TestWaveEndsInTimeWithinItsLimit(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 10, "b": 10, "standby": 4})
+	s.c.Tick(s.now, s.now)
+	s.c.SetWave(batch.Wave{Number: 1, Machines: append(names("a", 8), names("standby", 3)...), Duration: 25 * clock.Second, MaxDown: 3}, nil)
+	s.run(25 * clock.Second)
+	if got := s.c.waves[1].state.Completed; !got {
+		t.Errorf("completed got %v with %d machines begun, want true", got, len(s.c.waves[1].begun))
+	}
+	if s.down > 3 {
+		t.Errorf("machines down at once got %d, want at most 3", s.down)
+	}
+}
+
+// Guards against an order for a machine on which something still runs.
+func TestNoOrderBeforeTheWorkerIsEmpty(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 3})
+	s.held["a-0"] = true
+	s.c.Tick(s.now, s.now)
+	s.c.SetWave(batch.Wave{Number: 1, Machines: []string{"a-0"}, Duration: 10 * clock.Second, MaxDown: 1}, nil)
+	s.run(5 * clock.Second)
+	if got := len(s.orders); got != 0 {
+		t.Errorf("orders got %d, want 0 while the worker is not empty", got)
+	}
+	if s.c.waves[1].state.Completed {
+		t.Error("wave is completed, want it running")
+	}
+	s.held["a-0"] = false
+	s.c.dirty = true
+	s.run(1 * clock.Second)
+	if got := len(s.orders); got != 1 {
+		t.Errorf("orders got %d, want 1", got)
+	}
+}
+
+// Guards against a wave that counts a machine whose order got no answer as not begun, and takes another one down.
+func TestOrderWithoutAnswerCountsAsDown(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 4})
+	s.answer = func(Order) Outcome { return Unanswered }
+	s.c.Tick(s.now, s.now)
+	s.c.SetWave(batch.Wave{Number: 1, Machines: names("a", 4), Duration: 8 * clock.Second, MaxDown: 1}, nil)
+	s.run(5 * clock.Second)
+	ordered := map[string]bool{}
+	for _, order := range s.orders {
+		ordered[order.Want.Machine] = true
+	}
+	if len(ordered) != 1 {
+		t.Errorf("machines ordered got %d, want 1 until its answer is known", len(ordered))
+	}
+}
+
+// Guards against a successor that orders on a machine within the time in which its predecessor may have.
+func TestSuccessorWaits(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 2})
+	s.c.OrdersFrom = s.now + 3000
+	s.c.Tick(s.now, s.now)
+	s.c.SetWave(batch.Wave{Number: 1, Machines: []string{"a-0"}, Duration: 10 * clock.Second, MaxDown: 1}, nil)
+	s.run(2900)
+	if got := len(s.orders); got != 0 {
+		t.Errorf("orders got %d, want 0", got)
+	}
+	s.run(1000)
+	if got := len(s.orders); got != 1 {
+		t.Errorf("orders got %d, want 1", got)
+	}
+}
+
+// Guards against a pool whose work waits while machines stand idle, and against machines that stay in a pool that does not
+// need them.
+func TestMachinesFollowTheWork(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 5, "b": 5, "standby": 6})
+	load := s.loads["a"]
+	load.Arriving, load.Waiting.CPU, load.Running.CPU = 12000, 4000, 5000
+	for worker := range load.Busy {
+		load.Busy[worker] = 1000
+	}
+	s.loads["a"] = load
+	s.run(4 * clock.Second)
+	if got := count(s, "a"); got < 11 {
+		t.Errorf("machines of the busy pool got %d, want at least 11", got)
+	}
+	idle := pool.Load{Busy: map[string]int{}, Lasting: map[string]int{}}
+	for _, m := range s.machines {
+		if m.Pool == "a" && m.Worker != "" {
+			idle.Busy[m.Worker] = 0
+			idle.Workers++
+			idle.Room.CPU += 1000
+		}
+	}
+	s.loads["a"] = idle
+	s.run(shrinkAfter + 3*clock.Second)
+	if got, most := count(s, "a"), len(s.machines)*baseShare/100/2+1; got > most {
+		t.Errorf("machines of the idle pool got %d, want at most %d", got, most)
+	}
+}
+
+func count(s *site, name string) int {
+	n := 0
+	for _, m := range s.machines {
+		if m.Pool == name {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a pool that starves because all its machines are wanted or down: its owner cannot use any.
+func TestPoolWithoutUsableWorkersGetsMachines(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 2, "b": 6, "standby": 4})
+	s.loads["a"] = pool.Load{Least: 2, Busy: map[string]int{}, Lasting: map[string]int{}}
+	s.run(4 * clock.Second)
+	if got := count(s, "a"); got < 4 {
+		t.Errorf("machines got %d, want at least 4", got)
+	}
+}
+
+// Guards against a machine that is lost to every pool: it was idle when it was chosen for a move, and never becomes empty.
+func TestMoveThatCannotEmptyItsWorkerIsDropped(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 8, "b": 8})
+	for i := range 8 {
+		s.held[fmt.Sprintf("b-%d", i)] = true
+	}
+	load := s.loads["a"]
+	load.Arriving, load.Waiting.CPU = 20000, 4000
+	s.loads["a"] = load
+	s.run(1 * clock.Second)
+	if got := len(s.c.wants); got == 0 {
+		t.Error("wants got 0, want some")
+	}
+	load.Arriving, load.Waiting.CPU = 0, 0
+	s.loads["a"] = load
+	s.run(moveLimit + 1*clock.Second)
+	if got := len(s.c.wants); got != 0 {
+		t.Errorf("wants got %d, want 0", got)
+	}
+}
--- /dev/null
+++ b/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics holds the counters and histograms of an instance; expvar serves them.
+package metrics
--- /dev/null
+++ b/metrics/histogram.go
@@ -0,0 +1,56 @@
+package metrics
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"sync/atomic"
+
+	"magnoliaferry/clock"
+)
+
+// bounds are the upper bounds of the buckets in milliseconds; the last bucket has none.
+var bounds = [...]clock.Millis{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000}
+
+// Histogram counts times in buckets. It is safe for concurrent use.
+type Histogram struct {
+	buckets [len(bounds) + 1]atomic.Int64
+	sum     atomic.Int64
+}
+
+// NewHistogram returns a histogram that expvar publishes under the name; a name is used once in a process.
+func NewHistogram(name string) *Histogram {
+	h := &Histogram{}
+	expvar.Publish(name, h)
+	return h
+}
+
+// Observe counts one time in milliseconds.
+func (h *Histogram) Observe(d clock.Millis) {
+	i := 0
+	for i < len(bounds) && d > bounds[i] {
+		i++
+	}
+	h.buckets[i].Add(1)
+	h.sum.Add(int64(d))
+}
+
+// String returns the buckets as JSON: the count of times up to each bound, cumulated, and the sum.
+func (h *Histogram) String() string {
+	out := map[string]int64{}
+	var total int64
+	for i := range h.buckets {
+		total += h.buckets[i].Load()
+		name := "le-inf"
+		if i < len(bounds) {
+			name = fmt.Sprintf("le-%d-ms", bounds[i])
+		}
+		out[name] = total
+	}
+	out["sum-ms"] = h.sum.Load()
+	encoded, err := json.Marshal(out)
+	if err != nil {
+		return "null" // a map of numbers always has a JSON form
+	}
+	return string(encoded)
+}
--- a/pool/codes.go
+++ b/pool/codes.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"magnoliaferry/event"
+	"magnoliaferry/metrics"
 )
 
 var (
@@ -25,3 +26,9 @@
 	eventStalled    = event.New(4215, "run-stalled", slog.LevelWarn, "a run makes little or no progress; it is moved to another worker")
 	eventSlowWorker = event.New(4216, "worker-slow", slog.LevelWarn, "tasks take much longer on a worker than elsewhere; it is avoided for a while")
 )
+
+var (
+	placeTime = metrics.NewHistogram("task-place-ms") // age of the job when a task gets its place
+	runTime   = metrics.NewHistogram("run-ms")        // from the order to the end
+	jobTime   = metrics.NewHistogram("job-ms")        // from acceptance to the final state
+)
--- a/pool/place.go
+++ b/pool/place.go
@@ -322,6 +322,7 @@
 	j.waiting--
 	j.started = true
 	s.mark(j)
+	placeTime.Observe(s.now - j.seen)
 	s.log(eventPlaced, slog.String("task", t.name), slog.Int("run", number), slog.String("worker", w.entry.ID),
 		slog.Int("used-cpu", w.used.CPU), slog.Int64("age-ms", int64(s.now-j.seen)),
 		slog.Int64("configuration", s.configuration.Version))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -198,6 +198,7 @@
 	j.state = state
 	s.mark(j)
 	s.final = append(s.final, finalJob{j.def.ID, s.now})
+	jobTime.Observe(s.now - j.seen)
 	s.log(eventJobEnded, slog.String("job", j.def.ID), slog.String("queue", j.def.Queue),
 		slog.String("state", state.String()), slog.Int64("after-ms", int64(s.now-j.seen)))
 	for _, o := range j.occurrences {
@@ -363,6 +364,9 @@
 	delete(w.runs, t.name)
 	w.used = w.used.Sub(t.step.def.Reserve())
 	t.run = nil
+	if r.sent != 0 {
+		runTime.Observe(s.now - r.sent)
+	}
 	s.log(eventEnded, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
 		slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)))
 	if checkpoint != "" {
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -238,3 +238,73 @@
 		t.Errorf("state got %v, want completed on the other worker", got)
 	}
 }
+
+// Guards against new tasks on a worker that drains, and against tasks that last and go down with it.
+func TestDrainingWorkerIsLeft(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.length = func(task string) clock.Millis {
+		if task == "lasting.0.0.0" {
+			return 0
+		}
+		return 500
+	}
+	w.submit("lasting", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true})
+	w.run(2 * clock.Second)
+	draining := w.where("lasting.0.0.0")
+	entry := w.workers[draining].entry
+	entry.Draining = true
+	w.s.SetWorker(entry)
+	w.submit("j", batch.Step{Count: 3, Need: cpu(1000)})
+	for range 200 {
+		w.run(10)
+		for name := range w.workers[draining].runs {
+			if name != "lasting.0.0.0" {
+				t.Fatalf("task %s starts on a worker that drains", name)
+			}
+		}
+	}
+	if got := w.where("lasting.0.0.0"); got == draining || got == "" {
+		t.Errorf("task that lasts runs on %q, want the other worker than %q", got, draining)
+	}
+}
+
+// Guards against a gang of which only a part gets a place.
+func TestGangStartsTogether(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	w.submit("big", batch.Step{Count: 9, Need: cpu(1000), Gang: true})
+	w.submit("fits", batch.Step{Count: 8, Need: cpu(1000), Gang: true})
+	w.run(600)
+	if got := w.starts["big.0.0.0"]; got != 0 {
+		t.Errorf("starts of the gang that does not fit got %d, want 0", got)
+	}
+	for i := range 8 {
+		if got := w.starts[fmt.Sprintf("fits.0.0.%d", i)]; got != 1 {
+			t.Errorf("starts of task %d got %d, want 1", i, got)
+		}
+	}
+	w.run(2 * clock.Second)
+	if got := w.state("fits"); got != batch.Completed {
+		t.Errorf("state got %v, want completed", got)
+	}
+}
+
+// Guards against tasks that fill and keep a task that serves beside them over its target, and against their never
+// getting their share back.
+func TestFillingTasksGiveWay(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("serves", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true, TargetLatency: 100})
+	w.submit("fills", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true, Fills: true})
+	w.run(2 * clock.Second)
+	serving, filling := w.workers["w0"].runs["serves.0.0.0"], w.workers["w0"].runs["fills.0.0.0"]
+	serving.figure = 150
+	w.run(4 * clock.Second)
+	if filling.pace > 10 {
+		t.Errorf("pace got %d, want at most 10 after 4 s over the target", filling.pace)
+	}
+	serving.figure = 50
+	w.run(6 * clock.Second)
+	if filling.pace != 100 {
+		t.Errorf("pace got %d, want 100 once the target is met", filling.pace)
+	}
+}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/store"
+)
+
+// TableFault is what happens to one call.
+type TableFault int
+
+// The faults of a Table.
+const (
+	TableWorks      TableFault = iota
+	TableRejects               // nothing is done
+	TableLosesCall             // nothing is done, and there is no answer
+	TableLosesReply            // the call is carried out, and there is no answer
+	TableDelays                // as TableLosesCall, but Settle carries the call out if its conditions still hold
+)
+
+// Table takes the place of the platform's store in tests; it implements store.Table in memory. Exported fields are set
+// before the first call.
+type Table struct {
+	// Fault tells what happens to a transaction; nil: all work.
+	Fault func(tx store.Transaction) TableFault
+	// Down, if set, tells whether reads are rejected.
+	Down func() bool
+
+	mu      sync.Mutex
+	version int64
+	rows    map[[3]string]store.Row
+	history []store.Row
+	from    int64 // changes up to this version are no longer kept
+	delayed []store.Transaction
+	changed chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: map[[3]string]store.Row{}, changed: make(chan struct{})}
+}
+
+// Commit implements store.Table.
+func (t *Table) Commit(_ context.Context, tx store.Transaction) (store.Result, error) {
+	fault := TableWorks
+	if t.Fault != nil {
+		fault = t.Fault(tx)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch fault {
+	case TableRejects:
+		return store.Result{}, store.ErrRejected.New("the stand-in rejects the call")
+	case TableLosesCall:
+		return store.Result{}, store.ErrUnknown.New("the stand-in does not answer")
+	case TableDelays:
+		t.delayed = append(t.delayed, tx)
+		return store.Result{}, store.ErrUnknown.New("the stand-in does not answer")
+	}
+	result := t.apply(tx)
+	if fault == TableLosesReply {
+		return store.Result{}, store.ErrUnknown.New("the stand-in does not answer")
+	}
+	return result, nil
+}
+
+// Settle carries out the transactions that were delayed.
+func (t *Table) Settle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tx := range t.delayed {
+		t.apply(tx)
+	}
+	t.delayed = nil
+}
+
+func (t *Table) apply(tx store.Transaction) store.Result {
+	var current []store.Row
+	holds := true
+	for _, c := range tx.Conditions {
+		row, ok := t.rows[[3]string{c.Table, c.Part, c.Key}]
+		if ok {
+			current = append(current, row)
+		}
+		holds = holds && row.Version == c.Version
+	}
+	if !holds {
+		return store.Result{Current: current}
+	}
+	t.version++
+	for _, row := range tx.Puts {
+		row.Version = t.version
+		t.rows[[3]string{row.Table, row.Part, row.Key}] = row
+		t.history = append(t.history, row)
+	}
+	for _, row := range tx.Deletes {
+		name := [3]string{row.Table, row.Part, row.Key}
+		if _, ok := t.rows[name]; ok {
+			delete(t.rows, name)
+			row.Version, row.Deleted = t.version, true
+			t.history = append(t.history, row)
+		}
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return store.Result{Applied: true, Version: t.version}
+}
+
+// Forget drops the history, so that feeds have to begin anew.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history, t.from = nil, t.version
+}
+
+// Rows returns the rows of a table in all parts, sorted by part and key.
+func (t *Table) Rows(table string) []store.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sorted(func(row store.Row) bool { return row.Table == table })
+}
+
+func (t *Table) sorted(wanted func(row store.Row) bool) []store.Row {
+	var rows []store.Row
+	for _, row := range t.rows {
+		if wanted(row) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b store.Row) int {
+		return cmp.Or(strings.Compare(a.Part, b.Part), strings.Compare(a.Key, b.Key))
+	})
+	return rows
+}
+
+func (t *Table) rejected() error {
+	if t.Down != nil && t.Down() {
+		return store.ErrRejected.New("the stand-in rejects the call")
+	}
+	return nil
+}
+
+// Range implements store.Table.
+func (t *Table) Range(_ context.Context, table, part, from string) (store.Page, error) {
+	if err := t.rejected(); err != nil {
+		return store.Page{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := t.sorted(func(row store.Row) bool { return row.Table == table && row.Part == part && row.Key >= from })
+	return store.Page{Rows: rows, Version: t.version}, nil
+}
+
+// Parts implements store.Table.
+func (t *Table) Parts(_ context.Context, table, after string) ([]string, bool, error) {
+	if err := t.rejected(); err != nil {
+		return nil, false, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for _, row := range t.sorted(func(row store.Row) bool { return row.Table == table && row.Part >= after }) {
+		if !slices.Contains(names, row.Part) && (row.Part > after || after == "") {
+			names = append(names, row.Part)
+		}
+	}
+	return names, false, nil
+}
+
+// Feed implements store.Table; it waits on the system's clock.
+func (t *Table) Feed(ctx context.Context, table string, after int64, wait clock.Millis) (store.Page, error) {
+	timeout := time.After(wait.Duration())
+	for {
+		if err := t.rejected(); err != nil {
+			return store.Page{}, err
+		}
+		t.mu.Lock()
+		if after < t.from {
+			t.mu.Unlock()
+			return store.Page{}, store.ErrHistoryGone.New("the stand-in keeps changes after %d only", t.from)
+		}
+		page := store.Page{Version: t.version}
+		for _, row := range t.history {
+			if row.Table == table && row.Version > after {
+				page.Rows = append(page.Rows, row)
+			}
+		}
+		changed := t.changed
+		t.mu.Unlock()
+		if len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return store.Page{}, store.ErrRejected.Wrap(ctx.Err(), "feed")
+		}
+	}
+}
--- a/store/jobs.go
+++ b/store/jobs.go
@@ -193,6 +193,13 @@
 	return *known, true
 }
 
+// Len returns the number of jobs.
+func (j *Jobs) Len() int {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return len(j.jobs)
+}
+
 // Waiting returns the number of jobs of a queue of which no task has started.
 func (j *Jobs) Waiting(queue string) int {
 	j.mu.RLock()
