--- a/front/gate.go
+++ b/front/gate.go
@@ -6,21 +6,27 @@
 	"magnoliaferry/clock"
 )
 
-// probePeriod is the time between two writes that are let through while the store does not answer.
-const probePeriod = 250 * clock.Millis(1)
+// Times of the gate.
+const (
+	// gatePatience is how long writes must have failed: callers wait out shorter outages, as coming back takes them longer.
+	gatePatience = 700 * clock.Millis(1)
+	// probePeriod is the time between two writes that are let through while the store does not answer.
+	probePeriod = 250 * clock.Millis(1)
+)
 
 // gate keeps callers from waiting for a store that does not answer: after a failed write, one write at a time is let
 // through until one succeeds. What is turned away was never sent, so that it can be refused truthfully.
 type gate struct {
 	mu      sync.Mutex
 	failing bool
+	since   clock.Millis // start of the first write that failed
 	probeAt clock.Millis
 }
 
 func (g *gate) enter(now clock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.failing {
+	if !g.failing || now-g.since < gatePatience {
 		return true
 	}
 	if now < g.probeAt {
@@ -30,8 +36,12 @@
 	return true
 }
 
-func (g *gate) leave(ok bool) {
+// leave takes in the outcome of a write that was sent at the given time.
+func (g *gate) leave(ok bool, sent clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !ok && !g.failing {
+		g.since = sent
+	}
 	g.failing = !ok
 }
--- a/front/service.go
+++ b/front/service.go
@@ -104,8 +104,9 @@
 	var unknown error
 	pause := retryPause
 	for attempt := 1; ; attempt++ {
+		sent := s.Clock.Now()
 		outcome, err := s.Table.Commit(ctx, tx)
-		s.gate.leave(err == nil)
+		s.gate.leave(err == nil, sent)
 		if err == nil {
 			return outcome, nil
 		}
--- a/front/service_test.go
+++ b/front/service_test.go
@@ -101,6 +101,7 @@
 	if got, want := submit(s, c, "a"), CodeNotStored.Number(); got != want {
 		t.Errorf("result got %d, want %d", got, want)
 	}
+	c.Advance(gatePatience)
 	submit(s, c, "b") // the probe
 	calls := table.calls
 	if got, want := submit(s, c, "c"), CodeNotStored.Number(); got != want || table.calls != calls {
--- a/machines/balance.go
+++ b/machines/balance.go
@@ -18,7 +18,7 @@
 	// of all machines.
 	baseShare = 80
 	// lentShare is the part of that base, in percent, that it keeps when another pool is short.
-	lentShare = 75
+	lentShare = 50
 	// shrinkAfter is how long the demand of a pool must have been low before it gives machines away.
 	shrinkAfter = 2 * clock.Second
 	// moveLimit is how long a worker may take to become empty for a move; it was idle when it was chosen.
