--- a/machines/balance.go
+++ b/machines/balance.go
@@ -16,7 +16,7 @@
 	waitingShare = 50
 	// baseShare is the part of the machines, in percent, that an idle pool keeps for the beginning of a surge, of an equal share
 	// of all machines.
-	baseShare = 80
+	baseShare = 60
 	// lentShare is the part of that base, in percent, that it keeps when another pool is short.
 	lentShare = 50
 	// shrinkAfter is how long the demand of a pool must have been low before it gives machines away.
@@ -25,6 +25,8 @@
 	moveLimit = 1500 * clock.Millis(1)
 	// restTime is for how long such a worker is not chosen again.
 	restTime = 5 * clock.Second
+	// joinTime is how long it takes at most until the owner of a pool uses a new worker.
+	joinTime = 2500 * clock.Millis(1)
 	// headroom is added, in percent, to the demand of a pool.
 	headroom = 15
 )
@@ -61,6 +63,7 @@
 	size     int // usable or on their way, less those that are wanted
 	desired  int // for the work there is now
 	kept     int // that it does not give to standby
+	least    int // that it gets back from standby
 	lendable int // down to this size it gives idle machines to pools that need them
 	donors   []batch.Machine
 }
@@ -94,6 +97,15 @@
 			p.size++
 		}
 	}
+	// Pools that lost machines get them back for the beginning of their next surge.
+	for _, p := range plans {
+		for p.size < p.least && len(spare) > 0 {
+			m := spare[0]
+			spare = spare[1:]
+			c.open(Want{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: p.name})
+			p.size++
+		}
+	}
 	home := c.standbyPool()
 	if home == "" {
 		return
@@ -189,7 +201,9 @@
 			}
 		default:
 			if p := byName[m.Pool]; p != nil {
-				p.size++
+				if c.counts(m) {
+					p.size++
+				}
 				if load := c.loads[m.Pool]; m.State == batch.MachineUp && isIdle(load, m.Worker) && c.now >= c.restUntil[id] {
 					p.donors = append(p.donors, m)
 				}
@@ -199,6 +213,7 @@
 	base := len(c.listed) * baseShare / 100 / len(plans)
 	for _, p := range plans {
 		load := c.loads[p.name]
+		p.least = base * lentShare / 100
 		machine := max(load.Room.CPU/max(load.Workers, 1), 1) // processor of one machine
 		if load.Workers == 0 {
 			// Whatever is in the pool cannot be used, for example because all of it is wanted or crashed.
@@ -213,7 +228,7 @@
 		if load.Waiting.CPU == 0 && load.Arriving < load.Room.CPU {
 			p.desired = min(p.desired, p.size) // everything has a place
 		}
-		p.lendable = max(p.desired, load.Least+1, base*lentShare/100)
+		p.lendable = max(p.desired, load.Least+1, p.least)
 		if c.demands[p.name] == nil {
 			c.demands[p.name] = &demand{}
 		}
@@ -222,6 +237,15 @@
 	return plans, spare
 }
 
+// counts reports whether a machine is of use to its pool: its owner uses the worker, or has not had the time to. The
+// platform's list shows a crashed machine as up for some time.
+func (c *Coordinator) counts(m batch.Machine) bool {
+	if _, usable := c.loads[m.Pool].Busy[m.Worker]; usable {
+		return true
+	}
+	return c.now-c.firstSeen[m.Worker] < joinTime
+}
+
 // isIdle reports whether nothing runs on a worker that could be used.
 func isIdle(load pool.Load, worker string) bool {
 	busy, usable := load.Busy[worker]
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -44,6 +44,7 @@
 	opened        int64
 	demands       map[string]*demand
 	shortLogged   clock.Millis
+	firstSeen     map[string]clock.Millis // by worker, when the list named it first
 	restUntil     map[string]clock.Millis // by machine
 	loads         map[string]pool.Load
 	orders        []Order
@@ -71,7 +72,7 @@
 func NewCoordinator(token int64, ordersFrom clock.Millis, logger *slog.Logger) *Coordinator {
 	return &Coordinator{Logger: logger, Token: token, OrdersFrom: ordersFrom, configuration: &batch.Configuration{},
 		listed: map[string]batch.Machine{}, waves: map[int64]*wave{}, wants: map[string]*want{},
-		cordons: map[string]string{}, demands: map[string]*demand{}, restUntil: map[string]clock.Millis{}, loads: map[string]pool.Load{}}
+		cordons: map[string]string{}, demands: map[string]*demand{}, restUntil: map[string]clock.Millis{}, firstSeen: map[string]clock.Millis{}, loads: map[string]pool.Load{}}
 }
 
 func (c *Coordinator) log(e *event.Event, attributes ...slog.Attr) {
@@ -121,9 +122,15 @@
 // Listed takes in the platform's list of machines, which was asked for at the given time.
 func (c *Coordinator) Listed(list []batch.Machine, asked clock.Millis) {
 	c.listed = make(map[string]batch.Machine, len(list))
+	seen := make(map[string]clock.Millis, len(list))
 	for _, m := range list {
 		c.listed[m.ID] = m
+		seen[m.Worker] = c.now
+		if before, known := c.firstSeen[m.Worker]; known {
+			seen[m.Worker] = before
+		}
 	}
+	c.firstSeen = seen
 	c.listedAt = c.now
 	for _, machine := range sorted(c.wants) {
 		w := c.wants[machine]
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -264,3 +264,18 @@
 		t.Errorf("wants got %d, want 0", got)
 	}
 }
+
+// Guards against a pool that counts crashed machines, which the platform still lists as up, and gets none for them.
+func TestCrashedMachinesAreReplaced(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 8, "b": 8, "standby": 8})
+	s.run(joinTime)
+	load := s.loads["a"]
+	load.Workers, load.Room.CPU = 1, 1000
+	load.Busy = map[string]int{"w-a-0": 0}
+	s.loads["a"] = load
+	s.run(4 * clock.Second)
+	least := len(s.machines) * baseShare / 100 / 2 * lentShare / 100
+	if got, want := count(s, "a"), 8+least-1; got < want {
+		t.Errorf("machines of the pool got %d, want %d: 7 of its own cannot be used", got, want)
+	}
+}
