--- a/batch/configuration.go
+++ b/batch/configuration.go
@@ -17,16 +17,12 @@
 	Stretch     float64
 	Objective   clock.Millis // added to Stretch times the longest chain of work
 	Advised     bool         // only workers that the advisor names may run a step
-	DecideTime  clock.Millis // that the advisor takes for a call
-	PerWorker   clock.Millis // and for each worker in it
-	TicketLife  clock.Millis
 }
 
 // Pool is a set of workers as the configuration declares it.
 type Pool struct {
-	Name             string
-	EnforcesCapacity bool // the workers themselves refuse what does not fit
-	Standby          bool // the machines are off and not paid for
+	Name    string
+	Standby bool // the machines are off and not paid for
 }
 
 // Configuration is one version of the operators' configuration; it is not changed once it is built.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -43,13 +43,10 @@
 	Metrics  string `json:"metrics"`  // address for expvar; empty: none
 	MemoryMB int    `json:"memory-mb"`
 
-	LeaseLimit      clock.Millis `json:"lease-limit"`       // longest lease of a worker
-	MachineLease    clock.Millis `json:"machine-lease"`     // between orders of two holders for one machine
-	StopGrace       Seconds      `json:"stop-grace-s"`      // from SIGTERM to the end of the process
-	StateRetention  Seconds      `json:"state-retention-s"` // for which the state of an ended job is told
-	NoticeTime      clock.Millis `json:"notice-time"`       // after which a task that is away counts as missing
-	MachineOrders   float64      `json:"machine-orders"`    // orders for machines a second, of all instances
-	MachineMoveTime Seconds      `json:"machine-move-s"`    // for which a machine is away when it moves
+	LeaseLimit     clock.Millis `json:"lease-limit"`       // longest lease of a worker
+	MachineLease   clock.Millis `json:"machine-lease"`     // between orders of two holders for one machine
+	StopGrace      Seconds      `json:"stop-grace-s"`      // from SIGTERM to the end of the process
+	StateRetention Seconds      `json:"state-retention-s"` // for which the state of an ended job is told
 }
 
 // Seconds is a time in seconds, possibly a fraction.
--- a/pool/place.go
+++ b/pool/place.go
@@ -11,7 +11,6 @@
 // Weights of the choice of a worker; a worker's use counts from 0 to 1000.
 const (
 	costOtherRack  = 1500 // the data is elsewhere
-	costAvoided    = 4000 // the last run of the task failed there
 	costServing    = 600  // a task that fills beside one that serves
 	costPerFilling = 300  // each task that fills beside another
 	costPerPeer    = 200  // each task of the same step
@@ -267,7 +266,7 @@
 	var best *worker
 	bestCost := 0
 	for _, w := range workers {
-		if w == without || !need.Fits(w.room()) || (def.Label != "" && !w.entry.HasLabel(def.Label)) {
+		if w == without || (w == t.avoid && s.now < t.avoidUntil) || !need.Fits(w.room()) || (def.Label != "" && !w.entry.HasLabel(def.Label)) {
 			continue
 		}
 		if t.step.advice != nil && t.step.advice.Tickets[w.entry.ID] == "" {
@@ -293,9 +292,6 @@
 		if def.Rack != "" && !w.entry.HasLabel(def.Rack) {
 			cost += costOtherRack
 		}
-		if t.avoid == w {
-			cost += costAvoided
-		}
 		if def.Fills {
 			cost += serving*costServing + filling*costPerFilling
 		} else if def.TargetLatency > 0 {
@@ -320,7 +316,6 @@
 	w.used = w.used.Add(t.step.def.Reserve())
 	j := t.step.job
 	j.waiting--
-	j.started = true
 	s.mark(j)
 	placeTime.Observe(s.now - j.seen)
 	s.log(eventPlaced, slog.String("task", t.name), slog.Int("run", number), slog.String("worker", w.entry.ID),
@@ -368,14 +363,8 @@
 	}
 }
 
+// name returns the name of a step, which the names of its tasks begin with; a step has at least one task.
 func (st *step) name() string {
-	o := 0
-	if len(st.tasks) > 0 {
-		o = st.tasks[0].key.Occurrence
-	}
-	return stepName(st.job.def.ID, o, st.tasks[0].key.Step)
-}
-
-func stepName(job string, occurrence, step int) string {
-	return fmt.Sprintf("%s.%d.%d", job, occurrence, step)
+	key := st.tasks[0].key
+	return fmt.Sprintf("%s.%d.%d", st.job.def.ID, key.Occurrence, key.Step)
 }
--- a/pool/progress.go
+++ b/pool/progress.go
@@ -35,7 +35,7 @@
 		s.log(eventStalled, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
 			slog.Int("percent", r.percent), slog.Int64("unchanged-ms", int64(s.now-r.moved)),
 			slog.Int64("running-ms", int64(s.now-r.sent)), slog.Int64("declared-ms", int64(r.task.step.def.Estimate)))
-		r.task.avoid = w
+		r.task.leave(w, s.now)
 		s.suspect(w)
 		s.stop(r, "no progress")
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -30,6 +30,9 @@
 	renewPeriod   = 500 * clock.Millis(1)  // of the ownership when nothing is to be stored
 	failuresLimit = 3                      // failed runs in a row after which a worker is avoided
 	avoidTime     = 4 * clock.Second
+	// taskAvoidTime is for how long a task does not go back to a worker where it failed; a worker that fails everything
+	// would otherwise use up its attempts, as it always has room.
+	taskAvoidTime = 2 * clock.Second
 	restartPause  = 300 * clock.Millis(1) // before a long-running task starts again, doubled up to restartLimit
 	restartLimit  = 2 * clock.Second
 )
@@ -136,7 +139,6 @@
 		st := o.steps[stored.Step]
 		t := st.tasks[stored.Index]
 		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
-		j.started = true
 		if stored.Done {
 			t.done = true
 			st.done++
@@ -399,7 +401,7 @@
 	t := r.task
 	if how == EndFailed && r.percent < 100 {
 		t.retries++
-		t.avoid = r.worker
+		t.leave(r.worker, s.now)
 		t.retryAt = s.now + min(restartPause<<min(t.retries-1, 8), restartLimit)
 		s.suspect(r.worker)
 		return
@@ -428,7 +430,7 @@
 		counted = t.step.tasks[0]
 	}
 	counted.failures++
-	t.avoid = r.worker
+	t.leave(r.worker, s.now)
 	s.suspect(r.worker)
 	attempts := 1
 	if queue, ok := s.configuration.Queue(t.step.job.def.Queue); ok {
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -308,3 +308,22 @@
 		t.Errorf("pace got %d, want 100 once the target is met", filling.pace)
 	}
 }
+
+// Guards against a worker that fails everything: it always has room, and would use up the attempts of every task.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	w := newWorld(t, 2, testQueue)
+	bad := ""
+	w.fails = func(_, worker string) bool {
+		if bad == "" {
+			bad = worker
+		}
+		return worker == bad
+	}
+	w.length = func(string) clock.Millis { return 200 }
+	w.submit("long", batch.Step{Count: 4, Need: cpu(1000)}) // fills one worker
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000)})
+	w.run(3 * clock.Second)
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed", got)
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -44,8 +44,14 @@
 	run        *run
 	checkpoint string
 	retryAt    clock.Millis
-	avoid      *worker // where the last run failed
-	retries    int     // ends of a long-running task in a row, without having been at work
+	avoid      *worker // where the last run failed or made no progress
+	avoidUntil clock.Millis
+	retries    int // ends of a long-running task in a row, without having been at work
+}
+
+// leave keeps the task from a worker for a while.
+func (t *task) leave(w *worker, now clock.Millis) {
+	t.avoid, t.avoidUntil = w, now+taskAvoidTime
 }
 
 // atWork reports whether a long-running task does its work, as far as its worker has said lately.
@@ -82,7 +88,6 @@
 	finished    int // occurrences that are done
 	dirty       bool
 	cancelled   bool
-	started     bool
 	waiting     int // tasks without a run whose step may run
 }
 
--- a/store/chain.go
+++ b/store/chain.go
@@ -34,8 +34,7 @@
 // Owner is the content of the row that names the owner of a part.
 type Owner struct {
 	Node     string          `json:"node"`
-	Address  string          `json:"address,omitempty"` // of the owner, for its peers
-	Write    string          `json:"write"`             // unique for each transaction of the chain
+	Write    string          `json:"write"` // unique for each transaction of the chain
 	Released bool            `json:"released,omitempty"`
 	Load     json.RawMessage `json:"load,omitempty"` // what the owner tells the others
 }
@@ -62,14 +61,13 @@
 // one before left it, and writes it again, so that it renews the ownership, raises the fencing token, and fails once
 // another instance has taken the part. One transaction is in flight at a time. Exported fields are set before Claim.
 type Chain struct {
-	Store   Table
-	Clock   *clock.Clock
-	Logger  *slog.Logger
-	Table   string
-	Part    string
-	Node    string
-	Address string
-	Boot    string // unique for this process
+	Store  Table
+	Clock  *clock.Clock
+	Logger *slog.Logger
+	Table  string
+	Part   string
+	Node   string
+	Boot   string // unique for this process
 	// SinceBoot is a clock that also counts the time for which the machine was suspended.
 	SinceBoot func() clock.Millis
 
@@ -130,7 +128,7 @@
 func (c *Chain) commit(ctx context.Context, puts, deletes []Row, owner Owner) error {
 	c.mu.Lock()
 	c.writes++
-	owner.Node, owner.Address = c.Node, c.Address
+	owner.Node = c.Node
 	owner.Write = fmt.Sprintf("%s/%s/%d", c.Node, c.Boot, c.writes)
 	seen := c.version
 	c.mu.Unlock()
