--- a/front/gate.go
+++ b/front/gate.go
@@ -45,3 +45,37 @@
 	}
 	g.failing = !ok
 }
+
+// openLimit bounds the remembered writes; with more, the oldest are forgotten.
+const openLimit = 10000
+
+// openWrites are the jobs whose write got no answer. A later request with the same id must not be told that the job will
+// not run, as the store may still carry the first write out.
+type openWrites struct {
+	mu    sync.Mutex
+	ids   map[string]bool
+	order []string
+}
+
+func (o *openWrites) add(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ids == nil {
+		o.ids = map[string]bool{}
+	}
+	if o.ids[id] {
+		return
+	}
+	o.ids[id] = true
+	o.order = append(o.order, id)
+	if len(o.order) > openLimit {
+		delete(o.ids, o.order[0])
+		o.order = o.order[1:]
+	}
+}
+
+func (o *openWrites) has(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ids[id]
+}
--- a/front/service.go
+++ b/front/service.go
@@ -43,6 +43,7 @@
 	Wall func() clock.Millis
 
 	gate gate
+	open openWrites
 }
 
 // Match returns the queue of a request and the rest of its path, or a refusal.
@@ -73,6 +74,9 @@
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
 	}
 	if !s.gate.enter(s.Clock.Now()) {
+		if s.open.has(job.ID) {
+			return s.refuse(ctx, CodeUnknown, job.ID, store.ErrUnknown.New("an earlier write of this job may still be carried out"), retryAfter)
+		}
 		return s.refuse(ctx, CodeNotStored, job.ID, store.ErrRejected.New("the store does not answer; nothing was sent to it"), retryAfter)
 	}
 	row := store.Row{Table: store.WorkTable, Part: job.Pool, Key: store.Key(store.KindJob, job.ID), Value: value}
@@ -90,9 +94,10 @@
 	case err == nil:
 		s.log(ctx, eventRepeated, job.ID, slog.String("known", "store"))
 		return nil
-	case errorx.IsOfType(err, store.ErrRejected):
+	case errorx.IsOfType(err, store.ErrRejected) && !s.open.has(job.ID):
 		return s.refuse(ctx, CodeNotStored, job.ID, err, retryAfter)
 	}
+	s.open.add(job.ID)
 	return s.refuse(ctx, CodeUnknown, job.ID, err, retryPause)
 }
 
--- a/front/service_test.go
+++ b/front/service_test.go
@@ -127,3 +127,30 @@
 		t.Errorf("refusal got %v, want %s", refusal, CodeStale.Name())
 	}
 }
+
+// Guards against a repeated request that is told that its job will not run, while the write of the first request may still
+// be carried out.
+func TestOpenWriteIsNotRefusedLater(t *testing.T) {
+	lost, down := store.ErrUnknown.New("no answer"), store.ErrRejected.New("down")
+	table := &scriptedTable{}
+	for range 40 {
+		table.errors = append(table.errors, lost)
+	}
+	s, c := newService(table)
+	if got, want := submit(s, c, "a"), CodeUnknown.Number(); got != want {
+		t.Errorf("result got %d, want %d", got, want)
+	}
+	table.errors = []error{down, down, down, down, down, down}
+	s.gate.leave(true, 0)
+	if got, want := submit(s, c, "a"), CodeUnknown.Number(); got != want {
+		t.Errorf("result of the repeated request got %d, want %d", got, want)
+	}
+	c.Advance(gatePatience)
+	submit(s, c, "b") // the probe
+	if got, want := submit(s, c, "a"), CodeUnknown.Number(); got != want {
+		t.Errorf("result behind the gate got %d, want %d", got, want)
+	}
+	if got, want := submit(s, c, "c"), CodeNotStored.Number(); got != want {
+		t.Errorf("result of another job got %d, want %d", got, want)
+	}
+}
