--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,7 +62,7 @@
 	Machines machines.Platform
 
 	clock         *clock.Clock
-	boot          string
+	incarnation   string
 	jobs          *store.Jobs
 	work          *store.Follower
 	workers       *workerList
@@ -83,7 +83,7 @@
 // Run serves until the context ends, and then leaves without cutting a request.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.clock = clock.System()
-	d.boot = uuid.NewString()
+	d.incarnation = uuid.NewString()
 	d.owners, d.electors = map[*poolOwner]bool{}, map[string]bool{}
 	d.waves = map[int64]batch.Wave{}
 	d.jobs = store.NewJobs(d.clock, d.Logger)
@@ -127,7 +127,7 @@
 		go func() { failed <- server.server.Serve(listener) }()
 	}
 	eventStarted.Log(ctx, d.Logger, slog.String("node", d.Settings.Node), slog.String("zone", d.Settings.Zone),
-		slog.String("boot", d.boot))
+		slog.String("incarnation", d.incarnation))
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -76,7 +76,7 @@
 		return seen, existed, true
 	case seen.Owner.Node == d.Settings.Node:
 		// An earlier life of this process, which cannot act any more.
-		return seen, existed, seen.Owner.Boot() != d.boot || d.clock.Now()-seen.At > takeoverAfter
+		return seen, existed, seen.Owner.Incarnation() != d.incarnation || d.clock.Now()-seen.At > takeoverAfter
 	}
 	return seen, existed, d.clock.Now()-seen.At > takeoverAfter && d.work.Healthy() > copyHealthy
 }
@@ -94,7 +94,7 @@
 		slog.Bool("released", seen.Owner.Released), slog.Int64("unchanged-ms", int64(d.clock.Now()-seen.At)),
 		slog.Int64("version", seen.Version))
 	chain := &store.Chain{Store: d.Table, Clock: d.clock, Logger: d.Logger, Table: store.WorkTable, Part: e.part,
-		Node: d.Settings.Node, Boot: d.boot, SinceBoot: d.sinceBoot}
+		Node: d.Settings.Node, Incarnation: d.incarnation, SinceBoot: d.sinceBoot}
 	claimContext, cancel := d.clock.WithTimeout(ctx, claimTimeout)
 	err := chain.Claim(claimContext, seen.Version)
 	cancel()
@@ -124,3 +124,22 @@
 		eventClaimFailed.Log(ctx, d.Logger, slog.String("part", e.part), slog.String("error", err.Error()))
 	}
 }
+
+// catchUp waits until the copy of the table has everything that earlier owners stored.
+func (d *Daemon) catchUp(ctx context.Context, chain *store.Chain) error {
+	ctx, cancel := d.clock.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	return d.work.WaitFor(ctx, chain.Token())
+}
+
+// settle waits for the transaction in flight at the end of a tenure, so that the next one of the chain can give the part
+// up.
+func (d *Daemon) settle(events *mailbox[func()], committing *bool) {
+	end := d.clock.Now() + releaseWait
+	for *committing && d.clock.Now() < end {
+		for _, handle := range events.take() {
+			handle()
+		}
+		_ = d.clock.Sleep(context.Background(), planPeriod) // this context has no end
+	}
+}
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -48,10 +48,7 @@
 }
 
 func (d *Daemon) leadMachines(ctx context.Context, chain *store.Chain, before store.Seen, existed bool) error {
-	catchUp, cancel := d.clock.WithTimeout(ctx, catchUpLimit)
-	err := d.work.WaitFor(catchUp, chain.Token())
-	cancel()
-	if err != nil {
+	if err := d.catchUp(ctx, chain); err != nil {
 		return err
 	}
 	from := d.clock.Now()
@@ -75,13 +72,7 @@
 		case <-d.clock.After(machinesPeriod):
 		}
 	}
-	end := d.clock.Now() + releaseWait
-	for o.committing && d.clock.Now() < end {
-		for _, handle := range o.events.take() {
-			handle()
-		}
-		_ = d.clock.Sleep(context.Background(), planPeriod) // this context has no end
-	}
+	d.settle(o.events, &o.committing)
 	return o.lost
 }
 
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -50,10 +50,7 @@
 
 func (d *Daemon) leadPool(name string) tenure {
 	return func(ctx context.Context, chain *store.Chain, before store.Seen, existed bool) error {
-		catchUp, cancel := d.clock.WithTimeout(ctx, catchUpLimit)
-		err := d.work.WaitFor(catchUp, chain.Token())
-		cancel()
-		if err != nil {
+		if err := d.catchUp(ctx, chain); err != nil {
 			return err
 		}
 		o := &poolOwner{daemon: d, pool: name, chain: chain, events: newMailbox[func()](),
@@ -232,7 +229,8 @@
 		case <-d.clock.After(idlePeriod):
 		}
 	}
-	return o.finish()
+	d.settle(o.events, &o.committing)
+	return o.lost
 }
 
 // step plans, and sends what the plan asks for.
@@ -368,19 +366,6 @@
 	})
 }
 
-// finish waits for the transaction in flight, so that the next one of the chain can give the pool up.
-func (o *poolOwner) finish() error {
-	d := o.daemon
-	end := d.clock.Now() + releaseWait
-	for o.committing && d.clock.Now() < end {
-		for _, handle := range o.events.take() {
-			handle()
-		}
-		_ = d.clock.Sleep(context.Background(), planPeriod) // this context has no end
-	}
-	return o.lost
-}
-
 // refresh takes in the copies of jobs, workers and configuration as they are now.
 func (o *poolOwner) refresh() {
 	d := o.daemon
--- a/pool/codes.go
+++ b/pool/codes.go
@@ -17,7 +17,7 @@
 	eventAnswers    = event.New(4206, "worker-answers", slog.LevelInfo, "a worker answers again")
 	eventJobEnded   = event.New(4207, "job-ended", slog.LevelInfo, "a job has reached its final state")
 	eventRefused    = event.New(4208, "start-refused", slog.LevelWarn, "a worker did not start a task")
-	eventStopping   = event.New(4209, "run-stopping", slog.LevelInfo, "a run is told to stop")
+	eventStopping   = event.New(4209, "stop-ordered", slog.LevelInfo, "a run is told to stop")
 	eventFenced     = event.New(4210, "worker-fenced", slog.LevelWarn, "a worker has seen a higher fencing token")
 	eventStray      = event.New(4211, "stray-run", slog.LevelError, "a worker lists a run that is not ours; it is told to stop")
 	eventPaced      = event.New(4212, "run-paced", slog.LevelInfo, "the share of processor time of a run changes")
--- a/store/chain.go
+++ b/store/chain.go
@@ -39,8 +39,8 @@
 	Load     json.RawMessage `json:"load,omitempty"` // what the owner tells the others
 }
 
-// Boot returns the boot of the process that wrote the row.
-func (o Owner) Boot() string {
+// Incarnation returns the incarnation of the process that wrote the row.
+func (o Owner) Incarnation() string {
 	parts := strings.Split(o.Write, "/")
 	if len(parts) != 3 {
 		return ""
@@ -61,13 +61,13 @@
 // one before left it, and writes it again, so that it renews the ownership, raises the fencing token, and fails once
 // another instance has taken the part. One transaction is in flight at a time. Exported fields are set before Claim.
 type Chain struct {
-	Store  Table
-	Clock  *clock.Clock
-	Logger *slog.Logger
-	Table  string
-	Part   string
-	Node   string
-	Boot   string // unique for this process
+	Store       Table
+	Clock       *clock.Clock
+	Logger      *slog.Logger
+	Table       string
+	Part        string
+	Node        string
+	Incarnation string // unique for this process
 	// SinceBoot is a clock that also counts the time for which the machine was suspended.
 	SinceBoot func() clock.Millis
 
@@ -129,7 +129,7 @@
 	c.mu.Lock()
 	c.writes++
 	owner.Node = c.Node
-	owner.Write = fmt.Sprintf("%s/%s/%d", c.Node, c.Boot, c.writes)
+	owner.Write = fmt.Sprintf("%s/%s/%d", c.Node, c.Incarnation, c.writes)
 	seen := c.version
 	c.mu.Unlock()
 	value, err := json.Marshal(owner)
--- a/store/chain_test.go
+++ b/store/chain_test.go
@@ -14,7 +14,7 @@
 )
 
 func newChain(table store.Table, node string, c *clock.Clock) *store.Chain {
-	return &store.Chain{Store: table, Clock: c, Table: store.WorkTable, Part: "p", Node: node, Boot: "b-" + node, SinceBoot: c.Now}
+	return &store.Chain{Store: table, Clock: c, Table: store.WorkTable, Part: "p", Node: node, Incarnation: "b-" + node, SinceBoot: c.Now}
 }
 
 // advancing calls f while the fake clock runs.
