--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,6 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
-	"magnoliaferry/event"
 	"magnoliaferry/front"
 	"magnoliaferry/machines"
 	"magnoliaferry/metrics"
@@ -24,15 +23,6 @@
 	"magnoliaferry/store"
 )
 
-var (
-	eventStarted = event.New(1078, "instance-started", slog.LevelInfo, "the instance has started")
-	eventStops   = event.New(1079, "instance-stopping", slog.LevelInfo, "the instance was told to stop; it takes no new channels and ends what it has")
-	eventStopped = event.New(1080, "instance-stopped", slog.LevelInfo, "the instance has stopped")
-	eventConfig  = event.New(1081, "configuration-in-force", slog.LevelInfo, "a configuration is in force")
-	eventBadConf = event.New(1082, "configuration-unreadable", slog.LevelError, "a configuration cannot be read; the one before stays in force")
-	eventListen  = event.New(1083, "listen-failed", slog.LevelError, "a server has failed")
-)
-
 // Times of an instance.
 const (
 	workPeriod     = 60 * clock.Millis(1)  // between polls of the work table
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -10,15 +10,9 @@
 	"github.com/joomcode/errorx"
 
 	"magnoliaferry/clock"
-	"magnoliaferry/event"
 	"magnoliaferry/store"
 )
 
-var (
-	eventClaimFailed = event.New(1071, "claim-failed", slog.LevelInfo, "a part of the table could not be taken over")
-	eventVacant      = event.New(1072, "part-vacant", slog.LevelInfo, "a part of the table has no owner that renews its ownership")
-)
-
 // Times of the ownership of parts.
 const (
 	// actLimit ends the authority of an owner that could not renew it; takeoverAfter is how long others wait. An order
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -9,18 +9,12 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
-	"magnoliaferry/event"
 	"magnoliaferry/machines"
 	"magnoliaferry/platform"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
 )
 
-var (
-	eventMachineTenure = event.New(1085, "machines-taken", slog.LevelInfo, "this instance decides on machines")
-	eventNoList        = event.New(1086, "machines-unlisted", slog.LevelWarn, "the platform does not list its machines")
-)
-
 // Times of the owner of the machines.
 const (
 	machinesPeriod   = 100 * clock.Millis(1) // between two plans
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -7,25 +7,17 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
-	"magnoliaferry/event"
 	"magnoliaferry/machines"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
 )
 
-var (
-	eventTenure = event.New(1073, "pool-taken", slog.LevelInfo, "this instance runs the jobs of a pool")
-	eventNoWord = event.New(1074, "ownership-doubtful", slog.LevelWarn,
-		"the ownership of a pool could not be renewed in time; nothing is ordered until it is")
-	eventWordBack = event.New(1075, "ownership-renewed", slog.LevelInfo, "the ownership of a pool is renewed; orders go on")
-)
-
 // Times of an owner.
 const (
-	planPeriod    = 10 * clock.Millis(1) // between two plans, so that one plan sees several events
-	idlePeriod    = 50 * clock.Millis(1) // between two plans without events
-	commitPeriod  = 20 * clock.Millis(1) // between two transactions
-	renewPeriod   = 500 * clock.Millis(1)
+	planPeriod    = 10 * clock.Millis(1)  // between two plans, so that one plan sees several events
+	idlePeriod    = 50 * clock.Millis(1)  // between two plans without events
+	commitPeriod  = 20 * clock.Millis(1)  // between two transactions
+	renewPeriod   = 500 * clock.Millis(1) // of the ownership when nothing is to be stored
 	catchUpLimit  = 5 * clock.Second
 	leaseSlack    = 300 * clock.Millis(1) // for orders on their way
 	leaseDriftDiv = 30                    // leases on slow clocks last up to a thirtieth longer
@@ -128,14 +120,6 @@
 	o.scheduler.AddJob(known.Job, progress, known.Cancelled)
 }
 
-var eventUnreadableProgress = event.New(1076, "progress-unreadable", slog.LevelError,
-	"the stored progress of a job cannot be read; the job is left as it is")
-
-var eventUnreadableLoad = event.New(1087, "load-unreadable", slog.LevelError,
-	"what the previous owner of a pool told about it cannot be read; the longest leases are assumed")
-
-var eventUnreadableWant = event.New(1084, "want-unreadable", slog.LevelError, "a stored decision about a machine cannot be read")
-
 // rows takes in changes of the work table.
 func (o *poolOwner) rows(rows []store.Row) {
 	for _, row := range rows {
@@ -357,8 +341,6 @@
 	}()
 }
 
-var eventNoAdvice = event.New(1077, "no-advice", slog.LevelWarn, "the advisor did not tell which workers may run a step")
-
 func (o *poolOwner) answer(handle func()) {
 	o.events.put(func() {
 		o.scheduler.Tick(o.daemon.clock.Now(), o.daemon.wall())
--- a/daemon/workers.go
+++ b/daemon/workers.go
@@ -6,13 +6,9 @@
 	"sync"
 
 	"magnoliaferry/batch"
-	"magnoliaferry/event"
 	"magnoliaferry/store"
 )
 
-var eventEntryUnreadable = event.New(1070, "worker-entry-unreadable", slog.LevelWarn,
-	"an entry in the list of workers cannot be read; it names no worker to use")
-
 // workerList is the copy of what workers say of themselves.
 type workerList struct {
 	logger *slog.Logger
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -27,7 +27,6 @@
 	reportAge     = 1200 * clock.Millis(1) // two holds; what a worker said before may no longer hold
 	stopRepeat    = 700 * clock.Millis(1)  // until the end is listed
 	startRepeat   = 300 * clock.Millis(1)  // pause after a start that a worker refused
-	renewPeriod   = 500 * clock.Millis(1)  // of the ownership when nothing is to be stored
 	failuresLimit = 3                      // failed runs in a row after which a worker is avoided
 	avoidTime     = 4 * clock.Second
 	// taskAvoidTime is for how long a task does not go back to a worker where it failed; a worker that fails everything
