pool, machines, batch: what is stored fits into the store's limits

Cause, found by reading: a transaction of 80 jobs with deleted rows and cordons could pass 100 entries, and a progress of over 600 tasks 64 KiB; the store would refuse it for ever and the pool would stand still. Transactions hold 60 jobs, 45 machines are wanted at once, a job has 800 tasks.

--- a/batch/job.go
+++ b/batch/job.go
@@ -19,9 +19,10 @@
 
 // Limits of a job. They bound the memory of one job, not what queues usually carry.
 const (
-	MaxSpecBytes    = 4000 // of the platform's interface
-	MaxSteps        = 64
-	MaxTasksPerStep = 2000
+	MaxSpecBytes = 4000 // of the platform's interface
+	MaxSteps     = 64
+	// MaxTasks bounds the tasks of all steps and occurrences: what is stored of them has to fit into one row of 64 KiB.
+	MaxTasks = 800
 )
 
 // Resources is an amount of processor, memory and accelerators.
@@ -116,10 +117,14 @@
 	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
 		return ErrInvalid.New("job has %d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
 	}
+	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Count < 1 || s.Count > MaxTasksPerStep {
-			return ErrInvalid.New("step %d has %d tasks, 1 to %d are allowed", i, s.Count, MaxTasksPerStep)
+		if s.Count < 1 || s.Count > MaxTasks {
+			return ErrInvalid.New("step %d has %d tasks, 1 to %d are allowed", i, s.Count, MaxTasks)
+		}
+		if tasks += s.Count * j.Runs(); tasks > MaxTasks {
+			return ErrInvalid.New("job has over %d tasks by step %d, over all its occurrences", MaxTasks, i)
 		}
 		for _, earlier := range s.After {
 			if earlier < 0 || earlier >= i {
--- /dev/null
+++ b/batch/job_test.go
@@ -0,0 +1,62 @@
+package batch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Guards against jobs that can never be carried out, or whose progress does not fit into a row of the store.
+func TestCheck(t *testing.T) {
+	step := func(count int, after ...int) Step { return Step{Count: count, After: after} }
+	for _, test := range []struct {
+		name string
+		job  Job
+		want string // part of the error; empty: none
+	}{
+		{"good", Job{Steps: []Step{step(4), step(2, 0)}}, ""},
+		{"no steps", Job{}, "0 steps"},
+		{"no tasks", Job{Steps: []Step{step(0)}}, "0 tasks"},
+		{"waits for itself", Job{Steps: []Step{step(1, 0)}}, "not an earlier one"},
+		{"long spec", Job{Spec: strings.Repeat("x", MaxSpecBytes+1), Steps: []Step{step(1)}}, "4001 bytes"},
+		{"too many tasks", Job{Steps: []Step{step(MaxTasks), step(1)}}, "over 800 tasks"},
+		{"too many occurrences", Job{Occurrences: 100, Steps: []Step{step(9)}}, "over 800 tasks"},
+	} {
+		err := test.job.Check()
+		if got := fmt.Sprint(err); (test.want == "") != (err == nil) || (err != nil && !strings.Contains(got, test.want)) {
+			t.Errorf("%s: got %v, want %q", test.name, err, test.want)
+		}
+	}
+}
+
+// Guards against the progress of the largest job growing over what a row of the store holds.
+func TestLargestProgressFitsIntoARow(t *testing.T) {
+	p := &Progress{State: Running}
+	for i := range MaxTasks {
+		p.Runs = append(p.Runs, Run{Step: 63, Index: i, Number: 9, Failures: 3, Worker: "i-0123456789", Born: 1775038581058})
+	}
+	value, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, most := len(value), 65536; got > most {
+		t.Errorf("bytes got %d, want at most %d", got, most)
+	}
+	decoded, err := DecodeProgress(value)
+	if err != nil || len(decoded.Runs) != MaxTasks || decoded.State != Running {
+		t.Errorf("decoded got %d runs, %v, want %d", len(decoded.Runs), err, MaxTasks)
+	}
+}
+
+// Guards against names of tasks that are taken apart wrongly.
+func TestParseTask(t *testing.T) {
+	job, key, ok := ParseTask(TaskKey{Occurrence: 1, Step: 2, Index: 17}.Name("5c0e"))
+	if job != "5c0e" || key != (TaskKey{1, 2, 17}) || !ok {
+		t.Errorf("got %q, %v, %v, want 5c0e, {1 2 17}", job, key, ok)
+	}
+	for _, bad := range []string{"", "a.b.c.d", "a.1.2", "a.1.2.-3", "a.1.2.3.4"} {
+		if _, _, ok := ParseTask(bad); ok {
+			t.Errorf("name %q got accepted, want refused", bad)
+		}
+	}
+}
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -22,6 +22,9 @@
 	orderRetry = 300 * clock.Millis(1)
 	// backLimit is how long a machine counts as down after its order was accepted, if the list never shows it back.
 	backLimit = 30 * clock.Second
+	// maxWants bounds the machines that are wanted at once: their rows, and those of as many that are dropped, fit into
+	// one transaction of 100 entries.
+	maxWants = 45
 	// costLasting is what a task that lasts weighs in the choice of a machine, against 1000 for a fully used one.
 	costLasting = 500
 )
@@ -274,6 +277,9 @@
 }
 
 func (c *Coordinator) open(stored Want) {
+	if len(c.wants) >= maxWants {
+		return
+	}
 	c.opened++
 	stored.ID = fmt.Sprintf("%d-%d", c.Token, c.opened)
 	c.wants[stored.Machine] = &want{Want: stored, opened: c.now}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -36,8 +36,9 @@
 	restartLimit  = 2 * clock.Second
 )
 
-// MaxRows bounds the jobs stored in one transaction, below what the platform allows.
-const MaxRows = 80
+// MaxRows bounds the jobs stored in one transaction. The platform takes 100 entries, among them the owner's row, deleted
+// rows and answers to wants.
+const MaxRows = 60
 
 // Scheduler runs the jobs of one pool. It is not safe for concurrent use. Exported fields are set before the first call.
 type Scheduler struct {
