standin, soak: the users' platform in small, and a soak of real processes against it

The stand-in speaks the platform's format over HTTP: store (standin.Rows), machines and workers (standin.Fleet), and a proxy that delays, resets, silences or mutes connections. cmd/soak runs instances as processes, draws faults by seed (kills, freezes, SIGTERM, cuts, outages of the store with lost and late transactions, crashes of workers under the same id) and checks: no task runs twice at once or after its end was acknowledged, no worker is overfull, no machine is taken while tasks run, a wave is complete and within its cap, accepted jobs are known and end, tasks that last are at work.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,76 @@
+// Command soak disturbs instances of the product that run as processes against stand-ins of the users' platform, seed by
+// seed, and ends with status 1 if a promise was broken.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/soak"
+)
+
+var errBroken = errors.New("promises were broken")
+
+func main() {
+	app := kingpin.New("soak", "Disturbs instances that run as processes and checks what callers and workers see.")
+	first := app.Flag("first", "First seed.").Default("1").Uint64()
+	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Uint64()
+	instances := app.Flag("instances", "Instances of the product.").Default("5").Int()
+	machines := app.Flag("machines", "Machines of the platform.").Default("15").Int()
+	length := app.Flag("length-s", "Seconds for which faults come.").Default("30").Int64()
+	out := app.Flag("out", "Directory for settings and logs.").Default("target/soak").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(*first, *seeds, *instances, *machines, clock.Millis(*length)*clock.Second, *out); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(first, seeds uint64, instances, machines int, length clock.Millis, out string) error {
+	if err := os.MkdirAll(out, 0o700); err != nil {
+		return err
+	}
+	binary := filepath.Join(out, "magnoliaferry")
+	if output, err := exec.Command("go", "build", "-o", binary, "./cmd/magnoliaferry").CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w: %s", err, output)
+	}
+	broken := false
+	for seed := first; seed < first+seeds; seed++ {
+		directory := filepath.Join(out, fmt.Sprintf("seed-%d", seed))
+		if err := os.RemoveAll(directory); err != nil {
+			return err
+		}
+		if err := os.MkdirAll(directory, 0o700); err != nil {
+			return err
+		}
+		log, err := os.Create(filepath.Join(directory, "soak.log"))
+		if err != nil {
+			return err
+		}
+		report, err := soak.Run(context.Background(), soak.Options{Binary: binary, Directory: directory, Seed: seed,
+			Instances: instances, Machines: machines, Length: length, Log: log})
+		if closed := log.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Printf("seed %d: %d faults; %d jobs accepted, %d refused, %d completed, %d cancelled; %d runs; %d machines of the wave; %d promises broken\n",
+			seed, report.Faults, report.Accepted, report.Refused, report.Completed, report.Cancelled, report.Runs, report.Duties, len(report.Breaches))
+		for _, breach := range report.Breaches {
+			fmt.Println("  " + breach)
+		}
+		broken = broken || len(report.Breaches) > 0
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+// What the site is made of. Two pools and a standby pool are the least that shows moves.
+const (
+	hostName      = "jobs.example"
+	standbyPool   = "spare"
+	machineCPU    = 4000 // thousandths of a core
+	machineMemory = 8000 // megabytes
+	leaseLimit    = 6 * clock.Second
+	machineLease  = 3 * clock.Second
+	stopGrace     = 6 // seconds
+	retention     = 120
+	feedRows      = 500 // rows that one answer of the store has at most, as on the platform
+)
+
+var pools = []string{"north", "south"}
+
+// site is a platform and the instances that run on it.
+type site struct {
+	options   Options
+	table     *standin.Table
+	fleet     *standin.Fleet
+	fault     atomic.Int64 // standin.TableFault of transactions
+	down      atomic.Bool  // reads of the store are rejected
+	machines  []string
+	instances []*instance
+	workers   map[string]*standin.Proxy // by machine
+	address   struct{ store, machines string }
+}
+
+// instance is one process of the product and its paths to the platform.
+type instance struct {
+	name            string
+	callers         string // address
+	settings        string // file
+	store, machines *standin.Proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+func newSite(ctx context.Context, o Options) (*site, error) {
+	table := standin.NewTable()
+	table.FeedRows = feedRows
+	s := &site{options: o, table: table, workers: map[string]*standin.Proxy{},
+		fleet: standin.NewFleet(table, clock.System(), func() int64 { return time.Now().UnixMilli() })}
+	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
+	table.Down = s.down.Load
+	routes := []map[string]any{}
+	services := []map[string]any{{"name": standbyPool, "standby": true}}
+	for _, pool := range pools {
+		services = append(services, map[string]any{"name": pool})
+		routes = append(routes, map[string]any{"name": "q-" + pool, "host": hostName, "prefix": "/" + pool + "/", "service": pool,
+			"priority": 1, "maxAttempts": 20, "stretch": 1.6, "targetCompletionMs": 600})
+	}
+	configuration, err := json.Marshal(map[string]any{"version": 1, "services": services, "routes": routes})
+	if err != nil {
+		return nil, err
+	}
+	table.Put("op", "config", configuration)
+	s.fleet.Standby(standbyPool)
+	if err := s.addMachines(ctx); err != nil {
+		return nil, err
+	}
+	if s.address.store, err = listen(ctx, &standin.Rows{Table: table}); err != nil {
+		return nil, err
+	}
+	if s.address.machines, err = listen(ctx, s.fleet); err != nil {
+		return nil, err
+	}
+	for i := range o.Instances {
+		if err := s.addInstance(ctx, i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// listen serves on a free port until the context ends.
+func listen(ctx context.Context, handler http.Handler) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: (10 * clock.Second).Duration()}
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // the soak is over
+	go func() { _ = server.Serve(listener) }()            // ends with the line above
+	return listener.Addr().String(), nil
+}
+
+func (s *site) addMachines(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(s.options.Seed, 1))
+	for i := range s.options.Machines {
+		id := fmt.Sprintf("m%02d", i)
+		pool := append([]string{standbyPool}, pools...)[i%3]
+		proxy := &standin.Proxy{}
+		address, err := proxy.Listen(ctx)
+		if err != nil {
+			return err
+		}
+		pace := 970 + random.IntN(60)
+		handler := s.fleet.Add(id, pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i%4), address,
+			batch.Resources{CPU: machineCPU, MemoryMB: machineMemory}, pace)
+		if proxy.Target, err = listen(ctx, handler); err != nil {
+			return err
+		}
+		s.machines = append(s.machines, id)
+		s.workers[id] = proxy
+	}
+	return nil
+}
+
+// freeAddress returns an address on which nothing listens; an instance needs the same one in all its lives.
+func freeAddress(ctx context.Context) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func (s *site) addInstance(ctx context.Context, number int) error {
+	in := &instance{name: fmt.Sprintf("entry-%d", number), store: &standin.Proxy{Target: s.address.store},
+		machines: &standin.Proxy{Target: s.address.machines}}
+	store, err := in.store.Listen(ctx)
+	if err != nil {
+		return err
+	}
+	machines, err := in.machines.Listen(ctx)
+	if err != nil {
+		return err
+	}
+	if in.callers, err = freeAddress(ctx); err != nil {
+		return err
+	}
+	ready, err := freeAddress(ctx)
+	if err != nil {
+		return err
+	}
+	settings, err := json.Marshal(map[string]any{"node": in.name, "zone": fmt.Sprintf("z%d", number%2),
+		"listen": map[string]string{"callers": in.callers, "ready": ready}, "store": store, "machines": machines,
+		"cpu-share": 0.4, "cpu-speed": 1.0, "lease-limit": leaseLimit, "machine-lease": machineLease, "stop-grace-s": stopGrace,
+		"state-retention-s": retention})
+	if err != nil {
+		return err
+	}
+	in.settings = filepath.Join(s.options.Directory, in.name+".json")
+	if err := os.WriteFile(in.settings, settings, 0o600); err != nil {
+		return err
+	}
+	s.instances = append(s.instances, in)
+	return in.start(s.options)
+}
+
+// start begins a life of the instance; its log goes on in the same file.
+func (in *instance) start(o Options) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(o.Directory, in.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	process := exec.Command(o.Binary, "run", "--settings", in.settings)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = process.Wait() // how it ended is in its log; most are killed
+		log.Close()
+		close(ended)
+	}()
+	in.process, in.ended = process, ended
+	return nil
+}
+
+// signal sends a signal to the process; one that has ended takes none.
+func (in *instance) signal(sig syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	_ = in.process.Process.Signal(sig) // as above
+}
+
+// stop ends the process by a signal and waits until it has ended, at most as long as its grace.
+func (in *instance) stop(sig syscall.Signal) (inTime bool) {
+	in.signal(sig)
+	in.mu.Lock()
+	ended := in.ended
+	in.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(stopGrace * time.Second):
+		in.signal(syscall.SIGKILL)
+		<-ended
+		return false
+	}
+}
--- /dev/null
+++ b/standin/rows.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/store"
+)
+
+// maxEntries is how many conditions, puts and deletes a transaction may hold, as on the platform.
+const maxEntries = 100
+
+// maxTransactionBytes bounds the body of a transaction, as on the platform.
+const maxTransactionBytes = 1 << 20
+
+// Rows serves a Table over HTTP in the format of the users' platform. Exported fields are set before the first request.
+type Rows struct {
+	Table *Table
+}
+
+type rowFields struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"ver,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type pageFields struct {
+	Rows    []rowFields `json:"rows"`
+	More    bool        `json:"hasMore"`
+	Version int64       `json:"ver"`
+}
+
+func encodePage(page store.Page) pageFields {
+	fields := pageFields{More: page.More, Version: page.Version, Rows: make([]rowFields, len(page.Rows))}
+	for i, r := range page.Rows {
+		fields.Rows[i] = rowFields{r.Table, r.Part, r.Key, r.Value, r.Version, r.Deleted}
+	}
+	return fields
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Rows) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch r.Method + " " + r.URL.Path {
+	case "POST /rows-tx":
+		s.commit(w, r)
+	case "GET /rows-get":
+		page, err := s.Table.Range(r.Context(), query.Get("table"), query.Get("part"), query.Get("from"))
+		answerPage(w, page, err)
+	case "GET /rows-parts":
+		parts, more, err := s.Table.Parts(r.Context(), query.Get("table"), query.Get("after"))
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		reply(w, http.StatusOK, struct {
+			Parts []string `json:"parts"`
+			More  bool     `json:"hasMore"`
+		}{parts, more})
+	case "GET /rows-feed":
+		after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		wait, err := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		page, err := s.Table.Feed(r.Context(), query.Get("table"), after, clock.Millis(wait))
+		answerPage(w, page, err)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Rows) commit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Conditions []rowFields `json:"precondition"`
+		Puts       []rowFields `json:"puts"`
+		Deletes    []rowFields `json:"drops"`
+		Across     bool        `json:"across"`
+	}
+	if !decode(w, r, maxTransactionBytes, &body) {
+		return
+	}
+	var tx store.Transaction
+	for _, c := range body.Conditions {
+		tx.Conditions = append(tx.Conditions, store.Condition{Table: c.Table, Part: c.Part, Key: c.Key, Version: c.Version})
+	}
+	parts := map[string]bool{}
+	for _, c := range append(append(body.Conditions, body.Puts...), body.Deletes...) {
+		parts[c.Part] = true
+	}
+	if n := len(body.Conditions) + len(body.Puts) + len(body.Deletes); n > maxEntries || (len(parts) > 1 && !body.Across) {
+		http.Error(w, "too many entries, or several parts", http.StatusBadRequest)
+		return
+	}
+	for _, p := range body.Puts {
+		tx.Puts = append(tx.Puts, store.Row{Table: p.Table, Part: p.Part, Key: p.Key, Value: p.Value})
+	}
+	for _, d := range body.Deletes {
+		tx.Deletes = append(tx.Deletes, store.Row{Table: d.Table, Part: d.Part, Key: d.Key})
+	}
+	result, err := s.Table.Commit(r.Context(), tx)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	status := http.StatusOK
+	if !result.Applied {
+		status = http.StatusPreconditionFailed
+	}
+	reply(w, status, encodePage(store.Page{Rows: result.Current, Version: result.Version}))
+}
+
+func answerPage(w http.ResponseWriter, page store.Page, err error) {
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, encodePage(page))
+}
+
+// fail answers what the platform answers to a call that failed, or closes the connection where it does not answer.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errorx.IsOfType(err, store.ErrHistoryGone):
+		http.Error(w, err.Error(), http.StatusGone)
+	case errorx.IsOfType(err, store.ErrRejected):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// text returns the JSON form of what the stand-in itself put together.
+func text(content any) []byte {
+	encoded, err := json.Marshal(content)
+	if err != nil {
+		panic(errors.Join(errors.New("content of a stand-in"), err))
+	}
+	return encoded
+}
--- a/standin/table.go
+++ b/standin/table.go
@@ -72,6 +72,20 @@
 	return result, nil
 }
 
+// Put writes a row with an empty part, as workers and operators do, whatever the fault.
+func (t *Table) Put(table, key string, value []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(store.Transaction{Puts: []store.Row{{Table: table, Key: key, Value: value}}})
+}
+
+// Drop deletes a row with an empty part, as Put writes it.
+func (t *Table) Drop(table, key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(store.Transaction{Deletes: []store.Row{{Table: table, Key: key}}})
+}
+
 // Settle carries out the transactions that were delayed.
 func (t *Table) Settle() {
 	t.mu.Lock()
