front: a state from an old copy waits for the copy to catch up

The state of a known job came from the copy, however old it was. Ruled out: a lost row (the copy had it 60 ms later); refusing known jobs while the copy is old (an instance that is cut off would tell nothing). Change: a job that has not ended and a copy older than 2.5 s wait up to 0.3 s for a recent copy, then tell what is known. The soak counts old answers from when an instance can read the store again.

--- a/front/service.go
+++ b/front/service.go
@@ -27,6 +27,9 @@
 	retryAfter = 1 * clock.Second
 	// staleAfter is the age of the copy above which a job that is not in it may exist all the same.
 	staleAfter = 2500 * clock.Millis(1)
+	// copyWait bounds how long a caller waits for a recent copy; the store answers a feed within 60 ms.
+	copyWait  = 300 * clock.Millis(1)
+	copyPause = 20 * clock.Millis(1)
 )
 
 // Service answers requests about jobs. Exported fields are set before the first request.
@@ -146,6 +149,10 @@
 // State returns the state of a job.
 func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
 	known, ok := s.Board.Find(id)
+	if ok && !known.State.Final() && s.CopyAge() > staleAfter {
+		s.awaitCopy(ctx)
+		known, ok = s.Board.Find(id)
+	}
 	switch {
 	case !ok && s.CopyAge() > staleAfter:
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
@@ -157,6 +164,16 @@
 	return known.State, nil
 }
 
+// awaitCopy waits for a while until the copy is recent: an instance that was suspended has missed changes, and its copy
+// catches up within moments. One that is cut off from the store tells what it knows.
+func (s *Service) awaitCopy(ctx context.Context) {
+	for until := s.Clock.Now() + copyWait; s.CopyAge() > staleAfter && s.Clock.Now() < until; {
+		if s.Clock.Sleep(ctx, copyPause) != nil {
+			return // the caller has gone
+		}
+	}
+}
+
 // Cancel ends a job; it returns nil once this is stored.
 func (s *Service) Cancel(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) *result.Refusal {
 	known, ok := s.Board.Find(id)
--- a/front/service_test.go
+++ b/front/service_test.go
@@ -150,6 +150,55 @@
 	}
 }
 
+// Guards against an instance that was suspended and tells what its copy said before, although others have told the end.
+func TestStateAfterASuspension(t *testing.T) { synctest.Test(t, stateAfterASuspension) }
+
+func stateAfterASuspension(t *testing.T) {
+	s, c := newService(&scriptedTable{})
+	row := func(state batch.State, version int64) []store.Row {
+		r := store.EncodeState("p", "a", "q", "p", state)
+		r.Version = version
+		return []store.Row{r}
+	}
+	s.Board.Apply(row(batch.Running, 1))
+	recent := false
+	s.CopyAge = func() clock.Millis {
+		if recent {
+			return 0
+		}
+		return staleAfter + 1
+	}
+	c.AfterFunc(60, func() { s.Board.Apply(row(batch.Completed, 2)); recent = true })
+	look := func() batch.State {
+		told := make(chan batch.State, 1)
+		go func() {
+			state, refusal := s.State(context.Background(), testQueue, "a")
+			if refusal != nil {
+				t.Errorf("refusal got %v, want none", refusal)
+			}
+			told <- state
+		}()
+		for {
+			synctest.Wait()
+			select {
+			case state := <-told:
+				return state
+			default:
+				c.Advance(10)
+			}
+		}
+	}
+	if got := look(); got != batch.Completed {
+		t.Errorf("state got %v, want completed", got)
+	}
+	// Cut off from the store, it tells what it knows.
+	s.Board.Apply(row(batch.Running, 3))
+	recent = false
+	if got := look(); got != batch.Running {
+		t.Errorf("state got %v, want running", got)
+	}
+}
+
 // Guards against a repeated request that is told that its job will not run, while the write of the first request may still
 // be carried out.
 func TestOpenWriteIsNotRefusedLater(t *testing.T) { synctest.Test(t, openWriteIsNotRefusedLater) }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -174,7 +174,7 @@
 	case http.StatusOK:
 	case http.StatusGone:
 		// Other instances may not know of it at once.
-		if asked > j.acceptedAt+visibleTime {
+		if asked > max(j.acceptedAt, j.site.inTouchSince(in))+visibleTime {
 			j.site.options.breach("%s answers %d for job %s, which was accepted %d ms before", in.name, status, j.id, asked-j.acceptedAt)
 		}
 		return
@@ -194,7 +194,7 @@
 	switch final := told.State != "pending" && told.State != "running"; {
 	case j.final == "" && final:
 		j.final, j.finalAt = told.State, clock.System().Now()
-	case j.final != "" && told.State != j.final && (final || asked > j.finalAt+visibleTime):
+	case j.final != "" && told.State != j.final && (final || asked > max(j.finalAt, j.site.inTouchSince(in))+visibleTime):
 		j.site.options.breach("%s tells %s of job %s, which was told as %s %d ms before", in.name, told.State, j.id, j.final, asked-j.finalAt)
 	}
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -61,8 +61,12 @@
 	}},
 	{"store-path", func(s *site, random *rand.Rand) (string, func()) {
 		in := s.instances[random.IntN(len(s.instances))]
+		in.reached.Store(untouched)
 		path := cut(in.store, random)
-		return fmt.Sprintf("%s %s", in.name, path), func() { in.store.Set(standin.PathOpen, 0) }
+		return fmt.Sprintf("%s %s", in.name, path), func() {
+			in.store.Set(standin.PathOpen, 0)
+			in.reached.Store(int64(clock.System().Now()))
+		}
 	}},
 	{"machines-path", func(s *site, random *rand.Rand) (string, func()) {
 		in := s.instances[random.IntN(len(s.instances))]
@@ -71,11 +75,13 @@
 	}},
 	{"store-outage", func(s *site, random *rand.Rand) (string, func()) {
 		kind := []standin.TableFault{standin.TableRejects, standin.TableLosesCall, standin.TableLosesReply, standin.TableDelays}[random.IntN(4)]
+		s.reached.Store(untouched)
 		s.down.Store(random.IntN(2) == 0)
 		s.fault.Store(int64(kind))
 		return fmt.Sprintf("kind %d, reads rejected %v", kind, s.down.Load()), func() {
 			s.fault.Store(int64(standin.TableWorks))
 			s.down.Store(false)
+			s.reached.Store(int64(clock.System().Now()))
 			s.table.Settle()
 		}
 	}},
--- a/soak/site.go
+++ b/soak/site.go
@@ -47,6 +47,7 @@
 	instances []*instance
 	workers   map[string]*standin.Proxy // by machine
 	address   struct{ store, machines string }
+	reached   atomic.Int64 // since when the store answers reads, in milliseconds; untouched while it does not
 }
 
 // instance is one process of the product and its paths to the platform.
@@ -55,6 +56,7 @@
 	callers         string // address
 	settings        string // file
 	store, machines *standin.Proxy
+	reached         atomic.Int64 // since when the path to the store is open; see site.reached
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -174,6 +176,14 @@
 	return in.start(s.options)
 }
 
+// untouched marks a path that is cut now.
+const untouched = int64(clock.Day) << 20
+
+// inTouchSince returns since when an instance can read the store; far ahead while it cannot.
+func (s *site) inTouchSince(in *instance) clock.Millis {
+	return clock.Millis(max(s.reached.Load(), in.reached.Load()))
+}
+
 // start begins a life of the instance; its log goes on in the same file.
 func (in *instance) start(o Options) error {
 	in.mu.Lock()
