store: a load repeats single reads that the store rejects

Each instance loads its copy with some 15 reads; a read beyond the store's rate is rejected, and the load began anew. Test: a store that rejects two of three reads; before, the copy was not complete after 10 s (41 reads), after, it takes 45 reads. standin: tests of the stand-in against the adapter, and that each broken promise is noted.

--- /dev/null
+++ b/standin/site_test.go
@@ -0,0 +1,305 @@
+package standin_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/machines"
+	"magnoliaferry/platform"
+	"magnoliaferry/pool"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+func serve(t *testing.T, handler http.Handler) (address string) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a stand-in of the store, or an adapter, that reads the platform's format in another way than the other.
+func TestRows(t *testing.T) {
+	ctx := context.Background()
+	table := standin.NewTable()
+	client := platform.NewTable(serve(t, &standin.Rows{Table: table}))
+	put := func(value string, version int64) (store.Result, error) {
+		return client.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Table: "t", Part: "p", Key: "k", Version: version}},
+			Puts: []store.Row{{Table: "t", Part: "p", Key: "k", Value: []byte(value)}}})
+	}
+	first, err := put("one", 0)
+	if err != nil || !first.Applied {
+		t.Fatalf("first write got %+v, %v, want it applied", first, err)
+	}
+	refused, err := put("two", 0)
+	if err != nil || refused.Applied || len(refused.Current) != 1 || string(refused.Current[0].Value) != "one" {
+		t.Errorf("second write got %+v, %v, want the row as it is", refused, err)
+	}
+	page, err := client.Range(ctx, "t", "p", "")
+	if err != nil || len(page.Rows) != 1 || page.Rows[0].Version != first.Version {
+		t.Errorf("range got %+v, %v, want one row of version %d", page, err, first.Version)
+	}
+	parts, _, err := client.Parts(ctx, "t", "")
+	if err != nil || len(parts) != 1 || parts[0] != "p" {
+		t.Errorf("parts got %v, %v, want p", parts, err)
+	}
+	if _, err := client.Commit(ctx, store.Transaction{Deletes: []store.Row{{Table: "t", Part: "p", Key: "k"}}}); err != nil {
+		t.Fatal(err)
+	}
+	page, err = client.Feed(ctx, "t", first.Version, 0)
+	if err != nil || len(page.Rows) != 1 || !page.Rows[0].Deleted {
+		t.Errorf("feed got %+v, %v, want a deleted row", page, err)
+	}
+	table.Forget()
+	if _, err := client.Feed(ctx, "t", first.Version, 0); !errorx.IsOfType(err, store.ErrHistoryGone) {
+		t.Errorf("feed got %v, want history-gone", err)
+	}
+	if _, err := client.Commit(ctx, store.Transaction{Puts: []store.Row{{Table: "t", Part: "p", Key: "k"}, {Table: "t", Part: "q", Key: "k"}}}); !errorx.IsOfType(err, store.ErrRejected) {
+		t.Errorf("a write to two parts got %v, want rejected", err)
+	}
+	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableLosesReply }
+	if _, err := put("three", 0); !errorx.IsOfType(err, store.ErrUnknown) {
+		t.Errorf("a lost answer got %v, want unknown", err)
+	}
+	if rows := table.Rows("t"); len(rows) != 1 || string(rows[0].Value) != "three" {
+		t.Errorf("rows got %v, want the write whose answer was lost", rows)
+	}
+}
+
+// fleetOfTwo is a fleet of two machines of one core each in pool p, and a client of its workers.
+type fleetOfTwo struct {
+	fleet   *standin.Fleet
+	clock   *clock.Clock
+	table   *standin.Table
+	client  *platform.Workers
+	targets []pool.Target
+}
+
+func newFleetOfTwo(t *testing.T) *fleetOfTwo {
+	c := clock.NewFake(1000)
+	table := standin.NewTable()
+	f := &fleetOfTwo{clock: c, table: table, client: platform.NewWorkers(),
+		fleet: standin.NewFleet(table, c, func() int64 { return int64(c.Now()) })}
+	f.fleet.Standby("spare")
+	for _, id := range []string{"m1", "m2"} {
+		handler := f.fleet.Add(id, "p", "z", "r", "unused:1", batch.Resources{CPU: 1000, MemoryMB: 100}, 1000)
+		f.targets = append(f.targets, pool.Target{Address: serve(t, handler)})
+	}
+	for i, row := range table.Rows(platform.TableWorkers) {
+		worker, err := platform.DecodeWorker(row.Key, row.Value)
+		if err != nil || worker.Pool != "p" || worker.Capacity.CPU != 1000 {
+			t.Fatalf("worker got %+v, %v, want one of pool p with one core", worker, err)
+		}
+		f.targets[i].ID = row.Key
+	}
+	return f
+}
+
+func (f *fleetOfTwo) start(worker int, task string, run int, token int64, work standin.Work) pool.Outcome {
+	return f.client.Start(context.Background(), pool.Start{Target: f.targets[worker], Task: task, Run: run, Spec: work.Spec(),
+		Deadline: 6000, Token: token}).Outcome
+}
+
+func (f *fleetOfTwo) hold(worker int, token, ack int64) pool.Listing {
+	return f.client.Hold(context.Background(), pool.Hold{Target: f.targets[worker], Token: token, Ack: ack, Deadline: 6000})
+}
+
+// Guards against a stand-in of a worker that takes what the platform's workers refuse.
+func TestFleetKeepsRules(t *testing.T) {
+	f := newFleetOfTwo(t)
+	work := standin.Work{Length: 500, CPU: 600}
+	if got := f.start(0, "j.0.0.0", 1, 5, work); got != pool.Accepted {
+		t.Fatalf("start got %v, want accepted", got)
+	}
+	if got := f.start(0, "j.0.0.0", 1, 5, work); got != pool.Accepted {
+		t.Errorf("the same start got %v, want accepted", got)
+	}
+	if got := f.start(0, "j.0.0.1", 1, 4, work); got != pool.Fenced {
+		t.Errorf("start with a lower token got %v, want fenced", got)
+	}
+	other := f.targets[0]
+	other.ID = "i-gone"
+	if got := f.client.Start(context.Background(), pool.Start{Target: other, Task: "j.0.0.1", Run: 1, Spec: work.Spec(), Token: 5}).Outcome; got != pool.OtherLife {
+		t.Errorf("start for another life got %v, want other life", got)
+	}
+	if got := f.client.Start(context.Background(), pool.Start{Target: f.targets[0], Task: "j.0.0.1", Run: 1, Spec: work.Spec(), Token: 5, Deadline: 1}).Outcome; got != pool.TooLate {
+		t.Errorf("start after its lease got %v, want too late", got)
+	}
+	f.clock.Advance(500)
+	f.fleet.Advance()
+	listing := f.hold(0, 5, 0)
+	if len(listing.Ended) != 1 || listing.Ended[0].How != pool.EndDone || len(listing.Running) != 0 {
+		t.Errorf("lists got %+v, want one end as done", listing)
+	}
+	if got := f.start(0, "j.0.0.0", 1, 5, work); got != pool.Outdated {
+		t.Errorf("start of the run that ended got %v, want outdated", got)
+	}
+	if listing := f.hold(0, 5, 1); len(listing.Ended) != 0 {
+		t.Errorf("ends got %v, want none after their acknowledgement", listing.Ended)
+	}
+	if got := f.fleet.Breaches(); len(got) != 0 {
+		t.Errorf("breaches got %v, want none", got)
+	}
+	if got, want := f.fleet.Started(), 1; got != want {
+		t.Errorf("runs got %d, want %d", got, want)
+	}
+}
+
+// Guards against a soak that passes whatever the scheduler does: each broken promise is noted.
+func TestFleetNotesBreaches(t *testing.T) {
+	work := standin.Work{Length: 500, CPU: 600}
+	for _, test := range []struct {
+		name     string
+		breaking func(f *fleetOfTwo)
+		want     string
+	}{
+		{"twice at once", func(f *fleetOfTwo) { f.start(0, "j.0.0.0", 1, 5, work); f.start(1, "j.0.0.0", 2, 5, work) }, "while it runs on"},
+		{"after its end", func(f *fleetOfTwo) {
+			f.start(0, "j.0.0.0", 1, 5, work)
+			f.clock.Advance(500)
+			f.fleet.Advance()
+			f.hold(0, 5, 1)
+			f.start(1, "j.0.0.0", 2, 5, work)
+		}, "after its end was acknowledged"},
+		{"overfull", func(f *fleetOfTwo) { f.start(0, "j.0.0.0", 1, 5, work); f.start(0, "j.0.0.1", 1, 5, work) }, "thousandths of a core"},
+		{"taken while tasks run", func(f *fleetOfTwo) {
+			f.start(0, "j.0.0.0", 1, 5, work)
+			f.carry(t, machines.Want{Machine: "m1", Op: machines.Move, Pool: "spare"}, 3)
+		}, "is taken while"},
+		{"too many away", func(f *fleetOfTwo) {
+			f.fleet.Wave(1, []string{"m1", "m2"}, 1, clock.Minute)
+			f.carry(t, machines.Want{Machine: "m1", Op: machines.Upkeep, Wave: 1}, 3)
+			f.carry(t, machines.Want{Machine: "m2", Op: machines.Upkeep, Wave: 1}, 3)
+		}, "machines are away"},
+	} {
+		f := newFleetOfTwo(t)
+		test.breaking(f)
+		if got := f.fleet.Breaches(); len(got) != 1 || !strings.Contains(got[0], test.want) {
+			t.Errorf("%s: breaches got %v, want one that says %q", test.name, got, test.want)
+		}
+	}
+}
+
+func (f *fleetOfTwo) carry(t *testing.T, want machines.Want, token int64) machines.Outcome {
+	client := platform.NewMachines(serve(t, f.fleet))
+	return client.Carry(context.Background(), "holder", machines.Order{Want: want, Token: token})
+}
+
+// Guards against a stand-in of the machines, or an adapter, that reads the platform's format in another way than the other.
+func TestFleetMachines(t *testing.T) {
+	f := newFleetOfTwo(t)
+	client := platform.NewMachines(serve(t, f.fleet))
+	list, err := client.List(context.Background())
+	if err != nil || len(list) != 2 || list[0].State != batch.MachineUp || list[0].Worker != f.targets[0].ID {
+		t.Fatalf("list got %+v, %v, want two machines that are up", list, err)
+	}
+	move := machines.Want{Machine: "m1", Op: machines.Move, Pool: "spare"}
+	if got := f.carry(t, move, 5); got != machines.Accepted {
+		t.Errorf("move got %v, want accepted", got)
+	}
+	if got := f.carry(t, machines.Want{Machine: "m1", Op: machines.Move, Pool: "p"}, 4); got != machines.Fenced {
+		t.Errorf("move with a lower token got %v, want fenced", got)
+	}
+	if got := f.carry(t, machines.Want{Machine: "m1", Op: machines.Move, Pool: "p"}, 5); got != machines.Busy {
+		t.Errorf("move on the way got %v, want busy", got)
+	}
+	if listing := f.hold(0, 5, 0); listing.Outcome != pool.Unanswered {
+		t.Errorf("hold of a machine on the way got %v, want no answer", listing.Outcome)
+	}
+	f.clock.Advance(2000)
+	f.fleet.Advance()
+	list, err = client.List(context.Background())
+	if err != nil || list[0].Pool != "spare" || list[0].State != batch.MachineUp || list[0].Worker != "" {
+		t.Errorf("list got %+v, %v, want the machine in standby", list, err)
+	}
+	if got := len(f.table.Rows(platform.TableWorkers)); got != 1 {
+		t.Errorf("workers got %d, want 1", got)
+	}
+}
+
+// Guards against a path that does not do what its name says, so that the soak would test less than it tells.
+func TestProxy(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	arrived := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buffer := make([]byte, 16)
+				for {
+					n, err := conn.Read(buffer)
+					if err != nil {
+						return
+					}
+					arrived <- string(buffer[:n])
+					if _, err := conn.Write([]byte("answer")); err != nil || string(buffer[:n]) == "mute" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	p := &standin.Proxy{Target: listener.Addr().String()}
+	address, err := p.Listen(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	answered := func(conn net.Conn) string {
+		buffer := make([]byte, 16)
+		n, err := conn.Read(buffer)
+		if err != nil && err != io.EOF {
+			return "reset"
+		}
+		return string(buffer[:n])
+	}
+	open := send("open")
+	if got := answered(open); got != "answer" || <-arrived != "open" {
+		t.Errorf("open path got %q, want the answer", got)
+	}
+	p.Set(standin.PathMute, 0)
+	mute := send("mute")
+	if got := <-arrived; got != "mute" {
+		t.Errorf("mute path delivered %q, want mute", got)
+	}
+	if got := answered(mute); got != "" {
+		t.Errorf("mute path answered %q, want nothing", got)
+	}
+	p.Set(standin.PathDelayed, 50)
+	send("late").Close()
+	if got := <-arrived; got != "late" {
+		t.Errorf("delayed path delivered %q after the sender had gone, want late", got)
+	}
+	p.Set(standin.PathReset, 0)
+	if got := answered(open); got != "reset" {
+		t.Errorf("connection after a reset got %q, want a reset", got)
+	}
+}
--- a/store/chain_test.go
+++ b/store/chain_test.go
@@ -320,3 +320,66 @@
 		}
 	}
 }
+
+// busyTable rejects two of three reads.
+type busyTable struct {
+	store.Table
+	reads int
+}
+
+func (t *busyTable) reject() error {
+	if t.reads++; t.reads%3 != 0 {
+		return store.ErrRejected.New("too many calls")
+	}
+	return nil
+}
+
+func (t *busyTable) Range(ctx context.Context, table, part, from string) (store.Page, error) {
+	if err := t.reject(); err != nil {
+		return store.Page{}, err
+	}
+	return t.Table.Range(ctx, table, part, from)
+}
+
+func (t *busyTable) Parts(ctx context.Context, table, after string) ([]string, bool, error) {
+	if err := t.reject(); err != nil {
+		return nil, false, err
+	}
+	return t.Table.Parts(ctx, table, after)
+}
+
+// Guards against a load that begins anew after each rejected read: beside many other instances that start, it never ends.
+func TestLoadFromABusyStore(t *testing.T) { synctest.Test(t, loadFromABusyStore) }
+
+func loadFromABusyStore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table := standin.NewTable()
+	for i := range 13 {
+		row := store.Row{Table: "t", Part: string(rune('a' + i)), Key: "k"}
+		if _, err := table.Commit(ctx, store.Transaction{Puts: []store.Row{row}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := clock.NewFake(1000)
+	loaded := 0
+	busy := &busyTable{Table: table}
+	f := &store.Follower{Store: busy, Clock: c, Table: "t", Period: func() clock.Millis { return 100 },
+		OnLoad: func(rows []store.Row) { loaded = len(rows) }, OnRows: func([]store.Row) {}}
+	done := make(chan error)
+	go func() { done <- f.Run(ctx) }()
+	for range 1000 {
+		synctest.Wait()
+		c.Advance(10)
+	}
+	if got, want := loaded, 13; got != want {
+		t.Errorf("rows got %d, want %d after 10 s", got, want)
+	}
+	if got, want := busy.reads, 3*15; got != want {
+		t.Errorf("reads got %d, want %d: three for each part and for their list", got, want)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -23,7 +24,9 @@
 const (
 	feedRetryFirst = 50 * clock.Millis(1)
 	feedRetryLimit = 400 * clock.Millis(1)
-	idlePause      = 20 * clock.Millis(1)
+	// loadAttempts is how often a load sends one of its reads.
+	loadAttempts = 6
+	idlePause    = 20 * clock.Millis(1)
 )
 
 // Follower keeps a copy of a table up to date; its exported fields are set before Run.
@@ -220,7 +223,11 @@
 	after := ""
 	for more := true; more; {
 		var names []string
-		if names, more, err = f.Store.Parts(ctx, f.Table, after); err != nil {
+		err = f.repeat(ctx, func() (err error) {
+			names, more, err = f.Store.Parts(ctx, f.Table, after)
+			return err
+		})
+		if err != nil {
 			return err
 		}
 		for _, part := range names {
@@ -242,11 +249,31 @@
 	return nil
 }
 
+// repeat sends a read of a load again when the store rejects it. Instances that start at the same time ask for more than the
+// store takes in a second, and a load that began anew after each rejected read would add to that without an end.
+func (f *Follower) repeat(ctx context.Context, read func() error) error {
+	pause := feedRetryFirst
+	for attempt := 1; ; attempt++ {
+		err := read()
+		if !errorx.IsOfType(err, ErrRejected) || attempt == loadAttempts {
+			return err
+		}
+		if stopped := f.Clock.Sleep(ctx, pause/2+clock.Millis(rand.Int64N(int64(pause)))); stopped != nil {
+			return stopped
+		}
+		pause = min(pause*2, feedRetryLimit)
+	}
+}
+
 // loadPart returns the rows of a part and the version of the store before it was read.
 func (f *Follower) loadPart(ctx context.Context, part string) (rows []Row, version int64, err error) {
 	from := ""
 	for {
-		page, err := f.Store.Range(ctx, f.Table, part, from)
+		var page Page
+		err := f.repeat(ctx, func() (err error) {
+			page, err = f.Store.Range(ctx, f.Table, part, from)
+			return err
+		})
 		if err != nil {
 			return nil, 0, err
 		}
