--- a/store/chain_test.go
+++ b/store/chain_test.go
@@ -321,34 +321,43 @@
 	}
 }
 
-// busyTable rejects two of three reads.
+// busyTable answers reads after 100 ms and rejects the first two of equal ones.
 type busyTable struct {
 	store.Table
+	clock *clock.Clock
+	mu    sync.Mutex
 	reads int
+	of    map[string]int
 }
 
-func (t *busyTable) reject() error {
-	if t.reads++; t.reads%3 != 0 {
+func (t *busyTable) reject(ctx context.Context, name string) error {
+	t.mu.Lock()
+	t.reads++
+	t.of[name]++
+	n := t.of[name]
+	t.mu.Unlock()
+	if err := t.clock.Sleep(ctx, 100); err != nil || n <= 2 {
 		return store.ErrRejected.New("too many calls")
 	}
 	return nil
 }
 
 func (t *busyTable) Range(ctx context.Context, table, part, from string) (store.Page, error) {
-	if err := t.reject(); err != nil {
+	if err := t.reject(ctx, "part "+part); err != nil {
 		return store.Page{}, err
 	}
 	return t.Table.Range(ctx, table, part, from)
 }
 
 func (t *busyTable) Parts(ctx context.Context, table, after string) ([]string, bool, error) {
-	if err := t.reject(); err != nil {
+	if err := t.reject(ctx, "parts"); err != nil {
 		return nil, false, err
 	}
 	return t.Table.Parts(ctx, table, after)
 }
 
-// Guards against a load that begins anew after each rejected read: beside many other instances that start, it never ends.
+// Guards against a load that begins anew after each rejected read: beside many other instances that start, it never ends. Also
+// guards against a load that reads one part after the other, so that a pool waits for its owner while the store is slow.
 func TestLoadFromABusyStore(t *testing.T) { synctest.Test(t, loadFromABusyStore) }
 
 func loadFromABusyStore(t *testing.T) {
@@ -362,10 +371,10 @@
 		}
 	}
 	c := clock.NewFake(1000)
-	loaded := 0
-	busy := &busyTable{Table: table}
+	loaded, loadedAt := 0, clock.Millis(0)
+	busy := &busyTable{Table: table, clock: c, of: map[string]int{}}
 	f := &store.Follower{Store: busy, Clock: c, Table: "t", Period: func() clock.Millis { return 100 },
-		OnLoad: func(rows []store.Row) { loaded = len(rows) }, OnRows: func([]store.Row) {}}
+		OnLoad: func(rows []store.Row) { loaded, loadedAt = len(rows), c.Now() }, OnRows: func([]store.Row) {}}
 	done := make(chan error)
 	go func() { done <- f.Run(ctx) }()
 	for range 1000 {
@@ -375,6 +384,9 @@
 	if got, want := loaded, 13; got != want {
 		t.Errorf("rows got %d, want %d after 10 s", got, want)
 	}
+	if limit := clock.Millis(1000 + 3000); loadedAt > limit {
+		t.Errorf("loaded at %d ms, want at most %d: 45 reads one after the other take 4500 ms", loadedAt, limit)
+	}
 	if got, want := busy.reads, 3*15; got != want {
 		t.Errorf("reads got %d, want %d: three for each part and for their list", got, want)
 	}
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,9 +4,11 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/event"
@@ -26,7 +28,10 @@
 	feedRetryLimit = 400 * clock.Millis(1)
 	// loadAttempts is how often a load sends one of its reads.
 	loadAttempts = 6
-	idlePause    = 20 * clock.Millis(1)
+	// loadWidth is how many parts a load reads at once: what waits for it, such as a pool without an owner, waits for one answer
+	// of a slow store and not for ten. Half of the connections that an instance has to the store.
+	loadWidth = 6
+	idlePause = 20 * clock.Millis(1)
 )
 
 // Follower keeps a copy of a table up to date; its exported fields are set before Run.
@@ -220,6 +225,7 @@
 	if err != nil {
 		return err
 	}
+	var parts []string
 	after := ""
 	for more := true; more; {
 		var names []string
@@ -232,16 +238,24 @@
 		}
 		for _, part := range names {
 			after = part
-			if part == "" {
-				continue
+			if part != "" {
+				parts = append(parts, part)
 			}
-			of, _, err := f.loadPart(ctx, part)
-			if err != nil {
-				return err
-			}
-			rows = append(rows, of...)
 		}
 	}
+	byPart := make([][]Row, len(parts))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(loadWidth)
+	for i, part := range parts {
+		group.Go(func() (err error) {
+			byPart[i], _, err = f.loadPart(groupCtx, part)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	rows = append(rows, slices.Concat(byPart...)...)
 	f.OnLoad(rows)
 	eventReloaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
 		slog.Int64("version", version))
