--- a/command/command_test.go
+++ b/command/command_test.go
@@ -17,6 +17,7 @@
 	"magnoliaferry/fault"
 	"magnoliaferry/memory"
 	"magnoliaferry/operator"
+	"magnoliaferry/standin"
 )
 
 const (
@@ -44,6 +45,11 @@
 		{"check --json " + faulty, ExitFaults, `"path": "/teams/1/callers/0"`, ""},
 		{"check missing.json", ExitUsage, "", "missing.json"},
 		{"check", ExitUsage, "", "required argument 'file'"},
+		{"check --settings testdata/settings.json", ExitOK, "no faults; instance entry-0 in zone z0", ""},
+		{"check --settings testdata/faulty-settings.json", ExitFaults, "", "faulty-settings.json: MF1061 /node: is missing or empty"},
+		{"check --settings testdata/faulty-settings.json", ExitFaults, "", "MF1062 /store: "},
+		{"inspect", ExitUsage, "", "not an address and a port"},
+		{"inspect --store 127.0.0.1", ExitUsage, "", "not an address and a port"},
 		{"", ExitUsage, "Commands:", ""},
 		{"fly", ExitUsage, "", "fly"},
 		{"--version", ExitOK, "1.2.3\n", ""},
@@ -78,6 +84,29 @@
 	}
 }
 
+// Guards against an operator who sees nothing, or not why, when he looks into the platform's store.
+func TestInspect(t *testing.T) {
+	table := standin.NewTable()
+	table.Put("op", "config", []byte(`{"version":4,"services":[{"name":"p"}],"routes":[]}`))
+	server := httptest.NewServer(&standin.Rows{Table: table})
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	code, out, errs := run("inspect", "--store", address)
+	if code != ExitOK || !strings.Contains(out, "configuration version 4") || !strings.Contains(out, "p     none") {
+		t.Errorf("got %d, %q, %q, want version 4 and a pool without an owner", code, out, errs)
+	}
+	if code, out, _ := run("inspect", "--json", "--store", address); code != ExitOK || !strings.Contains(out, `"configuration": 4`) {
+		t.Errorf("got %d, %q, want JSON with version 4", code, out)
+	}
+	if code, _, errs := run("inspect", "--store", address, "nobody"); code == ExitOK || !strings.Contains(errs, `no job "nobody" is stored`) {
+		t.Errorf("got %d, %q, want a failure that names the job", code, errs)
+	}
+	server.Close()
+	if code, _, errs := run("inspect", "--store", address); code == ExitOK || !strings.Contains(errs, "the store at "+address) {
+		t.Errorf("got %d, %q, want a failure that names the store", code, errs)
+	}
+}
+
 type trusting struct{}
 
 func (trusting) Identify(*http.Request) (string, bool) { return "ada", true }
--- a/diag/diag.go
+++ b/diag/diag.go
@@ -39,8 +39,12 @@
 // Text returns the explanation.
 func (d Diagnostic) Text() string { return d.text }
 
-// String formats the diagnostic as compilers do, for example "a.json:3: MF1004 /pools/0/name: is used twice".
+// String formats the diagnostic as compilers do, for example "a.json:3: MF1004 /pools/0/name: is used twice"; a line that is
+// unknown is left out.
 func (d Diagnostic) String() string {
+	if d.line == 0 {
+		return fmt.Sprintf("%s: MF%d %s: %s", d.file, d.code, d.path, d.text)
+	}
 	return fmt.Sprintf("%s:%d: MF%d %s: %s", d.file, d.line, d.code, d.path, d.text)
 }
 
--- /dev/null
+++ b/overview/overview.go
@@ -0,0 +1,360 @@
+package overview
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/machines"
+	"magnoliaferry/platform"
+	"magnoliaferry/store"
+)
+
+// Errors is the namespace of the errors of this package.
+var Errors = errorx.NewNamespace("overview")
+
+// ErrNoJob is the type of errors for a job that the store does not know.
+var ErrNoJob = Errors.NewType("no-job")
+
+// Fleet is what is stored of a deployment.
+type Fleet struct {
+	Configuration int64    `json:"configuration"` // version of the newest
+	MachinesOwner string   `json:"machines-owner"`
+	Pools         []Pool   `json:"pools"`
+	Wants         []Want   `json:"wants"`
+	Waves         []Wave   `json:"waves"`
+	Unreadable    []string `json:"unreadable,omitempty"` // rows that cannot be read, with the reason
+	States        []string `json:"-"`                    // names of the states that jobs are counted by, in order
+}
+
+// Pool is one pool of machines.
+type Pool struct {
+	Name     string         `json:"name"`
+	Standby  bool           `json:"standby,omitempty"`
+	Owner    string         `json:"owner,omitempty"` // node that places tasks; empty when the pool was released
+	Workers  int            `json:"workers"`         // that are ready
+	Draining int            `json:"draining"`
+	CPU      int            `json:"cpu"`  // of ready workers, in thousandths of a core
+	Jobs     map[string]int `json:"jobs"` // by state; ended ones as long as they are told
+}
+
+// Want is a machine that is to be emptied for a move or for upkeep.
+type Want struct {
+	Machine string `json:"machine"`
+	Op      string `json:"op"`
+	Pool    string `json:"pool,omitempty"` // where a move goes
+	Wave    int64  `json:"wave,omitempty"`
+	Empty   bool   `json:"empty"`   // the owner of its pool has emptied the worker
+	Ordered bool   `json:"ordered"` // the platform may have been told
+}
+
+// Wave is a request for the upkeep of machines.
+type Wave struct {
+	Number    int64 `json:"number"`
+	Machines  int   `json:"machines"`
+	MaxDown   int   `json:"max-down"` // machines that may be away at once
+	Begun     int   `json:"begun"`    // machines whose upkeep was ordered
+	Completed bool  `json:"completed"`
+}
+
+// Job is one job with its runs.
+type Job struct {
+	ID    string     `json:"id"`
+	Queue string     `json:"queue"`
+	Pool  string     `json:"pool"`
+	State string     `json:"state"`
+	Job   *batch.Job `json:"job,omitempty"` // not stored any more once it has ended
+	Runs  []Run      `json:"runs,omitempty"`
+}
+
+// Run is a task that has been ordered at least once.
+type Run struct {
+	Task     string `json:"task"`
+	Number   int    `json:"run"`
+	Done     bool   `json:"done"`
+	Failures int    `json:"failures,omitempty"`
+	Worker   string `json:"worker,omitempty"` // that may hold the newest run
+}
+
+// Reader reads the store of a deployment. Exported fields are set before the first call.
+type Reader struct {
+	Table store.Table
+	Clock *clock.Clock
+}
+
+func (r *Reader) rows(ctx context.Context, table string) ([]store.Row, error) {
+	f := &store.Follower{Store: r.Table, Clock: r.Clock, Table: table}
+	rows, _, err := f.Read(ctx)
+	return rows, err
+}
+
+// Fleet reads everything but single jobs. Errors are those of the store; rows that cannot be read are listed in the result.
+func (r *Reader) Fleet(ctx context.Context) (*Fleet, error) {
+	all := map[string][]store.Row{}
+	for _, table := range []string{platform.TableOperator, platform.TableWorkers, store.BoardTable, store.FleetTable} {
+		rows, err := r.rows(ctx, table)
+		if err != nil {
+			return nil, err
+		}
+		all[table] = rows
+	}
+	b := &builder{fleet: &Fleet{States: []string{"pending", "running", "completed", "failed", "cancelled"}}, pools: map[string]*Pool{}}
+	waves := b.operator(all[platform.TableOperator])
+	b.workers(all[platform.TableWorkers])
+	b.board(all[store.BoardTable])
+	b.decisions(all[store.FleetTable], waves)
+	for _, p := range b.pools {
+		b.fleet.Pools = append(b.fleet.Pools, *p)
+	}
+	slices.SortFunc(b.fleet.Pools, func(x, y Pool) int { return strings.Compare(x.Name, y.Name) })
+	return b.fleet, nil
+}
+
+// builder puts rows together.
+type builder struct {
+	fleet *Fleet
+	pools map[string]*Pool
+}
+
+func (b *builder) pool(name string) *Pool {
+	if b.pools[name] == nil {
+		b.pools[name] = &Pool{Name: name, Jobs: map[string]int{}}
+	}
+	return b.pools[name]
+}
+
+func (b *builder) unreadable(row store.Row, err error) {
+	b.fleet.Unreadable = append(b.fleet.Unreadable, fmt.Sprintf("%s/%s/%s: %v", row.Table, row.Part, row.Key, err))
+}
+
+func (b *builder) operator(rows []store.Row) (waves map[int64]batch.Wave) {
+	waves = map[int64]batch.Wave{}
+	for _, row := range rows {
+		if row.Key == platform.KeyConfiguration {
+			c, err := platform.DecodeConfiguration(row.Value)
+			if err != nil {
+				b.unreadable(row, err)
+				continue
+			}
+			b.fleet.Configuration = c.Version
+			for _, p := range c.Pools {
+				b.pool(p.Name).Standby = p.Standby
+			}
+			continue
+		}
+		wave, ok, err := platform.DecodeWave(row)
+		if err != nil {
+			b.unreadable(row, err)
+		} else if ok {
+			waves[wave.Number] = wave
+		}
+	}
+	return waves
+}
+
+func (b *builder) workers(rows []store.Row) {
+	for _, row := range rows {
+		w, err := platform.DecodeWorker(row.Key, row.Value)
+		if err != nil {
+			b.unreadable(row, err)
+			continue
+		}
+		p := b.pool(w.Pool)
+		if w.Draining {
+			p.Draining++
+			continue
+		}
+		p.Workers++
+		p.CPU += w.Capacity.CPU
+	}
+}
+
+func (b *builder) board(rows []store.Row) {
+	board := store.NewBoard(clock.System(), nil)
+	board.Load(rows)
+	counted := map[string]bool{} // a job has a row of its first state and one of a later state
+	for _, row := range rows {
+		kind, id := store.SplitKey(row.Key)
+		if row.Key != store.OwnerKey {
+			if known, ok := board.Find(id); ok && kind == store.KindJob && !counted[id] {
+				counted[id] = true
+				b.pool(known.Pool).Jobs[known.State.String()]++
+			}
+			continue
+		}
+		seen, ok := board.Owner(row.Part)
+		switch {
+		case !ok:
+			b.unreadable(row, batch.ErrInvalid.New("names no owner"))
+		case seen.Owner.Released:
+		case row.Part == store.FleetPart:
+			b.fleet.MachinesOwner = seen.Owner.Node
+		default:
+			b.pool(row.Part).Owner = seen.Owner.Node
+		}
+	}
+}
+
+func (b *builder) decisions(rows []store.Row, waves map[int64]batch.Wave) {
+	states := map[int64]machines.WaveState{}
+	empty := map[string]bool{} // ids of wants
+	for _, row := range rows {
+		switch kind, id := store.SplitKey(row.Key); kind {
+		case store.KindCordon:
+			cordon, err := machines.DecodeCordon(row.Value)
+			if err != nil {
+				b.unreadable(row, err)
+			}
+			empty[cordon.Want] = true
+		case store.KindWave:
+			var state machines.WaveState
+			number, err := strconv.ParseInt(id, 10, 64)
+			if err == nil {
+				err = json.Unmarshal(row.Value, &state)
+			}
+			if err != nil {
+				b.unreadable(row, err)
+				continue
+			}
+			states[number] = state
+		}
+	}
+	for _, row := range rows {
+		if kind, _ := store.SplitKey(row.Key); kind != store.KindWant {
+			continue
+		}
+		want, err := machines.DecodeWant(row.Value)
+		if err != nil {
+			b.unreadable(row, err)
+			continue
+		}
+		b.fleet.Wants = append(b.fleet.Wants, Want{Machine: want.Machine, Op: string(want.Op), Pool: want.Pool, Wave: want.Wave,
+			Empty: empty[want.ID], Ordered: want.Ordered})
+	}
+	for number, wave := range waves {
+		state := states[number]
+		b.fleet.Waves = append(b.fleet.Waves, Wave{Number: number, Machines: len(wave.Machines), MaxDown: wave.MaxDown,
+			Begun: len(state.Begun), Completed: state.Completed})
+	}
+	slices.SortFunc(b.fleet.Waves, func(x, y Wave) int { return cmp.Compare(x.Number, y.Number) })
+}
+
+// Job reads one job. Its errors are ErrNoJob and those of the store.
+func (r *Reader) Job(ctx context.Context, id string) (*Job, error) {
+	rows, err := r.rows(ctx, store.BoardTable)
+	if err != nil {
+		return nil, err
+	}
+	board := store.NewBoard(r.Clock, nil)
+	board.Load(rows)
+	known, ok := board.Find(id)
+	if !ok {
+		return nil, ErrNoJob.New("no job %q is stored; it was never accepted, or its state is not kept any more", id)
+	}
+	job := &Job{ID: id, Queue: known.Queue, Pool: known.Pool, State: known.State.String()}
+	page, err := r.Table.Range(ctx, store.JobsTable(known.Pool), store.IntakePart(id), store.Key(store.KindJob, id))
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Rows) > 0 && page.Rows[0].Key == store.Key(store.KindJob, id) {
+		if err := json.Unmarshal(page.Rows[0].Value, &job.Job); err != nil {
+			return nil, batch.ErrInvalid.Wrap(err, "row of job %q", id)
+		}
+	}
+	if page, err = r.Table.Range(ctx, store.RunsTable, known.Pool, id); err != nil {
+		return nil, err
+	}
+	if len(page.Rows) > 0 && page.Rows[0].Key == id {
+		progress, err := batch.DecodeProgress(page.Rows[0].Value)
+		if err != nil {
+			return nil, err
+		}
+		for i := range progress.Runs {
+			run := &progress.Runs[i]
+			job.Runs = append(job.Runs, Run{Task: run.Key().Name(id), Number: run.Number, Done: run.Done, Failures: run.Failures, Worker: run.Worker})
+		}
+	}
+	return job, nil
+}
+
+// Text returns the fleet as tables.
+func (f *Fleet) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "configuration version %d\nowner of the machines: %s\n", f.Configuration, orNone(f.MachinesOwner))
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "POOL\tOWNER\tWORKERS\tDRAINING\tCORES\t%s\n", strings.ToUpper(strings.Join(f.States, "\t")))
+	for i := range f.Pools {
+		p := &f.Pools[i]
+		owner := orNone(p.Owner)
+		if p.Standby {
+			owner = "standby"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f", p.Name, owner, p.Workers, p.Draining, float64(p.CPU)/1000)
+		for _, state := range f.States {
+			fmt.Fprintf(w, "\t%d", p.Jobs[state])
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush() // a strings.Builder does not fail
+	if len(f.Waves) > 0 {
+		fmt.Fprintln(w, "WAVE\tMACHINES\tMAX-DOWN\tBEGUN\tCOMPLETED")
+		for _, wave := range f.Waves {
+			fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%t\n", wave.Number, wave.Machines, wave.MaxDown, wave.Begun, wave.Completed)
+		}
+		w.Flush()
+	}
+	if len(f.Wants) > 0 {
+		fmt.Fprintln(w, "WANTED MACHINE\tFOR\tEMPTY\tORDERED")
+		for _, want := range f.Wants {
+			purpose := "move to " + want.Pool
+			if want.Wave != 0 {
+				purpose = fmt.Sprintf("upkeep, wave %d", want.Wave)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%t\t%t\n", want.Machine, purpose, want.Empty, want.Ordered)
+		}
+		w.Flush()
+	}
+	for _, row := range f.Unreadable {
+		fmt.Fprintf(&b, "unreadable: %s\n", row)
+	}
+	return b.String()
+}
+
+// Text returns the job as tables.
+func (j *Job) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s: %s, queue %s, pool %s\n", j.ID, j.State, j.Queue, j.Pool)
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	if j.Job != nil {
+		fmt.Fprintln(w, "STEP\tTASKS\tCORES\tMEMORY-MB\tESTIMATE-MS\tAFTER\tLASTS")
+		for i := range j.Job.Steps {
+			s := &j.Job.Steps[i]
+			fmt.Fprintf(w, "%d\t%d\t%.1f\t%d\t%d\t%v\t%t\n", i, s.Count, float64(s.Need.CPU)/1000, s.Need.MemoryMB, s.Estimate, s.After, s.LongRunning)
+		}
+		w.Flush() // as above
+	}
+	if len(j.Runs) > 0 {
+		fmt.Fprintln(w, "TASK\tRUN\tDONE\tFAILURES\tWORKER")
+		for _, r := range j.Runs {
+			fmt.Fprintf(w, "%s\t%d\t%t\t%d\t%s\n", r.Task, r.Number, r.Done, r.Failures, orNone(r.Worker))
+		}
+		w.Flush()
+	}
+	return b.String()
+}
+
+func orNone(name string) string {
+	if name == "" {
+		return "none"
+	}
+	return name
+}
--- /dev/null
+++ b/overview/overview_test.go
@@ -0,0 +1,120 @@
+package overview_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/machines"
+	"magnoliaferry/overview"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+func newReader(t *testing.T) (*overview.Reader, *standin.Table) {
+	t.Helper()
+	table := standin.NewTable()
+	put := func(row store.Row, content any) {
+		t.Helper()
+		if content != nil {
+			var err error
+			if row.Value, err = json.Marshal(content); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{row}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(store.Row{Table: "op", Key: "config"}, map[string]any{"version": 7, "services": []map[string]any{{"name": "p"}, {"name": "spare", "standby": true}}})
+	put(store.Row{Table: "op", Key: "wave/3"}, map[string]any{"wave": 3, "machines": []string{"m1", "m2"}, "durationS": 20, "cap": 1})
+	for id, state := range map[string]string{"i-1": "ready", "i-2": "draining"} {
+		put(store.Row{Table: "servers", Key: id}, map[string]any{"service": "p", "address": "a:1", "state": state, "born": 5, "machine": "m",
+			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}})
+	}
+	put(store.Row{Table: "servers", Key: "i-3", Value: []byte("?")}, nil)
+	put(store.Row{Table: store.BoardTable, Part: "p", Key: store.OwnerKey}, store.Owner{Node: "entry-1", Write: "entry-1/x/1"})
+	put(store.Row{Table: store.BoardTable, Part: store.FleetPart, Key: store.OwnerKey}, store.Owner{Node: "entry-2", Write: "entry-2/x/1"})
+	put(store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending), nil)
+	put(store.EncodeState("p", "a", "q", "p", batch.Running), nil)
+	put(store.EncodeState(store.IntakePart("b"), "b", "q", "p", batch.Pending), nil)
+	job, err := (&batch.Job{ID: "a", Queue: "q", Pool: "p", Steps: []batch.Step{{Count: 2, Need: batch.Resources{CPU: 500}}}}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(store.Row{Table: store.JobsTable("p"), Part: store.IntakePart("a"), Key: store.Key(store.KindJob, "a"), Value: job}, nil)
+	progress, err := (&batch.Progress{State: batch.Running, Runs: []batch.Run{{Index: 1, Number: 2, Worker: "i-1", Failures: 1}}}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(store.Row{Table: store.RunsTable, Part: "p", Key: "a", Value: progress}, nil)
+	put(store.Row{Table: store.FleetTable, Key: store.Key(store.KindWant, "m1")}, machines.Want{ID: "w1", Machine: "m1", Op: machines.Upkeep, Wave: 3})
+	put(store.Row{Table: store.FleetTable, Key: store.Key(store.KindWave, "3")}, machines.WaveState{Asked: 1, Begun: []string{"m2"}})
+	put(store.Row{Table: store.FleetTable, Part: "p", Key: store.Key(store.KindCordon, "m1")}, machines.Cordon{Want: "w1"})
+	return &overview.Reader{Table: table, Clock: clock.NewFake(1000)}, table
+}
+
+// Guards against an overview that leaves out, or counts twice, what the instances have stored.
+func TestFleet(t *testing.T) {
+	r, _ := newReader(t)
+	fleet, err := r.Fleet(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fleet.Configuration != 7 || fleet.MachinesOwner != "entry-2" || len(fleet.Pools) != 2 {
+		t.Fatalf("got %+v, want configuration 7, entry-2 and two pools", fleet)
+	}
+	p := fleet.Pools[0]
+	if p.Owner != "entry-1" || p.Workers != 1 || p.Draining != 1 || p.CPU != 4000 || p.Jobs["running"] != 1 || p.Jobs["pending"] != 1 {
+		t.Errorf("pool got %+v, want one ready worker, one draining, one running job and one pending", p)
+	}
+	if len(fleet.Wants) != 1 || !fleet.Wants[0].Empty || fleet.Wants[0].Ordered {
+		t.Errorf("wants got %+v, want one that is empty and not ordered", fleet.Wants)
+	}
+	if want := (overview.Wave{Number: 3, Machines: 2, MaxDown: 1, Begun: 1}); len(fleet.Waves) != 1 || fleet.Waves[0] != want {
+		t.Errorf("waves got %+v, want %+v", fleet.Waves, want)
+	}
+	if len(fleet.Unreadable) != 1 || !strings.Contains(fleet.Unreadable[0], "i-3") {
+		t.Errorf("unreadable got %v, want the entry of i-3", fleet.Unreadable)
+	}
+	text := fleet.Text()
+	for _, want := range []string{"configuration version 7", "entry-1", "standby", "upkeep, wave 3", "unreadable: servers//i-3"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("text got %q, want %q in it", text, want)
+		}
+	}
+}
+
+// Guards against an operator who is shown another job, or none, without a word on why.
+func TestJob(t *testing.T) {
+	r, table := newReader(t)
+	job, err := r.Job(context.Background(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if job.State != "running" || job.Job == nil || len(job.Job.Steps) != 1 || len(job.Runs) != 1 || job.Runs[0].Task != "a.0.0.1" {
+		t.Errorf("got %+v, want a running job with one step and one run", job)
+	}
+	if text := job.Text(); !strings.Contains(text, "a.0.0.1") || !strings.Contains(text, "queue q") {
+		t.Errorf("text got %q, want the task and the queue", text)
+	}
+	// The next row of the part is not taken for the job.
+	other, err := r.Job(context.Background(), "b")
+	if err != nil || other.Job != nil || len(other.Runs) != 0 {
+		t.Errorf("got %+v, %v, want a job of which only the state is known", other, err)
+	}
+	if _, err := r.Job(context.Background(), "c"); !errorx.IsOfType(err, overview.ErrNoJob) {
+		t.Errorf("error got %v, want no-job", err)
+	}
+	table.Down = func() bool { return true }
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // ends the repeats of a rejected read
+	if _, err := r.Fleet(ctx); err == nil {
+		t.Error("error got none, want one while the store is down")
+	}
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -217,14 +217,25 @@
 	return f.asked
 }
 
-// load reads the whole table. The feed goes on from the version of the first read: rows that come while the others are read
-// may be in a part that was empty when the parts were listed.
 func (f *Follower) load(ctx context.Context) error {
 	sent := f.Clock.Now()
-	rows, version, err := f.loadPart(ctx, "")
+	rows, version, err := f.Read(ctx)
 	if err != nil {
 		return err
 	}
+	f.OnLoad(rows)
+	eventReloaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
+		slog.Int64("version", version))
+	f.advance(version, sent)
+	return nil
+}
+
+// Read returns all rows of the table, and the version from which a feed goes on: that of the first read, because rows that
+// come while the others are read may be in a part that was empty when the parts were listed.
+func (f *Follower) Read(ctx context.Context) (rows []Row, version int64, err error) {
+	if rows, version, err = f.loadPart(ctx, ""); err != nil {
+		return nil, 0, err
+	}
 	var parts []string
 	after := ""
 	for more := true; more; {
@@ -234,7 +245,7 @@
 			return err
 		})
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
 		for _, part := range names {
 			after = part
@@ -253,14 +264,10 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return err
+		return nil, 0, err
 	}
 	rows = append(rows, slices.Concat(byPart...)...)
-	f.OnLoad(rows)
-	eventReloaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
-		slog.Int64("version", version))
-	f.advance(version, sent)
-	return nil
+	return rows, version, nil
 }
 
 // repeat sends a read of a load again when the store rejects it. Instances that start at the same time ask for more than the
