machines: a wave empties no more machines than go down next

Tasks that last were chased: each machine that they came to was due as well, was wanted at once, and then waited empty for its turn. The limit on machines that such tasks leave counted only those that they had not left yet. Change: none is wanted for its lasting tasks while as many as may go down next stand empty.

--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -208,7 +208,7 @@
 		return
 	}
 	var left []string
-	open := 0
+	open, empty := 0, 0       // machines without tasks that last; of these, those that wait for their turn
 	hosts := map[string]int{} // machines that tasks which last are leaving, by pool
 	for _, machine := range w.Machines {
 		m, exists := c.listed[machine]
@@ -217,6 +217,9 @@
 				hosts[m.Pool]++
 			} else {
 				open++
+				if !want.Ordered {
+					empty++
+				}
 			}
 		}
 		if exists && !w.begun[machine] {
@@ -246,8 +249,8 @@
 		}
 		switch {
 		case load.Lasting[m.Worker] > 0:
-			if timeLeft > cycleTime && hosts[m.Pool] >= hostsAhead {
-				continue
+			if timeLeft > cycleTime && (hosts[m.Pool] >= hostsAhead || empty >= need) {
+				continue // as many as may go down next stand empty already
 			}
 			hosts[m.Pool]++
 		case open >= need:
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -389,6 +389,55 @@
 	}
 }
 
+// Guards against tasks that last and are chased through a pool by a wave of all its machines, each of which then stands empty
+// until its turn comes.
+func TestWaveDoesNotEmptyMachinesLongBeforeTheirTurn(t *testing.T) {
+	s := newSite(t, map[string]int{"a": 15})
+	load := s.loads["a"]
+	load.Least = 1
+	lasting := func(machine string) {
+		load.Lasting[s.machines[machine].Worker]++
+		s.held[machine] = true
+	}
+	lasting("a-0")
+	lasting("a-1")
+	s.loads["a"] = load
+	s.c.Tick(s.now, s.now)
+	s.c.SetWave(batch.Wave{Number: 1, Machines: names("a", 15), Duration: 40 * clock.Second, MaxDown: 2}, nil)
+	most := 0
+	for s.now < 40*clock.Second && !s.c.waves[1].state.Completed {
+		s.run(200)
+		empty := 0
+		for _, machine := range sorted(s.c.wants) {
+			switch {
+			case s.c.wants[machine].Ordered:
+			case !s.held[machine]:
+				empty++
+			default: // its tasks find another place
+				delete(s.held, machine)
+				delete(load.Lasting, s.machines[machine].Worker)
+				s.cordons[machine] = s.c.wants[machine].ID
+				for _, other := range names("a", 15) {
+					if s.c.wants[other] == nil && s.machines[other].State == batch.MachineUp && !s.held[other] {
+						lasting(other)
+						break
+					}
+				}
+			}
+		}
+		most = max(most, empty)
+	}
+	if got, want := most, 2+hostsAhead; got > want {
+		t.Errorf("machines that stand empty for the wave got %d, want at most %d", got, want)
+	}
+	if !s.c.waves[1].state.Completed {
+		t.Error("the wave is not complete in its time")
+	}
+	if got, want := s.down, 2; got > want {
+		t.Errorf("machines down at once got %d, want at most %d", got, want)
+	}
+}
+
 // Guards against a pool that waits for machines in an availability zone that is cut off, while there are others.
 func TestMachinesThatDoNotComeAreReplaced(t *testing.T) {
 	s := newSite(t, map[string]int{"a": 4, "b": 4, "standby": 12})
