standin, soak: the platform's format stays in the stand-in

The soak put the operators' configuration and jobs together in the platform's words; standin does that now, and settings are daemon.Settings.

--- a/front/service_test.go
+++ b/front/service_test.go
@@ -70,11 +70,16 @@
 		}
 		done <- refusal.Code().Number()
 	}()
+	return advanceUntil(c, done)
+}
+
+// advanceUntil lets the fake clock run until there is a result.
+func advanceUntil[T any](c *clock.Clock, results <-chan T) T {
 	for {
 		synctest.Wait()
 		select {
-		case code := <-done:
-			return code
+		case result := <-results:
+			return result
 		default:
 			c.Advance(10)
 		}
@@ -178,15 +183,7 @@
 			}
 			told <- state
 		}()
-		for {
-			synctest.Wait()
-			select {
-			case state := <-told:
-				return state
-			default:
-				c.Advance(10)
-			}
-		}
+		return advanceUntil(c, told)
 	}
 	if got := look(); got != batch.Completed {
 		t.Errorf("state got %v, want completed", got)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 
+	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 	"magnoliaferry/standin"
 )
@@ -27,6 +28,8 @@
 	retryGap    = 100 * clock.Millis(1)  // of a caller that was turned away
 )
 
+const taskMemory = 100 // megabytes
+
 // ledger is what callers know of their jobs.
 type ledger struct {
 	mu        sync.Mutex
@@ -46,7 +49,7 @@
 		return 0, nil
 	}
 	request.Host = hostName
-	request.Header.Set("Magnoliaferry-Request-Deadline", fmt.Sprint(int64(callTimeout)))
+	request.Header.Set(standin.HeaderDeadline, fmt.Sprint(int64(callTimeout)))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, nil
@@ -69,17 +72,12 @@
 			return
 		}
 		work := standin.Work{Length: 50 + clock.Millis(random.IntN(int(lengths))), CPU: 250 * (1 + random.IntN(8))}
-		steps := []map[string]any{{"count": 1 + random.IntN(4), "cpu": work.CPU, "memMb": 100, "estimatedMs": work.Length}}
+		steps := []batch.Step{{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}}}
 		if random.IntN(2) == 0 {
-			steps = append(steps, map[string]any{"count": 1 + random.IntN(4), "cpu": work.CPU, "memMb": 100, "estimatedMs": work.Length, "after": []int{0}})
-		}
-		body, err := json.Marshal(map[string]any{"spec": work.Spec(), "steps": steps})
-		if err != nil {
-			s.options.breach("job: %v", err)
-			return
+			steps = append(steps, batch.Step{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}, After: []int{0}})
 		}
 		j := &followedJob{site: s, ledger: l, id: fmt.Sprintf("%08x%08d", uint32(s.options.Seed), n),
-			pool: pools[random.IntN(len(pools))], body: body, cancel: random.IntN(cancelShare) == 0,
+			pool: pools[random.IntN(len(pools))], body: standin.JobBody(work, steps...), cancel: random.IntN(cancelShare) == 0,
 			random: rand.New(rand.NewPCG(s.options.Seed, uint64(n+10)))}
 		followed.Go(func() { j.follow(ctx, until+settleTime) })
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -21,13 +21,13 @@
 	waveCap      = 2
 )
 
-// fault is one disturbance: begin starts it, and the result ends it.
+// fault is one kind of fault: begin starts it, and the result ends it.
 type fault struct {
 	name  string
 	begin func(s *site, random *rand.Rand) (what string, end func())
 }
 
-// faults are all kinds of disturbances, in the order in which the plan draws them.
+// faults are all kinds, in the order in which the plan draws them.
 var faults = []fault{
 	{"kill", func(s *site, random *rand.Rand) (string, func()) {
 		in := s.instances[random.IntN(len(s.instances))]
--- a/soak/site.go
+++ b/soak/site.go
@@ -17,6 +17,7 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
+	"magnoliaferry/daemon"
 	"magnoliaferry/standin"
 	"magnoliaferry/store"
 )
@@ -70,22 +71,17 @@
 		fleet: standin.NewFleet(table, clock.System(), func() int64 { return time.Now().UnixMilli() })}
 	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
 	table.Down = s.down.Load
-	routes := []map[string]any{}
-	services := []map[string]any{{"name": standbyPool, "standby": true}}
+	var queues []batch.Queue
 	for _, pool := range pools {
-		services = append(services, map[string]any{"name": pool})
-		routes = append(routes, map[string]any{"name": "q-" + pool, "host": hostName, "prefix": "/" + pool + "/", "service": pool,
-			"priority": 1, "maxAttempts": 20, "stretch": 1.6, "targetCompletionMs": 600})
+		queues = append(queues, batch.Queue{Name: "q-" + pool, Host: hostName, Prefix: "/" + pool + "/", Pool: pool, Priority: 1,
+			MaxAttempts: 20, Stretch: 1.6, Objective: 600})
 	}
-	configuration, err := json.Marshal(map[string]any{"version": 1, "services": services, "routes": routes})
-	if err != nil {
-		return nil, err
-	}
-	table.Put("op", "config", configuration)
+	table.Configure(1, pools, standbyPool, queues)
 	s.fleet.Standby(standbyPool)
 	if err := s.addMachines(ctx); err != nil {
 		return nil, err
 	}
+	var err error
 	if s.address.store, err = listen(ctx, &standin.Rows{Table: table}); err != nil {
 		return nil, err
 	}
@@ -161,15 +157,19 @@
 	if err != nil {
 		return err
 	}
-	settings, err := json.Marshal(map[string]any{"node": in.name, "zone": fmt.Sprintf("z%d", number%2),
-		"listen": map[string]string{"callers": in.callers, "ready": ready}, "store": store, "machines": machines,
-		"cpu-share": 0.4, "cpu-speed": 1.0, "lease-limit": leaseLimit, "machine-lease": machineLease, "stop-grace-s": stopGrace,
-		"state-retention-s": retention})
+	var settings daemon.Settings
+	settings.Node, settings.Zone = in.name, fmt.Sprintf("z%d", number%2)
+	settings.Listen.Callers, settings.Listen.Ready = in.callers, ready
+	settings.Store, settings.Machines = store, machines
+	settings.CPUShare, settings.CPUSpeed = 0.4, 1
+	settings.LeaseLimit, settings.MachineLease = leaseLimit, machineLease
+	settings.StopGrace, settings.StateRetention = stopGrace, retention
+	encoded, err := json.Marshal(settings)
 	if err != nil {
 		return err
 	}
 	in.settings = filepath.Join(s.options.Directory, in.name+".json")
-	if err := os.WriteFile(in.settings, settings, 0o600); err != nil {
+	if err := os.WriteFile(in.settings, encoded, 0o600); err != nil {
 		return err
 	}
 	s.instances = append(s.instances, in)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 
+	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 	"magnoliaferry/standin"
 )
@@ -106,11 +107,10 @@
 	var paths []string
 	for i, pool := range pools {
 		path := fmt.Sprintf("/%s/lasting%d", pool, i)
-		body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":500,"memMb":100,"longRunning":true,"mayMiss":1}]}`,
-			standin.Work{CPU: 500}.Spec(), lastingTasks)
+		body := standin.JobBody(standin.Work{CPU: 500}, batch.Step{Count: lastingTasks, Need: batch.Resources{MemoryMB: taskMemory}, MayMiss: 1})
 		c := clock.System()
 		for until := c.Now() + submitFor; ; {
-			status, content := s.ask(ctx, s.instances[0], http.MethodPost, path, []byte(body))
+			status, content := s.ask(ctx, s.instances[0], http.MethodPost, path, body)
 			if status == http.StatusOK {
 				break
 			}
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"magnoliaferry/clock"
 )
@@ -127,7 +126,7 @@
 		case path == PathSilent, path == PathMute && !request:
 			lost = lost || n > 0
 		case path == PathDelayed && n > 0:
-			time.Sleep(delay.Duration())
+			_ = clock.System().Sleep(context.Background(), delay) // it ends by itself
 		}
 		if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
