--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return Report{}, err
 	}
+	waveEnd := clock.System().Now() + waveAt + waveWithin
 	clock.System().AfterFunc(waveAt, func() { s.fleet.Wave(1, s.machines, waveCap, waveWithin) })
 	l := &ledger{}
 	until := clock.System().Now() + o.Length
@@ -84,6 +85,11 @@
 	for _, path := range lasting {
 		s.checkLasting(ctx, path)
 	}
+	for s.fleet.Duties() < len(s.machines) && clock.System().Now() < waveEnd {
+		if err := clock.System().Sleep(ctx, pollGap); err != nil {
+			return Report{}, err
+		}
+	}
 	if got, want := s.fleet.Duties(), len(s.machines); got != want {
 		o.breach("%d machines of the wave have had their upkeep, want %d", got, want)
 	}
