front: a job is told as cancelled once this is stored as its state

No state that was told as final may change. Ruled out: a cancel that ran over an end (the owner kept completed); a late write (the request was applied at once). Tests: front.TestCancelThatComesTooLate got cancelled before.

--- a/front/service.go
+++ b/front/service.go
@@ -158,8 +158,6 @@
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
 	case !ok || known.Queue != queue.Name:
 		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
-	case known.Cancelled && !known.State.Final():
-		return batch.Cancelled, nil
 	}
 	return known.State, nil
 }
--- a/front/service_test.go
+++ b/front/service_test.go
@@ -196,6 +196,27 @@
 	}
 }
 
+// Guards against an instance that tells a job as cancelled because it has stored the request, when the job has ended otherwise
+// in the meantime: no state that was told as final may change.
+func TestCancelThatComesTooLate(t *testing.T) {
+	s, _ := newService(&scriptedTable{})
+	row := store.EncodeState("p", "a", "q", "p", batch.Running)
+	row.Version = 1
+	s.Board.Apply([]store.Row{row})
+	if refusal := s.Cancel(context.Background(), testQueue, "a", 2900); refusal != nil {
+		t.Fatalf("cancel got %v, want it stored", refusal)
+	}
+	if state, refusal := s.State(context.Background(), testQueue, "a"); refusal != nil || state.Final() {
+		t.Errorf("state got %v, %v, want one that is not final", state, refusal)
+	}
+	row = store.EncodeState("p", "a", "q", "p", batch.Completed)
+	row.Version = 2
+	s.Board.Apply([]store.Row{row})
+	if state, refusal := s.State(context.Background(), testQueue, "a"); refusal != nil || state != batch.Completed {
+		t.Errorf("state got %v, %v, want completed", state, refusal)
+	}
+}
+
 // Guards against a repeated request that is told that its job will not run, while the write of the first request may still
 // be carried out.
 func TestOpenWriteIsNotRefusedLater(t *testing.T) { synctest.Test(t, openWriteIsNotRefusedLater) }
