pool: the runs of a job that a new owner does not know keep a worker's room

A job that has ended is not loaded by the new owner; if its runs still run, for example because the former owner did not learn that the end was stored and so sent no stops, the worker lists runs whose need is not known, and they counted as nothing. Change: an unknown run counts as the whole worker until it has stopped.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -193,9 +193,9 @@
 }
 
 // stray stops a listed run that is not ours, such as one whose job ended under an earlier owner. Its resources count
-// until it is gone.
+// until it is gone; those of a job that is not known here may be all that the worker has.
 func (s *Scheduler) stray(w *worker, entry *Running, strays map[string]batch.Resources) {
-	need := batch.Resources{}
+	need := w.entry.Capacity
 	if id, key, ok := batch.ParseTask(entry.Task); ok {
 		if j := s.jobs[id]; j != nil && key.Step < len(j.def.Steps) {
 			need = j.def.Steps[key.Step].Reserve()
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -551,3 +551,21 @@
 		t.Errorf("starts after the first transaction got %d, want %d", got, want)
 	}
 }
+
+// Guards against a worker that gets more than fits beside the runs of a job that ended under an earlier owner: the new owner does
+// not know the job, and so not what its runs take until they have stopped.
+func TestRunsOfUnknownJobsKeepTheirRoom(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.defs["gone"] = &batch.Job{ID: "gone", Steps: []batch.Step{{Count: 1, Need: cpu(3000)}}}
+	w.workers["w0"].runs["gone.0.0.0"] = &fakeRun{start: Start{Task: "gone.0.0.0", Run: 1}, began: w.now, pace: 100}
+	w.workers["w0"].lease = w.now + 6*clock.Second
+	w.submit("j", batch.Step{Count: 1, Need: cpu(2000), Estimate: 1000})
+	w.run(200)
+	if got := w.where("j.0.0.0"); got != "" {
+		t.Errorf("task runs on %s, want it to wait for the run that stops", got)
+	}
+	w.run(2000)
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed once the run is gone", got)
+	}
+}
