pool: a new owner waits for stops of the former one before it moves tasks that last

Ruled out: more stops by one owner than MayMiss (the former one stopped two). Change: a run that an earlier owner started counts as at work only by lists that come 0.6 s after the worker first answered to us; from then on it takes no stops from the former owner, and those under way are over (400 ms on the users' sites). Test: two of three tasks are away before, one after.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -110,6 +110,9 @@
 		}
 	}
 	w.heard, w.confirmed, w.silent = s.now, true, false
+	if w.since == 0 {
+		w.since = s.now
+	}
 	w.clock, w.clockAt = listing.Clock, s.now
 	if order.Deadline > 0 {
 		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -174,7 +174,17 @@
 		w.run(10)
 		stored = w.s.progress(w.s.jobs["j"], &Draft{})
 	}
-	def := w.s.jobs["j"].def
+	w.replaceOwner(w.s.jobs["j"].def, stored)
+	w.run(3 * clock.Second)
+	for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
+		if got := w.starts[task]; got != 1 {
+			t.Errorf("starts of %s got %d, want 1", task, got)
+		}
+	}
+}
+
+// replaceOwner lets another scheduler go on with what is stored of a job.
+func (w *world) replaceOwner(def *batch.Job, stored *batch.Progress) {
 	successor := NewScheduler(testPool, 6*clock.Second, clock.Minute, nil)
 	successor.Configure(w.s.configuration)
 	w.token += 5
@@ -186,12 +196,34 @@
 	successor.Inherit(w.now+10*clock.Second, nil)
 	successor.AddJob(def, stored, false)
 	w.s, w.holds = successor, nil
+}
+
+// Guards against a successor that stops a task which lasts while another one still runs but is being stopped: the former owner
+// was cut off from the store and had ordered that without storing it.
+func TestSuccessorWaitsForStopsOfTheFormerOwner(t *testing.T) {
+	w := newWorld(t, 5, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("j", batch.Step{Count: 3, Need: cpu(1000), LongRunning: true, MaxPerWorker: 1, MayMiss: 1})
 	w.run(3 * clock.Second)
-	for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
-		if got := w.starts[task]; got != 1 {
-			t.Errorf("starts of %s got %d, want 1", task, got)
+	stored := w.s.progress(w.s.jobs["j"], &Draft{})
+	first, second := w.where("j.0.0.0"), w.where("j.0.0.1")
+	w.replaceOwner(w.s.jobs["j"].def, stored)
+	w.s.Want(second, "want-1")
+	w.workers[first].runs["j.0.0.0"].stopping = w.now
+	away := func(task string) bool {
+		worker := w.workers[w.where(task)]
+		return worker == nil || w.now-worker.runs[task].began < 900 // it is at work after 900 ms
+	}
+	for range 300 {
+		w.run(10)
+		if away("j.0.0.0") && away("j.0.0.1") {
+			t.Fatalf("%d ms: two tasks are away, want one at most", w.now)
 		}
 	}
+	w.run(3 * clock.Second)
+	if got := fmt.Sprint(w.s.Empty()); got != "[want-1]" {
+		t.Errorf("empty got %s, want [want-1] once the first task is back at work", got)
+	}
 }
 
 // Guards against a successor that assumes the longest lease of a worker that had been silent for long, and against a
--- a/pool/state.go
+++ b/pool/state.go
@@ -56,10 +56,16 @@
 	t.avoid, t.avoidUntil = w, now+taskAvoidTime
 }
 
-// atWork reports whether a long-running task does its work, as far as its worker has said lately.
+// formerStop is how long a stop of an earlier owner may still be under way after the worker has seen our token. Workers end a run
+// within 400 ms of a stop on the users' sites.
+const formerStop = 600 * clock.Millis(1)
+
+// atWork reports whether a long-running task does its work, as far as its worker has said lately. A run that an earlier owner
+// started may be about to stop by its order.
 func (t *task) atWork(now clock.Millis) bool {
 	r := t.run
-	return r != nil && r.state == running && !r.stopping && r.percent >= 100 && now-r.worker.heard <= reportAge
+	return r != nil && r.state == running && !r.stopping && r.percent >= 100 && now-r.worker.heard <= reportAge &&
+		(r.sent != 0 || r.worker.heard-r.worker.since >= formerStop)
 }
 
 type step struct {
@@ -101,8 +107,9 @@
 	listed     bool // in the platform's store
 	born       int64
 	token      int64
-	needToken  bool // waits for a token above every one it may have seen
-	confirmed  bool // this life has answered with this token
+	needToken  bool         // waits for a token above every one it may have seen
+	confirmed  bool         // this life has answered with this token
+	since      clock.Millis // when this life first answered; 0: not yet
 	clock      clock.Millis
 	clockAt    clock.Millis // our time when clock was received; 0 when unknown
 	leaseUntil clock.Millis // latest end of the lease on our clock
