pool: lists that were overtaken by newer ones are left out

An urgent hold and one that waits are out at the same time; the older lists came last, brought back what had ended, and made the owner forget the runs that were to stop. Change: the lists with the newest time on the worker's clock count; ends, which have numbers, are taken from any. Test: the room of a worker was 4,000 beside a run of 3,000 that was to stop.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -7,6 +7,10 @@
 	"magnoliaferry/clock"
 )
 
+// overtakenTime bounds how much older lists are that another answer overtook: the longest wait of a hold and its time on the way.
+// Beyond that the worker's clock has been set back.
+const overtakenTime = 3 * clock.Second
+
 // holds orders the holds that are due: they renew leases, bring the ends, and raise tokens.
 func (s *Scheduler) holds() {
 	for _, w := range s.sortedWorkers() {
@@ -118,6 +122,10 @@
 		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
 	}
 	s.takeEnds(w, listing.Ended)
+	if listing.Clock < w.listedAt && w.listedAt-listing.Clock < overtakenTime {
+		return // another hold has brought newer lists: the answer to an urgent one overtakes the one that waits for an end
+	}
+	w.listedAt = listing.Clock
 	s.takeRunning(w, listing, order, sent)
 	s.watch(w)
 	s.pace(w)
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -601,3 +601,28 @@
 		t.Errorf("state got %v, want completed once the run is gone", got)
 	}
 }
+
+// Guards against lists that were overtaken by newer ones and make the owner forget what runs on a worker.
+func TestOvertakenLists(t *testing.T) {
+	w := newWorld(t, 1, testQueue)
+	w.submit("j", batch.Step{Count: 1, Need: cpu(3000), Estimate: 1000})
+	w.run(3000)
+	worker := w.s.workers["w0"]
+	born := w.workers["w0"].entry.Born
+	hold := Hold{Target: worker.target(), Token: worker.token}
+	list := func(at clock.Millis, running ...Running) Listing {
+		return Listing{Reply: Reply{Outcome: Accepted, Clock: at, Born: born}, Running: running}
+	}
+	w.s.Held(hold, list(w.now+20, Running{Task: "j.0.0.0", Run: 7}), w.now)
+	if got, want := worker.room().CPU, 1000; got != want {
+		t.Fatalf("room got %d, want %d beside a run that is to stop", got, want)
+	}
+	w.s.Held(hold, list(w.now+10), w.now)
+	if got, want := worker.room().CPU, 1000; got != want {
+		t.Errorf("room got %d, want %d: the lists are older", got, want)
+	}
+	w.s.Held(hold, list(w.now+30), w.now)
+	if got, want := worker.room().CPU, 4000; got != want {
+		t.Errorf("room got %d, want %d once the run is gone", got, want)
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -110,6 +110,7 @@
 	needToken  bool         // waits for a token above every one it may have seen
 	confirmed  bool         // this life has answered with this token
 	since      clock.Millis // when this life first answered; 0: not yet
+	listedAt   clock.Millis // of the newest lists, on the worker's clock
 	clock      clock.Millis
 	clockAt    clock.Millis // our time when clock was received; 0 when unknown
 	leaseUntil clock.Millis // latest end of the lease on our clock
