--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"magnoliaferry/clock"
+)
+
+// Guards against a soak that overlooks an instance which contradicts another, or which calls an accepted job unknown, and
+// against one that blames an instance for what it cannot know yet.
+func TestLookNotesContradictions(t *testing.T) {
+	const long = 2 * visibleTime
+	for _, test := range []struct {
+		name    string
+		status  int
+		state   string
+		final   string
+		ago     clock.Millis // since the acceptance, and since the final state was told
+		cutNow  bool
+		notable bool
+	}{
+		{"running, as expected", 200, "running", "", long, false, false},
+		{"the same final state", 200, "completed", "completed", long, false, false},
+		{"another final state", 200, "cancelled", "completed", 0, false, true},
+		{"back to running at once", 200, "running", "completed", 0, false, false},
+		{"back to running later", 200, "running", "completed", long, false, true},
+		{"back to running while cut off", 200, "running", "completed", long, true, false},
+		{"unknown at once", 410, "", "", 0, false, false},
+		{"unknown later", 410, "", "", long, false, true},
+		{"unknown while cut off", 410, "", "", long, true, false},
+		{"no such queue", 404, "", "", 0, false, true},
+		{"unavailable", 503, "", "", long, false, false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(test.status)
+			if test.status == http.StatusOK {
+				_, _ = w.Write([]byte(`{"state":"` + test.state + `"}`)) // the test sees what does not arrive
+			}
+		}))
+		now := clock.System().Now()
+		in := &instance{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}
+		s := &site{options: Options{Log: &bytes.Buffer{}, state: &state{}}, instances: []*instance{in}}
+		s.reached.Store(int64(now - 10*visibleTime))
+		in.reached.Store(int64(now - 10*visibleTime))
+		if test.cutNow {
+			in.reached.Store(untouched)
+		}
+		j := &followedJob{site: s, ledger: &ledger{}, id: "a", pool: "north", random: rand.New(rand.NewPCG(1, 1)),
+			acceptedAt: now - test.ago, final: test.final, finalAt: now - test.ago}
+		j.look(context.Background())
+		server.Close()
+		if got := len(s.options.state.breaches) > 0; got != test.notable {
+			t.Errorf("%s: broken promises got %v, want some: %t", test.name, s.options.state.breaches, test.notable)
+		}
+	}
+}
