--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -136,10 +136,18 @@
 	}
 	s.Due(d.dueMachines())
 	eventTenure.Log(context.Background(), d.Logger, slog.String("pool", o.pool), slog.Int64("token", o.chain.Token()),
-		slog.Int("jobs", len(jobs)), slog.Int("with-runs", len(progress)), slog.Int("workers", len(s.Workers())))
+		slog.Int("jobs", len(jobs)), slog.Int("with-runs", len(progress)), slog.Int("workers", len(s.Workers())),
+		slog.Int64("copy-version", d.copyVersion()), slog.String("before", before.Owner.Node), slog.Bool("released", before.Owner.Released),
+		slog.Int64("unchanged-ms", int64(d.clock.Now()-before.At)), slog.Int("reported-leases", len(report.Leases)))
 	return nil
 }
 
+// copyVersion returns the version up to which the copy of the board is complete.
+func (d *Daemon) copyVersion() int64 {
+	version, _ := d.boardFeed.Version() // 0 before the first load
+	return version
+}
+
 // readRuns reads the progress of the jobs of the pool. A job whose row cannot be decoded is left as it is.
 func (o *poolOwner) readRuns(ctx context.Context) (map[string]*batch.Progress, error) {
 	all := map[string]*batch.Progress{}
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -151,7 +151,10 @@
 		w.seenEnd = end.Number
 		r := w.runs[end.Task]
 		if r == nil || r.number != end.Run || r.state == planned {
-			continue // counted as lost before, or stopped before it began
+			// Counted as lost before, or stopped before it began.
+			s.log(eventPassedOver, slog.String("task", end.Task), slog.Int("run", end.Run), slog.String("worker", w.entry.ID),
+				slog.String("how", string(end.How)), slog.Int64("end", end.Number))
+			continue
 		}
 		s.finish(r, end.How, end.Checkpoint)
 	}
@@ -194,6 +197,9 @@
 		}
 		switch {
 		case r.state == running && r.answered < sent:
+			s.log(eventMissing, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
+				slog.Int64("life", r.life), slog.Int64("token", order.Token), slog.Int64("lists-of", int64(listing.Clock)),
+				slog.Int64("asked-ms", int64(s.now-sent)), slog.Int64("answered-ms", int64(s.now-r.answered)), slog.Int64("told-ms", int64(s.now-r.told)))
 			s.finish(r, EndLost, "")
 		case r.state == uncertain && order.Token > r.token && r.answered <= sent:
 			s.log(eventNeverBegan, slog.String("task", r.task.name), slog.Int("run", r.number),
@@ -283,7 +289,7 @@
 				continue
 			}
 			s.log(eventLapsed, slog.String("worker", w.entry.ID), slog.Int("runs", len(w.runs)),
-				slog.Int64("silent-ms", int64(s.now-w.heard)))
+				slog.Int64("silent-ms", int64(s.now-w.heard)), slog.Int64("lease-over-ms", int64(s.now-w.leaseUntil)))
 			for _, r := range sortedRuns(w) {
 				if r.state != planned {
 					s.finish(r, EndLost, "")
--- a/pool/load.go
+++ b/pool/load.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"log/slog"
+
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 )
@@ -67,12 +69,16 @@
 		}
 	}
 	for id, w := range s.workers {
+		told := w.leaseTold
 		w.leaseTold = w.unheard()
 		if w.leaseTold {
 			if load.Leases == nil {
 				load.Leases = map[string]clock.Millis{}
 			}
 			load.Leases[id] = max(w.leaseUntil-s.now, 0)
+			if !told {
+				s.log(eventLeaseTold, slog.String("worker", id), slog.Int64("left-ms", int64(load.Leases[id])), slog.Int("runs", len(w.runs)))
+			}
 		}
 	}
 	return load
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -561,7 +561,8 @@
 			continue
 		}
 		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 {
-			s.finish(r, EndLost, "") // no order went out
+			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
+			s.finish(r, EndLost, "")
 			continue
 		}
 		s.send(r)
