pool, platform: answers that a slow owner has not read yet count before a worker's silence does

What callers saw: a task that had ended as done ran again some seconds later, on another worker (TWICE).

Cause: the client gave an order up by a timer, 200 ms for a start and 600 ms for a hold, measured from when it was sent. An owner that is short of processor time reads answers later than that: its plan holds the processor for 0.3 to 0.4 s, and when it is done the timers have run out, although the answers lie in the sockets. The worker counts as silent, its lease is not renewed, and once the lease is over the owner starts its tasks elsewhere, among them those that the worker has listed as done. More starts get no answer, and there is more to plan: the state keeps itself up.

Ruled out for it: lists out of order and ends passed over before the start (no run-missing, no end-passed-over of it), another owner (the same one started both), a worker that restarted.

An owner that did not run for 150 ms does not give a worker up for 1 s, unless a hold from after the lease got no answer at all.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -9,7 +9,41 @@
 
 // overtakenTime bounds how much older lists are that another answer overtook: the longest wait of a hold and its time on the way.
 // Beyond that the worker's clock has been set back.
-const overtakenTime = 3 * clock.Second
+const overtakenTime = AnswerLimit + idleWait
+
+// impatience takes orders whose answers are overdue for unanswered ones, without giving their answers up.
+func (s *Scheduler) impatience() {
+	for _, w := range s.sortedWorkers() {
+		for _, r := range w.runs {
+			if r.state == starting && r.answered < r.sent && s.now >= r.sent+startPatience {
+				s.doubt(r)
+			}
+		}
+		if w.asking != 0 && s.now >= w.askDue+holdPatience {
+			w.asking, w.nextAsk = 0, s.now+holdPause
+			s.silence(w)
+		}
+		if w.holding != 0 && s.now >= w.holdDue+holdPatience {
+			w.holding, w.nextHold = 0, s.now+holdRetry
+			s.silence(w)
+		}
+	}
+}
+
+// doubt lets a hold find out what became of a start.
+func (s *Scheduler) doubt(r *run) {
+	r.state, r.answered = uncertain, s.now
+	r.worker.nextHold = min(r.worker.nextHold, s.now)
+}
+
+// silence takes in that a worker left a hold unanswered.
+func (s *Scheduler) silence(w *worker) {
+	w.silent = true
+	if w.confirmed && s.now-w.heard > silentAfter {
+		s.log(eventSilent, slog.String("worker", w.entry.ID), slog.Int64("silent-ms", int64(s.now-w.heard)))
+		w.confirmed = false // its lists come first when it answers again
+	}
+}
 
 // holds orders the holds that are due: they renew leases, bring the ends, and raise tokens.
 func (s *Scheduler) holds() {
@@ -18,22 +52,24 @@
 			continue
 		}
 		switch uncertain := s.hasUncertain(w); {
-		case !w.holding && s.now >= w.nextHold:
+		case w.holding == 0 && s.now >= w.nextHold:
 			if w.listed || len(w.runs) > 0 || w.seenEnd != w.ack {
 				s.hold(w, uncertain)
 			}
-		case uncertain && w.holding && !w.asking && s.now >= w.nextAsk:
+		case uncertain && w.holding != 0 && w.asking == 0 && s.now >= w.nextAsk:
 			// The hold that is out waits for an end, and its token may not be above that of the start.
 			s.raiseToken(w)
-			w.asking = true
-			s.orders = append(s.orders, Hold{Target: w.target(), Token: w.token, Ack: w.ack, Urgent: true})
+			s.orderID++
+			w.asking, w.askDue = s.orderID, s.now
+			s.orders = append(s.orders, Hold{Target: w.target(), Token: w.token, Ack: w.ack, Urgent: true, ID: s.orderID})
 		}
 	}
 }
 
 func (s *Scheduler) hold(w *worker, uncertain bool) {
 	s.raiseToken(w)
-	order := Hold{Target: w.target(), Token: w.token, Ack: w.ack, Wait: idleWait}
+	s.orderID++
+	order := Hold{Target: w.target(), Token: w.token, Ack: w.ack, Wait: idleWait, ID: s.orderID}
 	if !w.confirmed {
 		order.Wait = 0
 	}
@@ -49,7 +85,7 @@
 			order.Wait = 0
 		}
 	}
-	w.holding, w.holdDue = true, s.now+order.Wait
+	w.holding, w.holdDue = order.ID, s.now+order.Wait
 	s.orders = append(s.orders, order)
 }
 
@@ -78,10 +114,14 @@
 	if w == nil {
 		return
 	}
-	if order.Urgent {
-		w.asking, w.nextAsk = false, s.now+holdPause
-	} else {
-		w.holding, w.nextHold = false, s.now+holdRetry
+	awaited := true
+	switch order.ID {
+	case w.asking:
+		w.asking, w.nextAsk = 0, s.now+holdPause
+	case w.holding:
+		w.holding, w.nextHold = 0, s.now+holdRetry
+	default:
+		awaited = false
 	}
 	switch listing.Outcome {
 	case Accepted:
@@ -89,10 +129,9 @@
 		s.refusedByToken(w, order.Token)
 		return
 	default:
-		w.silent = true
-		if w.confirmed && s.now-w.heard > silentAfter {
-			s.log(eventSilent, slog.String("worker", w.entry.ID), slog.Int64("silent-ms", int64(s.now-w.heard)))
-			w.confirmed = false // its lists come first when it answers again
+		w.unanswered = max(w.unanswered, sent)
+		if awaited {
+			s.silence(w)
 		}
 		return
 	}
@@ -107,7 +146,7 @@
 		s.log(eventAnswers, slog.String("worker", w.entry.ID), slog.Int64("token", order.Token),
 			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
 	}
-	if !w.holding {
+	if w.holding == 0 {
 		w.nextHold = s.now + holdPause
 		if w.silent {
 			w.nextHold = s.now // the next one renews the lease
@@ -117,15 +156,14 @@
 	if w.since == 0 {
 		w.since = s.now
 	}
-	w.clock, w.clockAt = listing.Clock, s.now
-	if order.Deadline > 0 {
-		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
-	}
 	s.takeEnds(w, listing.Ended)
 	if listing.Clock < w.listedAt && w.listedAt-listing.Clock < overtakenTime {
 		return // another hold has brought newer lists: the answer to an urgent one overtakes the one that waits for an end
 	}
-	w.listedAt = listing.Clock
+	w.clock, w.clockAt, w.listedAt = listing.Clock, s.now, listing.Clock
+	if order.Deadline > 0 {
+		w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
+	}
 	s.takeRunning(w, listing, order, sent)
 	s.watch(w)
 	s.pace(w)
@@ -232,8 +270,15 @@
 		return
 	}
 	r := w.runs[order.Task]
-	if r == nil || r.number != order.Run || r.state != starting {
-		return // listed, ended or lost meanwhile
+	if r == nil || r.number != order.Run || r.token != order.Token {
+		return // ended or lost meanwhile
+	}
+	switch {
+	case r.state == starting:
+	case r.state == uncertain && reply.Outcome != Unanswered && (reply.Born == 0 || reply.Born == w.born):
+		// The answer comes late.
+	default:
+		return // listed, settled by a hold, or the answer of an earlier life
 	}
 	r.answered = s.now
 	switch reply.Outcome {
@@ -241,8 +286,7 @@
 		r.state, r.moved, r.life = running, s.now, reply.Born
 		return
 	case Unanswered:
-		r.state = uncertain
-		w.nextHold = min(w.nextHold, s.now)
+		s.doubt(r)
 		return
 	case Fenced:
 		if order.Token < w.token {
@@ -276,11 +320,17 @@
 	}
 }
 
+// wasAsked reports whether the silence of a worker is its own: this instance has read what came, or a hold from after the lease
+// got no answer within AnswerLimit.
+func (s *Scheduler) wasAsked(w *worker) bool {
+	return s.now >= s.judgeFrom || w.unanswered > w.leaseUntil || w.entry.Address == ""
+}
+
 // lapse gives up the runs of workers whose lease is over and that do not answer. One that answers lists what has ended:
 // runs can have ended as done before this instance, short of processor time, was late with a renewal.
 func (s *Scheduler) lapse() {
 	for _, w := range s.sortedWorkers() {
-		if w.unheard() && s.now > w.leaseUntil && (w.leaseUntil > 0 || !w.listed) {
+		if w.unheard() && s.now > w.leaseUntil && (w.leaseUntil > 0 || !w.listed) && s.wasAsked(w) {
 			certain := false
 			for _, r := range w.runs {
 				certain = certain || r.state != planned
@@ -297,7 +347,7 @@
 			}
 			w.confirmed = false
 		}
-		if len(w.runs) == 0 && !w.listed && !w.holding && s.now-w.heard > clock.Minute {
+		if len(w.runs) == 0 && !w.listed && w.holding == 0 && s.now-w.heard > clock.Minute {
 			delete(s.workers, w.entry.ID)
 			s.sorted = nil
 		}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -49,6 +49,7 @@
 	Deadline clock.Millis // end of the lease on the worker's clock; 0 leaves it as it is
 	Wait     clock.Millis // for an end, before the answer
 	Urgent   bool         // goes out beside another hold, to find out what became of a start
+	ID       int64        // tells the holds of one scheduler apart
 }
 
 // Advise asks which workers may run a step.
--- a/pool/place.go
+++ b/pool/place.go
@@ -20,6 +20,8 @@
 
 // Plan decides what to do now: lapses, stops, places, holds. Orders and Draft return the outcome.
 func (s *Scheduler) Plan() {
+	s.noteStall()
+	s.impatience()
 	s.lapse()
 	s.due()
 	s.repeatStops()
@@ -28,6 +30,18 @@
 	s.holds()
 }
 
+// noteStall notices that this instance did not run for a while, so that answers may wait to be read.
+func (s *Scheduler) noteStall() {
+	stalled := s.now - s.plannedAt
+	if s.plannedAt != 0 && stalled > stallLimit {
+		if s.now >= s.judgeFrom {
+			s.log(eventStall, slog.Int64("stalled-ms", int64(stalled)))
+		}
+		s.judgeFrom = s.now + stallPause
+	}
+	s.plannedAt = s.now
+}
+
 // due starts occurrences whose time has come, and forgets jobs that have ended.
 func (s *Scheduler) due() {
 	kept := s.active[:0]
@@ -115,7 +129,7 @@
 // overdue reports whether a worker has not answered an order for much longer than it takes. What is placed on it now might
 // have to wait for the end of its lease.
 func (s *Scheduler) overdue(w *worker) bool {
-	if w.holding && s.now > w.holdDue+answerTime {
+	if w.holding != 0 && s.now > w.holdDue+answerTime {
 		return true
 	}
 	for _, r := range w.runs {
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -504,7 +504,7 @@
 	w.run(100)
 	w.length = func(string) clock.Millis { return 3000 }
 	w.submit("j", batch.Step{Count: 1, Need: cpu(1000)})
-	for at := w.where("j.0.0.0"); at == "" || w.s.workers[at].holding; at = w.where("j.0.0.0") {
+	for at := w.where("j.0.0.0"); at == "" || w.s.workers[at].holding != 0; at = w.where("j.0.0.0") {
 		w.run(10)
 	}
 	for end := w.now + 8*clock.Second; w.now < end; w.now += 10 { // the owner stands still, and no hold is out
--- a/pool/state.go
+++ b/pool/state.go
@@ -119,13 +119,15 @@
 	runs       map[string]*run
 	used       batch.Resources
 	strays     map[string]batch.Resources // listed runs that nobody here ordered
-	holding    bool
-	holdDue    clock.Millis // when the hold that is out should be answered at the latest
-	asking     bool         // an urgent hold is out
+	holding    int64                      // ID of the hold whose answer is awaited; 0: none
+	holdDue    clock.Millis               // when it should be answered at the latest
+	asking     int64                      // ID of the urgent hold whose answer is awaited; 0: none
+	askDue     clock.Millis
 	nextAsk    clock.Millis
-	leaseTold  bool // the transaction in flight says when its lease ends
-	leaseKept  bool // the table says so; no renewal may make it untrue
-	silent     bool // the newest hold got no answer
+	unanswered clock.Millis // when the newest hold that got no answer at all was sent
+	leaseTold  bool         // the transaction in flight says when its lease ends
+	leaseKept  bool         // the table says so; no renewal may make it untrue
+	silent     bool         // the newest hold got no answer
 	nextHold   clock.Millis
 	heard      clock.Millis // when it last answered
 	failures   int          // failed runs in a row
