pool: an owner whose answers come late does not give workers up for their silence

The answers of all workers were late, so that the silence of one told nothing about it.

Change: when three workers have answered late, the owner gives no worker up for 2.5 s, unless a hold from 3 s after the lease got no answer either. One late worker changes nothing: it may be slow itself.

--- a/pool/codes.go
+++ b/pool/codes.go
@@ -28,7 +28,7 @@
 	eventMissing    = event.New(4217, "run-missing", slog.LevelWarn, "a worker no longer lists a run that it had; the run counts as lost")
 	eventPassedOver = event.New(4218, "end-passed-over", slog.LevelInfo, "a worker lists the end of a run that is not out any more; nothing follows from it")
 	eventNotSent    = event.New(4219, "start-not-sent", slog.LevelInfo, "a start is stored and no longer wanted; no order went out")
-	eventStall      = event.New(4221, "owner-stalled", slog.LevelWarn, "the owner of the pool did not run for a while; it does not judge workers by missing answers until it has caught up")
+	eventSlowOwner  = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its link, is slow; it does not give workers up for missing answers until it has caught up")
 	eventLeaseTold  = event.New(4220, "lease-reported", slog.LevelInfo, "the owner reports how long the lease of a silent worker lasts, and does not renew it")
 )
 
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -142,6 +142,9 @@
 		s.reborn(w, listing.Born)
 		return
 	}
+	if !awaited {
+		s.answeredLate(w)
+	}
 	if !w.confirmed {
 		s.log(eventAnswers, slog.String("worker", w.entry.ID), slog.Int64("token", order.Token),
 			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
@@ -276,7 +279,7 @@
 	switch {
 	case r.state == starting:
 	case r.state == uncertain && reply.Outcome != Unanswered && (reply.Born == 0 || reply.Born == w.born):
-		// The answer comes late.
+		s.answeredLate(w)
 	default:
 		return // listed, settled by a hold, or the answer of an earlier life
 	}
@@ -320,10 +323,32 @@
 	}
 }
 
-// wasAsked reports whether the silence of a worker is its own: this instance has read what came, or a hold from after the lease
-// got no answer within AnswerLimit.
+// wasAsked reports whether the silence of a worker is its own: this instance is not slow, or a hold from long after the lease got
+// no answer either.
 func (s *Scheduler) wasAsked(w *worker) bool {
-	return s.now >= s.judgeFrom || w.unanswered > w.leaseUntil || w.entry.Address == ""
+	return s.now >= s.judgeFrom || w.unanswered > w.leaseUntil+AnswerLimit || w.entry.Address == ""
+}
+
+// answeredLate takes in that an answer came after it was taken for missing. One worker may be slow; several show that this instance is.
+func (s *Scheduler) answeredLate(w *worker) {
+	w.lateAt = s.now
+	late := 0
+	for _, other := range s.workers {
+		if other.lateAt != 0 && s.now-other.lateAt <= stallPause {
+			late++
+		}
+	}
+	if late >= lateWorkers {
+		s.doNotJudge(slog.Int("late-workers", late))
+	}
+}
+
+// doNotJudge keeps workers from being given up for missing answers for a while.
+func (s *Scheduler) doNotJudge(reason slog.Attr) {
+	if s.now >= s.judgeFrom {
+		s.log(eventSlowOwner, reason)
+	}
+	s.judgeFrom = s.now + stallPause
 }
 
 // lapse gives up the runs of workers whose lease is over and that do not answer. One that answers lists what has ended:
--- a/pool/place.go
+++ b/pool/place.go
@@ -34,10 +34,7 @@
 func (s *Scheduler) noteStall() {
 	stalled := s.now - s.plannedAt
 	if s.plannedAt != 0 && stalled > stallLimit {
-		if s.now >= s.judgeFrom {
-			s.log(eventStall, slog.Int64("stalled-ms", int64(stalled)))
-		}
-		s.judgeFrom = s.now + stallPause
+		s.doNotJudge(slog.Int64("stalled-ms", int64(stalled)))
 	}
 	s.plannedAt = s.now
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -33,10 +33,12 @@
 	// AnswerLimit is how long the answer to a start or a hold is awaited: an owner that is short of processor time reads
 	// answers seconds after they were given, and an end that a worker has told must not be lost.
 	AnswerLimit = 3 * clock.Second
-	// An owner that was stalled for more than stallLimit does not judge by missing answers for stallPause: those that came
-	// meanwhile have to be read first.
+	// An owner that was stalled for more than stallLimit, or to which lateWorkers workers answered late within stallPause, does not
+	// judge by missing answers for stallPause: it, or its link, is slower than its workers. The pause is longer than a hold that
+	// waits, holdPatience and holdRetry together, after which the next answer can be late.
 	stallLimit    = 150 * clock.Millis(1)
-	stallPause    = 1 * clock.Second
+	stallPause    = 2500 * clock.Millis(1)
+	lateWorkers   = 3
 	stopRepeat    = 700 * clock.Millis(1) // until the end is listed
 	startRepeat   = 300 * clock.Millis(1) // pause after a start that a worker refused
 	failuresLimit = 3                     // failed runs in a row after which a worker is avoided
