store, daemon: a release tells how long the owner held the part

What callers see: a task that must run once runs on two workers, after a pool changed its owner twice within a few seconds. Cause: an owner that is cut off from the store only renews leases for up to actLimit after its last renewal. Another instance takes the pool and gives it up a moment later (a restart, for example). The next owner saw only the release, after which nobody renews leases, and took the longest lease from there: up to actLimit too short for the first owner. The first order for a machine had the same fault: it went out at once after a release, although the holder before the last one could have ordered less than a lease ago. Change: the owner row of a release has held-ms, the time since the claim was first sent. The last renewal of the owner before that claim is older than the claim, so both bounds count from the claim when the tenure was shorter than the authority. After a longer tenure the hand-over is as before. A release without held-ms, by an older instance, counts as a tenure of no length. TestFirstOrderOfATenure expected an immediate order after any release, which was the fault; it now expects that after a long tenure, and the wait after a short one and after one of unknown length.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -304,7 +304,8 @@
 }
 
 // Guards against machines that stand still for the lease of an earlier life of the same process, after a restart of all, and
-// against orders that come too soon after those of another holder.
+// against orders that come too soon after those of another holder, also of one that was replaced shortly before the machines were
+// given up.
 func TestFirstOrderOfATenure(t *testing.T) {
 	const now, seen, lease = 10000, 9800, 3000
 	for _, test := range []struct {
@@ -315,7 +316,14 @@
 	}{
 		{"no earlier owner", store.Owner{}, false, now},
 		{"another owner", store.Owner{Node: "b"}, true, seen + orderAge + lease + handOverMargin},
-		{"another owner that gave the machines up", store.Owner{Node: "b", Released: true}, true, now},
+		{"another owner that gave the machines up after a long tenure",
+			store.Owner{Node: "b", Released: true, Held: orderAge + lease + handOverMargin}, true, now},
+		{"another owner that gave the machines up after a short tenure",
+			store.Owner{Node: "b", Released: true, Held: 300}, true, seen - 300 + orderAge + lease + handOverMargin},
+		{"an owner that gave the machines up and does not tell its tenure", store.Owner{Node: "b", Released: true}, true,
+			seen + orderAge + lease + handOverMargin},
+		{"an earlier life of this process that gave the machines up after a short tenure",
+			store.Owner{Node: "a", Released: true, Held: 300}, true, seen - 300 + orderAge + lease + handOverMargin},
 		{"an earlier life of this process", store.Owner{Node: "a"}, true, now},
 	} {
 		if got := ordersFrom(now, store.Seen{Owner: test.owner, At: seen}, test.existed, "a", lease); got != test.want {
--- /dev/null
+++ b/daemon/inherit_test.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/pool"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+// Guards against a task that runs twice because the owner before the last one, cut off from the store only, renewed leases until
+// its authority ended, and against a wait for leases that nobody can have renewed.
+func TestReleaseOfAShortTenure(t *testing.T) {
+	const (
+		lease    = pool.MaxLease
+		takeover = takeoverLeast + 100
+		longest  = lease + lease/leaseDriftDiv + leaseSlack
+		onWorker = lease + lease*2/100 // the worker's clock is 2% slow
+	)
+	for _, test := range []struct {
+		name    string
+		held    clock.Millis
+		release bool
+		end     clock.Millis // since the first owner's last renewal
+		keeps   bool
+	}{
+		{"the second owner is killed", 300, false, actLimit + onWorker, true},
+		{"the second owner gives the pool up", 300, true, actLimit + onWorker, true},
+		{"the second owner gives the pool up at once", 0, true, actLimit + onWorker, true},
+		{"the second owner gives the pool up after a usual tenure", actLimit, true, takeover + actLimit + longest + 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := clock.NewFake(10000)
+			table := standin.NewTable()
+			d := &Daemon{clock: c, board: store.NewBoard(c, nil), table: &store.Monitor{Table: table, Clock: c}}
+			chain := func(node string) *store.Chain {
+				return &store.Chain{Store: table, Clock: c, Part: "p", Node: node, Incarnation: node, SinceBoot: c.Now}
+			}
+			seen := func() store.Seen {
+				d.board.Apply(table.Rows(store.BoardTable))
+				seen, _ := d.board.Owner("p")
+				return seen
+			}
+			ctx := context.Background()
+			if err := chain("a").Claim(ctx, 0); err != nil {
+				t.Fatal(err)
+			}
+			first, renewed := seen(), c.Now()
+			c.Advance(takeover)
+			second := chain("b")
+			if err := second.Claim(ctx, first.Version); err != nil {
+				t.Fatal(err)
+			}
+			seen()
+			c.Advance(test.held)
+			if test.release {
+				(&elector{daemon: d, part: "p"}).release(second)
+			}
+			o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", lease, clock.Minute, nil)}
+			o.scheduler.SetToken(100)
+			o.scheduler.Tick(c.Now(), c.Now())
+			o.inherit(seen(), pool.Load{}, lease)
+			o.scheduler.AddJob(&batch.Job{ID: "j", Queue: "q", Pool: "p", Steps: []batch.Step{{Count: 1, Need: batch.Resources{CPU: 500}}}},
+				&batch.Progress{State: batch.Running, Runs: []batch.Run{{Number: 1, Worker: "w", Born: 1}}}, false)
+			o.scheduler.Tick(renewed+test.end, renewed+test.end)
+			o.scheduler.Plan()
+			if got := o.scheduler.Draft() == nil; got != test.keeps {
+				t.Errorf("run kept at the end of the lease: got %t, want %t", got, test.keeps)
+			}
+		})
+	}
+}
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -79,12 +79,19 @@
 }
 
 // ordersFrom returns when the first order of a tenure may go out: the platform wants two holders to be a lease apart. An
-// earlier life of this process was the same holder, and orders nothing any more.
+// earlier life of this process was the same holder, and orders nothing any more. A holder that gave the machines up orders
+// nothing any more either, but the one before it may have done so until shortly after the claim of the last one.
 func ordersFrom(now clock.Millis, before store.Seen, existed bool, node string, lease clock.Millis) clock.Millis {
-	if !existed || before.Owner.Released || before.Owner.Node == node {
+	renewed := before.At
+	switch {
+	case !existed:
+		return now
+	case before.Owner.Released:
+		renewed -= before.Owner.Held
+	case before.Owner.Node == node:
 		return now
 	}
-	return max(now, before.At+orderAge+lease+handOverMargin)
+	return max(now, renewed+orderAge+lease+handOverMargin)
 }
 
 func (d *Daemon) catchUpMachines(ctx context.Context) error {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -185,11 +185,13 @@
 	return report, nil
 }
 
-// inherit bounds the leases that the previous owner can have renewed: until its authority ended, or until it gave the
-// pool up.
+// inherit bounds the leases that previous owners can have renewed: the last one until its authority ended, or until it gave the
+// pool up, and the one before it until its authority ended, which is at most actLimit after the claim of the last one.
 func (o *poolOwner) inherit(before store.Seen, report pool.Load, lease clock.Millis) {
 	others := before.At + lease + lease/leaseDriftDiv + leaseSlack
-	if !before.Owner.Released {
+	if before.Owner.Released {
+		others += max(actLimit-before.Owner.Held, 0)
+	} else {
 		others += actLimit
 	}
 	known := map[string]clock.Millis{}
--- a/store/chain.go
+++ b/store/chain.go
@@ -39,6 +39,9 @@
 	Write    string  `json:"write"` // unique for each transaction of the chain
 	Released bool    `json:"released,omitempty"`
 	Cores    float64 `json:"cores,omitempty"` // processor of the node
+	// Held, in a row that gives the part up, is the time since the claim was sent. The owner before that claim may still act until
+	// its own authority ends.
+	Held clock.Millis `json:"held-ms,omitempty"`
 }
 
 // Incarnation returns the incarnation of the process that wrote the row.
@@ -75,6 +78,7 @@
 
 	mu      sync.Mutex
 	version int64
+	claimed clock.Millis // when the claim was first sent
 	renewed clock.Millis
 	timeout clock.Millis // of the next attempt; 0: AttemptTimeout
 	writes  int64
@@ -98,7 +102,7 @@
 // Claim takes the part if the row that names its owner still has the version that was seen; 0 for no row.
 func (c *Chain) Claim(ctx context.Context, seen int64) error {
 	c.mu.Lock()
-	c.version = seen
+	c.version, c.claimed = seen, c.SinceBoot()
 	c.mu.Unlock()
 	if err := c.Commit(ctx, nil, nil); err != nil {
 		return err
@@ -115,7 +119,10 @@
 
 // Release gives the part up, so that another instance takes it without waiting.
 func (c *Chain) Release(ctx context.Context) error {
-	if err := c.commit(ctx, nil, nil, Owner{Released: true}); err != nil {
+	c.mu.Lock()
+	held := c.SinceBoot() - c.claimed
+	c.mu.Unlock()
+	if err := c.commit(ctx, nil, nil, Owner{Released: true, Held: held}); err != nil {
 		return err
 	}
 	eventReleased.Log(ctx, c.Logger, slog.String("part", c.Part))
--- a/store/chain_test.go
+++ b/store/chain_test.go
@@ -137,6 +137,38 @@
 	}
 }
 
+// Guards against an owner that gives a part up and hides how lately it took it: the owner before it may still act. The tenure counts
+// from the first attempt of the claim.
+func TestReleaseTellsTheTenure(t *testing.T) { synctest.Test(t, releaseTellsTheTenure) }
+
+func releaseTellsTheTenure(t *testing.T) {
+	table := standin.NewTable()
+	c := clock.NewFake(1000)
+	chain := newChain(table, "a", c)
+	ctx := context.Background()
+	lose := true
+	table.Fault = func(store.Transaction) standin.TableFault {
+		if lose {
+			lose = false
+			return standin.TableLosesCall
+		}
+		return standin.TableWorks
+	}
+	if err := advancing(c, func() error { return chain.Claim(ctx, 0) }); err != nil {
+		t.Fatal(err)
+	}
+	c.Advance(300)
+	want := c.Now() - 1000
+	if err := chain.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range table.Rows(store.BoardTable) {
+		if owner, err := store.DecodeOwner(row.Value); err != nil || owner.Held != want {
+			t.Errorf("owner got %+v, %v, want it held for %d ms", owner, err, want)
+		}
+	}
+}
+
 // Guards against two owners that both believe that their writes count: over random faults, each applied row was written
 // by the owner that the row before it names, and tokens grow.
 func TestOneOwnerAtATime(t *testing.T) {
