store: a copy that nobody needs does not count as healthy

What callers see: right after an outage of the store a pool can have fewer workers than live, if its new owner owned nothing before: the new owner does not ask those that are missing. Entries of workers lapse in an outage and come back within two seconds. Cause: the copy of the workers is idle while an instance owns nothing. It makes no calls then, so none fails, and Healthy went on counting through the outage; it exceeded the grace in which a missing entry still counts. Change: an idle copy is not healthy; the time counts from its first answered call after the idle time. Only the list of workers reads Healthy of a copy that can be idle. Elections read that of the board, which is never idle, so that claims wait no longer than before. A worker that left while the copy was idle now counts for the grace of 2.2 s after the takeover; it gets no tasks before it has answered. Evidence: TestIdleCopyIsNotHealthy got 5100 ms before, want at most 100. It does not show a doubled run.

--- a/store/follower.go
+++ b/store/follower.go
@@ -80,7 +80,8 @@
 	return f.Clock.Now() - f.asked
 }
 
-// Healthy returns for how long the copy has been kept up to date without a failed call; 0 while calls fail.
+// Healthy returns for how long the copy has been kept up to date without a failed call; 0 while calls fail, and while nobody needs
+// the copy.
 func (f *Follower) Healthy() clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,6 +134,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		if f.Idle != nil && f.Idle() {
+			f.unhealthy() // without calls, an outage of the store goes unnoticed
 			_ = f.Clock.Sleep(ctx, idlePause) // ends early only with the context, which the loop checks
 			continue
 		}
@@ -160,9 +162,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		f.mu.Lock()
-		f.healthy = 0
-		f.mu.Unlock()
+		f.unhealthy()
 		if !failing {
 			failing = true
 			eventFollowLost.Log(ctx, f.Logger, slog.String("table", f.Table), slog.String("error", err.Error()))
@@ -309,6 +309,12 @@
 	}
 }
 
+func (f *Follower) unhealthy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.healthy = 0
+}
+
 func (f *Follower) advance(version int64, sent clock.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/store/follower_idle_test.go
@@ -0,0 +1,63 @@
+package store_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+// Guards against a copy that counts as kept up to date although nobody has read it: an instance that takes a pool right after an outage
+// of the store would take entries that lapsed in the outage for workers that have gone.
+func TestIdleCopyIsNotHealthy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		var idle, down atomic.Bool
+		table.Down = down.Load
+		c := clock.NewFake(1000)
+		rows := make(chan clock.Millis, 1)
+		f := &store.Follower{Store: table, Clock: c, Table: "t", Period: func() clock.Millis { return 50 }, Wait: 10,
+			Idle: idle.Load, OnLoad: func([]store.Row) {}}
+		f.OnRows = func([]store.Row) { rows <- f.Healthy() }
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		if err := f.CatchUp(ctx); err != nil {
+			t.Error(err)
+		}
+		pass := func(d clock.Millis) {
+			for range d / 10 {
+				c.Advance(10)
+				<-clock.System().After(10) // the feed waits on the clock of the test
+				synctest.Wait()
+			}
+		}
+		idle.Store(true)
+		pass(1 * clock.Second)
+		if got := f.Healthy(); got != 0 {
+			t.Errorf("healthy of an idle copy got %d ms, want 0", got)
+		}
+		down.Store(true)
+		table.Put("t", "k", nil)
+		pass(4 * clock.Second)
+		down.Store(false)
+		idle.Store(false)
+		pass(100)
+		if got := <-rows; got != 0 {
+			t.Errorf("healthy at the first changes after the idle time got %d ms, want 0", got)
+		}
+		if got, most := f.Healthy(), clock.Millis(100); got == 0 || got > most {
+			t.Errorf("healthy got %d ms, want more than 0 and at most %d: the store was away until a moment ago", got, most)
+		}
+		pass(1 * clock.Second)
+		if got, least := f.Healthy(), 1*clock.Second; got < least {
+			t.Errorf("healthy got %d ms, want at least %d: calls have been answered since", got, least)
+		}
+		cancel()
+		<-ended
+	})
+}
