daemon: the former pool of a worker is told that it left

What callers see: two owners give tasks to one worker, each as if it had all the room: a machine moved to another pool, and its new life has the id of the former one. Cause: a change of a worker went to the owner of the pool that its entry names. The owner of the pool that it named before kept the worker as listed, as no entry was deleted. Change: the list of workers reports that a worker left when its entry names another pool than before. Evidence: TestWorkerLeavesItsPoolUnderTheSameID got workers [w] in the former pool, want none, before the change.

--- /dev/null
+++ b/daemon/leave_test.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/pool"
+	"magnoliaferry/store"
+)
+
+// Guards against two owners that give tasks to one worker: its machine moved to another pool, its new life has the same id, and the
+// owner of the former pool is not told.
+func TestWorkerLeavesItsPoolUnderTheSameID(t *testing.T) {
+	c := clock.NewFake(10000)
+	d := &Daemon{clock: c, owners: map[*poolOwner]bool{}}
+	d.workers = newWorkerList(c, nil, d.workerChanged)
+	d.workers.healthy = func() clock.Millis { return clock.Hour }
+	owners := map[string]*poolOwner{}
+	for _, name := range []string{"p", "q"} {
+		o := &poolOwner{daemon: d, pool: name, events: newMailbox[func()](), scheduler: pool.NewScheduler(name, pool.MaxLease, clock.Minute, nil)}
+		owners[name] = o
+		d.owners[o] = true
+	}
+	for _, move := range []struct {
+		to   string
+		want map[string][]string // workers by pool
+	}{
+		{"p", map[string][]string{"p": {"w"}}},
+		{"q", map[string][]string{"q": {"w"}}},
+		{"p", map[string][]string{"p": {"w"}}},
+	} {
+		value, err := json.Marshal(map[string]any{"service": move.to, "address": "x", "state": "ready", "machine": "m",
+			"capacity": map[string]int{"cpu": 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.workers.apply([]store.Row{{Key: "w", Value: value}})
+		for name, o := range owners {
+			for _, handle := range o.events.take() {
+				handle()
+			}
+			if got, want := o.scheduler.Workers(), move.want[name]; !slices.Equal(got, want) {
+				t.Errorf("worker in pool %s: workers of %s got %v, want %v", move.to, name, got, want)
+			}
+		}
+	}
+}
--- a/daemon/workers.go
+++ b/daemon/workers.go
@@ -20,7 +20,7 @@
 	logger *slog.Logger
 	clock  *clock.Clock
 	decode func(id string, value []byte) (batch.Worker, error)
-	// changed is called with each change; a worker that left has only its id and gone set.
+	// changed is called with each change. A worker that left, also for another pool, is passed as it was before.
 	changed func(w batch.Worker, gone bool)
 	// healthy returns for how long the entries have been read without a failure.
 	healthy func() clock.Millis
@@ -75,10 +75,14 @@
 			continue
 		}
 		l.mu.Lock()
+		before, known := l.workers[w.ID]
 		l.workers[w.ID] = w
 		delete(l.faulty, w.ID)
 		delete(l.lapsed, w.ID)
 		l.mu.Unlock()
+		if known && before.Pool != w.Pool {
+			l.changed(before, true)
+		}
 		l.changed(w, false)
 	}
 }
