daemon: an owner notices workers that left while its tenure began

What callers see: a pool's owner keeps a worker listed that has left, or has gone to another pool, for its whole tenure. Cause: the scheduler is built from a copy of the workers before the owner is told of changes. The copy was taken in again afterwards, but only the workers in it: one that left in between stayed. Change: workers that the copy no longer has are removed then. Evidence: TestWorkerThatLeftWhileATenureBegan got [left new] before, want [new].

--- a/daemon/leave_test.go
+++ b/daemon/leave_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
@@ -47,3 +48,19 @@
 		}
 	}
 }
+
+// Guards against a worker that counts on for a whole tenure: it left while the scheduler was built, before changes reached it.
+func TestWorkerThatLeftWhileATenureBegan(t *testing.T) {
+	c := clock.NewFake(10000)
+	d := &Daemon{clock: c}
+	d.workers = newWorkerList(c, nil, func(batch.Worker, bool) {})
+	d.workers.healthy = func() clock.Millis { return clock.Hour }
+	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil)}
+	o.scheduler.SetWorker(batch.Worker{ID: "left", Pool: "p", Address: "x"})
+	d.workers.workers["new"] = batch.Worker{ID: "new", Pool: "p", Address: "y"}
+	d.configuration.Store(&batch.Configuration{})
+	o.refresh()
+	if got, want := o.scheduler.Workers(), []string{"new"}; !slices.Equal(got, want) {
+		t.Errorf("workers got %v, want %v", got, want)
+	}
+}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -511,9 +511,16 @@
 func (o *poolOwner) refresh() {
 	d := o.daemon
 	o.scheduler.Configure(d.configuration.Load())
+	listed := map[string]bool{}
 	for _, w := range d.workers.all(o.pool) {
+		listed[w.ID] = true
 		o.scheduler.SetWorker(w)
 	}
+	for _, id := range o.scheduler.Workers() {
+		if !listed[id] {
+			o.scheduler.RemoveWorker(id)
+		}
+	}
 	for _, row := range d.fleet.Rows(store.FleetPart, store.KindWant) {
 		o.want(row)
 	}
