pool, daemon: an ended job stays known until its row is deleted

What callers see: a job that was shown as completed runs again, after its state has expired. Cause: the rows of an ended job in the intake parts are deleted by transactions that are repeated until the store carries them out. The scheduler forgot the job as soon as its state expired; with the row still there, the next reading of the whole table, after a gap in the history, took it for a new job. Change: the scheduler forgets an expired job only once the rows in the intake part are deleted; the row of the job is deleted no later than its first state. Evidence: TestEndedJobWhoseRowOutlivesItsState had the job taken in again before the change.

--- a/daemon/inherit_test.go
+++ b/daemon/inherit_test.go
@@ -73,3 +73,51 @@
 		})
 	}
 }
+
+// Guards against an ended job that is taken in again: the store did not carry out the deletion of its row until its state was no longer
+// kept, and the owner reads the whole table after a gap in the history. Once the row is deleted, the owner forgets the job.
+func TestEndedJobWhoseRowOutlivesItsState(t *testing.T) {
+	const id = "0000000000000001"
+	job := &batch.Job{ID: id, Queue: "q", Pool: "p", Steps: []batch.Step{{Count: 1, Need: batch.Resources{CPU: 500}}}}
+	value, err := job.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const retention = 1 * clock.Second
+	d := &Daemon{clock: clock.NewFake(10000)}
+	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, retention, nil),
+		states: map[string]batch.State{}, stored: map[string]bool{}, cancels: map[string]bool{}, damaged: map[string]bool{},
+		sweeper: newSweeper(d, "p")}
+	o.scheduler.Tick(10000, 10000)
+	o.scheduler.AddEnded(id)
+	part := store.IntakePart(id)
+	row := store.Row{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, id), Value: value, Version: 1}
+	o.addJobs([]store.Row{row}, nil)
+	commit := func(draft *pool.Draft) (deletes []store.Row) {
+		if draft == nil {
+			t.Fatal("draft got none, want one")
+		}
+		_, deletes, _, err := o.encode(draft)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.scheduler.Committed(2)
+		return deletes
+	}
+	o.scheduler.Tick(10000+2*retention, 10000+2*retention)
+	commit(o.scheduler.Draft())
+	o.jobRows([]store.Row{row})
+	if o.scheduler.Active(id) {
+		t.Error("job got taken in again, want it left: the deletion of its row is still due")
+	}
+	if draft := o.scheduler.Draft(); draft != nil {
+		t.Errorf("draft got %+v, want none: the job expires once", draft)
+	}
+	o.sweeper.settled(context.Background(), part, o.sweeper.queued[part], nil)
+	if got := len(commit(o.scheduler.Renewal())); got != 1 {
+		t.Errorf("deletions got %d, want 1, of the final state", got)
+	}
+	if o.scheduler.Knows(id) {
+		t.Error("job got known, want it forgotten: its rows are deleted")
+	}
+}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -467,6 +467,7 @@
 	// The final state goes last: without it the first one would show the job as pending.
 	for _, id := range o.sweeper.take(maxForgotten) {
 		drop(store.BoardTable, store.Key(store.KindJob, id))
+		o.scheduler.Forget(id)
 	}
 	return puts, deletes, over, nil
 }
--- a/pool/draft.go
+++ b/pool/draft.go
@@ -116,15 +116,17 @@
 	return p
 }
 
-// expire forgets jobs that ended long ago, a few at a time.
+// expire names jobs that ended long ago, a few at a time. They stay known until Forget: their rows can outlast the retention.
 func (s *Scheduler) expire(d *Draft) {
 	for len(s.final) > 0 && len(d.Expired) < 5 && s.now-s.final[0].since > s.Retention && s.over[s.final[0].id] {
 		d.Expired = append(d.Expired, s.final[0].id)
-		delete(s.over, s.final[0].id)
 		s.final = s.final[1:]
 	}
 }
 
+// Forget tells that an expired job has no row any more from which it could be taken in again.
+func (s *Scheduler) Forget(id string) { delete(s.over, id) }
+
 // send orders a worker to start a run.
 func (s *Scheduler) send(r *run) {
 	w, t := r.worker, r.task
