--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -314,8 +314,8 @@
 	Clock   clock.Millis `json:"clockMs"`
 	Born    int64        `json:"born"`
 	Reason  string       `json:"reason,omitempty"`
-	Running [][]any      `json:"running,omitempty"`
-	Ended   [][]any      `json:"endedRuns,omitempty"`
+	Running [][]any      `json:"running,omitzero"` // empty, but present, in an answer with lists
+	Ended   [][]any      `json:"endedRuns,omitzero"`
 }
 
 func (f *Fleet) serveWorker(m *fleetMachine, w http.ResponseWriter, r *http.Request) {
@@ -426,6 +426,7 @@
 // list renews the lease, forgets acknowledged ends and fills in the lists. f.mu is held.
 func (f *Fleet) list(m *fleetMachine, order *orderFields, answer *workerFields) {
 	life, now := m.life, f.Clock.Now()
+	answer.Running, answer.Ended = [][]any{}, [][]any{}
 	life.lease = max(life.lease, order.Deadline)
 	kept := life.ended[:0]
 	for _, e := range life.ended {
