daemon: a tenure begins with a copy of the board that includes its claim

What callers see: jobs that were shown as completed run again after a pool changed its owner. Cause: a page of a feed counts as complete if it has fewer rows than the store returns at most. A page is limited in bytes as well, so that a shorter one can leave changes out. The new owner caught up with one page and took jobs whose final state was in the next one for pending. Change: the owner also waits until its copy of the board includes the version of its claim, which is newer than all that earlier owners stored. A full copy has it with the same page, so that nothing is slower then. Evidence: TestTenureBeginsWithTheWholeBoard had four of five ended jobs taken in before, in 20 of 20 runs. No trace shows this case in the field.

--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -93,6 +93,10 @@
 	if err := d.catchUp(ctx); err != nil {
 		return err
 	}
+	// A page of a feed that is cut short by its size in bytes looks complete; the row of the claim comes after all earlier ones.
+	if err := d.boardFeed.WaitFor(ctx, o.chain.Token()); err != nil {
+		return err
+	}
 	progress, err := o.readRuns(ctx)
 	if err != nil {
 		return err
