--- a/store/follower.go
+++ b/store/follower.go
@@ -134,7 +134,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		if f.Idle != nil && f.Idle() {
-			f.unhealthy() // without calls, an outage of the store goes unnoticed
+			f.unhealthy()                     // without calls, an outage of the store goes unnoticed
 			_ = f.Clock.Sleep(ctx, idlePause) // ends early only with the context, which the loop checks
 			continue
 		}
