--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -93,6 +93,10 @@
 	if err := d.catchUp(ctx); err != nil {
 		return err
 	}
+	// A page of a feed that is cut short by its size in bytes looks complete; the row of the claim comes after all earlier ones.
+	if err := d.boardFeed.WaitFor(ctx, o.chain.Token()); err != nil {
+		return err
+	}
 	progress, err := o.readRuns(ctx)
 	if err != nil {
 		return err
@@ -185,11 +189,13 @@
 	return report, nil
 }
 
-// inherit bounds the leases that the previous owner can have renewed: until its authority ended, or until it gave the
-// pool up.
+// inherit bounds the leases that previous owners can have renewed: the last one until its authority ended, or until it gave the
+// pool up, and the one before it until its authority ended, which is at most actLimit after the claim of the last one.
 func (o *poolOwner) inherit(before store.Seen, report pool.Load, lease clock.Millis) {
 	others := before.At + lease + lease/leaseDriftDiv + leaseSlack
-	if !before.Owner.Released {
+	if before.Owner.Released {
+		others += max(actLimit-before.Owner.Held, 0)
+	} else {
 		others += actLimit
 	}
 	known := map[string]clock.Millis{}
@@ -465,6 +471,7 @@
 	// The final state goes last: without it the first one would show the job as pending.
 	for _, id := range o.sweeper.take(maxForgotten) {
 		drop(store.BoardTable, store.Key(store.KindJob, id))
+		o.scheduler.Forget(id)
 	}
 	return puts, deletes, over, nil
 }
@@ -509,9 +516,16 @@
 func (o *poolOwner) refresh() {
 	d := o.daemon
 	o.scheduler.Configure(d.configuration.Load())
+	listed := map[string]bool{}
 	for _, w := range d.workers.all(o.pool) {
+		listed[w.ID] = true
 		o.scheduler.SetWorker(w)
 	}
+	for _, id := range o.scheduler.Workers() {
+		if !listed[id] {
+			o.scheduler.RemoveWorker(id)
+		}
+	}
 	for _, row := range d.fleet.Rows(store.FleetPart, store.KindWant) {
 		o.want(row)
 	}
