--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -52,6 +52,7 @@
 	token   int64
 	load    Load // as stored last
 	blocked bool // the store takes nothing
+	ledger  *ledger
 }
 
 type pendingHold struct {
@@ -68,7 +69,7 @@
 func newWorld(t *testing.T, workers int, queue batch.Queue) *world {
 	w := &world{t: t, s: NewScheduler(testPool, 6*clock.Second, clock.Minute, nil), now: 1000, token: 10,
 		workers: map[string]*fakeWorker{}, starts: map[string]int{}, defs: map[string]*batch.Job{}, states: map[string]batch.State{},
-		length: func(string) clock.Millis { return 1000 }, fails: func(string, string) bool { return false }}
+		ledger: newLedger(), length: func(string) clock.Millis { return 1000 }, fails: func(string, string) bool { return false }}
 	queue.Pool = testPool
 	w.s.Configure(&batch.Configuration{Version: 1, Queues: []batch.Queue{queue}, Pools: []batch.Pool{{Name: testPool}}})
 	w.s.SetToken(w.token)
@@ -186,6 +187,9 @@
 
 func (w *world) advanceWorkers() {
 	for _, f := range w.workers {
+		if w.now > f.lease {
+			w.ledger.lapse(f.life())
+		}
 		for _, name := range sortedNames(f.runs) {
 			r := f.runs[name]
 			switch {
@@ -199,6 +203,9 @@
 				f.end(name, r, EndFailed)
 			case r.length > 0 && w.now-r.began >= r.length:
 				f.end(name, r, EndDone)
+				if !w.lasts(name) {
+					w.ledger.done(name, r.start.Run, f.life(), f.ends, w.now)
+				}
 			}
 		}
 	}
@@ -213,7 +220,7 @@
 	return names
 }
 
-// checkCapacity guards against more than a worker has; what is being stopped counts.
+// checkCapacity guards against more than a worker has, where what is being stopped counts, and against two runs of a task at once.
 func (w *world) checkCapacity() {
 	for id, f := range w.workers {
 		used := 0
@@ -236,6 +243,14 @@
 	}
 }
 
+// lasts reports whether the task starts again however it ends.
+func (w *world) lasts(task string) bool {
+	job, key, _ := batch.ParseTask(task)
+	return w.defs[job].Steps[key.Step].LongRunning
+}
+
+func (f *fakeWorker) life() life { return life{f.entry.ID, f.entry.Born} }
+
 func (f *fakeWorker) end(name string, r *fakeRun, how End) {
 	f.ends++
 	f.ended = append(f.ended, Ended{Number: f.ends, Task: name, Run: r.start.Run, How: how})
@@ -264,6 +279,9 @@
 	if f.runs[o.Task] == nil {
 		f.runs[o.Task] = &fakeRun{start: o, began: w.now, length: w.length(o.Task), pace: 100}
 		w.starts[o.Task]++
+		if end := w.ledger.start(o.Task, o.Run, f.life(), w.now); end != nil {
+			w.t.Fatalf("%d ms: %v", w.now, end)
+		}
 	}
 	return f.reply(w, Accepted)
 }
@@ -295,6 +313,9 @@
 	}
 	f.token = o.Token
 	f.lease = max(f.lease, o.Deadline)
+	if end := w.ledger.acknowledge(f.life(), o.Ack); end != nil {
+		w.t.Fatalf("%d ms: %v", w.now, end)
+	}
 	kept := f.ended[:0]
 	for _, e := range f.ended {
 		if e.Number > o.Ack {
