--- /dev/null
+++ b/pool/takeover_random_test.go
@@ -0,0 +1,139 @@
+package pool
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+// CI plays the first seeds; -args -takeover-seeds 2000 -takeover-first 0 looks for new failures.
+var (
+	takeoverSeeds  = flag.Uint64("takeover-seeds", 40, "number of seeds of TestRandomTakeovers")
+	takeoverFirst  = flag.Uint64("takeover-first", 0, "first seed of TestRandomTakeovers")
+	sameID         = flag.Bool("same-id", true, "workers restart under their id in TestRandomTakeovers")
+	lateToNewLife  = flag.Bool("late-to-new-life", false, "late orders are carried out by a life that began after they were sent")
+	quickToNewLife = flag.Bool("quick-to-new-life", true, "orders on their way are carried out by a life that began after they were sent")
+	traceLines     = flag.Int("trace-lines", 60, "lines that are printed of what led to a failure of TestRandomTakeovers")
+)
+
+// Guards against a task that runs twice, or again after its end was acknowledged, and against a worker that gets more than
+// it has, while owners are killed, frozen, or cut off from the store or from workers, and others take over from what is stored.
+func TestRandomTakeovers(t *testing.T) {
+	for seed := *takeoverFirst; seed < *takeoverFirst+*takeoverSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playTakeovers(t, seed) })
+	}
+}
+
+func playTakeovers(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	s := newSite(t, random, 4, sitePlan{lateToNewLife: *lateToNewLife, quickToNewLife: *quickToNewLife, sameID: *sameID,
+		bornInReplies: seed%2 == 0})
+	s.length = func(string) clock.Millis {
+		if random.IntN(3) == 0 {
+			return s.span(10, 100)
+		}
+		return s.span(300, 2500)
+	}
+	const jobs = 30
+	for i := range jobs {
+		s.submit(&batch.Job{ID: fmt.Sprintf("j%d", i), Queue: "q", Pool: testPool, Spec: "spec", Steps: []batch.Step{
+			{Count: 1 + random.IntN(5), Need: cpu(200 + random.IntN(1500)), Estimate: 800, MaxPerWorker: random.IntN(3)},
+			{Count: 1 + random.IntN(3), Need: cpu(200 + random.IntN(900)), Estimate: 800, After: []int{0}}}})
+		s.trouble()
+		s.run(s.span(0, 1500))
+	}
+	s.calm = true
+	s.slow = 0
+	s.nextLinks = map[string]link{}
+	for _, o := range s.owners {
+		o.links, o.storeCut, o.frozen = map[string]link{}, 0, min(o.frozen, s.now+10)
+	}
+	s.run(40 * clock.Second)
+	for i := range jobs {
+		id := fmt.Sprintf("j%d", i)
+		if got := s.board[id]; !got.Final() {
+			t.Errorf("state of %s got %v, want a final one once all troubles are over", id, got)
+		}
+	}
+}
+
+// trouble begins one kind of trouble; each ends by itself.
+func (s *site) trouble() {
+	o := s.owners[len(s.owners)-1]
+	id := s.names[s.random.IntN(len(s.names))]
+	switch s.random.IntN(12) {
+	case 0:
+		s.note("owner %s is killed", o.name)
+		o.dead = true
+	case 1:
+		o.frozen = s.now + s.span(500, 7000)
+		s.note("owner %s is frozen until %d", o.name, o.frozen)
+	case 2, 3:
+		o.storeCut = s.now + s.span(300, 7000)
+		s.note("owner %s does not reach the store until %d", o.name, o.storeCut)
+	case 4:
+		o.release()
+	case 5, 6, 7:
+		s.disrupt(o, id)
+	case 8:
+		s.restart(id)
+	case 9:
+		s.slow = s.now + s.span(300, 3000)
+	case 10:
+		if len(s.jobs) > 0 {
+			s.cancel(s.jobs[s.random.IntN(len(s.jobs))].ID)
+		}
+	}
+}
+
+// disrupt harms the way between a worker and the present owner, the next ones, or both.
+func (s *site) disrupt(o *owner, id string) {
+	l := cut
+	if s.chance(2) {
+		l = mute
+	}
+	whom := s.random.IntN(3)
+	if whom != 0 {
+		o.links[id] = l
+	}
+	if whom != 1 {
+		s.nextLinks[id] = l
+	}
+	s.note("owner %s and the next ones (%d of 0 next, 1 present, 2 both): way to host %s is harmed, kind %d", o.name, whom, id, l)
+	s.after(s.span(200, 10000), func() {
+		s.note("owner %s and the next ones: way to host %s is mended", o.name, id)
+		delete(s.nextLinks, id)
+		for _, o := range s.owners {
+			delete(o.links, id)
+		}
+	})
+}
+
+// restart ends a life of a worker; the next one begins soon, mostly under the same id.
+func (s *site) restart(id string) {
+	h := s.hosts[id]
+	if !h.up {
+		return
+	}
+	machine := h.entry.Machine
+	h.crash()
+	down := s.span(10, 80)
+	if s.chance(2) {
+		down = s.span(300, 6000)
+	}
+	next := id
+	if !s.plan.sameID || s.chance(4) {
+		next = fmt.Sprintf("%s-%d", machine[2:], s.now)
+	}
+	s.after(down, func() {
+		s.boot(next, machine, s.now)
+		s.after(s.span(10, 1500), func() { s.publish(next) })
+		if next != id {
+			s.after(s.span(10, 3000), func() { s.publish(id) })
+		}
+	})
+}
