--- a/pool/takeover_random_test.go
+++ b/pool/takeover_random_test.go
@@ -17,6 +17,8 @@
 	sameID         = flag.Bool("same-id", true, "workers restart under their id in TestRandomTakeovers")
 	lateToNewLife  = flag.Bool("late-to-new-life", false, "late orders are carried out by a life that began after they were sent")
 	quickToNewLife = flag.Bool("quick-to-new-life", true, "orders on their way are carried out by a life that began after they were sent")
+	earlyRelease   = flag.Bool("early-release", true, "owners release the pool while the one before may still act")
+	troublesEach   = flag.Int("takeover-troubles", 1, "troubles that begin with each job of TestRandomTakeovers")
 	traceLines     = flag.Int("trace-lines", 60, "lines that are printed of what led to a failure of TestRandomTakeovers")
 )
 
@@ -31,7 +33,7 @@
 func playTakeovers(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	s := newSite(t, random, 4, sitePlan{lateToNewLife: *lateToNewLife, quickToNewLife: *quickToNewLife, sameID: *sameID,
-		bornInReplies: seed%2 == 0})
+		bornInReplies: seed%2 == 0, earlyRelease: *earlyRelease})
 	s.length = func(string) clock.Millis {
 		if random.IntN(3) == 0 {
 			return s.span(10, 100)
@@ -43,7 +45,9 @@
 		s.submit(&batch.Job{ID: fmt.Sprintf("j%d", i), Queue: "q", Pool: testPool, Spec: "spec", Steps: []batch.Step{
 			{Count: 1 + random.IntN(5), Need: cpu(200 + random.IntN(1500)), Estimate: 800, MaxPerWorker: random.IntN(3)},
 			{Count: 1 + random.IntN(3), Need: cpu(200 + random.IntN(900)), Estimate: 800, After: []int{0}}}})
-		s.trouble()
+		for range *troublesEach {
+			s.trouble()
+		}
 		s.run(s.span(0, 1500))
 	}
 	s.calm = true
--- a/pool/takeover_world_test.go
+++ b/pool/takeover_world_test.go
@@ -69,10 +69,12 @@
 
 // sitePlan tells which troubles a site has.
 type sitePlan struct {
+	calm           bool // none but those that a test makes
 	lateToNewLife  bool // late orders are carried out by a worker that has restarted under their id meanwhile
 	quickToNewLife bool // so are those that are on their way when it restarts
 	sameID         bool // workers restart under their id
 	bornInReplies  bool // answers to starts tell the life, as lists always do
+	earlyRelease   bool // an owner may release the pool while the one before it still acts
 }
 
 type link int
@@ -114,6 +116,7 @@
 	s := &site{t: t, random: random, plan: plan, now: 20 * clock.Second, hosts: map[string]*host{}, listed: map[string]batch.Worker{},
 		rows: map[string][]byte{}, board: map[string]batch.State{}, version: 10, defs: map[string]*batch.Job{}, cancelled: map[string]bool{},
 		nextLinks: map[string]link{}, ledger: newLedger(), length: func(string) clock.Millis { return 500 }}
+	s.calm = plan.calm
 	for i := range hosts {
 		id := fmt.Sprintf("w%d", i)
 		s.boot(id, "m-"+id, s.now-clock.Millis(random.IntN(15000)))
@@ -180,10 +183,16 @@
 	before, released := s.changed+s.span(0, 60), s.released
 	before = min(before, s.now)
 	s.version += 1 + int64(s.random.IntN(3))
-	o := &owner{site: s, name: fmt.Sprintf("o%d", len(s.owners)), version: s.version, renewed: s.now, links: map[string]link{}}
+	o := &owner{site: s, name: fmt.Sprintf("o%d", len(s.owners)), version: s.version, claimed: s.now, renewed: s.now, links: map[string]link{}}
 	for id, l := range s.nextLinks {
 		o.links[id] = l
 	}
+	if !s.calm && s.chance(5) {
+		o.storeCut = s.now + s.span(300, 5000)
+	}
+	if !s.calm && s.chance(4) {
+		o.links[s.names[s.random.IntN(len(s.names))]] = cut
+	}
 	s.holder, s.changed, s.released = o, s.now, false
 	s.cautious = s.now + s.span(50, 600) // no takeover in the moment after a claim
 	s.owners = append(s.owners, o)
@@ -252,6 +261,7 @@
 	scheduler *Scheduler
 	links     map[string]link
 	version   int64 // of the row, as its newest transaction left it
+	claimed   clock.Millis
 	renewed   clock.Millis
 
 	begun      bool
@@ -486,7 +496,10 @@
 
 // release ends the tenure so that another instance can take over at once.
 func (o *owner) release() {
-	if o.dead || !o.begun || o.committing || o.site.now < o.storeCut {
+	if o.dead || !o.begun || o.committing || o.site.now < max(o.storeCut, o.frozen) {
+		return
+	}
+	if !o.site.plan.earlyRelease && o.site.now-o.claimed < modelActLimit {
 		return
 	}
 	o.dead = true
