--- a/pool/takeover_world_test.go
+++ b/pool/takeover_world_test.go
@@ -64,7 +64,6 @@
 	length    func(task string) clock.Millis
 	calm      bool
 	trace     []string
-	failure   string
 }
 
 // sitePlan tells which troubles a site has.
