pool: a lease that the table tells is not extended

What callers would see: a task runs a second time beside the first after a change of the owner (TWICE), on a worker that the new owner cannot reach.

Cause: a successor believes what the table tells of the leases of silent workers. It became untrue in three ways: a start that is stored in the same transaction as the report went out all the same; a start that a worker refused for its token was sent again; and a new owner renewed leases before its first report replaced that of the former owner. Change: no start goes out and no lease is renewed while the table tells the end of the worker's lease; a successor takes over what it tells.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -77,7 +77,7 @@
 		order.Wait = min(order.Wait, busyWait)
 		// A hold without an answer may have renewed the lease. Only a worker that answers gets another renewal;
 		// otherwise the end of the lease would never be certain.
-		if w.clockAt != 0 && !w.silent && !w.leaseTold && !w.leaseKept {
+		if w.clockAt != 0 && !w.silent && !w.keepsLease() {
 			order.Deadline = w.clockNow(s.now) + s.Lease
 			w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
 		}
@@ -292,15 +292,16 @@
 		s.doubt(r)
 		return
 	case Fenced:
-		if order.Token < w.token {
-			s.send(r)
+		if order.Token >= w.token {
+			s.refusedByToken(w, order.Token)
+		}
+		if s.fenced {
 			return
 		}
-		s.refusedByToken(w, order.Token)
-		if !s.fenced {
+		if !w.keepsLease() {
 			s.send(r)
+			return
 		}
-		return
 	}
 	s.log(eventRefused, slog.String("task", order.Task), slog.Int("run", order.Run), slog.String("worker", w.entry.ID),
 		slog.Int("outcome", int(reply.Outcome)))
--- a/pool/load.go
+++ b/pool/load.go
@@ -84,6 +84,9 @@
 	return load
 }
 
+// keepsLease reports whether the table says, or is about to say, when the lease of the worker ends.
+func (w *worker) keepsLease() bool { return w.leaseTold || w.leaseKept }
+
 // unheard reports whether the worker may run something and does not answer, or cannot be asked as the platform's store does
 // not list it any more.
 func (w *worker) unheard() bool { return len(w.runs) > 0 && (w.silent || w.entry.Address == "") }
--- a/pool/place.go
+++ b/pool/place.go
@@ -109,7 +109,7 @@
 	for _, w := range s.sortedWorkers() {
 		switch {
 		case !w.listed || w.entry.Draining || w.wanted || w.entry.Pool != s.Pool:
-		case !w.confirmed || w.silent || w.leaseTold || w.leaseKept || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
+		case !w.confirmed || w.silent || w.keepsLease() || w.needToken || w.clockAt == 0 || s.now-w.heard > silentAfter:
 		case s.overdue(w):
 		case w.avoidUntil > s.now:
 			avoided = append(avoided, w)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -227,6 +227,7 @@
 		if !known {
 			until = s.inherited
 		}
+		w.leaseKept = known
 		w.leaseUntil = max(w.leaseUntil, until)
 		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, born: stored.Born, pace: 100}
 		t.run = r
@@ -365,6 +366,7 @@
 	if w == nil {
 		w = &worker{runs: map[string]*run{}, strays: map[string]batch.Resources{}, token: s.token, born: entry.Born}
 		w.wanted = s.wants[entry.ID] != ""
+		_, w.leaseKept = s.inheritedBy[entry.ID]
 		s.workers[entry.ID] = w
 		s.succeed(entry)
 	}
@@ -576,7 +578,7 @@
 		if r.task.run != r { // the worker restarted meanwhile
 			continue
 		}
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 {
+		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.keepsLease() {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
