pool: lists of the millisecond in which a run was shown do not make it a lost one

What callers would see: a task runs a second time beside the first.

Cause: two holds of a worker can be out at once. Lists that are older by the worker's clock are left out, but not those of the same millisecond. Without a run that the newer lists had shown before its start was answered, they made it a lost one, and its task started elsewhere. Change: a run keeps the newest time on its worker's clock at which it was shown; only later lists can show that it has gone. Lists of a life that tells its birth are overtaken however old they are.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -8,7 +8,7 @@
 )
 
 // overtakenTime bounds how much older lists are that another answer overtook: the longest wait of a hold and its time on the way.
-// Beyond that the worker's clock has been set back.
+// Beyond that the worker has restarted, if it does not tell its life.
 const overtakenTime = AnswerLimit + idleWait
 
 // impatience takes orders whose answers are overdue for unanswered ones, without giving their answers up.
@@ -160,7 +160,7 @@
 		w.since = s.now
 	}
 	s.takeEnds(w, listing.Ended)
-	if listing.Clock < w.listedAt && w.listedAt-listing.Clock < overtakenTime {
+	if listing.Clock < w.listedAt && (listing.Born != 0 || w.listedAt-listing.Clock < overtakenTime) {
 		return // another hold has brought newer lists: the answer to an urgent one overtakes the one that waits for an end
 	}
 	w.clock, w.clockAt, w.listedAt = listing.Clock, s.now, listing.Clock
@@ -215,7 +215,7 @@
 		if r.state != running {
 			r.state, r.moved = running, s.now
 		}
-		r.life = w.born
+		r.life, r.shown = w.born, listing.Clock
 		if entry.Percent != r.percent {
 			r.percent, r.moved = entry.Percent, s.now
 		}
@@ -237,7 +237,7 @@
 			continue
 		}
 		switch {
-		case r.state == running && r.answered < sent:
+		case r.state == running && r.answered < sent && r.shown < listing.Clock:
 			s.log(eventMissing, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
 				slog.Int64("life", r.life), slog.Int64("token", order.Token), slog.Int64("lists-of", int64(listing.Clock)),
 				slog.Int64("asked-ms", int64(s.now-sent)), slog.Int64("answered-ms", int64(s.now-r.answered)), slog.Int64("told-ms", int64(s.now-r.told)))
@@ -286,7 +286,7 @@
 	r.answered = s.now
 	switch reply.Outcome {
 	case Accepted:
-		r.state, r.moved, r.life = running, s.now, reply.Born
+		r.state, r.moved, r.life, r.shown = running, s.now, reply.Born, reply.Clock
 		return
 	case Unanswered:
 		s.doubt(r)
--- a/pool/state.go
+++ b/pool/state.go
@@ -34,6 +34,7 @@
 	pace         int          // percent of the processor time it may use
 	born         int64        // life of the worker for which it was planned
 	life         int64        // life of the worker that said that it runs; 0: none yet
+	shown        clock.Millis // newest time on the clock of that worker at which it had the run; lists from before it do not show that the run has gone
 }
 
 type task struct {
