--- a/pool/holds.go
+++ b/pool/holds.go
@@ -61,15 +61,24 @@
 			s.raiseToken(w)
 			s.orderID++
 			w.asking, w.askDue = s.orderID, s.now
-			s.orders = append(s.orders, Hold{Target: w.target(), Token: w.token, Ack: w.ack, Urgent: true, ID: s.orderID})
+			s.orders = append(s.orders, Hold{Target: w.target(), Token: w.token, Ack: w.cursor(), Urgent: true, ID: s.orderID})
 		}
 	}
 }
 
+// cursor returns the newest end that a hold acknowledges, or 0 when that is needless or may reach another life of the worker: ends are
+// numbered anew there, and it would forget some that nobody has taken in.
+func (w *worker) cursor() int64 {
+	if w.silent || w.ack == w.acked {
+		return 0
+	}
+	return w.ack
+}
+
 func (s *Scheduler) hold(w *worker, uncertain bool) {
 	s.raiseToken(w)
 	s.orderID++
-	order := Hold{Target: w.target(), Token: w.token, Ack: w.ack, Wait: idleWait, ID: s.orderID}
+	order := Hold{Target: w.target(), Token: w.token, Ack: w.cursor(), Wait: idleWait, ID: s.orderID}
 	if !w.confirmed {
 		order.Wait = 0
 	}
@@ -145,6 +154,7 @@
 	if !awaited {
 		s.answeredLate(w)
 	}
+	w.acked = max(w.acked, order.Ack)
 	if !w.confirmed {
 		s.log(eventAnswers, slog.String("worker", w.entry.ID), slog.Int64("token", order.Token),
 			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
@@ -276,13 +286,19 @@
 	if r == nil || r.number != order.Run || r.token != order.Token {
 		return // ended or lost meanwhile
 	}
+	late := r.state == uncertain
 	switch {
-	case r.state == starting:
-	case r.state == uncertain && reply.Outcome != Unanswered && (reply.Born == 0 || reply.Born == w.born):
-		s.answeredLate(w)
-	default:
+	case reply.Born > w.born:
+		s.reborn(w, reply.Born)
+	case r.state != starting && !late, late && reply.Outcome == Unanswered, reply.Born != 0 && reply.Born < w.born:
 		return // listed, settled by a hold, or the answer of an earlier life
 	}
+	if late {
+		s.answeredLate(w)
+	}
+	if w.runs[order.Task] != r {
+		return
+	}
 	r.answered = s.now
 	switch reply.Outcome {
 	case Accepted:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -431,7 +431,7 @@
 			r.state, r.answered = uncertain, s.now
 		}
 	}
-	w.born, w.seenEnd, w.ack, w.clockAt, w.confirmed, w.since, w.listedAt = born, 0, 0, 0, false, 0, 0
+	w.born, w.seenEnd, w.ack, w.acked, w.clockAt, w.confirmed, w.since, w.listedAt = born, 0, 0, 0, 0, false, 0, 0
 	w.strays = map[string]batch.Resources{}
 	// The new life has seen no token: a late order for the old one is refused only under a token above its own.
 	w.needToken = true
--- a/pool/state.go
+++ b/pool/state.go
@@ -117,6 +117,7 @@
 	leaseUntil clock.Millis // latest end of the lease on our clock
 	seenEnd    int64        // newest end taken in
 	ack        int64        // newest end that is stored
+	acked      int64        // newest end that this life is known to have forgotten
 	runs       map[string]*run
 	used       batch.Resources
 	strays     map[string]batch.Resources // listed runs that nobody here ordered
--- a/pool/twice_test.go
+++ b/pool/twice_test.go
@@ -244,6 +244,8 @@
 	d.after(10)
 	d.s.Started(start, Reply{Outcome: Accepted, Clock: 10, Born: 2})
 	d.after(holdRetry)
+	d.s.Orders()
+	d.commit() // the next hold may wait for a newer token
 	hold = only[Hold](d)
 	if hold.Ack >= 1 {
 		t.Errorf("acknowledged end of the hold got %d, want 0: this life has told of none", hold.Ack)
