--- a/pool/holds.go
+++ b/pool/holds.go
@@ -11,33 +11,33 @@
 // Beyond that the worker has restarted, if it does not tell its life.
 const overtakenTime = AnswerLimit + idleWait
 
-// impatience takes orders whose answers are overdue for unanswered ones, without giving their answers up.
-func (s *Scheduler) impatience() {
+// expireCalls takes orders whose soft timeout has passed for unanswered ones. Their answers still count.
+func (s *Scheduler) expireCalls() {
 	for _, w := range s.sortedWorkers() {
 		for _, r := range w.runs {
-			if r.state == starting && r.answered < r.sent && s.now >= r.sent+startPatience {
-				s.doubt(r)
+			if r.state == starting && r.answered < r.sent && s.now >= r.sent+startSoftTimeout {
+				s.markUncertain(r)
 			}
 		}
-		if w.asking != 0 && s.now >= w.askDue+holdPatience {
+		if w.asking != 0 && s.now >= w.askDue+holdSoftTimeout {
 			w.asking, w.nextAsk = 0, s.now+holdPause
-			s.silence(w)
+			s.markSilent(w)
 		}
-		if w.holding != 0 && s.now >= w.holdDue+holdPatience {
+		if w.holding != 0 && s.now >= w.holdDue+holdSoftTimeout {
 			w.holding, w.nextHold = 0, s.now+holdRetry
-			s.silence(w)
+			s.markSilent(w)
 		}
 	}
 }
 
-// doubt lets a hold find out what became of a start.
-func (s *Scheduler) doubt(r *run) {
+// markUncertain lets a hold find out what became of a start.
+func (s *Scheduler) markUncertain(r *run) {
 	r.state, r.answered = uncertain, s.now
 	r.worker.nextHold = min(r.worker.nextHold, s.now)
 }
 
-// silence takes in that a worker left a hold unanswered.
-func (s *Scheduler) silence(w *worker) {
+// markSilent takes in that a worker left a hold unanswered.
+func (s *Scheduler) markSilent(w *worker) {
 	w.silent = true
 	if w.confirmed && s.now-w.heard > silentAfter {
 		s.log(eventSilent, slog.String("worker", w.entry.ID), slog.Int64("silent-ms", int64(s.now-w.heard)))
@@ -140,7 +140,7 @@
 	default:
 		w.unanswered = max(w.unanswered, sent)
 		if awaited {
-			s.silence(w)
+			s.markSilent(w)
 		}
 		return
 	}
@@ -203,8 +203,9 @@
 		r := w.runs[end.Task]
 		if r == nil || r.number != end.Run || r.state == planned {
 			// Counted as lost before, or stopped before it began.
+			counts := s.doneBefore(end)
 			s.log(eventPassedOver, slog.String("task", end.Task), slog.Int("run", end.Run), slog.String("worker", w.entry.ID),
-				slog.String("how", string(end.How)), slog.Int64("end", end.Number), slog.Bool("counts", s.doneBefore(end)))
+				slog.String("how", string(end.How)), slog.Int64("end", end.Number), slog.Bool("counts", counts))
 			continue
 		}
 		s.finish(r, end.How, end.Checkpoint)
@@ -338,7 +339,7 @@
 		r.state, r.moved, r.life, r.shown = running, s.now, reply.Born, reply.Clock
 		return
 	case Unanswered:
-		s.doubt(r)
+		s.markUncertain(r)
 		return
 	case Fenced:
 		if order.Token >= w.token {
@@ -373,10 +374,10 @@
 	}
 }
 
-// wasAsked reports whether the silence of a worker is its own: this instance is not slow, or a hold from long after the lease got
+// silenceConfirmed reports whether the silence of a worker is its own: this instance is not slow, or a hold from long after the lease got
 // no answer either.
-func (s *Scheduler) wasAsked(w *worker) bool {
-	return s.now >= s.judgeFrom || w.unanswered > w.leaseUntil+AnswerLimit || w.entry.Address == ""
+func (s *Scheduler) silenceConfirmed(w *worker) bool {
+	return s.now >= s.evictFrom || w.unanswered > w.leaseUntil+AnswerLimit || w.entry.Address == ""
 }
 
 // answeredLate takes in that an answer came after it was taken for missing. One worker may be slow; several show that this instance is.
@@ -389,23 +390,23 @@
 		}
 	}
 	if late >= lateWorkers {
-		s.doNotJudge(slog.Int("late-workers", late))
+		s.suspendEviction(slog.Int("late-workers", late))
 	}
 }
 
-// doNotJudge keeps workers from being given up for missing answers for a while.
-func (s *Scheduler) doNotJudge(reason slog.Attr) {
-	if s.now >= s.judgeFrom {
+// suspendEviction keeps workers from being given up for missing answers for a while.
+func (s *Scheduler) suspendEviction(reason slog.Attr) {
+	if s.now >= s.evictFrom {
 		s.log(eventSlowOwner, reason)
 	}
-	s.judgeFrom = s.now + stallPause
+	s.evictFrom = s.now + stallPause
 }
 
 // lapse gives up the runs of workers whose lease is over and that do not answer. One that answers lists what has ended:
 // runs can have ended as done before this instance, short of processor time, was late with a renewal.
 func (s *Scheduler) lapse() {
 	for _, w := range s.sortedWorkers() {
-		if w.unheard() && s.now > w.leaseUntil && (w.leaseUntil > 0 || !w.listed) && s.wasAsked(w) {
+		if w.unheard() && s.now > w.leaseUntil && (w.leaseUntil > 0 || !w.listed) && s.silenceConfirmed(w) {
 			certain := false
 			for _, r := range w.runs {
 				certain = certain || r.state != planned
--- a/pool/place.go
+++ b/pool/place.go
@@ -21,7 +21,7 @@
 // Plan decides what to do now: lapses, stops, places, holds. Orders and Draft return the outcome.
 func (s *Scheduler) Plan() {
 	s.noteStall()
-	s.impatience()
+	s.expireCalls()
 	s.lapse()
 	s.due()
 	s.repeatStops()
@@ -34,7 +34,7 @@
 func (s *Scheduler) noteStall() {
 	stalled := s.now - s.plannedAt
 	if s.plannedAt != 0 && stalled > stallLimit {
-		s.doNotJudge(slog.Int64("stalled-ms", int64(stalled)))
+		s.suspendEviction(slog.Int64("stalled-ms", int64(stalled)))
 	}
 	s.plannedAt = s.now
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -26,16 +26,16 @@
 	silentAfter = 2500 * clock.Millis(1) // without an answer a worker gets no new tasks
 	reportAge   = 1200 * clock.Millis(1) // two holds; what a worker said before may no longer hold
 	answerTime  = 150 * clock.Millis(1)  // of an order; workers answer in some milliseconds
-	// A start without an answer for startPatience is settled by a hold, and a hold without one for holdPatience is repeated. Their
+	// A start without an answer for startSoftTimeout is settled by a hold, and a hold without one for holdSoftTimeout is repeated. Their
 	// answers count also when they come later, up to AnswerLimit.
-	startPatience = 200 * clock.Millis(1)
-	holdPatience  = 600 * clock.Millis(1)
+	startSoftTimeout = 200 * clock.Millis(1)
+	holdSoftTimeout  = 600 * clock.Millis(1)
 	// AnswerLimit is how long the answer to a start or a hold is awaited: an owner that is short of processor time reads
 	// answers seconds after they were given, and an end that a worker has told must not be lost.
 	AnswerLimit = 3 * clock.Second
 	// An owner that was stalled for more than stallLimit, or to which lateWorkers workers answered late within stallPause, does not
 	// judge by missing answers for stallPause: it, or its link, is slower than its workers. The pause is longer than a hold that
-	// waits, holdPatience and holdRetry together, after which the next answer can be late.
+	// waits, holdSoftTimeout and holdRetry together, after which the next answer can be late.
 	stallLimit    = 150 * clock.Millis(1)
 	stallPause    = 2500 * clock.Millis(1)
 	lateWorkers   = 3
@@ -86,7 +86,7 @@
 	fenced        bool
 	orderID       int64        // of the newest hold
 	plannedAt     clock.Millis // the newest plan
-	judgeFrom     clock.Millis // until then the owner may have answers that it has not read
+	evictFrom     clock.Millis // until then the owner may have answers that it has not read
 
 	dirty       []*job
 	draft       *Draft
--- a/pool/state.go
+++ b/pool/state.go
@@ -127,7 +127,7 @@
 	askDue     clock.Millis
 	nextAsk    clock.Millis
 	unanswered clock.Millis // when the newest hold that got no answer at all was sent
-	lateAt     clock.Millis // when it last answered after the patience of the owner
+	lateAt     clock.Millis // when it last answered after the soft timeout
 	leaseTold  bool         // the transaction in flight says when its lease ends
 	leaseKept  bool         // the table says so; no renewal may make it untrue
 	silent     bool         // the newest hold got no answer
