pool: a new owner asks a worker before it gives its runs up

Cause: when the inherited leases were over, one call without an answer was enough to give a run up, or none, if the worker's entry was not back yet. Test: TestSuccessorAsksBeforeItGivesUp, before: the task starts again 610, 510 and 20 ms after the takeover.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -374,9 +374,12 @@
 	}
 }
 
-// silenceConfirmed reports whether the silence of a worker is its own: this instance is not slow, or a hold from long after the lease got
-// no answer either.
+// silenceConfirmed reports whether this owner has asked the worker for long enough, or waited for its entry, and whether the silence is
+// the worker's own: the owner is not slow, or a hold from long after the lease got no answer either.
 func (s *Scheduler) silenceConfirmed(w *worker) bool {
+	if s.now-max(w.heard, w.reachable) < silentAfter {
+		return false
+	}
 	return s.now >= s.evictFrom || w.unanswered > w.leaseUntil+AnswerLimit || w.entry.Address == ""
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -220,7 +220,7 @@
 		w := s.workers[stored.Worker]
 		if w == nil {
 			w = &worker{entry: batch.Worker{ID: stored.Worker, Pool: s.Pool, Machine: stored.Machine, Born: stored.Born}, runs: map[string]*run{},
-				strays: map[string]batch.Resources{}, born: stored.Born, token: s.token}
+				strays: map[string]batch.Resources{}, born: stored.Born, token: s.token, reachable: s.now}
 			s.workers[stored.Worker] = w
 		}
 		until, known := s.inheritedBy[stored.Worker]
@@ -370,6 +370,9 @@
 		s.workers[entry.ID] = w
 		s.succeed(entry)
 	}
+	if w.entry.Address == "" {
+		w.reachable = s.now
+	}
 	if !w.listed || w.entry.Draining != entry.Draining {
 		s.log(eventWorker, slog.String("worker", entry.ID), slog.String("machine", entry.Machine),
 			slog.Bool("draining", entry.Draining), slog.Int64("born", entry.Born))
--- a/pool/slow_owner_test.go
+++ b/pool/slow_owner_test.go
@@ -241,3 +241,63 @@
 		})
 	}
 }
+
+// Guards against a new owner that gives a run up, because the inherited leases are over, before its worker could answer.
+func TestSuccessorAsksBeforeItGivesUp(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		entry clock.Millis // when the worker's entry is there
+		fails bool         // the first connection fails
+	}{{"late answer", 0, false}, {"failed connection", 0, true}, {"entry that is not back yet", 1500, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			const dialTime, answer = 500, 700
+			d := newDesk(t)
+			d.s.Inherit(d.now-10*clock.Second, nil)
+			d.s.SetWorker(deskWorker("w1", 1))
+			if test.entry == 0 {
+				d.s.SetWorker(deskWorker("w0", 1))
+			}
+			d.s.AddJob(deskJob("j", 1), &batch.Progress{State: batch.Running,
+				Runs: []batch.Run{{Number: 1, Worker: "w0", Born: 1, Machine: "m-w0"}}}, false)
+			type call struct {
+				order Hold
+				sent  clock.Millis
+			}
+			var calls []call
+			for begin := d.now; d.now < begin+3*clock.Second; {
+				d.after(10)
+				if test.entry != 0 && d.now == begin+test.entry {
+					d.s.SetWorker(deskWorker("w0", 1))
+				}
+				var out []call
+				for _, c := range calls {
+					switch {
+					case c.order.Target.ID == "w1":
+						d.s.Held(c.order, d.listing(1), c.sent)
+					case test.fails && c.sent < begin+100 && d.now-c.sent >= dialTime:
+						d.s.Held(c.order, Listing{Reply: Reply{Outcome: NotSent}}, c.sent)
+					case d.now-c.sent >= answer:
+						ended := d.listing(1)
+						ended.Ended = []Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: EndDone}}
+						d.s.Held(c.order, ended, c.sent)
+					default:
+						out = append(out, c)
+					}
+				}
+				calls = out
+				d.s.Plan()
+				if d.s.Draft() != nil {
+					d.committed()
+				}
+				for _, order := range d.s.Orders() {
+					switch o := order.(type) {
+					case Hold:
+						calls = append(calls, call{o, d.now})
+					case Start:
+						t.Fatalf("%d ms after the takeover: start of %s on %s, want none before its worker could answer", d.now-begin, o.Task, o.Target.ID)
+					}
+				}
+			}
+		})
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -128,6 +128,7 @@
 	nextAsk    clock.Millis
 	unanswered clock.Millis // when the newest hold that got no answer at all was sent
 	lateAt     clock.Millis // when it last answered after the soft timeout
+	reachable  clock.Millis // since when this owner knows its address; when it was restored without one, since then
 	leaseTold  bool         // the transaction in flight says when its lease ends
 	leaseKept  bool         // the table says so; no renewal may make it untrue
 	silent     bool         // the newest hold got no answer
