pool: leases are renewed while answers come late

What callers saw: tasks that take longer than a lease start again and again while the owner is slow. Cause: only a worker whose newest hold was answered in time got a renewal. With answers that are late for good, none did; besides, the owner reported the leases of workers that it took for silent, and did not renew what it had reported. Change: a worker that has answered since the last renewal gets another one, and a slow owner reports no leases. The end of a lease stays certain: a worker that does not answer gets no second renewal.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -84,9 +84,10 @@
 	}
 	if len(w.runs) > 0 {
 		order.Wait = min(order.Wait, busyWait)
-		// A hold without an answer may have renewed the lease. Only a worker that answers gets another renewal;
+		// A hold without an answer may have renewed the lease. Only a worker that has answered since gets another renewal;
 		// otherwise the end of the lease would never be certain.
-		if w.clockAt != 0 && !w.silent && !w.keepsLease() {
+		if w.clockAt != 0 && w.answersSinceRenewal && !w.keepsLease() {
+			w.answersSinceRenewal = false
 			order.Deadline = w.clockNow(s.now) + s.Lease
 			w.leaseUntil = max(w.leaseUntil, w.leaseEnd(order.Deadline))
 		}
@@ -165,7 +166,7 @@
 			w.nextHold = s.now // the next one renews the lease
 		}
 	}
-	w.heard, w.confirmed, w.silent = s.now, true, false
+	w.heard, w.confirmed, w.silent, w.answersSinceRenewal = s.now, true, false, true
 	if w.since == 0 {
 		w.since = s.now
 	}
--- a/pool/load.go
+++ b/pool/load.go
@@ -70,7 +70,7 @@
 	}
 	for id, w := range s.workers {
 		told := w.leaseTold
-		w.leaseTold = w.unheard()
+		w.leaseTold = s.tellsLease(w)
 		if w.leaseTold {
 			if load.Leases == nil {
 				load.Leases = map[string]clock.Millis{}
@@ -91,11 +91,14 @@
 // not list it any more.
 func (w *worker) unheard() bool { return len(w.runs) > 0 && (w.silent || w.entry.Address == "") }
 
+// tellsLease reports whether the next report says when the lease of the worker ends. A slow owner does not take its workers for silent.
+func (s *Scheduler) tellsLease(w *worker) bool { return w.unheard() && s.now >= s.evictFrom }
+
 // LeasesToTell reports whether the newest report says something else than what is to be said of the leases of silent
 // workers.
 func (s *Scheduler) LeasesToTell() bool {
 	for _, w := range s.workers {
-		if w.leaseTold != w.unheard() {
+		if w.leaseTold != s.tellsLease(w) {
 			return true
 		}
 	}
--- a/pool/slow_owner_test.go
+++ b/pool/slow_owner_test.go
@@ -301,3 +301,24 @@
 		})
 	}
 }
+
+// Guards against leases that are not renewed while answers come late: tasks longer than a lease would start again and again.
+func TestLateAnswersRenewLeases(t *testing.T) {
+	for _, delay := range []clock.Millis{0, 400, 700, 1000, 1300, 1800} {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			o := newStalledOwner(t, 4)
+			o.run(500)
+			o.length = func(string) clock.Millis { return 9 * clock.Second }
+			o.submit("j", batch.Step{Count: 2, Need: cpu(1000), Estimate: 9000})
+			o.run(300)
+			o.delay = delay
+			o.run(20 * clock.Second)
+			if got := o.state("j"); got != batch.Completed {
+				t.Errorf("state got %v, want completed", got)
+			}
+			if got := o.starts["j.0.0.0"]; got != 1 {
+				t.Errorf("starts got %d, want 1", got)
+			}
+		})
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -104,41 +104,42 @@
 }
 
 type worker struct {
-	entry      batch.Worker
-	listed     bool // in the platform's store
-	born       int64
-	token      int64
-	needToken  bool         // waits for a token above every one it may have seen
-	confirmed  bool         // this life has answered with this token
-	since      clock.Millis // when this life first answered; 0: not yet
-	listedAt   clock.Millis // of the newest lists, on the worker's clock
-	clock      clock.Millis
-	clockAt    clock.Millis // our time when clock was received; 0 when unknown
-	leaseUntil clock.Millis // latest end of the lease on our clock
-	seenEnd    int64        // newest end taken in
-	ack        int64        // newest end that is stored
-	acked      int64        // newest end that this life is known to have forgotten
-	runs       map[string]*run
-	used       batch.Resources
-	strays     map[string]batch.Resources // listed runs that nobody here ordered
-	holding    int64                      // ID of the hold whose answer is awaited; 0: none
-	holdDue    clock.Millis               // when it should be answered at the latest
-	asking     int64                      // ID of the urgent hold whose answer is awaited; 0: none
-	askDue     clock.Millis
-	nextAsk    clock.Millis
-	unanswered clock.Millis // when the newest hold that got no answer at all was sent
-	lateAt     clock.Millis // when it last answered after the soft timeout
-	reachable  clock.Millis // since when this owner knows its address; when it was restored without one, since then
-	leaseTold  bool         // the transaction in flight says when its lease ends
-	leaseKept  bool         // the table says so; no renewal may make it untrue
-	silent     bool         // the newest hold got no answer
-	nextHold   clock.Millis
-	heard      clock.Millis // when it last answered
-	failures   int          // failed runs in a row
-	avoidUntil clock.Millis
-	slowness   clock.Millis // average run time of its tasks in percent of the expected one; 0: none yet
-	wanted     bool         // a machine order waits for it to be empty
-	paced      clock.Millis
+	entry               batch.Worker
+	listed              bool // in the platform's store
+	born                int64
+	token               int64
+	needToken           bool         // waits for a token above every one it may have seen
+	confirmed           bool         // this life has answered with this token
+	since               clock.Millis // when this life first answered; 0: not yet
+	listedAt            clock.Millis // of the newest lists, on the worker's clock
+	clock               clock.Millis
+	clockAt             clock.Millis // our time when clock was received; 0 when unknown
+	leaseUntil          clock.Millis // latest end of the lease on our clock
+	seenEnd             int64        // newest end taken in
+	ack                 int64        // newest end that is stored
+	acked               int64        // newest end that this life is known to have forgotten
+	runs                map[string]*run
+	used                batch.Resources
+	strays              map[string]batch.Resources // listed runs that nobody here ordered
+	holding             int64                      // ID of the hold whose answer is awaited; 0: none
+	holdDue             clock.Millis               // when it should be answered at the latest
+	asking              int64                      // ID of the urgent hold whose answer is awaited; 0: none
+	askDue              clock.Millis
+	nextAsk             clock.Millis
+	unanswered          clock.Millis // when the newest hold that got no answer at all was sent
+	lateAt              clock.Millis // when it last answered after the soft timeout
+	reachable           clock.Millis // since when this owner knows its address; when it was restored without one, since then
+	answersSinceRenewal bool         // it has answered a hold since its lease was last renewed
+	leaseTold           bool         // the transaction in flight says when its lease ends
+	leaseKept           bool         // the table says so; no renewal may make it untrue
+	silent              bool         // the newest hold got no answer
+	nextHold            clock.Millis
+	heard               clock.Millis // when it last answered
+	failures            int          // failed runs in a row
+	avoidUntil          clock.Millis
+	slowness            clock.Millis // average run time of its tasks in percent of the expected one; 0: none yet
+	wanted              bool         // a machine order waits for it to be empty
+	paced               clock.Millis
 }
 
 func (w *worker) target() Target { return Target{w.entry.ID, w.entry.Address} }
