pool: a start that was refused late is not repeated in vain

Cause: a start that a worker refuses for its token is sent again under a newer one. Refusals now count up to 3 s after the start; by then the job may be cancelled, or the task done by an earlier run. Change: it is sent again only if it is still wanted.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -349,7 +349,7 @@
 		if s.fenced {
 			return
 		}
-		if !w.keepsLease() {
+		if !w.keepsLease() && !r.stopping && !r.task.done && !r.task.step.job.state.Final() && w.clockAt != 0 {
 			s.send(r)
 			return
 		}
--- a/pool/slow_owner_test.go
+++ b/pool/slow_owner_test.go
@@ -322,3 +322,44 @@
 		})
 	}
 }
+
+// lateRefusal has a start refused for its token after the soft timeout, and something happen in between; it returns the starts that follow.
+func lateRefusal(t *testing.T, between func(d *desk, start Start)) []Start {
+	t.Helper()
+	d := newDesk(t, "w0")
+	d.meet()
+	d.s.AddJob(deskJob("j", 1), nil, false)
+	d.s.Plan()
+	d.commit()
+	start := ordersOf[Start](d)[0]
+	d.after(startSoftTimeout + 10)
+	d.s.Plan()
+	d.s.Orders()
+	d.commit()
+	between(d, start)
+	d.after(20)
+	d.s.Plan() // raises the token
+	d.s.Orders()
+	d.after(1 * clock.Second)
+	d.s.Started(start, Reply{Outcome: Fenced, Clock: d.now, Born: 1})
+	return ordersOf[Start](d)
+}
+
+// Guards against a start that goes out again after a late refusal, although its job was cancelled or its task is done.
+func TestStartRefusedLateIsNotRepeatedInVain(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		between func(d *desk, start Start)
+		want    int
+	}{
+		{"nothing happened", func(*desk, Start) {}, 1},
+		{"job cancelled", func(d *desk, _ Start) { d.s.Cancel("j") }, 0},
+		{"task done by an earlier run", func(d *desk, start Start) {
+			d.s.takeEnds(d.s.workers["w0"], []Ended{{Number: 1, Task: start.Task, Run: start.Run - 1, How: EndDone}})
+		}, 0},
+	} {
+		if got := len(lateRefusal(t, test.between)); got != test.want {
+			t.Errorf("%s: starts got %d, want %d", test.name, got, test.want)
+		}
+	}
+}
