pool: a repeated start has a soft timeout too

Cause: a start that is repeated at once after a refusal has the time of that answer, so that it never counted as unanswered; it waited for the client's limit of 3 s instead of 0.2 s. Test: TestRepeatedStartIsSettledLikeTheFirst, before: still starting.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -15,7 +15,7 @@
 func (s *Scheduler) expireCalls() {
 	for _, w := range s.sortedWorkers() {
 		for _, r := range w.runs {
-			if r.state == starting && r.answered < r.sent && s.now >= r.sent+startSoftTimeout {
+			if r.state == starting && s.now >= r.sent+startSoftTimeout {
 				s.markUncertain(r)
 			}
 		}
--- a/pool/place.go
+++ b/pool/place.go
@@ -131,7 +131,7 @@
 	}
 	for _, r := range w.runs {
 		switch {
-		case r.state == starting && r.answered < r.sent && s.now > r.sent+answerTime:
+		case r.state == starting && s.now > r.sent+answerTime:
 			return true
 		case r.state == uncertain && w.heard <= r.answered:
 			return true
--- a/pool/slow_owner_test.go
+++ b/pool/slow_owner_test.go
@@ -363,3 +363,24 @@
 		}
 	}
 }
+
+// Guards against a repeated start that waits for its answer until the client gives up.
+func TestRepeatedStartIsSettledLikeTheFirst(t *testing.T) {
+	d := newDesk(t, "w0")
+	d.meet()
+	d.s.AddJob(deskJob("j", 1), nil, false)
+	d.s.Plan()
+	d.commit()
+	start := ordersOf[Start](d)[0]
+	d.after(20)
+	d.s.SetToken(d.token + 5)
+	d.s.Started(start, Reply{Outcome: Fenced, Clock: d.now, Born: 1})
+	if got := len(ordersOf[Start](d)); got != 1 {
+		t.Fatalf("repeated starts got %d, want 1", got)
+	}
+	d.after(startSoftTimeout)
+	d.s.Plan()
+	if got, want := d.s.workers["w0"].runs["j.0.0.0"].state, uncertain; got != want {
+		t.Errorf("state got %v, want %v", got, want)
+	}
+}
