pool: what shows that an owner is slow, in small pools and with failed connections

Cause: three workers had to answer late, which a pool of two or three workers cannot show; and connections that failed after 0.5 s counted as late answers to starts. Tests: TestCongestedOwnerDoesNotGiveUpAWorker with 2 and 3 workers, before: "8940 ms: start of j.0.0.0 on w1"; TestFailedConnectionsAreNoLateAnswers.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -328,7 +328,7 @@
 	case r.state != starting && !late, late && reply.Outcome == Unanswered, reply.Born != 0 && reply.Born < w.born:
 		return // listed, settled by a hold, or the answer of an earlier life
 	}
-	if late {
+	if late && reply.Outcome != NotSent {
 		s.answeredLate(w)
 	}
 	if w.runs[order.Task] != r {
@@ -384,16 +384,20 @@
 	return s.now >= s.evictFrom || w.unanswered > w.leaseUntil+AnswerLimit || w.entry.Address == ""
 }
 
-// answeredLate takes in that an answer came after it was taken for missing. One worker may be slow; several show that this instance is.
+// answeredLate takes in that an answer came after its soft timeout. One worker may be slow; several, or half of the pool, show that this
+// instance is.
 func (s *Scheduler) answeredLate(w *worker) {
 	w.lateAt = s.now
-	late := 0
+	late, listed := 0, 0
 	for _, other := range s.workers {
 		if other.lateAt != 0 && s.now-other.lateAt <= stallPause {
 			late++
 		}
+		if other.listed {
+			listed++
+		}
 	}
-	if late >= lateWorkers {
+	if late >= min(lateWorkers, (listed+1)/2) {
 		s.suspendEviction(slog.Int("late-workers", late))
 	}
 }
