pool: a late answer tells of the time when it was asked for

What callers would see: tasks placed on a worker that died seconds ago. Cause: a worker counted as heard when its late answer was read. An answer under a token from before a restart could also make it count as confirmed. Test: TestLateAnswerTellsOfThePast, before: one usable worker, want none.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -156,7 +156,7 @@
 		s.answeredLate(w)
 	}
 	w.acked = max(w.acked, order.Ack)
-	if !w.confirmed {
+	if !w.confirmed && order.Token >= w.token {
 		s.log(eventAnswers, slog.String("worker", w.entry.ID), slog.Int64("token", order.Token),
 			slog.Int("running", len(listing.Running)), slog.Int("ended", len(listing.Ended)))
 	}
@@ -166,7 +166,13 @@
 			w.nextHold = s.now // the next one renews the lease
 		}
 	}
-	w.heard, w.confirmed, w.silent, w.answersSinceRenewal = s.now, true, false, true
+	w.silent, w.answersSinceRenewal = false, true
+	if awaited {
+		w.heard = s.now
+	} else {
+		w.heard = max(w.heard, sent) // it answered then or later
+	}
+	w.confirmed = w.confirmed || order.Token >= w.token
 	if w.since == 0 {
 		w.since = s.now
 	}
@@ -241,6 +247,9 @@
 	}
 	t.done = true
 	st.done++
+	if st.complete() {
+		s.learn(st)
+	}
 	s.mark(j)
 	s.advance(j)
 	return true
--- a/pool/slow_owner_test.go
+++ b/pool/slow_owner_test.go
@@ -415,3 +415,21 @@
 		t.Errorf("owner counts as slow until %d, want not", d.s.evictFrom)
 	}
 }
+
+// Guards against an answer that was given seconds ago and makes its worker look alive now: it would get tasks.
+func TestLateAnswerTellsOfThePast(t *testing.T) {
+	d := newDesk(t, "w0")
+	d.meet()
+	hold := only[Hold](d)
+	sent := d.now
+	for d.now < sent+idleWait+silentAfter {
+		d.after(10)
+		d.s.Plan()
+		d.s.Orders()
+	}
+	answer := Listing{Reply: Reply{Outcome: Accepted, Clock: sent + 5, Born: 1}} // the worker has died since
+	d.s.Held(hold, answer, sent)
+	if got := len(d.s.usable()); got != 0 {
+		t.Errorf("usable workers got %d, want 0", got)
+	}
+}
