daemon: an order for a machine ends before a successor may order

The owner of the machines checked that the renewal of its ownership was at most 900 ms old, and a goroutine then sent the order with the client's timeout of 1.5 s. The goroutine could wait for processor time, a connection or a dial, so that the order reached the platform after a successor's first one, which waits for a lease, the 900 ms and 100 ms from the renewal that it saw.

The goroutine now reads the age of the renewal when it is about to send. An order ends 950 ms after the newest renewal. If that moment has passed, the order is not sent, counts as rejected, and is logged (machine-order-late). An order that is cut while it waits for its answer stays unanswered: the coordinator repeats it unchanged after 300 ms under a renewal that is recent enough, and the platform answers 200 if it was done.

TestMachineOrderGivenUpOnceSent passed before the change too; it keeps an order that was sent and given up from counting as not sent.

Left: once the context is given, a process that does not run between the last look at the context and the write can still send late, by more than the 50 ms that are left for bytes on their way. An answer that takes longer than the rest of the 950 ms is cut; before, it had 1.5 s.

--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -24,6 +24,9 @@
 	// last one can have been.
 	orderAge       = 900 * clock.Millis(1)
 	handOverMargin = 100 * clock.Millis(1) // for an order on its way
+	// orderTravel is how much older than orderAge the renewal may be while an order waits for processor time, a connection or
+	// its answer. Bytes that were sent before the order was given up arrive in the rest of handOverMargin.
+	orderTravel = handOverMargin / 2
 )
 
 // machineOwner decides on machines during one tenure.
@@ -131,7 +134,7 @@
 		c.Plan()
 		for _, order := range c.Orders() {
 			go func() {
-				outcome := d.Machines.Carry(ctx, d.Settings.Node, order)
+				outcome := o.carry(ctx, order)
 				o.events.put(func() {
 					c.Tick(d.clock.Now(), d.wall())
 					c.Carried(order, outcome)
@@ -142,6 +145,21 @@
 	o.commit(commits)
 }
 
+// carry sends an order and gives it up before a successor may order: this goroutine, or the client of the platform, can wait
+// so long that the check of the renewal in step no longer holds.
+func (o *machineOwner) carry(ctx context.Context, order machines.Order) machines.Outcome {
+	d := o.daemon
+	age := o.chain.Age()
+	left := orderAge + orderTravel - age
+	if left <= 0 {
+		eventLateOrder.Log(ctx, d.Logger, slog.String("machine", order.Want.Machine), slog.Int64("age-ms", int64(age)))
+		return machines.Rejected
+	}
+	ctx, cancel := d.clock.WithTimeout(ctx, left)
+	defer cancel()
+	return d.Machines.Carry(ctx, d.Settings.Node, order)
+}
+
 func (o *machineOwner) takeWaves() {
 	d := o.daemon
 	d.mu.Lock()
