standin: workers are as strict about runs, leases and ends as the platform's

Cause: the stand-in of the workers accepted or hid what the platform does not. Differences, each now as on the platform: - an end as done that was acknowledged only after another start of the task was not noted; - an end counted although the lease was over before its acknowledgement; the platform lets the task run again; - a run below one that is running was refused; the platform refuses only runs not above one that was stopped or has ended; - a stop also ended lower runs of the task; - a second run on the same worker replaced the first, and the end of one of two runs hid the other from the check; - tokens, leases and cursors of a hold took effect with its answer, up to 2 s later, and then on the next life of the same id; - a start that is there already, or is outdated, did not renew the lease; leases had no upper limit; a lease could be renewed until the next tick after its end; more than 500 ends were listed; - the entry of a crashed worker was gone at once; the platform removes it after some silence.

Change: the workers' side moves to standin/life.go.

--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -18,10 +18,15 @@
 	lastingStart  = 300 * clock.Millis(1)  // until a task that lasts is at work
 	moveTime      = 1500 * clock.Millis(1) // until a machine is back in its new pool
 	upkeepTime    = 2 * clock.Second
-	maxHold       = 2 * clock.Second // longest wait of a hold
+	maxHold       = 2 * clock.Second       // longest wait of a hold
+	entryLapse    = 1500 * clock.Millis(1) // from the crash of a worker until its entry is removed
 	maxOrderBytes = 64 << 10
+	maxEnds       = 500 // ends that one answer lists
 )
 
+// MaxLease is the longest lease that the stand-in's workers grant.
+const MaxLease = 6 * clock.Second
+
 // Tables and names of the platform's store that workers and operators write.
 const (
 	tableOperator = "op"
@@ -57,8 +62,9 @@
 	machines []*fleetMachine
 	standby  map[string]bool // pools whose machines are off
 	lives    int
-	running  map[string]*fleetMachine // by task
-	settled  map[string]bool          // tasks whose end was acknowledged as done
+	settled  map[string]bool            // tasks whose end was acknowledged as done
+	newest   map[string]startedFleetRun // newest start of each task
+	events   int64                      // starts and ends so far; orders them
 	breaches []string
 	started  int
 	tokens   map[string]int64 // highest of each machine's orders
@@ -80,37 +86,10 @@
 	pace           int // speed of the worker's clock, in thousandths
 }
 
-// fleetLife is one life of a worker.
-type fleetLife struct {
-	id     string
-	born   int64
-	start  clock.Millis
-	token  int64
-	lease  clock.Millis // end, on the worker's clock
-	runs   map[string]*fleetRun
-	latest map[string]int // highest run of each task
-	ended  []fleetEnd
-	ends   int64
-}
-
-type fleetRun struct {
-	number   int
-	work     Work
-	began    clock.Millis
-	stopping clock.Millis // when a stop was asked for; 0: not
-}
-
-type fleetEnd struct {
-	number int64
-	task   string
-	run    int
-	how    string
-}
-
 // NewFleet returns a fleet without machines that writes its workers into the table.
 func NewFleet(table *Table, c *clock.Clock, wall func() int64) *Fleet {
-	return &Fleet{Table: table, Clock: c, Wall: wall, standby: map[string]bool{}, running: map[string]*fleetMachine{},
-		settled: map[string]bool{}, tokens: map[string]int64{}, caps: map[int64]int{}, changed: make(chan struct{})}
+	return &Fleet{Table: table, Clock: c, Wall: wall, standby: map[string]bool{}, settled: map[string]bool{},
+		newest: map[string]startedFleetRun{}, tokens: map[string]int64{}, caps: map[int64]int{}, changed: make(chan struct{})}
 }
 
 // Standby tells that the machines of a pool are off.
@@ -139,7 +118,7 @@
 		f.lives++
 		id = fmt.Sprintf("i-%s-%d", m.id, f.lives)
 	}
-	m.life = &fleetLife{id: id, born: f.Wall(), start: f.Clock.Now(), runs: map[string]*fleetRun{}, latest: map[string]int{}}
+	m.life = &fleetLife{id: id, born: f.Wall(), start: f.Clock.Now(), runs: map[fleetTask]*fleetRun{}, barred: map[string]int{}}
 	f.write(m)
 }
 
@@ -150,19 +129,14 @@
 	f.Table.Put(tableWorkers, m.life.id, text(entry))
 }
 
-// kill ends the life on a machine with all that runs there. f.mu is held.
+// kill ends the life on a machine with all that runs there; the worker's entry stays. f.mu is held.
 func (f *Fleet) kill(m *fleetMachine) {
-	if m.life == nil {
-		return
-	}
-	for task := range m.life.runs {
-		delete(f.running, task)
-	}
-	f.Table.Drop(tableWorkers, m.life.id)
 	m.life = nil
+	f.announce() // calls that wait for this life get no answer
 }
 
-// Crash ends the life of the worker on a machine; the next one begins after the time, under the same id if told so.
+// Crash ends the life of the worker on a machine; the next one begins after the time, under the same id if told so. The entry
+// of the worker is removed some time later, unless a new life has the id by then.
 func (f *Fleet) Crash(machine string, down clock.Millis, sameID bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,12 +144,19 @@
 	if m == nil || m.life == nil {
 		return
 	}
-	id := ""
+	before, id := m.life.id, ""
 	if sameID {
-		id = m.life.id
+		id = before
 	}
 	f.kill(m)
 	m.state = batch.MachineDown
+	f.Clock.AfterFunc(entryLapse, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.life == nil || m.life.id != before {
+			f.Table.Drop(tableWorkers, before)
+		}
+	})
 	f.Clock.AfterFunc(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -212,9 +193,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
-	for task := range f.running {
-		if of, _, ok := batch.ParseTask(task); ok && of == job {
-			n++
+	for _, m := range f.machines {
+		if m.life == nil {
+			continue
+		}
+		for key := range m.life.runs {
+			if of, _, ok := batch.ParseTask(key.task); ok && of == job {
+				n++
+			}
 		}
 	}
 	return n
@@ -251,202 +237,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	news := false
 	for _, m := range f.machines {
 		if m.backAt > 0 && now >= m.backAt {
 			m.backAt, m.upkeepOf = 0, 0
 			f.revive(m, "")
 		}
-		if m.life == nil {
-			continue
-		}
-		for _, task := range sortedTasks(m.life.runs) {
-			r := m.life.runs[task]
-			how := ""
-			switch {
-			case m.clock(now) > m.life.lease:
-				how = "lapsed"
-			case r.stopping > 0 && now-r.stopping >= stopTime:
-				how = "stopped"
-			case r.work.Length > 0 && now-r.began >= r.work.Length:
-				how = "done"
-			default:
-				continue
-			}
-			news = true
-			m.life.ends++
-			m.life.ended = append(m.life.ended, fleetEnd{m.life.ends, task, r.number, how})
-			delete(m.life.runs, task)
-			delete(f.running, task)
-		}
-	}
-	if news {
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
-}
-
-func sortedTasks(runs map[string]*fleetRun) []string {
-	tasks := make([]string, 0, len(runs))
-	for task := range runs {
-		tasks = append(tasks, task)
-	}
-	slices.Sort(tasks)
-	return tasks
-}
-
-// clock returns the time on the worker's clock, which begins with its life.
-func (m *fleetMachine) clock(now clock.Millis) clock.Millis {
-	return 1000 + (now-m.life.start)*clock.Millis(m.pace)/1000
-}
-
-type orderFields struct {
-	Task     string       `json:"task"`
-	Run      int          `json:"run"`
-	Spec     string       `json:"spec"`
-	Deadline clock.Millis `json:"deadlineMs"`
-	Token    int64        `json:"fencingToken"`
-	Ack      int64        `json:"ackCursor"`
-	Wait     clock.Millis `json:"waitMs"`
-}
-
-type workerFields struct {
-	Clock   clock.Millis `json:"clockMs"`
-	Born    int64        `json:"born"`
-	Reason  string       `json:"reason,omitempty"`
-	Running [][]any      `json:"running,omitempty"`
-	Ended   [][]any      `json:"endedRuns,omitempty"`
-}
-
-func (f *Fleet) serveWorker(m *fleetMachine, w http.ResponseWriter, r *http.Request) {
-	var order orderFields
-	if !decode(w, r, maxOrderBytes, &order) {
-		return
-	}
-	target := r.Header.Get("Magnoliaferry-Target-Instance")
-	if r.URL.Path == "/hold" {
-		f.await(m, r, &order)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	life := m.life
-	if life == nil {
-		panic(http.ErrAbortHandler) // the machine is off
-	}
-	answer := workerFields{Clock: m.clock(f.Clock.Now()), Born: life.born}
-	if target != life.id {
-		reply(w, http.StatusMisdirectedRequest, struct{}{})
-		return
-	}
-	if order.Token < life.token {
-		answer.Reason = "fence"
-		reply(w, http.StatusConflict, answer)
-		return
-	}
-	life.token = order.Token
-	status := http.StatusOK
-	switch r.URL.Path {
-	case "/run-start":
-		if answer.Reason = f.start(m, &order); answer.Reason != "" {
-			status = http.StatusConflict
-		}
-	case "/run-stop":
-		life.latest[order.Task] = max(life.latest[order.Task], order.Run)
-		if run := life.runs[order.Task]; run != nil && run.number <= order.Run && run.stopping == 0 {
-			run.stopping = f.Clock.Now()
-		}
-	case "/hold":
-		f.list(m, &order, &answer)
-	case "/pace": // tasks of the stand-in do not disturb each other
-	default:
-		status = http.StatusNotFound
-	}
-	reply(w, status, answer)
-}
-
-// await lets a hold wait for an end, at most as long as it says.
-func (f *Fleet) await(m *fleetMachine, r *http.Request, order *orderFields) {
-	timeout := f.Clock.After(min(order.Wait, maxHold))
-	for {
-		f.mu.Lock()
-		life, changed := m.life, f.changed
-		ready := life == nil || order.Token < life.token || (len(life.ended) > 0 && life.ended[len(life.ended)-1].number > order.Ack)
-		f.mu.Unlock()
-		if ready || order.Wait <= 0 {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return
-		case <-r.Context().Done():
-			return
+		if m.life != nil {
+			f.endRuns(m)
 		}
 	}
 }
 
-// start carries out a start and returns why not, if so. f.mu is held.
-func (f *Fleet) start(m *fleetMachine, order *orderFields) string {
-	life, now := m.life, f.Clock.Now()
-	if run := life.runs[order.Task]; run != nil && run.number == order.Run {
-		return ""
-	}
-	switch {
-	case order.Deadline < m.clock(now):
-		return "late"
-	case order.Run <= life.latest[order.Task]:
-		return "old"
-	}
-	work, err := parseWork(order.Spec)
-	if err != nil {
-		f.breach("task %s arrives with spec %q", order.Task, order.Spec)
-		return "old"
-	}
-	life.lease = max(life.lease, order.Deadline)
-	if other := f.running[order.Task]; other != nil {
-		f.breach("task %s, run %d, starts on %s while it runs on %s", order.Task, order.Run, m.id, other.id)
-	}
-	if f.settled[order.Task] {
-		f.breach("task %s, run %d, starts on %s after its end was acknowledged", order.Task, order.Run, m.id)
-	}
-	life.latest[order.Task] = order.Run
-	life.runs[order.Task] = &fleetRun{number: order.Run, work: work, began: now}
-	f.running[order.Task] = m
-	f.started++
-	used := 0
-	for _, run := range life.runs {
-		used += run.work.CPU
-	}
-	if used > m.capacity.CPU {
-		f.breach("%s runs %d thousandths of a core, at most %d fit", m.id, used, m.capacity.CPU)
-	}
-	return ""
-}
-
-// list renews the lease, forgets acknowledged ends and fills in the lists. f.mu is held.
-func (f *Fleet) list(m *fleetMachine, order *orderFields, answer *workerFields) {
-	life, now := m.life, f.Clock.Now()
-	life.lease = max(life.lease, order.Deadline)
-	kept := life.ended[:0]
-	for _, e := range life.ended {
-		if e.number > order.Ack {
-			kept = append(kept, e)
-			answer.Ended = append(answer.Ended, []any{e.number, e.task, e.run, e.how, ""})
-		} else if e.how == "done" {
-			f.settled[e.task] = true
-		}
-	}
-	life.ended = kept
-	for _, task := range sortedTasks(life.runs) {
-		run := life.runs[task]
-		percent := clock.Millis(100)
-		if run.work.Length > 0 {
-			percent = min((now-run.began)*100/run.work.Length, 99)
-		} else if now-run.began < lastingStart {
-			percent = (now - run.began) * 100 / lastingStart
-		}
-		answer.Running = append(answer.Running, []any{task, run.number, "", percent, run.work.CPU})
-	}
+// announce wakes the calls that wait for an end. f.mu is held.
+func (f *Fleet) announce() {
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 // ServeHTTP implements http.Handler: the platform's interface to the machines.
@@ -510,11 +315,13 @@
 	}
 	f.tokens[machine] = token
 	if m.life != nil {
-		for task := range m.life.runs {
-			f.breach("%s is taken while task %s runs on it", machine, task)
+		f.endRuns(m)
+		for _, key := range m.life.sorted() {
+			f.breach("%s is taken while task %s runs on it", machine, key.task)
 		}
+		f.Table.Drop(tableWorkers, m.life.id)
+		f.kill(m)
 	}
-	f.kill(m)
 	if pool != "" {
 		m.state, m.backAt, m.pool = batch.MachineMoving, f.Clock.Now()+moveTime, pool
 		return http.StatusOK, ""
--- a/standin/site_test.go
+++ b/standin/site_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -162,7 +164,11 @@
 		breaking func(f *fleetOfTwo)
 		want     string
 	}{
-		{"twice at once", func(f *fleetOfTwo) { f.start(0, "j.0.0.0", 1, 5, work); f.start(1, "j.0.0.0", 2, 5, work) }, "while it runs on"},
+		{"twice at once", func(f *fleetOfTwo) { f.start(0, "j.0.0.0", 1, 5, work); f.start(1, "j.0.0.0", 2, 5, work) }, "while run 1 runs on m1"},
+		{"twice at once on one worker, the lower run last", func(f *fleetOfTwo) {
+			f.start(0, "j.0.0.0", 2, 5, standin.Work{Length: 500, CPU: 300})
+			f.start(0, "j.0.0.0", 1, 5, standin.Work{Length: 500, CPU: 300})
+		}, "while run 2 runs on m1"},
 		{"after its end", func(f *fleetOfTwo) {
 			f.start(0, "j.0.0.0", 1, 5, work)
 			f.clock.Advance(500)
@@ -170,6 +176,12 @@
 			f.hold(0, 5, 1)
 			f.start(1, "j.0.0.0", 2, 5, work)
 		}, "after its end was acknowledged"},
+		{"after its end, which is acknowledged later", func(f *fleetOfTwo) {
+			f.start(0, "j.0.0.0", 1, 5, work)
+			f.clock.Advance(500)
+			f.start(1, "j.0.0.0", 2, 5, work)
+			f.hold(0, 5, 1)
+		}, "after the end of run 1"},
 		{"overfull", func(f *fleetOfTwo) { f.start(0, "j.0.0.0", 1, 5, work); f.start(0, "j.0.0.1", 1, 5, work) }, "thousandths of a core"},
 		{"taken while tasks run", func(f *fleetOfTwo) {
 			f.start(0, "j.0.0.0", 1, 5, work)
@@ -189,6 +201,137 @@
 	}
 }
 
+// Guards against a stand-in whose workers are more lenient about runs and leases than the platform's, which hides tasks that run
+// twice, and against one that blames a task that may run again as the lease was over before its end was acknowledged.
+func TestFleetLeasesAndRuns(t *testing.T) {
+	work := standin.Work{Length: 500, CPU: 300}
+	const late = 4 * clock.Second // a lease until 6000 on the worker's clock is not over then
+	lasting := standin.Work{CPU: 300}
+	stop := func(f *fleetOfTwo, run int) {
+		f.client.Stop(context.Background(), pool.Stop{Target: f.targets[0], Task: "j.0.0.0", Run: run, Token: 5})
+	}
+	longStart := func(f *fleetOfTwo, run int, deadline clock.Millis) pool.Outcome {
+		return f.client.Start(context.Background(), pool.Start{Target: f.targets[0], Task: "j.0.0.0", Run: run, Spec: lasting.Spec(),
+			Deadline: deadline, Token: 5}).Outcome
+	}
+	for _, test := range []struct {
+		name string
+		play func(f *fleetOfTwo) pool.Outcome
+		want pool.Outcome
+		ends []pool.End
+	}{
+		{"a run that was stopped before it came", func(f *fleetOfTwo) pool.Outcome {
+			stop(f, 2)
+			return f.start(0, "j.0.0.0", 1, 5, work)
+		}, pool.Outdated, nil},
+		{"a run above the stopped one", func(f *fleetOfTwo) pool.Outcome {
+			stop(f, 1)
+			return f.start(0, "j.0.0.0", 2, 5, work)
+		}, pool.Accepted, nil},
+		{"a stop of another run", func(f *fleetOfTwo) pool.Outcome {
+			outcome := f.start(0, "j.0.0.0", 1, 5, lasting)
+			stop(f, 2)
+			f.clock.Advance(late)
+			return outcome
+		}, pool.Accepted, nil},
+		{"a lease beyond the longest", func(f *fleetOfTwo) pool.Outcome {
+			outcome := longStart(f, 1, clock.Minute)
+			f.clock.Advance(standin.MaxLease + 10)
+			return outcome
+		}, pool.Accepted, []pool.End{pool.EndLapsed}},
+		{"a lease renewed by the same start", func(f *fleetOfTwo) pool.Outcome {
+			f.start(0, "j.0.0.0", 1, 5, lasting)
+			f.clock.Advance(late)
+			outcome := longStart(f, 1, 9000)
+			f.clock.Advance(late - 500)
+			return outcome
+		}, pool.Accepted, nil},
+		{"a lease renewed by a start that is outdated", func(f *fleetOfTwo) pool.Outcome {
+			f.start(0, "j.0.0.1", 1, 5, lasting)
+			stop(f, 1)
+			f.clock.Advance(late)
+			outcome := longStart(f, 1, 9000)
+			f.clock.Advance(late - 500)
+			return outcome
+		}, pool.Outdated, nil},
+		{"a lease that is over is not renewed", func(f *fleetOfTwo) pool.Outcome {
+			outcome := f.start(0, "j.0.0.0", 1, 5, lasting)
+			f.clock.Advance(5001)
+			f.client.Hold(context.Background(), pool.Hold{Target: f.targets[0], Token: 5, Deadline: 9000})
+			return outcome
+		}, pool.Accepted, []pool.End{pool.EndLapsed}},
+		{"again after the lease of an end", func(f *fleetOfTwo) pool.Outcome {
+			f.start(0, "j.0.0.0", 1, 5, work)
+			f.clock.Advance(500)
+			f.fleet.Advance()
+			f.clock.Advance(5000)
+			f.fleet.Advance()
+			outcome := f.client.Start(context.Background(), pool.Start{Target: f.targets[1], Task: "j.0.0.0", Run: 2, Spec: work.Spec(),
+				Deadline: 9000, Token: 5}).Outcome
+			return outcome
+		}, pool.Accepted, []pool.End{pool.EndDone}},
+	} {
+		f := newFleetOfTwo(t)
+		if got := test.play(f); got != test.want {
+			t.Errorf("%s: outcome got %v, want %v", test.name, got, test.want)
+		}
+		f.fleet.Advance()
+		var got []pool.End
+		for _, end := range f.hold(0, 9, 0).Ended {
+			got = append(got, end.How)
+		}
+		if !slices.Equal(got, test.ends) {
+			t.Errorf("%s: ends got %v, want %v", test.name, got, test.ends)
+		}
+		f.hold(0, 9, 1)
+		if got := f.fleet.Breaches(); len(got) != 0 {
+			t.Errorf("%s: breaches got %v, want none", test.name, got)
+		}
+	}
+}
+
+// Guards against a hold that takes effect only with its answer, and against one that reaches the next life of its worker.
+func TestFleetHoldsOnArrival(t *testing.T) {
+	f := newFleetOfTwo(t)
+	work := standin.Work{CPU: 300}
+	f.start(0, "j.0.0.0", 1, 5, work)
+	waiting := f.clock.Waiters()
+	answered := make(chan pool.Listing, 1)
+	go func() {
+		answered <- f.client.Hold(context.Background(), pool.Hold{Target: f.targets[0], Token: 8, Ack: 3, Deadline: 6000, Wait: 2000})
+	}()
+	for f.clock.Waiters() == waiting {
+		runtime.Gosched()
+	}
+	if got := f.start(0, "j.0.0.1", 1, 7, work); got != pool.Fenced {
+		t.Errorf("start below the token of a hold that waits got %v, want fenced", got)
+	}
+	f.fleet.Crash("m1", 500, true)
+	if got := (<-answered).Outcome; got != pool.Unanswered {
+		t.Errorf("hold whose worker crashed got %v, want unanswered", got)
+	}
+	if got, want := len(f.table.Rows(platform.TableWorkers)), 2; got != want {
+		t.Errorf("entries right after a crash got %d, want %d", got, want)
+	}
+	f.clock.Advance(500)
+	if got := f.start(0, "j.0.0.1", 1, 1, standin.Work{Length: 100, CPU: 300}); got != pool.Accepted {
+		t.Errorf("start of the next life got %v, want accepted: it has seen no token", got)
+	}
+	f.clock.Advance(100)
+	f.fleet.Advance()
+	if ends := f.hold(0, 1, 0).Ended; len(ends) != 1 || ends[0].Number != 1 {
+		t.Errorf("ends of the next life got %+v, want one with number 1", ends)
+	}
+	f.fleet.Crash("m1", clock.Minute, false)
+	f.clock.Advance(5 * clock.Second)
+	if got, want := len(f.table.Rows(platform.TableWorkers)), 1; got != want {
+		t.Errorf("entries some time after a crash got %d, want %d", got, want)
+	}
+	if got := f.fleet.Breaches(); len(got) != 0 {
+		t.Errorf("breaches got %v, want none", got)
+	}
+}
+
 func (f *fleetOfTwo) carry(t *testing.T, want machines.Want, token int64) machines.Outcome {
 	client := platform.NewMachines(serve(t, f.fleet))
 	return client.Carry(context.Background(), "holder", machines.Order{Want: want, Token: token})
