standin: orders that are carried out late, paths that lose requests only, and a hook for applied transactions

Cause: a worker's call without an answer may be carried out seconds later; the stand-in had this only as a delay of whole connections, which also delays the calls after it. Connections could lose answers only, not requests only.

PathDeaf loses requests. Rows.Applied tells of applied transactions.

--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -51,12 +51,17 @@
 
 // Fleet stands in for the machines of the users' platform and for the workers on them. It keeps the platform's rules and
 // notes each rule that a scheduler breaks: a task that runs twice at once, that runs again after its end was acknowledged, or
-// that does not fit. Exported fields are set before the first call of Add.
+// that does not fit. Exported fields are set before the first request.
 type Fleet struct {
 	Table *Table
 	Clock *clock.Clock
 	// Wall is the time in Unix milliseconds.
 	Wall func() int64
+	// Late, if set, tells which orders to the worker of a machine get no answer and are carried out after the time.
+	Late func(machine, path string) (after clock.Millis, late bool)
+	// LateForNextLife lets late orders also reach a later life of the same id. Otherwise they end with the life that they were
+	// sent to.
+	LateForNextLife bool
 
 	mu       sync.Mutex
 	machines []*fleetMachine
--- a/standin/life.go
+++ b/standin/life.go
@@ -9,6 +9,9 @@
 	"magnoliaferry/clock"
 )
 
+// headerTarget names the id of the worker that an order is meant for.
+const headerTarget = "Magnoliaferry-Target-Instance"
+
 // fleetLife is one life of a worker.
 type fleetLife struct {
 	id     string
@@ -126,10 +129,34 @@
 	if !decode(w, r, maxOrderBytes, &order) {
 		return
 	}
+	if f.Late != nil {
+		if after, late := f.Late(m.id, r.URL.Path); late {
+			f.postpone(m, r, &order, after)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
 	status, answer := f.answer(m, r, &order)
 	reply(w, status, answer)
 }
 
+// postpone carries an order out after the time, if the life that it was sent to is still there.
+func (f *Fleet) postpone(m *fleetMachine, r *http.Request, order *orderFields, after clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	life, path := m.life, r.URL.Path
+	if life == nil || r.Header.Get(headerTarget) != life.id {
+		return
+	}
+	f.Clock.AfterFunc(after, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.life == life || f.LateForNextLife && m.life != nil && m.life.id == life.id {
+			f.take(m, path, order)
+		}
+	})
+}
+
 func (f *Fleet) answer(m *fleetMachine, r *http.Request, order *orderFields) (status int, answer workerFields) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,7 +164,7 @@
 	if life == nil {
 		panic(http.ErrAbortHandler) // the machine is off
 	}
-	if r.Header.Get("Magnoliaferry-Target-Instance") != life.id {
+	if r.Header.Get(headerTarget) != life.id {
 		return http.StatusMisdirectedRequest, workerFields{}
 	}
 	status, reason := f.take(m, r.URL.Path, order)
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -18,6 +18,7 @@
 	PathReset   Path = "reset"   // connections are reset
 	PathSilent  Path = "silent"  // nothing arrives in either direction
 	PathMute    Path = "mute"    // what is sent arrives, and no answer comes back
+	PathDeaf    Path = "deaf"    // nothing that is sent arrives; answers to what arrived before come back
 )
 
 // Proxy forwards connections on loopback to a target and disturbs them. A connection on which something was held back
@@ -123,7 +124,7 @@
 		n, err := from.Read(buffer)
 		path, delay := p.current()
 		switch {
-		case path == PathSilent, path == PathMute && !request:
+		case path == PathSilent, path == PathMute && !request, path == PathDeaf && request:
 			lost = lost || n > 0
 		case path == PathDelayed && n > 0:
 			_ = clock.System().Sleep(context.Background(), delay) // it ends by itself
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -21,6 +21,8 @@
 // Rows serves a Table over HTTP in the format of the users' platform. Exported fields are set before the first request.
 type Rows struct {
 	Table *Table
+	// Applied, if set, is called with each transaction that was applied, before its answer.
+	Applied func(tx store.Transaction)
 }
 
 type rowFields struct {
@@ -117,8 +119,11 @@
 		return
 	}
 	status := http.StatusOK
-	if !result.Applied {
+	switch {
+	case !result.Applied:
 		status = http.StatusPreconditionFailed
+	case s.Applied != nil:
+		s.Applied(tx)
 	}
 	reply(w, status, encodePage(store.Page{Rows: result.Current, Version: result.Version}))
 }
--- a/standin/site_test.go
+++ b/standin/site_test.go
@@ -1,7 +1,9 @@
 package standin_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -79,21 +81,24 @@
 
 // fleetOfTwo is a fleet of two machines of one core each in pool p, and a client of its workers.
 type fleetOfTwo struct {
-	fleet   *standin.Fleet
-	clock   *clock.Clock
-	table   *standin.Table
-	client  *platform.Workers
-	targets []pool.Target
+	t        *testing.T
+	fleet    *standin.Fleet
+	clock    *clock.Clock
+	table    *standin.Table
+	client   *platform.Workers
+	targets  []pool.Target
+	handlers []http.Handler
 }
 
 func newFleetOfTwo(t *testing.T) *fleetOfTwo {
 	c := clock.NewFake(1000)
 	table := standin.NewTable()
-	f := &fleetOfTwo{clock: c, table: table, client: platform.NewWorkers(),
+	f := &fleetOfTwo{t: t, clock: c, table: table, client: platform.NewWorkers(),
 		fleet: standin.NewFleet(table, c, func() int64 { return int64(c.Now()) })}
 	f.fleet.Standby("spare")
 	for _, id := range []string{"m1", "m2"} {
 		handler := f.fleet.Add(id, "p", "z", "r", "unused:1", batch.Resources{CPU: 1000, MemoryMB: 100}, 1000)
+		f.handlers = append(f.handlers, handler)
 		f.targets = append(f.targets, pool.Target{Address: serve(t, handler)})
 	}
 	for i, row := range table.Rows(platform.TableWorkers) {
@@ -332,6 +337,60 @@
 	}
 }
 
+// abandon sends an order whose sender has gone by the time of the answer; the test fails if there is one.
+func (f *fleetOfTwo) abandon(worker int, path string, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(encoded)).WithContext(ctx)
+	request.Header.Set("Magnoliaferry-Target-Instance", f.targets[worker].ID)
+	defer func() {
+		if got := recover(); got != http.ErrAbortHandler {
+			f.t.Errorf("%s got %v, want the connection to break", path, got)
+		}
+	}()
+	f.handlers[worker].ServeHTTP(httptest.NewRecorder(), request)
+}
+
+// Guards against a late order that is lost, that comes at once, or that reaches another life than the one it was sent to.
+func TestFleetCarriesOutLate(t *testing.T) {
+	const after = 3 * clock.Second
+	work := standin.Work{CPU: 300}
+	for _, test := range []struct {
+		name    string
+		next    bool // late orders reach the next life of the same id
+		crash   bool
+		started int
+		fenced  bool // a start below the token of a late order
+	}{
+		{"the same life", false, false, 1, true},
+		{"the next life", false, true, 0, false},
+		{"the next life, if told so", true, true, 1, true},
+	} {
+		f := newFleetOfTwo(t)
+		f.fleet.Late = func(machine, path string) (clock.Millis, bool) { return after, machine == "m1" && path == "/run-start" }
+		f.fleet.LateForNextLife = test.next
+		f.abandon(0, "/run-start", map[string]any{"task": "j.0.0.0", "run": 1, "spec": work.Spec(), "deadlineMs": 6000, "fencingToken": 5})
+		f.fleet.Late = nil
+		if got := f.fleet.Started(); got != 0 {
+			t.Errorf("%s: runs right after a late start got %d, want none", test.name, got)
+		}
+		if test.crash {
+			f.fleet.Crash("m1", 500, true)
+		}
+		f.clock.Advance(after)
+		if got := f.fleet.Started(); got != test.started {
+			t.Errorf("%s: runs got %d, want %d", test.name, got, test.started)
+		}
+		if got := f.start(0, "j.0.0.1", 1, 4, work) == pool.Fenced; got != test.fenced {
+			t.Errorf("%s: start below the token of the late one got fenced %t, want %t", test.name, got, test.fenced)
+		}
+	}
+}
+
 func (f *fleetOfTwo) carry(t *testing.T, want machines.Want, token int64) machines.Outcome {
 	client := platform.NewMachines(serve(t, f.fleet))
 	return client.Carry(context.Background(), "holder", machines.Order{Want: want, Token: token})
@@ -378,7 +437,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	arrived := make(chan string, 10)
+	arrived, release := make(chan string, 10), make(chan bool)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -394,6 +453,9 @@
 						return
 					}
 					arrived <- string(buffer[:n])
+					if string(buffer[:n]) == "held" {
+						<-release
+					}
 					if _, err := conn.Write([]byte("answer")); err != nil || string(buffer[:n]) == "mute" {
 						return
 					}
@@ -436,10 +498,27 @@
 	if got := answered(mute); got != "" {
 		t.Errorf("mute path answered %q, want nothing", got)
 	}
+	p.Set(standin.PathOpen, 0)
+	held := send("held")
+	if got := <-arrived; got != "held" {
+		t.Errorf("open path delivered %q, want held", got)
+	}
+	p.Set(standin.PathDeaf, 0)
+	release <- true
+	if got := answered(held); got != "answer" {
+		t.Errorf("deaf path answered %q what had arrived before, want the answer", got)
+	}
+	deaf := send("deaf")
+	if err := deaf.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got := answered(deaf); got != "" {
+		t.Errorf("deaf path answered %q, want nothing", got)
+	}
 	p.Set(standin.PathDelayed, 50)
 	send("late").Close()
 	if got := <-arrived; got != "late" {
-		t.Errorf("delayed path delivered %q after the sender had gone, want late", got)
+		t.Errorf("delivered %q, want late: a delayed path delivers after the sender has gone, and a deaf one nothing", got)
 	}
 	p.Set(standin.PathReset, 0)
 	if got := answered(open); got != "reset" {
