soak: instances listen on an address of their own; one that ends by itself is noted

Cause: an instance got a free port of 127.0.0.1 that was closed until the instance listened, also between its lives. Nothing said that the instance was not there.

Change: the instances of one soak listen on a loopback address that is derived from the soak's process id. A process that ends without a signal of the soak is a broken promise. If an instance does not start, those that run are ended.

--- a/soak/site.go
+++ b/soak/site.go
@@ -61,6 +61,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	ending  bool // it was told to end
 	ended   chan struct{}
 }
 
@@ -88,9 +89,13 @@
 	if s.address.machines, err = listen(ctx, s.fleet); err != nil {
 		return nil, err
 	}
+	addresses, err := freeAddresses(ctx, 2*o.Instances)
+	if err != nil {
+		return nil, err
+	}
 	for i := range o.Instances {
-		if err := s.addInstance(ctx, i); err != nil {
-			return nil, err
+		if err := s.addInstance(ctx, i, addresses[2*i], addresses[2*i+1]); err != nil {
+			return s, err
 		}
 	}
 	return s, nil
@@ -130,17 +135,29 @@
 	return nil
 }
 
-// freeAddress returns an address on which nothing listens; an instance needs the same one in all its lives.
-func freeAddress(ctx context.Context) (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// instanceHost returns a loopback address that only the instances of this process use, so that no other socket takes the port of
+// one that is down.
+func instanceHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64|pid>>16&63, pid>>8&255, pid&255)
+}
+
+// freeAddresses returns addresses on which nothing listens; an instance needs the same ones in all its lives.
+func freeAddresses(ctx context.Context, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(instanceHost(), "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // only then, so that all are different
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return listener.Addr().String(), listener.Close()
+	return addresses, nil
 }
 
-func (s *site) addInstance(ctx context.Context, number int) error {
-	in := &instance{name: fmt.Sprintf("entry-%d", number), store: &standin.Proxy{Target: s.address.store},
+func (s *site) addInstance(ctx context.Context, number int, callers, ready string) error {
+	in := &instance{name: fmt.Sprintf("entry-%d", number), callers: callers, store: &standin.Proxy{Target: s.address.store},
 		machines: &standin.Proxy{Target: s.address.machines}}
 	store, err := in.store.Listen(ctx)
 	if err != nil {
@@ -150,13 +167,6 @@
 	if err != nil {
 		return err
 	}
-	if in.callers, err = freeAddress(ctx); err != nil {
-		return err
-	}
-	ready, err := freeAddress(ctx)
-	if err != nil {
-		return err
-	}
 	var settings daemon.Settings
 	settings.Node, settings.Zone = in.name, fmt.Sprintf("z%d", number%2)
 	settings.Listen.Callers, settings.Listen.Ready = in.callers, ready
@@ -172,8 +182,11 @@
 	if err := os.WriteFile(in.settings, encoded, 0o600); err != nil {
 		return err
 	}
+	if err := in.start(s.options); err != nil {
+		return err
+	}
 	s.instances = append(s.instances, in)
-	return in.start(s.options)
+	return nil
 }
 
 // untouched marks a path that is cut now.
@@ -198,12 +211,17 @@
 		return err
 	}
 	ended := make(chan struct{})
+	in.process, in.ending, in.ended = process, false, ended
 	go func() {
-		_ = process.Wait() // how it ended is in its log; most are killed
+		outcome := process.Wait()
 		log.Close()
+		in.mu.Lock()
+		if !in.ending {
+			o.breach("%s ended by itself: %v", in.name, outcome)
+		}
+		in.mu.Unlock()
 		close(ended)
 	}()
-	in.process, in.ended = process, ended
 	return nil
 }
 
@@ -211,7 +229,8 @@
 func (in *instance) signal(sig syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	_ = in.process.Process.Signal(sig) // as above
+	in.ending = in.ending || sig == syscall.SIGKILL || sig == syscall.SIGTERM
+	_ = in.process.Process.Signal(sig) // it has ended
 }
 
 // stop ends the process by a signal and waits until it has ended, at most as long as its grace.
