soak: late orders, one-way cuts, dark racks, rolling signals, a slow store; strikes at the instance that has just written

Cause: an incident in which a task ran twice did not show in the soak, which lacked faults that the platform names.

Up to three faults overlap instead of two, and a fault that has ended no longer keeps others from being drawn. Callers keep their connections.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,14 +26,16 @@
 	machines := app.Flag("machines", "Machines of the platform.").Default("15").Int()
 	length := app.Flag("length-s", "Seconds for which faults come.").Default("30").Int64()
 	out := app.Flag("out", "Directory for settings and logs.").Default("target/soak").String()
+	nextLife := app.Flag("late-for-next-life", "Late orders also reach a worker that has restarted under its id.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*first, *seeds, *instances, *machines, clock.Millis(*length)*clock.Second, *out); err != nil {
+	if err := run(*first, *seeds, soak.Options{Instances: *instances, Machines: *machines,
+		Length: clock.Millis(*length) * clock.Second, LateForNextLife: *nextLife}, *out); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
-func run(first, seeds uint64, instances, machines int, length clock.Millis, out string) error {
+func run(first, seeds uint64, options soak.Options, out string) error {
 	if err := os.MkdirAll(out, 0o700); err != nil {
 		return err
 	}
@@ -54,8 +56,9 @@
 		if err != nil {
 			return err
 		}
-		report, err := soak.Run(context.Background(), soak.Options{Binary: binary, Directory: directory, Seed: seed,
-			Instances: instances, Machines: machines, Length: length, Log: log})
+		o := options
+		o.Binary, o.Directory, o.Seed, o.Log = binary, directory, seed, log
+		report, err := soak.Run(context.Background(), o)
 		if closed := log.Close(); err == nil {
 			err = closed
 		}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -50,7 +50,7 @@
 	}
 	request.Host = hostName
 	request.Header.Set(standin.HeaderDeadline, fmt.Sprint(int64(callTimeout)))
-	response, err := http.DefaultClient.Do(request)
+	response, err := s.client.Do(request)
 	if err != nil {
 		return 0, nil
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -45,7 +45,7 @@
 		}))
 		now := clock.System().Now()
 		in := &instance{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}
-		s := &site{options: Options{Log: &bytes.Buffer{}, state: &state{}}, instances: []*instance{in}}
+		s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, instances: []*instance{in}}
 		s.reached.Store(int64(now - 10*visibleTime))
 		in.reached.Store(int64(now - 10*visibleTime))
 		if test.cutNow {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -3,19 +3,29 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"syscall"
 
 	"magnoliaferry/clock"
 	"magnoliaferry/standin"
+	"magnoliaferry/store"
 )
 
 // Times of the plan.
 const (
-	faultGap     = 1500 * clock.Millis(1) // mean time between two faults
+	faultGap     = 1000 * clock.Millis(1) // mean time between two faults
 	shortFault   = 500 * clock.Millis(1)
 	longFault    = 4 * clock.Second
 	longestDelay = 5 * clock.Second // of what arrives late; the platform names seconds
+	lateFrom     = 2 * clock.Second // of orders that are carried out without an answer
+	lateTo       = 12 * clock.Second
+	longestTx    = 1500 * clock.Millis(1) // of the transactions of a slow store
+	strikeWait   = clock.Second           // longest wait for a write; an owner renews its ownership every half a second
+	longestRoll  = 1500 * clock.Millis(1) // between the signals of two instances in turn
+	overlap      = 3                      // faults at a time
 	waveAt       = 4 * clock.Second
 	waveWithin   = 40 * clock.Second
 	waveCap      = 2
@@ -30,9 +40,9 @@
 // faults are all kinds, in the order in which the plan draws them.
 var faults = []fault{
 	{"kill", func(s *site, random *rand.Rand) (string, func()) {
-		in := s.instances[random.IntN(len(s.instances))]
+		in, when := s.strike(random, func(in *instance) { in.signal(syscall.SIGKILL) })
 		in.stop(syscall.SIGKILL)
-		return in.name, func() { s.restart(in) }
+		return in.name + when, func() { s.restart(in) }
 	}},
 	{"kill-all", func(s *site, _ *rand.Rand) (string, func()) {
 		for _, in := range s.instances {
@@ -48,29 +58,35 @@
 		}
 	}},
 	{"terminate", func(s *site, random *rand.Rand) (string, func()) {
-		in := s.instances[random.IntN(len(s.instances))]
-		if !in.stop(syscall.SIGTERM) {
-			s.options.breach("%s does not end within %d s of SIGTERM", in.name, stopGrace)
-		}
-		return in.name, func() { s.restart(in) }
+		in, when := s.strike(random, func(in *instance) { in.signal(syscall.SIGTERM) })
+		s.terminated(in)
+		return in.name + when, func() { s.restart(in) }
+	}},
+	{"roll", func(s *site, random *rand.Rand) (string, func()) {
+		gap, killed := clock.Millis(random.IntN(int(longestRoll))), random.IntN(2*len(s.instances))
+		rolled := make(chan struct{})
+		go func() { s.roll(gap, killed); close(rolled) }()
+		return fmt.Sprintf("gap %d ms, kill beside number %d", gap, killed), func() { <-rolled }
 	}},
 	{"freeze", func(s *site, random *rand.Rand) (string, func()) {
-		in := s.instances[random.IntN(len(s.instances))]
-		in.signal(syscall.SIGSTOP)
-		return in.name, func() { in.signal(syscall.SIGCONT) }
+		in, when := s.strike(random, func(in *instance) { in.signal(syscall.SIGSTOP) })
+		return in.name + when, func() { in.signal(syscall.SIGCONT) }
 	}},
 	{"store-path", func(s *site, random *rand.Rand) (string, func()) {
-		in := s.instances[random.IntN(len(s.instances))]
-		in.reached.Store(untouched)
-		path := cut(in.store, random)
-		return fmt.Sprintf("%s %s", in.name, path), func() {
+		path, delay := cut(random)
+		in, when := s.strike(random, func(in *instance) {
+			in.reached.Store(untouched)
+			in.store.Set(path, delay)
+		})
+		return fmt.Sprintf("%s%s %s", in.name, when, path), func() {
 			in.store.Set(standin.PathOpen, 0)
 			in.reached.Store(int64(clock.System().Now()))
 		}
 	}},
 	{"machines-path", func(s *site, random *rand.Rand) (string, func()) {
 		in := s.instances[random.IntN(len(s.instances))]
-		path := cut(in.machines, random)
+		path, delay := cut(random)
+		in.machines.Set(path, delay)
 		return fmt.Sprintf("%s %s", in.name, path), func() { in.machines.Set(standin.PathOpen, 0) }
 	}},
 	{"store-outage", func(s *site, random *rand.Rand) (string, func()) {
@@ -85,6 +101,11 @@
 			s.table.Settle()
 		}
 	}},
+	{"store-slow", func(s *site, random *rand.Rand) (string, func()) {
+		slow := clock.Millis(random.IntN(int(longestTx)))
+		s.slow.Store(int64(slow))
+		return fmt.Sprintf("%d ms", slow), func() { s.slow.Store(0) }
+	}},
 	{"history-gone", func(s *site, _ *rand.Rand) (string, func()) {
 		s.table.Forget()
 		return "", func() {}
@@ -94,7 +115,9 @@
 		for range 1 + random.IntN(3) {
 			machine := s.machines[random.IntN(len(s.machines))]
 			proxy := s.workers[machine]
-			what += fmt.Sprintf("%s %s ", machine, cut(proxy, random))
+			path, delay := cut(random)
+			proxy.Set(path, delay)
+			what += fmt.Sprintf("%s %s ", machine, path)
 			ends = append(ends, func() { proxy.Set(standin.PathOpen, 0) })
 		}
 		return what, func() {
@@ -105,19 +128,119 @@
 	}},
 	{"worker-crash", func(s *site, random *rand.Rand) (string, func()) {
 		machine, sameID := s.machines[random.IntN(len(s.machines))], random.IntN(2) == 0
-		// What is on its way to a life that ends is lost with its connections.
-		s.workers[machine].Set(standin.PathReset, 0)
-		s.fleet.Crash(machine, shortFault+clock.Millis(random.IntN(3000)), sameID)
-		s.workers[machine].Set(standin.PathOpen, 0)
+		s.crash(machine, shortFault+clock.Millis(random.IntN(3000)), sameID)
 		return fmt.Sprintf("%s, same id %v", machine, sameID), func() {}
 	}},
+	{"rack-dark", func(s *site, random *rand.Rand) (string, func()) {
+		rack, kind := random.IntN(racks), random.IntN(3)
+		for i := rack; i < len(s.machines); i += racks {
+			if kind == 0 {
+				s.workers[s.machines[i]].Set(standin.PathSilent, 0)
+			} else {
+				s.crash(s.machines[i], shortFault+clock.Millis(random.IntN(3000)), kind == 1)
+			}
+		}
+		return fmt.Sprintf("r%d, %s", rack, []string{"silent", "crash with the same id", "crash with a new id"}[kind]), func() {
+			for i := rack; i < len(s.machines); i += racks {
+				s.workers[s.machines[i]].Set(standin.PathOpen, 0)
+			}
+		}
+	}},
+	{"late-orders", func(s *site, random *rand.Rand) (string, func()) {
+		share := []int64{3, 10, 50}[random.IntN(3)]
+		s.late.Store(share)
+		return fmt.Sprintf("one in %d", share), func() { s.late.Store(0) }
+	}},
 }
 
 // cut draws what becomes of the connections through a proxy.
-func cut(proxy *standin.Proxy, random *rand.Rand) standin.Path {
-	path := []standin.Path{standin.PathDelayed, standin.PathReset, standin.PathSilent, standin.PathMute}[random.IntN(4)]
-	proxy.Set(path, clock.Millis(50+random.IntN(int(longestDelay))))
-	return path
+func cut(random *rand.Rand) (standin.Path, clock.Millis) {
+	paths := []standin.Path{standin.PathDelayed, standin.PathReset, standin.PathSilent, standin.PathMute, standin.PathDeaf}
+	return paths[random.IntN(len(paths))], clock.Millis(50 + random.IntN(int(longestDelay)))
+}
+
+// strike draws an instance and acts on it: any instance at once, or the next one whose write under a condition is applied,
+// between that write and its answer.
+func (s *site) strike(random *rand.Rand, act func(in *instance)) (in *instance, when string) {
+	chosen := s.instances[random.IntN(len(s.instances))]
+	if random.IntN(2) == 0 {
+		act(chosen)
+		return chosen, ""
+	}
+	struck, forget := s.atWrite(act)
+	select {
+	case in = <-struck:
+	case <-clock.System().After(strikeWait):
+		if forget() {
+			act(chosen)
+			return chosen, ", nothing was written"
+		}
+		in = <-struck
+	}
+	return in, ", which had written"
+}
+
+// atWrite acts on the next instance whose write under a condition is applied, unless forget comes first.
+func (s *site) atWrite(act func(in *instance)) (struck <-chan *instance, forget func() bool) {
+	hit := make(chan *instance, 1)
+	trap := func(in *instance) { act(in); hit <- in }
+	s.trap.Store(&trap)
+	return hit, func() bool { return s.trap.CompareAndSwap(&trap, nil) }
+}
+
+// wrote is told of each transaction of an instance that was applied. Only owners require rows that exist.
+func (s *site) wrote(in *instance, tx store.Transaction) {
+	if !slices.ContainsFunc(tx.Conditions, func(c store.Condition) bool { return c.Version > 0 }) {
+		return
+	}
+	if trap := s.trap.Swap(nil); trap != nil {
+		(*trap)(in)
+	}
+}
+
+// lateness draws whether an order to a worker is carried out late, and when.
+func (s *site) lateness(string, string) (clock.Millis, bool) {
+	share := s.late.Load()
+	if share == 0 {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lateFrom + clock.Millis(s.random.IntN(int(lateTo-lateFrom))), s.random.Int64N(share) == 0
+}
+
+// crash ends the life of a worker. What is on its way to it is lost with its connections.
+func (s *site) crash(machine string, down clock.Millis, sameID bool) {
+	s.workers[machine].Set(standin.PathReset, 0)
+	s.fleet.Crash(machine, down, sameID)
+	s.workers[machine].Set(standin.PathOpen, 0)
+}
+
+// roll terminates and restarts all instances in turn without waiting for the one before. Beside the one with the given number the
+// next one is killed.
+func (s *site) roll(gap clock.Millis, killed int) {
+	var ending sync.WaitGroup
+	defer ending.Wait()
+	for i, in := range s.instances {
+		in.signal(syscall.SIGTERM)
+		ending.Go(func() {
+			s.terminated(in)
+			s.restart(in)
+		})
+		if i == killed && i+1 < len(s.instances) {
+			next := s.instances[i+1]
+			next.stop(syscall.SIGKILL)
+			s.restart(next)
+		}
+		_ = clock.System().Sleep(context.Background(), gap) // it ends by itself
+	}
+}
+
+// terminated waits for the end of an instance that was told to end.
+func (s *site) terminated(in *instance) {
+	if !in.wait() {
+		s.options.breach("%s does not end within %d s of SIGTERM", in.name, stopGrace)
+	}
 }
 
 func (s *site) restart(in *instance) {
@@ -126,7 +249,7 @@
 	}
 }
 
-// disturb carries out the plan of the seed, one fault at a time or two that overlap, until the time is over; all faults have
+// disturb carries out the plan of the seed, up to three faults at a time, until the time is over; all faults have
 // ended then. It returns how many there were.
 func (s *site) disturb(ctx context.Context) int {
 	random := rand.New(rand.NewPCG(s.options.Seed, 2))
@@ -137,12 +260,12 @@
 	ended := make(chan string, len(faults))
 	waitOne := func() { delete(busy, <-ended) }
 	for c.Now() < until && c.Sleep(ctx, clock.Millis(float64(faultGap)*random.ExpFloat64())) == nil {
-		for len(busy) >= 2 {
+		for len(busy) >= overlap || len(ended) > 0 {
 			waitOne()
 		}
 		f := &faults[random.IntN(len(faults))]
 		// A second fault of a kind would end with the first, and a process has one signal at a time.
-		if busy[f.name] || (len(busy) > 0 && onProcess(f.name) && (busy["kill"] || busy["kill-all"] || busy["terminate"] || busy["freeze"])) {
+		if busy[f.name] || onProcess(f.name) && slices.ContainsFunc(slices.Collect(maps.Keys(busy)), onProcess) {
 			continue
 		}
 		what, end := f.begin(s, random)
@@ -159,5 +282,5 @@
 }
 
 func onProcess(name string) bool {
-	return name == "kill" || name == "kill-all" || name == "terminate" || name == "freeze"
+	return slices.Contains([]string{"kill", "kill-all", "terminate", "roll", "freeze"}, name)
 }
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/store"
+)
+
+// Guards against a strike that misses the instance whose write was applied, so that the soak would disturb bystanders only.
+func TestStrikeAtWrite(t *testing.T) {
+	bystander, writer := &instance{name: "entry-0"}, &instance{name: "entry-1"}
+	accept := store.Transaction{Conditions: []store.Condition{{Table: "t", Key: "new"}}}
+	renew := store.Transaction{Conditions: []store.Condition{{Table: "t", Key: "owner", Version: 7}}}
+	s := &site{}
+	var hits []string
+	act := func(in *instance) { hits = append(hits, in.name) }
+	struck, forget := s.atWrite(act)
+	s.wrote(bystander, accept)
+	s.wrote(writer, renew)
+	s.wrote(writer, renew)
+	if want := []string{"entry-1"}; !slices.Equal(hits, want) {
+		t.Errorf("hits got %v, want %v", hits, want)
+	}
+	if forget() {
+		t.Error("a strike that hit could be taken back")
+	}
+	if got := (<-struck).name; got != "entry-1" {
+		t.Errorf("struck got %s, want entry-1", got)
+	}
+	_, forget = s.atWrite(act)
+	if !forget() {
+		t.Error("a strike that waits could not be taken back")
+	}
+	s.wrote(writer, renew)
+	if got, want := len(hits), 1; got != want {
+		t.Errorf("hits got %d, want %d", got, want)
+	}
+}
+
+// Guards against late orders at a time without that fault, and against ones that come outside the span that the platform names.
+func TestLateness(t *testing.T) {
+	s := &site{random: rand.New(rand.NewPCG(1, 4))}
+	count := func() (late int) {
+		for range 1000 {
+			if after, ok := s.lateness("m00", "/hold"); ok {
+				late++
+				if after < 2*clock.Second || after > 12*clock.Second {
+					t.Errorf("late order after %d ms, want 2 to 12 s", after)
+				}
+			}
+		}
+		return late
+	}
+	if got := count(); got != 0 {
+		t.Errorf("late orders got %d, want none without the fault", got)
+	}
+	s.late.Store(10)
+	if got := count(); got < 50 || got > 150 {
+		t.Errorf("late orders got %d of 1000, want about one in ten", got)
+	}
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -28,10 +28,11 @@
 	standbyPool   = "spare"
 	machineCPU    = 4000 // thousandths of a core
 	machineMemory = 8000 // megabytes
-	leaseLimit    = 6 * clock.Second
+	racks         = 4
 	machineLease  = 3 * clock.Second
 	stopGrace     = 6 // seconds
 	retention     = 120
+	idleConns     = 64  // of callers to one instance
 	feedRows      = 500 // rows that one answer of the store has at most, as on the platform
 )
 
@@ -47,8 +48,15 @@
 	machines  []string
 	instances []*instance
 	workers   map[string]*standin.Proxy // by machine
-	address   struct{ store, machines string }
-	reached   atomic.Int64 // since when the store answers reads, in milliseconds; untouched while it does not
+	platform  string                    // address of the interface to the machines
+	reached   atomic.Int64              // since when the store answers reads, in milliseconds; untouched while it does not
+	late      atomic.Int64              // one order to a worker in so many is carried out late; 0: none
+	slow      atomic.Int64              // how long a transaction of the store takes, in milliseconds
+	trap      atomic.Pointer[func(in *instance)]
+	client    *http.Client // of the callers
+
+	mu     sync.Mutex
+	random *rand.Rand // for lateness
 }
 
 // instance is one process of the product and its paths to the platform.
@@ -70,6 +78,10 @@
 	table.FeedRows = feedRows
 	s := &site{options: o, table: table, workers: map[string]*standin.Proxy{},
 		fleet: standin.NewFleet(table, clock.System(), func() int64 { return time.Now().UnixMilli() })}
+	s.random = rand.New(rand.NewPCG(o.Seed, 4))
+	s.fleet.Late, s.fleet.LateForNextLife = s.lateness, o.LateForNextLife
+	// Callers keep their connections as long as the process does.
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
 	table.Down = s.down.Load
 	var queues []batch.Queue
@@ -83,10 +95,7 @@
 		return nil, err
 	}
 	var err error
-	if s.address.store, err = listen(ctx, &standin.Rows{Table: table}); err != nil {
-		return nil, err
-	}
-	if s.address.machines, err = listen(ctx, s.fleet); err != nil {
+	if s.platform, err = listen(ctx, s.fleet); err != nil {
 		return nil, err
 	}
 	addresses, err := freeAddresses(ctx, 2*o.Instances)
@@ -124,7 +133,7 @@
 			return err
 		}
 		pace := 970 + random.IntN(60)
-		handler := s.fleet.Add(id, pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i%4), address,
+		handler := s.fleet.Add(id, pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i%racks), address,
 			batch.Resources{CPU: machineCPU, MemoryMB: machineMemory}, pace)
 		if proxy.Target, err = listen(ctx, handler); err != nil {
 			return err
@@ -157,9 +166,14 @@
 }
 
 func (s *site) addInstance(ctx context.Context, number int, callers, ready string) error {
-	in := &instance{name: fmt.Sprintf("entry-%d", number), callers: callers, store: &standin.Proxy{Target: s.address.store},
-		machines: &standin.Proxy{Target: s.address.machines}}
-	store, err := in.store.Listen(ctx)
+	in := &instance{name: fmt.Sprintf("entry-%d", number), callers: callers, store: &standin.Proxy{}, machines: &standin.Proxy{Target: s.platform}}
+	var err error
+	rows := &standin.Rows{Table: s.table, Slow: func() clock.Millis { return clock.Millis(s.slow.Load()) },
+		Applied: func(tx store.Transaction) { s.wrote(in, tx) }}
+	if in.store.Target, err = listen(ctx, rows); err != nil {
+		return err
+	}
+	storeAddress, err := in.store.Listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -170,9 +184,9 @@
 	var settings daemon.Settings
 	settings.Node, settings.Zone = in.name, fmt.Sprintf("z%d", number%2)
 	settings.Listen.Callers, settings.Listen.Ready = in.callers, ready
-	settings.Store, settings.Machines = store, machines
+	settings.Store, settings.Machines = storeAddress, machines
 	settings.CPUShare, settings.CPUSpeed = 0.4, 1
-	settings.LeaseLimit, settings.MachineLease = leaseLimit, machineLease
+	settings.LeaseLimit, settings.MachineLease = standin.MaxLease, machineLease
 	settings.StopGrace, settings.StateRetention = stopGrace, retention
 	encoded, err := json.Marshal(settings)
 	if err != nil {
@@ -233,9 +247,14 @@
 	_ = in.process.Process.Signal(sig) // it has ended
 }
 
-// stop ends the process by a signal and waits until it has ended, at most as long as its grace.
-func (in *instance) stop(sig syscall.Signal) (inTime bool) {
+// stop ends the process by a signal and waits until it has ended.
+func (in *instance) stop(sig syscall.Signal) {
 	in.signal(sig)
+	in.wait()
+}
+
+// wait waits until the process has ended, at most as long as its grace; then it is killed.
+func (in *instance) wait() (inTime bool) {
 	in.mu.Lock()
 	ended := in.ended
 	in.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,7 +13,7 @@
 	"magnoliaferry/standin"
 )
 
-// Options are the options of one soak; all are needed.
+// Options are the options of one soak; all but LateForNextLife are needed.
 type Options struct {
 	Binary    string       // of magnoliaferry
 	Directory string       // for settings and logs
@@ -22,6 +22,8 @@
 	Machines  int          // of all pools together
 	Length    clock.Millis // for which faults come
 	Log       io.Writer    // for what is done and what is broken
+	// LateForNextLife lets late orders reach a worker that has restarted under its id meanwhile (issue 9).
+	LateForNextLife bool
 
 	state *state
 }
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -21,6 +22,8 @@
 // Rows serves a Table over HTTP in the format of the users' platform. Exported fields are set before the first request.
 type Rows struct {
 	Table *Table
+	// Slow, if set, returns how long a transaction takes; it is carried out also if its sender has gone meanwhile.
+	Slow func() clock.Millis
 	// Applied, if set, is called with each transaction that was applied, before its answer.
 	Applied func(tx store.Transaction)
 }
@@ -113,6 +116,9 @@
 	for _, d := range body.Deletes {
 		tx.Deletes = append(tx.Deletes, store.Row{Table: d.Table, Part: d.Part, Key: d.Key})
 	}
+	if s.Slow != nil {
+		_ = clock.System().Sleep(context.Background(), s.Slow()) // it ends by itself
+	}
 	result, err := s.Table.Commit(r.Context(), tx)
 	if err != nil {
 		fail(w, err)
