soak: racks that are cut off one way; instances end with the soak

Cause: the workers of a rack could only be silent as a whole. A soak that was ended by SIGTERM left its instances behind (seen when a play was stopped: three instances had to be killed by id).

Change: the paths to a rack may lose all, requests only or answers only. SIGINT and SIGTERM end the soak and its instances.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -43,6 +45,9 @@
 	if output, err := exec.Command("go", "build", "-o", binary, "./cmd/magnoliaferry").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w: %s", err, output)
 	}
+	// The instances end with the soak.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	broken := false
 	for seed := first; seed < first+seeds; seed++ {
 		directory := filepath.Join(out, fmt.Sprintf("seed-%d", seed))
@@ -58,10 +63,13 @@
 		}
 		o := options
 		o.Binary, o.Directory, o.Seed, o.Log = binary, directory, seed, log
-		report, err := soak.Run(context.Background(), o)
+		report, err := soak.Run(ctx, o)
 		if closed := log.Close(); err == nil {
 			err = closed
 		}
+		if err == nil {
+			err = ctx.Err()
+		}
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -132,15 +132,20 @@
 		return fmt.Sprintf("%s, same id %v", machine, sameID), func() {}
 	}},
 	{"rack-dark", func(s *site, random *rand.Rand) (string, func()) {
-		rack, kind := random.IntN(racks), random.IntN(3)
+		rack, crash, sameID := random.IntN(racks), random.IntN(2) == 0, random.IntN(2) == 0
+		path := []standin.Path{standin.PathSilent, standin.PathMute, standin.PathDeaf}[random.IntN(3)]
+		what := fmt.Sprintf("r%d %s", rack, path)
+		if crash {
+			what = fmt.Sprintf("r%d crashes, same id %v", rack, sameID)
+		}
 		for i := rack; i < len(s.machines); i += racks {
-			if kind == 0 {
-				s.workers[s.machines[i]].Set(standin.PathSilent, 0)
+			if crash {
+				s.crash(s.machines[i], shortFault+clock.Millis(random.IntN(3000)), sameID)
 			} else {
-				s.crash(s.machines[i], shortFault+clock.Millis(random.IntN(3000)), kind == 1)
+				s.workers[s.machines[i]].Set(path, 0)
 			}
 		}
-		return fmt.Sprintf("r%d, %s", rack, []string{"silent", "crash with the same id", "crash with a new id"}[kind]), func() {
+		return what, func() {
 			for i := rack; i < len(s.machines); i += racks {
 				s.workers[s.machines[i]].Set(standin.PathOpen, 0)
 			}
