--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test lint generate demo build fuzz measure
+.PHONY: test lint generate demo build fuzz measure soak
 
 # The test command; .ci/run calls it.
 test:
@@ -23,6 +23,10 @@
 measure:
 	go run ./cmd/measure --out docs/measurements
 
+# The short fault soak of .ci/run; go run ./cmd/soak plays other seeds at the usual size.
+soak:
+	go run ./cmd/soak --first 1 --seeds 2 --instances 4 --machines 9 --length-s 15 --out target/soak-ci
+
 # Looks for inputs that break the decoders; the committed corpora run with the tests.
 fuzz:
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./config
