soak: the length of the tasks is an option

Cause: tasks of up to 1.5 s have ended before a successor gives up the runs of a silent worker, so that a task that it starts too early seldom runs twice at once.

The default stays, and so does the plan of the short soak.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,11 +27,12 @@
 	instances := app.Flag("instances", "Instances of the product.").Default("5").Int()
 	machines := app.Flag("machines", "Machines of the platform.").Default("15").Int()
 	length := app.Flag("length-s", "Seconds for which faults come.").Default("30").Int64()
+	longest := app.Flag("longest-task-ms", "Longest task, in milliseconds.").Default("1500").Int64()
 	out := app.Flag("out", "Directory for settings and logs.").Default("target/soak").String()
 	nextLife := app.Flag("late-for-next-life", "Late orders also reach a worker that has restarted under its id.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(*first, *seeds, soak.Options{Instances: *instances, Machines: *machines,
-		Length: clock.Millis(*length) * clock.Second, LateForNextLife: *nextLife}, *out); err != nil {
+		Length: clock.Millis(*length) * clock.Second, LongestTask: clock.Millis(*longest), LateForNextLife: *nextLife}, *out); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -18,14 +18,14 @@
 // Times of the callers.
 const (
 	callTimeout = 3 * clock.Second
-	submitFor   = 10 * clock.Second      // a caller gives up a job that nobody takes
-	jobGap      = 120 * clock.Millis(1)  // mean time between two jobs
-	pollGap     = 400 * clock.Millis(1)  // between two looks at a job
-	cancelShare = 20                     // one job in so many is cancelled
-	visibleTime = 3 * clock.Second       // until every instance tells what one has told; from the users' pages
-	settleTime  = 45 * clock.Second      // for the work that is left when the faults are over
-	lengths     = 1500 * clock.Millis(1) // longest task
-	retryGap    = 100 * clock.Millis(1)  // of a caller that was turned away
+	submitFor   = 10 * clock.Second     // a caller gives up a job that nobody takes
+	jobGap      = 120 * clock.Millis(1) // mean time between two jobs whose longest task is usualTask
+	usualTask   = 1500 * clock.Millis(1)
+	pollGap     = 400 * clock.Millis(1) // between two looks at a job
+	cancelShare = 20                    // one job in so many is cancelled
+	visibleTime = 3 * clock.Second      // until every instance tells what one has told; from the users' pages
+	settleTime  = 45 * clock.Second     // for the work that is left when the faults are over
+	retryGap    = 100 * clock.Millis(1) // of a caller that was turned away
 )
 
 const taskMemory = 100 // megabytes
@@ -67,11 +67,12 @@
 	c := clock.System()
 	var followed sync.WaitGroup
 	defer followed.Wait()
+	gap := float64(jobGap) * float64(s.options.LongestTask) / float64(usualTask) // longer tasks come at the same load
 	for n := 0; c.Now() < until; n++ {
-		if c.Sleep(ctx, clock.Millis(float64(jobGap)*random.ExpFloat64())) != nil {
+		if c.Sleep(ctx, clock.Millis(gap*random.ExpFloat64())) != nil {
 			return
 		}
-		work := standin.Work{Length: 50 + clock.Millis(random.IntN(int(lengths))), CPU: 250 * (1 + random.IntN(8))}
+		work := standin.Work{Length: 50 + clock.Millis(random.IntN(int(s.options.LongestTask))), CPU: 250 * (1 + random.IntN(8))}
 		steps := []batch.Step{{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}}}
 		if random.IntN(2) == 0 {
 			steps = append(steps, batch.Step{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}, After: []int{0}})
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -15,13 +15,14 @@
 
 // Options are the options of one soak; all but LateForNextLife are needed.
 type Options struct {
-	Binary    string       // of magnoliaferry
-	Directory string       // for settings and logs
-	Seed      uint64       // of the plan; times vary between two runs of a seed
-	Instances int          // of the product
-	Machines  int          // of all pools together
-	Length    clock.Millis // for which faults come
-	Log       io.Writer    // for what is done and what is broken
+	Binary      string       // of magnoliaferry
+	Directory   string       // for settings and logs
+	Seed        uint64       // of the plan; times vary between two runs of a seed
+	Instances   int          // of the product
+	Machines    int          // of all pools together
+	Length      clock.Millis // for which faults come
+	LongestTask clock.Millis // of the jobs that callers hand in
+	Log         io.Writer    // for what is done and what is broken
 	// LateForNextLife lets late orders reach a worker that has restarted under its id meanwhile (issue 9).
 	LateForNextLife bool
 
