--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -25,15 +27,18 @@
 	instances := app.Flag("instances", "Instances of the product.").Default("5").Int()
 	machines := app.Flag("machines", "Machines of the platform.").Default("15").Int()
 	length := app.Flag("length-s", "Seconds for which faults come.").Default("30").Int64()
+	longest := app.Flag("longest-task-ms", "Longest task, in milliseconds.").Default("1500").Int64()
 	out := app.Flag("out", "Directory for settings and logs.").Default("target/soak").String()
+	nextLife := app.Flag("late-for-next-life", "Late orders also reach a worker that has restarted under its id.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := run(*first, *seeds, *instances, *machines, clock.Millis(*length)*clock.Second, *out); err != nil {
+	if err := run(*first, *seeds, soak.Options{Instances: *instances, Machines: *machines,
+		Length: clock.Millis(*length) * clock.Second, LongestTask: clock.Millis(*longest), LateForNextLife: *nextLife}, *out); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
-func run(first, seeds uint64, instances, machines int, length clock.Millis, out string) error {
+func run(first, seeds uint64, options soak.Options, out string) error {
 	if err := os.MkdirAll(out, 0o700); err != nil {
 		return err
 	}
@@ -41,6 +46,9 @@
 	if output, err := exec.Command("go", "build", "-o", binary, "./cmd/magnoliaferry").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w: %s", err, output)
 	}
+	// The instances end with the soak.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	broken := false
 	for seed := first; seed < first+seeds; seed++ {
 		directory := filepath.Join(out, fmt.Sprintf("seed-%d", seed))
@@ -54,11 +62,15 @@
 		if err != nil {
 			return err
 		}
-		report, err := soak.Run(context.Background(), soak.Options{Binary: binary, Directory: directory, Seed: seed,
-			Instances: instances, Machines: machines, Length: length, Log: log})
+		o := options
+		o.Binary, o.Directory, o.Seed, o.Log = binary, directory, seed, log
+		report, err := soak.Run(ctx, o)
 		if closed := log.Close(); err == nil {
 			err = closed
 		}
+		if err == nil {
+			err = ctx.Err()
+		}
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
--- a/soak/site.go
+++ b/soak/site.go
@@ -28,10 +28,11 @@
 	standbyPool   = "spare"
 	machineCPU    = 4000 // thousandths of a core
 	machineMemory = 8000 // megabytes
-	leaseLimit    = 6 * clock.Second
+	racks         = 4
 	machineLease  = 3 * clock.Second
 	stopGrace     = 6 // seconds
 	retention     = 120
+	idleConns     = 64  // of callers to one instance
 	feedRows      = 500 // rows that one answer of the store has at most, as on the platform
 )
 
@@ -47,8 +48,15 @@
 	machines  []string
 	instances []*instance
 	workers   map[string]*standin.Proxy // by machine
-	address   struct{ store, machines string }
-	reached   atomic.Int64 // since when the store answers reads, in milliseconds; untouched while it does not
+	platform  string                    // address of the interface to the machines
+	reached   atomic.Int64              // since when the store answers reads, in milliseconds; untouched while it does not
+	late      atomic.Int64              // one order to a worker in so many is carried out late; 0: none
+	slow      atomic.Int64              // how long a transaction of the store takes, in milliseconds
+	trap      atomic.Pointer[func(in *instance)]
+	client    *http.Client // of the callers
+
+	mu     sync.Mutex
+	random *rand.Rand // for lateness
 }
 
 // instance is one process of the product and its paths to the platform.
@@ -61,6 +69,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	ending  bool // it was told to end
 	ended   chan struct{}
 }
 
@@ -69,6 +78,10 @@
 	table.FeedRows = feedRows
 	s := &site{options: o, table: table, workers: map[string]*standin.Proxy{},
 		fleet: standin.NewFleet(table, clock.System(), func() int64 { return time.Now().UnixMilli() })}
+	s.random = rand.New(rand.NewPCG(o.Seed, 4))
+	s.fleet.Late, s.fleet.LateForNextLife = s.lateness, o.LateForNextLife
+	// Callers keep their connections as long as the process does.
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
 	table.Down = s.down.Load
 	var queues []batch.Queue
@@ -82,15 +95,16 @@
 		return nil, err
 	}
 	var err error
-	if s.address.store, err = listen(ctx, &standin.Rows{Table: table}); err != nil {
+	if s.platform, err = listen(ctx, s.fleet); err != nil {
 		return nil, err
 	}
-	if s.address.machines, err = listen(ctx, s.fleet); err != nil {
+	addresses, err := freeAddresses(ctx, 2*o.Instances)
+	if err != nil {
 		return nil, err
 	}
 	for i := range o.Instances {
-		if err := s.addInstance(ctx, i); err != nil {
-			return nil, err
+		if err := s.addInstance(ctx, i, addresses[2*i], addresses[2*i+1]); err != nil {
+			return s, err
 		}
 	}
 	return s, nil
@@ -119,7 +133,7 @@
 			return err
 		}
 		pace := 970 + random.IntN(60)
-		handler := s.fleet.Add(id, pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i%4), address,
+		handler := s.fleet.Add(id, pool, fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i%racks), address,
 			batch.Resources{CPU: machineCPU, MemoryMB: machineMemory}, pace)
 		if proxy.Target, err = listen(ctx, handler); err != nil {
 			return err
@@ -130,39 +144,49 @@
 	return nil
 }
 
-// freeAddress returns an address on which nothing listens; an instance needs the same one in all its lives.
-func freeAddress(ctx context.Context) (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// instanceHost returns a loopback address that only the instances of this process use, so that no other socket takes the port of
+// one that is down.
+func instanceHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64|pid>>16&63, pid>>8&255, pid&255)
+}
+
+// freeAddresses returns addresses on which nothing listens; an instance needs the same ones in all its lives.
+func freeAddresses(ctx context.Context, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(instanceHost(), "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // only then, so that all are different
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return listener.Addr().String(), listener.Close()
+	return addresses, nil
 }
 
-func (s *site) addInstance(ctx context.Context, number int) error {
-	in := &instance{name: fmt.Sprintf("entry-%d", number), store: &standin.Proxy{Target: s.address.store},
-		machines: &standin.Proxy{Target: s.address.machines}}
-	store, err := in.store.Listen(ctx)
-	if err != nil {
+func (s *site) addInstance(ctx context.Context, number int, callers, ready string) error {
+	in := &instance{name: fmt.Sprintf("entry-%d", number), callers: callers, store: &standin.Proxy{}, machines: &standin.Proxy{Target: s.platform}}
+	var err error
+	rows := &standin.Rows{Table: s.table, Slow: func() clock.Millis { return clock.Millis(s.slow.Load()) },
+		Applied: func(tx store.Transaction) { s.wrote(in, tx) }}
+	if in.store.Target, err = listen(ctx, rows); err != nil {
 		return err
 	}
-	machines, err := in.machines.Listen(ctx)
+	storeAddress, err := in.store.Listen(ctx)
 	if err != nil {
 		return err
 	}
-	if in.callers, err = freeAddress(ctx); err != nil {
-		return err
-	}
-	ready, err := freeAddress(ctx)
+	machines, err := in.machines.Listen(ctx)
 	if err != nil {
 		return err
 	}
 	var settings daemon.Settings
 	settings.Node, settings.Zone = in.name, fmt.Sprintf("z%d", number%2)
 	settings.Listen.Callers, settings.Listen.Ready = in.callers, ready
-	settings.Store, settings.Machines = store, machines
+	settings.Store, settings.Machines = storeAddress, machines
 	settings.CPUShare, settings.CPUSpeed = 0.4, 1
-	settings.LeaseLimit, settings.MachineLease = leaseLimit, machineLease
+	settings.LeaseLimit, settings.MachineLease = standin.MaxLease, machineLease
 	settings.StopGrace, settings.StateRetention = stopGrace, retention
 	encoded, err := json.Marshal(settings)
 	if err != nil {
@@ -172,8 +196,11 @@
 	if err := os.WriteFile(in.settings, encoded, 0o600); err != nil {
 		return err
 	}
+	if err := in.start(s.options); err != nil {
+		return err
+	}
 	s.instances = append(s.instances, in)
-	return in.start(s.options)
+	return nil
 }
 
 // untouched marks a path that is cut now.
@@ -198,12 +225,17 @@
 		return err
 	}
 	ended := make(chan struct{})
+	in.process, in.ending, in.ended = process, false, ended
 	go func() {
-		_ = process.Wait() // how it ended is in its log; most are killed
+		outcome := process.Wait()
 		log.Close()
+		in.mu.Lock()
+		if !in.ending {
+			o.breach("%s ended by itself: %v", in.name, outcome)
+		}
+		in.mu.Unlock()
 		close(ended)
 	}()
-	in.process, in.ended = process, ended
 	return nil
 }
 
@@ -211,12 +243,18 @@
 func (in *instance) signal(sig syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	_ = in.process.Process.Signal(sig) // as above
+	in.ending = in.ending || sig == syscall.SIGKILL || sig == syscall.SIGTERM
+	_ = in.process.Process.Signal(sig) // it has ended
 }
 
-// stop ends the process by a signal and waits until it has ended, at most as long as its grace.
-func (in *instance) stop(sig syscall.Signal) (inTime bool) {
+// stop ends the process by a signal and waits until it has ended.
+func (in *instance) stop(sig syscall.Signal) {
 	in.signal(sig)
+	in.wait()
+}
+
+// wait waits until the process has ended, at most as long as its grace; then it is killed.
+func (in *instance) wait() (inTime bool) {
 	in.mu.Lock()
 	ended := in.ended
 	in.mu.Unlock()
