command, daemon: SIGHUP does not end an instance

Cause: run did not handle SIGHUP, which ends a process. Change: the settings are read again, and the log tells whether they differ from those in force and what is wrong with them; they are in force from the next start, as addresses and limits cannot change while callers are served.

--- a/command/run.go
+++ b/command/run.go
@@ -4,7 +4,9 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -19,6 +21,7 @@
 // RunOptions are the options of run, which runs one instance on the users' platform.
 type RunOptions struct {
 	Settings daemon.Settings
+	File     string // of the settings, which SIGHUP has read again
 }
 
 func init() {
@@ -31,13 +34,19 @@
 			if err := faults.Err(); err != nil {
 				return err
 			}
-			return RunOptions{Settings: settings}.Run(ctx, env)
+			return RunOptions{Settings: settings, File: file}.Run(ctx, env)
 		}
 	})
 }
 
 // Run serves until the context ends and what callers wait for has ended.
 func (o RunOptions) Run(ctx context.Context, env *Environment) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // which would end the process
+	defer func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}()
 	if o.Settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(o.Settings.MemoryMB) << 20 * memoryShare / 100)
 	}
@@ -53,5 +62,10 @@
 	if o.Settings.Machines != "" {
 		d.Machines = platform.NewMachines(o.Settings.Machines)
 	}
+	go func() {
+		for range hangups {
+			d.Reread(o.File)
+		}
+	}()
 	return d.Run(ctx)
 }
--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -33,6 +33,7 @@
 	eventNotSwept       = event.New(1089, "rows-not-swept", slog.LevelWarn, "rows of ended jobs could not be deleted; this is repeated")
 	eventUnreadableWave = event.New(1092, "wave-unreadable", slog.LevelError, "what is stored of a wave cannot be read; tasks that last may get machines that are due")
 	eventSlowStore      = event.New(1091, "claim-deferred", slog.LevelInfo, "the store is slow; the owner of a part may only be late")
+	eventReread         = event.New(1094, "settings-reread", slog.LevelInfo, "SIGHUP: the settings were read again; changes are in force from the next start")
 	eventLateOrder      = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent, as the renewal of the ownership is too old by now; it is repeated")
 )
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 
@@ -66,6 +68,17 @@
 // Millis returns the time in milliseconds.
 func (s Seconds) Millis() clock.Millis { return clock.Millis(s * Seconds(clock.Second)) }
 
+// Reread reads the settings again, and logs whether they differ from those in force and what is wrong with them.
+func (d *Daemon) Reread(path string) {
+	settings, faults := ReadSettings(path)
+	detail := ""
+	if err := faults.Err(); err != nil {
+		detail = err.Error()
+	}
+	eventReread.Log(context.Background(), d.Logger, slog.String("file", path), slog.Bool("changed", settings != d.Settings),
+		slog.String("faults", detail))
+}
+
 // ReadSettings reads and checks a file. Every fault names the field.
 func ReadSettings(path string) (Settings, diag.List) {
 	var faults diag.List
