store, daemon: an instance on a slow link reads the newest configuration, not each version

Cause: a feed brings all versions of a row. While one is on its way, further ones come. Change: after a large answer the table is read, which has the newest version only, until that brings nothing new. Test: TestNewestOnlySkipsVersions, without the reading: "large rows: versions got [1 2 3 4 5], want [1 5]".

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -124,6 +124,7 @@
 	var owning sync.WaitGroup
 	operatorFeed.OnLoad = func(rows []store.Row) { d.operatorRows(own, &owning, rows) }
 	operatorFeed.OnRows = operatorFeed.OnLoad
+	operatorFeed.NewestOnly = true // each configuration is complete
 	for _, f := range append([]*store.Follower{d.boardFeed, d.reportsFeed, operatorFeed}, d.ownerFeeds...) {
 		go func() { _ = f.Run(follow) }() // it ends only with its context
 	}
--- a/store/follower.go
+++ b/store/follower.go
@@ -31,6 +31,10 @@
 	// loadWidth is how many parts a load reads at once: what waits for it, such as a pool without an owner, waits for one answer
 	// of a slow store and not for ten. Half of the connections that an instance has to the store.
 	loadWidth = 6
+	// largeRows is the size of an answer, in bytes, after which a follower that wants only the newest rows reads the table: a feed
+	// brings all versions of a row that came while the answer was on its way, and over a slow link it would fall further and
+	// further behind.
+	largeRows = 128 << 10
 	idlePause = 20 * clock.Millis(1)
 )
 
@@ -44,6 +48,8 @@
 	Period func() clock.Millis
 	// Wait is how long a poll waits for a change.
 	Wait clock.Millis
+	// NewestOnly tells that earlier versions of a row are of no use once there is a newer one.
+	NewestOnly bool
 	// Idle, if set, reports that nobody needs the copy, which then grows old.
 	Idle func() bool
 	// OnLoad receives all rows at the start and after a gap in the history; OnRows receives changes in order.
@@ -58,6 +64,8 @@
 	advanced  chan struct{}
 	hurry     bool               // the next call is not to wait for a change, nor to be waited for
 	interrupt context.CancelFunc // ends the call that is out, or the pause
+	newest    int64              // version of the newest row
+	reload    bool               // newer versions may have come while a large answer was on its way
 }
 
 // Name implements kernel.Module.
@@ -189,8 +197,8 @@
 func (f *Follower) step(ctx context.Context, wait clock.Millis) (more bool, err error) {
 	sent := f.Clock.Now()
 	version, loaded := f.Version()
-	if !loaded {
-		return false, f.load(ctx)
+	if !loaded || f.reload {
+		return f.reload, f.load(ctx)
 	}
 	page, err := f.Store.Feed(ctx, f.Table, version, wait)
 	if errorx.IsOfType(err, ErrHistoryGone) {
@@ -201,6 +209,7 @@
 	}
 	if len(page.Rows) > 0 {
 		f.OnRows(page.Rows)
+		f.noteSize(page.Rows)
 	}
 	// An answer can have waited; the copy is as new as the moment of the answer only when it brought no rows, so the
 	// time of the call is the safe one.
@@ -211,6 +220,17 @@
 	return page.More, nil
 }
 
+// noteSize decides whether the next call reads the table: after a large answer that brought something new.
+func (f *Follower) noteSize(rows []Row) {
+	size, newest := 0, f.newest
+	for _, row := range rows {
+		size += len(row.Value)
+		newest = max(newest, row.Version)
+	}
+	f.reload = f.NewestOnly && size >= largeRows && newest > f.newest
+	f.newest = newest
+}
+
 func (f *Follower) askedAt() clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -224,6 +244,7 @@
 		return err
 	}
 	f.OnLoad(rows)
+	f.noteSize(rows)
 	eventReloaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
 		slog.Int64("version", version))
 	f.advance(version, sent)
--- /dev/null
+++ b/store/follower_newest_test.go
@@ -0,0 +1,72 @@
+package store_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"magnoliaferry/clock"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+// Guards against an instance on a slow link that reads each version of a large configuration while newer ones come, and falls
+// further and further behind.
+func TestNewestOnlySkipsVersions(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		size int
+		want []int // versions that are seen
+	}{{"small rows", 1 << 10, []int{1, 2, 3, 4, 5}}, {"large rows", 200 << 10, []int{1, 5}}} {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		table := standin.NewTable()
+		put := func(version int) {
+			value := make([]byte, test.size)
+			value[0] = byte(version)
+			if _, err := table.Commit(ctx, store.Transaction{Puts: []store.Row{{Table: "t", Key: "config", Value: value}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		loaded, newest := make(chan bool, 1), make(chan bool)
+		var got []int
+		see := func(rows []store.Row) {
+			for _, row := range rows {
+				if len(row.Value) == 0 {
+					continue
+				}
+				version := int(row.Value[0])
+				if slices.Contains(got, version) {
+					continue
+				}
+				got = append(got, version)
+				switch version {
+				case 1: // newer versions come while this one is on its way
+					for next := 2; next <= 5; next++ {
+						put(next)
+					}
+				case 5:
+					close(newest)
+				}
+			}
+		}
+		f := &store.Follower{Store: table, Clock: clock.System(), Table: "t", Wait: 20, Period: func() clock.Millis { return 0 }, NewestOnly: true,
+			OnLoad: func(rows []store.Row) {
+				see(rows)
+				select {
+				case loaded <- true:
+				default:
+				}
+			}, OnRows: see}
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		<-loaded
+		put(1)
+		<-newest
+		cancel()
+		<-ended
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%s: versions got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
