--- a/pool/takeover_random_test.go
+++ b/pool/takeover_random_test.go
@@ -134,7 +134,7 @@
 		next = fmt.Sprintf("%s-%d", machine[2:], s.now)
 	}
 	s.after(down, func() {
-		s.boot(next, machine, s.now)
+		s.startLife(next, machine, s.now)
 		s.after(s.span(10, 1500), func() { s.publish(next) })
 		if next != id {
 			s.after(s.span(10, 3000), func() { s.publish(id) })
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -101,6 +101,6 @@
 	s.runUntil("the second start", func() bool { return s.where("j.0.0.0") != "" })
 	s.run(first.frozen - 5 - s.now)
 	s.hosts[target].crash()
-	s.boot(target, "m-"+target, s.now)
+	s.startLife(target, "m-"+target, s.now)
 	s.run(5 * clock.Second)
 }
