--- a/front/service_test.go
+++ b/front/service_test.go
@@ -270,3 +270,34 @@
 		t.Errorf("parts of 100 jobs got %d, want at least %d", got, least)
 	}
 }
+
+// Guards against a job that goes to a pool to which its queue is no longer sent, once a newer configuration is in force.
+func TestJobsGoToThePoolInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &scriptedTable{}
+		s, _ := newService(table)
+		for i, pool := range []string{"p", "elsewhere", "p"} {
+			s.Configuration = func() *batch.Configuration {
+				return &batch.Configuration{Version: int64(i + 1), Queues: []batch.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: pool}}}
+			}
+			queue, id, refusal := s.Match("h", fmt.Sprintf("/q/%016d", i))
+			if refusal != nil {
+				t.Fatalf("version %d: %v", i+1, refusal)
+			}
+			if refusal := s.Submit(context.Background(), queue, testJob(id), 2900); refusal != nil {
+				t.Fatalf("version %d: %v", i+1, refusal)
+			}
+			stored := table.last.Puts[1]
+			if got, want := stored.Table, store.JobsTable(pool); got != want {
+				t.Errorf("version %d: table got %s, want %s", i+1, got, want)
+			}
+			job, err := batch.DecodeJob(stored.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if job.Pool != pool {
+				t.Errorf("version %d: pool of the job got %s, want %s", i+1, job.Pool, pool)
+			}
+		}
+	})
+}
