--- a/pool/takeover_host_test.go
+++ b/pool/takeover_host_test.go
@@ -45,6 +45,9 @@
 	s.hosts[id] = &host{site: s, up: true, started: started, rate: 1000 - s.span(0, 20), runs: map[string]*hostRun{}, barred: map[string]int{},
 		stop: s.span(20, 400), entry: batch.Worker{ID: id, Machine: machine, Pool: testPool, Address: id, Born: int64(started),
 			Capacity: batch.Resources{CPU: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1"}}}
+	if s.plan.labels && (machine[len(machine)-1]-'0')%2 == 1 {
+		s.hosts[id].entry.Labels = []string{"b", "r1"}
+	}
 	s.note("host %s begins life %d", id, started)
 }
 
@@ -191,6 +194,10 @@
 	if end := s.ledger.start(order.Task, order.Run, h.life(), s.now); end != nil {
 		s.fail(append(words, "host "+end.life.worker+" ", " on "+end.life.worker+" "), "%v", end)
 	}
+	id, _, _ := batch.ParseTask(order.Task)
+	if fault := s.routes.fault(s.defs[id], order.Task, h.entry, sortedKeys(h.runs)); fault != "" {
+		s.fail(words, "%s", fault)
+	}
 	h.runs[order.Task] = &hostRun{number: order.Run, began: s.now, length: s.length(order.Task), fails: s.chance(25)}
 	used := 0
 	for task := range h.runs {
--- a/pool/takeover_owner_test.go
+++ b/pool/takeover_owner_test.go
@@ -47,8 +47,7 @@
 	s := o.scheduler
 	s.SetToken(o.version)
 	s.Tick(site.now, site.now)
-	s.Configure(&batch.Configuration{Version: 1, Queues: []batch.Queue{{Name: "q", Pool: testPool, MaxAttempts: 100, Stretch: 1.6, Objective: 600}},
-		Pools: []batch.Pool{{Name: testPool}}})
+	s.Configure(site.configuration)
 	if existed {
 		var report Load
 		if len(site.report) > 0 {
--- a/pool/takeover_world_test.go
+++ b/pool/takeover_world_test.go
@@ -62,7 +62,10 @@
 	ledger    *ledger
 	length    func(task string) clock.Millis
 	calm      bool
-	trace     []string
+	routes    routes
+	// configuration is the one in force.
+	configuration *batch.Configuration
+	trace         []string
 }
 
 // sitePlan tells which troubles a site has.
@@ -72,6 +75,7 @@
 	quickToNewLife bool // so are those that are on their way when it restarts
 	sameID         bool // workers restart under their id
 	bornInReplies  bool // answers to starts tell the life, as lists always do
+	labels         bool // the machines with an odd number have the label b instead of a
 	earlyRelease   bool // an owner may release the pool while the one before it still acts
 }
 
@@ -113,8 +117,9 @@
 func newSite(t *testing.T, random *rand.Rand, hosts int, plan sitePlan) *site {
 	s := &site{t: t, random: random, plan: plan, now: 20 * clock.Second, hosts: map[string]*host{}, listed: map[string]batch.Worker{},
 		rows: map[string][]byte{}, board: map[string]batch.State{}, version: 10, defs: map[string]*batch.Job{}, cancelled: map[string]bool{},
-		nextLinks: map[string]link{}, ledger: newLedger(), length: func(string) clock.Millis { return 500 }}
+		nextLinks: map[string]link{}, ledger: newLedger(), routes: routes{}, length: func(string) clock.Millis { return 500 }}
 	s.calm = plan.calm
+	s.configure(version(1, testPool))
 	for i := range hosts {
 		id := fmt.Sprintf("w%d", i)
 		s.startLife(id, "m-"+id, s.now-clock.Millis(random.IntN(15000)))
@@ -223,6 +228,14 @@
 	}
 }
 
+func (s *site) configure(c *batch.Configuration) {
+	s.configuration = c
+	s.routes.add(c)
+	for _, o := range s.owners {
+		o.put(s.span(2, 60), func() { o.scheduler.Configure(c) })
+	}
+}
+
 func (s *site) cancel(id string) {
 	s.cancelled[id] = true
 	for _, o := range s.owners {
