--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -231,8 +231,8 @@
 // for each part that the configuration adds.
 func (d *Daemon) operatorRows(ctx context.Context, claimersDone *sync.WaitGroup, rows []store.Row) {
 	for _, row := range rows {
-		if row.Deleted {
-			continue
+		if row.Deleted || row.Part != "" {
+			continue // operators write into the empty part
 		}
 		wave, isWave, err := platform.DecodeWave(row)
 		if err != nil {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -145,7 +145,7 @@
 	put("op", "config", map[string]any{"version": 1, "services": []map[string]any{{"name": "p"}}, "routes": []map[string]any{
 		{"name": "q", "host": "h.example", "prefix": "/q/", "service": "p", "maxAttempts": 3, "stretch": 1.6, "targetCompletionMs": 600}}})
 	for _, id := range []string{"i-1", "i-2"} {
-		put("servers", id, map[string]any{"service": "p", "address": id, "state": "ready", "born": 5, "machine": "m-" + id,
+		put("servers", id, map[string]any{"service": "p", "address": "127.0.0.1:80", "state": "ready", "born": 5, "machine": "m-" + id,
 			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}})
 	}
 	return table
--- a/daemon/leave_test.go
+++ b/daemon/leave_test.go
@@ -32,7 +32,7 @@
 		{"q", map[string][]string{"q": {"w"}}},
 		{"p", map[string][]string{"p": {"w"}}},
 	} {
-		value, err := json.Marshal(map[string]any{"service": move.to, "address": "x", "state": "ready", "machine": "m",
+		value, err := json.Marshal(map[string]any{"service": move.to, "address": "127.0.0.1:80", "state": "ready", "machine": "m",
 			"capacity": map[string]int{"cpu": 1}})
 		if err != nil {
 			t.Fatal(err)
--- a/daemon/workers.go
+++ b/daemon/workers.go
@@ -41,7 +41,7 @@
 	l.mu.Lock()
 	present := map[string]bool{}
 	for _, row := range rows {
-		present[row.Key] = true
+		present[row.Key] = present[row.Key] || row.Part == ""
 	}
 	var gone []string
 	for id := range l.workers {
@@ -59,6 +59,9 @@
 // apply applies changed rows.
 func (l *workerList) apply(rows []store.Row) {
 	for _, row := range rows {
+		if row.Part != "" {
+			continue // of another writer: workers write into the empty part
+		}
 		if row.Deleted {
 			l.missing(row.Key)
 			continue
--- a/daemon/workers_test.go
+++ b/daemon/workers_test.go
@@ -18,7 +18,7 @@
 	healthy := clock.Hour
 	l.healthy = func() clock.Millis { return healthy }
 	row := func(id string) store.Row {
-		value, err := json.Marshal(map[string]any{"service": "p", "address": id, "state": "ready", "capacity": map[string]int{"cpu": 1}})
+		value, err := json.Marshal(map[string]any{"service": "p", "address": "127.0.0.1:80", "state": "ready", "capacity": map[string]int{"cpu": 1}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/overview/overview_test.go
+++ b/overview/overview_test.go
@@ -35,7 +35,7 @@
 	put(store.Row{Table: "op", Key: "config"}, map[string]any{"version": 7, "services": []map[string]any{{"name": "p"}, {"name": "spare", "standby": true}}})
 	put(store.Row{Table: "op", Key: "wave/3"}, map[string]any{"wave": 3, "machines": []string{"m1", "m2"}, "durationS": 20, "cap": 1})
 	for id, state := range map[string]string{"i-1": "ready", "i-2": "draining"} {
-		put(store.Row{Table: "servers", Key: id}, map[string]any{"service": "p", "address": "a:1", "state": state, "born": 5, "machine": "m",
+		put(store.Row{Table: "servers", Key: id}, map[string]any{"service": "p", "address": "127.0.0.1:80", "state": state, "born": 5, "machine": "m",
 			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}})
 	}
 	put(store.Row{Table: "servers", Key: "i-3", Value: []byte("?")}, nil)
