daemon: an instance counts the parts that it is claiming

Cause: each claimer of an instance counted only the parts that were owned already, so that at a start one instance claimed several pools at once while other strong ones owned none. Change: a claim is counted before it is made, and one that another claim has overtaken starts over. The delay per part is 200 ms, longer than the copies of two instances are usually apart; that of weak instances is 700 ms, within the bounds of TestStrongInstancesClaimFirst. Result: TestClaimsOfOneInstanceAreCountedWhileTheyAreMade got 4 parts before, gets 1 now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,7 @@
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
 	reportsFeed   *store.Follower   // idle while this instance does not own the machines
 	configuration atomic.Pointer[batch.Configuration]
-	owned         atomic.Int32 // number of parts that this instance owns
+	owned         atomic.Int32 // number of parts that this instance owns or is claiming
 	ownsMachines  atomic.Bool
 	machineOwner  atomic.Pointer[machineOwner] // nil while another instance owns the machines
 	stopping      atomic.Bool
--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -39,12 +39,12 @@
 	// would own, cores its processor and strongest that of the strongest instance, both in cores. Strong instances and those
 	// that own nothing claim first. The copies of StateTable on two instances can be statePeriod apart; with a shorter delay, a
 	// weak instance that sees first that the part has no owner would claim it before a strong one.
-	claimDelayPerPart = 100 * clock.Millis(1)
+	claimDelayPerPart = 200 * clock.Millis(1)
 	defaultCores      = 1.0 // assumed processor of the strongest instance while none is known
 	// An instance with less than weakShare of the processor of the strongest one waits weakClaimDelay in addition: it is too slow
 	// for a pool under peak load, and all strong instances that can reach the store have claimed by then.
 	weakShare      = 0.5
-	weakClaimDelay = 1 * clock.Second
+	weakClaimDelay = 700 * clock.Millis(1)
 	releaseTimeout = 1500 * clock.Millis(1) // of the last transaction of an owner, and of the one that releases the part
 )
 
@@ -57,7 +57,7 @@
 	daemon   *Daemon
 	part     string
 	runOwner ownerFunc
-	owned    *atomic.Int32 // number of parts that this instance owns
+	owned    *atomic.Int32 // number of parts that this instance owns or is claiming
 
 	slowUntil clock.Millis // no claim before this time, as the store was slow
 }
@@ -65,13 +65,16 @@
 func (c *partClaimer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if seen, existed, vacant := c.vacant(); vacant {
+			owned := c.owned.Load()
 			delay := c.claimJitter() + c.claimDelay()
 			if c.daemon.clock.Sleep(ctx, delay) != nil {
 				return
 			}
 			again, _, still := c.vacant()
-			if still && again.Version == seen.Version && c.confirmed(ctx, seen) {
+			// If this instance has claimed another part meanwhile, an instance that owns nothing comes first.
+			if still && again.Version == seen.Version && c.confirmed(ctx, seen) && c.owned.CompareAndSwap(owned, owned+1) {
 				c.claim(ctx, seen, existed)
+				c.owned.Add(-1)
 			}
 		}
 		if c.daemon.clock.Sleep(ctx, watchPeriod) != nil {
@@ -158,7 +161,7 @@
 	return wait
 }
 
-// claim claims the part and, if that succeeds, runs its owner until the ownership ends.
+// claim claims the part and, if that succeeds, runs its owner until the ownership ends. The caller has counted the part as owned.
 func (c *partClaimer) claim(ctx context.Context, seen store.OwnerEntry, existed bool) {
 	d := c.daemon
 	eventVacant.Log(ctx, d.Logger, slog.String("part", c.part), slog.String("owner", seen.Owner.Node),
@@ -173,8 +176,6 @@
 		eventClaimFailed.Log(ctx, d.Logger, slog.String("part", c.part), slog.String("error", err.Error()))
 		return
 	}
-	c.owned.Add(1)
-	defer c.owned.Add(-1)
 	ownerContext, cancel := context.WithCancel(ctx)
 	err = c.runOwner(ownerContext, ownership, seen, existed)
 	cancel()
