--- a/pool/codes.go
+++ b/pool/codes.go
@@ -8,8 +8,8 @@
 )
 
 var (
-	eventPlaced             = event.New(4200, "task-placed", slog.LevelInfo, "a task was placed on a worker")
-	eventEnded              = event.New(4201, "run-ended", slog.LevelInfo, "a run of a task has ended")
+	eventPlaced             = event.New(4200, "tasks-placed", slog.LevelInfo, "tasks of a step were placed on workers; runs lists them as INDEX/RUN@WORKER, and left is the number of tasks of the job that still wait")
+	eventEnded              = event.New(4201, "run-ended", slog.LevelInfo, "a run of a task has ended for another reason than done, or after the task was done by another run")
 	eventWorkerEvicted      = event.New(4202, "runs-lapsed", slog.LevelWarn, "a worker that did not answer before its lease expired is evicted; its runs count as lost")
 	eventRestarted          = event.New(4203, "worker-restarted", slog.LevelWarn, "a worker has restarted; runs of its earlier incarnation are lost")
 	eventWorker             = event.New(4204, "worker-changed", slog.LevelInfo, "a worker was added, changed whether it drains, or was removed")
@@ -30,6 +30,7 @@
 	eventNotSent            = event.New(4219, "start-not-sent", slog.LevelInfo, "a start was stored, but its job has ended or its worker cannot take it now; no order was sent")
 	eventLeaseReported      = event.New(4220, "lease-reported", slog.LevelInfo, "a worker does not answer; the owner reports the remaining time of its lease and no longer renews it")
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
+	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
 )
 
 var (
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -54,7 +54,7 @@
 	t.done = true
 	st.done++
 	if st.complete() {
-		s.updateCorrection(st)
+		s.stepCompleted(st)
 	}
 	s.markDirty(j)
 	s.advance(j)
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -196,7 +196,7 @@
 			r.task.checkpoint = entry.Checkpoint
 		}
 	}
-	w.strays = strays
+	w.setStrays(strays)
 	if len(listing.Ended) >= MaxEndsPerListing {
 		return // the list of ends is incomplete; runs that are not listed may have ended
 	}
--- a/pool/place.go
+++ b/pool/place.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"log/slog"
 	"sort"
+	"strconv"
+
+	"magnoliaferry/batch"
 )
 
 // Costs that choose adds to that of the unused part of a worker's processor, which is 1000 for an idle worker and 0 for a full
@@ -74,21 +77,48 @@
 	sort.SliceStable(ranks, func(a, b int) bool {
 		return ranks[a].before(ranks[b])
 	})
-	workers := s.usable()
-	if len(workers) == 0 {
+	pass := &placement{workers: s.usable()}
+	if len(pass.workers) == 0 {
 		return
 	}
 	for _, r := range ranks {
-		s.placeJob(r.job, workers)
+		s.placeJob(r.job, pass)
 	}
 }
 
-func (s *Scheduler) placeJob(j *job, workers []*worker) {
+// placement is one pass over the waiting jobs. In a surge most of them do not fit on any worker. Free resources only shrink during a
+// pass, so needs that did not fit once are not searched for again.
+type placement struct {
+	workers []*worker
+	tooBig  []batch.Resources
+}
+
+// fits reports whether it is still possible that a worker has the resources free.
+func (p *placement) fits(need batch.Resources) bool {
+	for _, least := range p.tooBig {
+		if least.Fits(need) {
+			return false
+		}
+	}
+	return true
+}
+
+// recordTooBig records a need that no worker has free. It does nothing if some worker has: then another condition failed.
+func (p *placement) recordTooBig(need batch.Resources) {
+	for _, w := range p.workers {
+		if need.Fits(w.free()) {
+			return
+		}
+	}
+	p.tooBig = append(p.tooBig, need)
+}
+
+func (s *Scheduler) placeJob(j *job, pass *placement) {
 	for k := range j.def.Runs() {
 		if o := j.occurrences[k]; o != nil && !o.done {
 			for _, st := range o.steps {
 				if !st.complete() && o.mayRun(st) {
-					s.placeStep(st, workers)
+					s.placeStep(st, pass)
 				}
 			}
 		}
@@ -146,24 +176,48 @@
 	return s.sorted
 }
 
-func (s *Scheduler) placeStep(st *step, workers []*worker) {
-	if !s.adviceReady(st, workers) {
+func (s *Scheduler) placeStep(st *step, pass *placement) {
+	if !s.adviceReady(st, pass.workers) || !pass.fits(st.def.Reserve()) {
 		return
 	}
 	if st.def.Gang {
-		s.placeGang(st, workers)
+		s.placeGang(st, pass.workers)
 		return
 	}
+	var placed []*run
 	for _, t := range st.tasks {
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
 		}
-		w := s.choose(t, workers, nil)
+		w := s.choose(t, pass.workers, nil)
 		if w == nil {
-			return // tasks of a step are equal: if one does not fit, the next does not either
+			pass.recordTooBig(st.def.Reserve())
+			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
-		s.assign(t, w, t.number+1)
+		placed = append(placed, s.assign(t, w, t.number+1))
 	}
+	s.logPlaced(st, placed)
+}
+
+// logPlaced logs the placement of tasks of one step, each as INDEX/RUN@WORKER.
+func (s *Scheduler) logPlaced(st *step, placed []*run) {
+	if len(placed) == 0 {
+		return
+	}
+	var list []byte
+	for _, r := range placed {
+		if len(list) > 0 {
+			list = append(list, ' ')
+		}
+		list = strconv.AppendInt(list, int64(r.task.key.Index), 10)
+		list = append(list, '/')
+		list = strconv.AppendInt(list, int64(r.number), 10)
+		list = append(list, '@')
+		list = append(list, r.worker.entry.ID...)
+	}
+	j := st.job
+	s.log(eventPlaced, slog.String("step", st.name()), slog.String("runs", string(list)), slog.Int("left", j.waiting),
+		slog.Int64("age-ms", int64(s.now-j.acceptedAt)), slog.Int64("configuration", s.configuration.Version))
 }
 
 // placeGang places all tasks of a gang or none.
@@ -186,6 +240,7 @@
 }
 
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
+	var runs []*run
 	for i, t := range st.tasks {
 		w := s.choose(t, workers, nil)
 		if w == nil {
@@ -194,8 +249,9 @@
 			}
 			return false
 		}
-		s.assign(t, w, number)
+		runs = append(runs, s.assign(t, w, number))
 	}
+	s.logPlaced(st, runs)
 	return true
 }
 
@@ -233,6 +289,8 @@
 func (s *Scheduler) choose(t *task, workers []*worker, exclude *worker) *worker {
 	def := t.step.def
 	need := def.Reserve()
+	// Only some steps depend on what else runs on a worker.
+	dependsOnOthers := def.MaxPerWorker > 0 || def.BestEffort || def.TargetLatency > 0 || def.LongRunning
 	var best *worker
 	bestCost := 0
 	for _, w := range workers {
@@ -243,16 +301,8 @@
 			continue
 		}
 		peers, latencySensitive, background := 0, 0, 0
-		for _, r := range w.runs {
-			other := r.task.step
-			if other == t.step {
-				peers++
-			}
-			if other.def.BestEffort {
-				background++
-			} else if other.def.TargetLatency > 0 {
-				latencySensitive++
-			}
+		if dependsOnOthers {
+			peers, latencySensitive, background = w.neighbours(t.step)
 		}
 		if def.MaxPerWorker > 0 && peers >= def.MaxPerWorker {
 			continue
@@ -280,8 +330,24 @@
 	return best
 }
 
+// neighbours returns how many runs of the worker are of the step, of latency-sensitive tasks and of background tasks.
+func (w *worker) neighbours(st *step) (peers, latencySensitive, background int) {
+	for _, r := range w.runs {
+		other := r.task.step
+		if other == st {
+			peers++
+		}
+		if other.def.BestEffort {
+			background++
+		} else if other.def.TargetLatency > 0 {
+			latencySensitive++
+		}
+	}
+	return peers, latencySensitive, background
+}
+
 // assign reserves resources for a task on a worker. The start goes out once the placement is stored.
-func (s *Scheduler) assign(t *task, w *worker, number int) {
+func (s *Scheduler) assign(t *task, w *worker, number int) *run {
 	t.number = number
 	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100}
 	t.run = r
@@ -292,9 +358,7 @@
 	j.hasNewStarts = true
 	s.markDirty(j)
 	placeTime.Observe(s.now - j.acceptedAt)
-	s.log(eventPlaced, slog.String("task", t.name), slog.Int("run", number), slog.String("worker", w.entry.ID),
-		slog.Int("used-cpu", w.used.CPU), slog.Int64("age-ms", int64(s.now-j.acceptedAt)),
-		slog.Int64("configuration", s.configuration.Version))
+	return r
 }
 
 // adviceReady reports whether valid tickets of the step are available or not needed, and requests them from the advisor
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -429,7 +429,7 @@
 		}
 	}
 	w.incarnation, w.lastEnd, w.ack, w.acked, w.clockAt, w.confirmed, w.firstAnswer, w.listClock = incarnation, 0, 0, 0, 0, false, 0, 0
-	w.strays = map[string]batch.Resources{}
+	w.setStrays(map[string]batch.Resources{})
 	// The new incarnation has seen no token. It refuses a delayed order to the old one only after it has seen a token above
 	// that of the order.
 	w.needToken = true
@@ -461,9 +461,11 @@
 	if r.sent != 0 {
 		runTime.Observe(s.now - r.sent)
 	}
-	s.log(eventEnded, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
-		slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)),
-		slog.Int64("declared-ms", int64(t.step.def.Estimate)))
+	if how != EndDone || t.done { // the others are logged by step, see stepCompleted
+		s.log(eventEnded, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
+			slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)),
+			slog.Int64("declared-ms", int64(t.step.def.Estimate)))
+	}
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
@@ -485,7 +487,7 @@
 		t.done = true
 		t.step.done++
 		if t.step.complete() {
-			s.updateCorrection(t.step)
+			s.stepCompleted(t.step)
 		}
 	case how == EndFailed:
 		s.recordFailure(r)
@@ -493,6 +495,14 @@
 	s.advance(j)
 }
 
+// stepCompleted learns from the run times of a step whose tasks are all done.
+func (s *Scheduler) stepCompleted(st *step) {
+	s.updateCorrection(st)
+	average, _ := st.expected()
+	s.log(eventStepCompleted, slog.String("step", st.name()), slog.Int("tasks", len(st.tasks)), slog.Int64("run-ms", int64(average)),
+		slog.Int64("declared-ms", int64(st.def.Estimate)), slog.Int64("age-ms", int64(s.now-st.job.acceptedAt)))
+}
+
 func (s *Scheduler) scheduleRestart(r *run, how EndReason) {
 	t := r.task
 	if how == EndFailed && r.percent < 100 {
--- a/pool/state.go
+++ b/pool/state.go
@@ -121,6 +121,7 @@
 	runs                map[string]*run
 	used                batch.Resources
 	strays              map[string]batch.Resources // resources of listed runs that this owner did not order
+	strayUse            batch.Resources            // sum of strays
 	holdID              int64                      // hold whose answer is awaited; 0: none
 	holdDue             clock.Millis               // when it should be answered at the latest
 	urgentHoldID        int64                      // urgent hold whose answer is awaited; 0: none
@@ -144,12 +145,14 @@
 
 func (w *worker) target() Target { return Target{w.entry.ID, w.entry.Address} }
 
-func (w *worker) free() batch.Resources {
-	free := w.entry.Capacity.Sub(w.used)
-	for _, stray := range w.strays {
-		free = free.Sub(stray)
+func (w *worker) free() batch.Resources { return w.entry.Capacity.Sub(w.used).Sub(w.strayUse) }
+
+// setStrays sets the listed runs that this owner did not order, with the resources that each of them may use.
+func (w *worker) setStrays(strays map[string]batch.Resources) {
+	w.strays, w.strayUse = strays, batch.Resources{}
+	for _, stray := range strays {
+		w.strayUse = w.strayUse.Add(stray)
 	}
-	return free
 }
 
 // leaseEnd returns the latest time on the local clock at which a lease ends whose deadline is given on the worker's clock,
