--- a/pool/rank.go
+++ b/pool/rank.go
@@ -13,7 +13,9 @@
 	job      *job
 	class    int
 	priority int
-	work     int // remaining work, see forecast
+	begun    bool // tasks of it have run or are running
+	behind   bool // too few jobs of its size meet their objective, see sizeShares
+	work     int  // remaining work, see forecast
 }
 
 const (
@@ -29,6 +31,12 @@
 	if r.priority != o.priority {
 		return r.priority < o.priority
 	}
+	if r.begun != o.begun {
+		return r.begun
+	}
+	if r.behind != o.behind {
+		return r.behind
+	}
 	return r.work < o.work
 }
 
@@ -62,9 +70,34 @@
 	case age+f.remainingTime > objective:
 		r.class = classLate
 	}
+	if r.class != classOnTime {
+		s.recordOutcome(j, false)
+	}
+	r.begun = j.begun()
+	r.behind = r.class == classOnTime && s.shares[j.def.Queue].behind(j.size)
 	return r
 }
 
+// begun reports whether a task of a job without occurrences has been placed before.
+func (j *job) begun() bool {
+	for _, st := range j.occurrences[0].steps {
+		for _, t := range st.tasks {
+			if t.number > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// recordOutcome records once whether the job meets its objective.
+func (s *Scheduler) recordOutcome(j *job, met bool) {
+	if shares := s.shares[j.def.Queue]; shares != nil && !j.outcomeKnown && j.hasObjective() {
+		j.outcomeKnown = true
+		shares.record(j.size, met)
+	}
+}
+
 // hasObjective reports whether the job has an objective for the time since its acceptance.
 func (j *job) hasObjective() bool { return !j.def.LongRunning() && j.def.Occurrences == 0 }
 
--- a/pool/rank_test.go
+++ b/pool/rank_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -20,6 +21,22 @@
 	}
 }
 
+// Guards against work that is thrown away in a surge: a job that had begun was overtaken by each smaller one that arrived, until it missed its
+// objective.
+func TestBegunJobsAreFinishedFirst(t *testing.T) {
+	w := newPoolSim(t, 1, testQueue)
+	w.run(200)
+	w.submit("begun", batch.Step{Count: 4, Need: cpu(2000), Estimate: 1000})
+	w.run(500)
+	for i := range 6 {
+		w.submit(fmt.Sprintf("small%d", i), batch.Step{Count: 1, Need: cpu(2000), Estimate: 1000})
+	}
+	w.run(1900)
+	if got := w.state("begun"); got != batch.Completed {
+		t.Errorf("state of the job that had begun got %v, want completed: it could meet its objective", got)
+	}
+}
+
 // Guards against jobs that can no longer meet their objective and take resources from jobs that can.
 func TestLateJobsGoLast(t *testing.T) {
 	w := newPoolSim(t, 1, testQueue)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -72,6 +72,7 @@
 	sorted            []*worker // by ID; out of date if its length differs from that of workers
 	arrivals          arrivals
 	corrections       map[string]*correction // by queue
+	shares            map[string]*sizeShares // by queue
 	evacuations       map[string]string      // IDs of evacuation requests, by worker
 	maintenanceDue    map[string]bool        // machines that are due for maintenance
 	token             int64
@@ -97,7 +98,7 @@
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]string{},
-		corrections: map[string]*correction{},
+		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
 	}
 }
 
@@ -127,6 +128,12 @@
 	age := min(max(s.wall-def.Accepted, 0), clock.Minute) // clocks of instances differ
 	j.acceptedAt = s.now - age
 	s.jobs[def.ID] = j
+	if j.hasObjective() {
+		if s.shares[def.Queue] == nil {
+			s.shares[def.Queue] = &sizeShares{}
+		}
+		j.size = s.shares[def.Queue].add(s.estimatedWork(def))
+	}
 	if def.Occurrences == 0 && age < arrivalWindow {
 		s.arrivals.add(s.now, s.estimatedWork(def))
 	}
@@ -275,6 +282,9 @@
 	objective := clock.Millis(0)
 	if queue, ok := s.configuration.Queue(j.def.Queue); ok && j.hasObjective() && j.occurrences[0] != nil {
 		objective = objectiveOf(queue, s.forecast(j).criticalPath)
+		if state == batch.Completed {
+			s.recordOutcome(j, s.now-j.acceptedAt <= objective)
+		}
 	}
 	s.log(eventJobEnded, slog.String("job", j.def.ID), slog.String("queue", j.def.Queue), slog.String("state", state.String()),
 		slog.Int64("after-ms", int64(s.now-j.acceptedAt)), slog.Int64("objective-ms", int64(objective)))
--- a/pool/state.go
+++ b/pool/state.go
@@ -101,6 +101,8 @@
 	waiting      int // number of tasks without a run whose step may run
 	ranked       rank
 	rankedAt     clock.Millis
+	size         int  // see sizeShares
+	outcomeKnown bool // whether it meets its objective is recorded
 }
 
 type worker struct {
