--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -56,6 +56,7 @@
 	from := firstOrderTime(d.clock.Now(), previous, existed, d.Settings.Node, d.Settings.MachineLease)
 	o := &machineOwner{daemon: d, ownership: ownership, events: newWorkQueue[func()](), rows: map[string][]byte{}, reports: map[string]int64{},
 		coordinator: machines.NewCoordinator(ownership.Token(), from, d.Logger)}
+	o.coordinator.OrderRate = d.Settings.MachineOrderRate
 	o.coordinator.Tick(d.clock.Now(), d.wall())
 	if err := o.restore(); err != nil {
 		return err
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -48,10 +48,12 @@
 	CPUShare float64 `json:"cpu-share"`
 	CPUSpeed float64 `json:"cpu-speed"`
 
-	LeaseLimit     clock.Millis `json:"lease-limit"`       // longest lease of a worker
-	MachineLease   clock.Millis `json:"machine-lease"`     // from the last order of one owner of the machines to the first of the next, at least
-	StopGrace      Seconds      `json:"stop-grace-s"`      // from SIGTERM to the end of the process
-	StateRetention Seconds      `json:"state-retention-s"` // for which callers can read the state of an ended job
+	LeaseLimit   clock.Millis `json:"lease-limit"`   // longest lease of a worker
+	MachineLease clock.Millis `json:"machine-lease"` // from the last order of one owner of the machines to the first of the next, at least
+	// MachineOrderRate is the number of orders for machines that the platform accepts in a second from all instances; 0 if not known.
+	MachineOrderRate float64 `json:"machine-orders-per-s"`
+	StopGrace        Seconds `json:"stop-grace-s"`      // from SIGTERM to the end of the process
+	StateRetention   Seconds `json:"state-retention-s"` // for which callers can read the state of an ended job
 }
 
 // Cores returns the processor of the instance in standard cores; 1 if the settings do not have both the share and the speed.
@@ -107,6 +109,9 @@
 			faults.Add(diag.New(DiagAddress, path, 0, field, fmt.Sprintf("%q is not an address and a port: %v", value, err)))
 		}
 	}
+	if s.MachineOrderRate < 0 {
+		faults.Add(diag.New(DiagRange, path, 0, "/machine-orders-per-s", fmt.Sprintf("%g is not a rate of at least 0", s.MachineOrderRate)))
+	}
 	for field, value := range map[string]clock.Millis{"/lease-limit": s.LeaseLimit,
 		"/state-retention-s": s.StateRetention.Millis(), "/stop-grace-s": s.StopGrace.Millis()} {
 		if value <= 0 {
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -25,9 +25,12 @@
 	orderRetryDelay = 300 * clock.Millis(1)
 	// returnLimit is how long a machine counts as down after its order was accepted, if the list never shows it as up again.
 	returnLimit = 30 * clock.Second
-	// maxWithdrawals bounds the withdrawals that are open at once: a move takes 1.5 s, and several hundred are more than the
-	// platform accepts in that time. Moves that take longer than arrivalLimit do not count.
+	// maxWithdrawals bounds the withdrawals that are open at once if OrderRate is not set. Moves that take longer than arrivalLimit
+	// do not count.
 	maxWithdrawals = 200
+	// withdrawalTime is about how long a withdrawal is open, from the decision to the arrival of the machine. More withdrawals than the
+	// platform accepts orders in that time would only wait.
+	withdrawalTime = 2500 * clock.Millis(1)
 	// maxTransactionRows bounds the rows of withdrawals in one transaction. The platform accepts 100 entries, among them the
 	// owner's row and those of the waves.
 	maxTransactionRows = 80
@@ -44,6 +47,8 @@
 	// OrdersFrom is the earliest time at which an order may be sent, on the clock of Tick: the last order of an earlier owner
 	// has to be some time in the past.
 	OrdersFrom clock.Millis
+	// OrderRate is the number of orders for machines that the platform accepts in a second; 0 if it is not known.
+	OrderRate float64
 
 	now, wall     clock.Millis
 	configuration *batch.Configuration
@@ -195,7 +200,7 @@
 	if c.listedAt == 0 {
 		return
 	}
-	c.openBudget = maxWithdrawals
+	c.openBudget = c.mostWithdrawals()
 	for _, w := range c.withdrawals {
 		if !c.isStuck(w) {
 			c.openBudget--
@@ -408,6 +413,14 @@
 	}
 }
 
+// mostWithdrawals returns how many withdrawals may be open at once.
+func (c *Coordinator) mostWithdrawals() int {
+	if c.OrderRate <= 0 {
+		return maxWithdrawals
+	}
+	return max(int(c.OrderRate*float64(withdrawalTime)/float64(clock.Second)), 1)
+}
+
 // Fenced reports whether the platform refused an order because it has seen a higher fencing token.
 func (c *Coordinator) Fenced() bool { return c.fenced }
 
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -503,3 +503,20 @@
 		t.Errorf("machines of the busy pool got %d, want at least %d", got, want)
 	}
 }
+
+// Guards against a large fleet in which a surge waits for machines although the platform accepts more orders: 200 moves at a time brought
+// some 70 machines a second, while a pool needed 300 within its surge.
+func TestSurgeMovesAsManyMachinesAsThePlatformAccepts(t *testing.T) {
+	s := newTestSite(t, map[string]int{"a": 40, "b": 10, "standby": 440})
+	s.c.OrderRate = 300
+	load := s.loads["a"]
+	load.ArrivingCPU, load.Waiting.CPU, load.Running.CPU = 400000, 100000, 40000
+	for worker := range load.UsedCPU {
+		load.UsedCPU[worker] = 1000
+	}
+	s.loads["a"] = load
+	s.run(2500)
+	if got, want := machinesOf(s, "a"), 400; got < want {
+		t.Errorf("machines of the busy pool after 2.5 s got %d, want at least %d", got, want)
+	}
+}
