--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test lint generate demo build fuzz measure soak
+.PHONY: test lint generate demo build fuzz measure soak bench-owner
 
 # The test command; .ci/run calls it with the tests of KNOWN-RED.txt in SKIP.
 test:
@@ -23,6 +23,10 @@
 measure:
 	go run ./cmd/measure --out docs/measurements
 
+# What a start costs the owner of a pool, without the users' bench.
+bench-owner:
+	go test ./daemon -run '^$$' -bench Owner -benchtime 1x
+
 # The short fault soak of .ci/run; go run ./cmd/soak plays other seeds at the usual size.
 soak:
 	go run ./cmd/soak --first 1 --seeds 2 --instances 4 --machines 9 --length-s 15 --out target/soak-ci
