machines: the last machines of a wave do not wait for those that are down

Change: near the end of a wave only the number of machines that may be down limits the withdrawals. Result: TestLastMachineOfAWaveDoesNotWaitForOthers fails before and passes.

--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -247,11 +247,10 @@
 		return
 	}
 	timeLeft := clock.Millis(w.state.FirstSeen) + w.Duration*waveStartPercent/100 - c.wall
-	need := len(remaining)
+	need := w.limit()
 	if timeLeft > waveMachineTime {
-		need = int((clock.Millis(len(remaining))*waveMachineTime + timeLeft - 1) / timeLeft)
+		need = min(need, int((clock.Millis(len(remaining))*waveMachineTime+timeLeft-1)/timeLeft))
 	}
-	need = min(need, w.limit())
 	for _, machine := range c.byLoad(remaining) {
 		m := c.listed[machine]
 		if c.withdrawals[machine] != nil || m.State != batch.MachineUp {
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -520,3 +520,21 @@
 		t.Errorf("machines of the busy pool after 2.5 s got %d, want at least %d", got, want)
 	}
 }
+
+// Guards against a wave that misses its time by its last machine: near the end of a wave, a machine that had just been moved was not
+// withdrawn as long as more machines were down for maintenance than were left.
+func TestLastMachineOfAWaveDoesNotWaitForOthers(t *testing.T) {
+	s := newTestSite(t, map[string]int{"a": 10})
+	last := s.machines["a-2"]
+	last.State = batch.MachineMoving
+	s.c.SetWave(batch.Wave{Number: 1, Machines: machineNames("a", 3), Duration: 7 * clock.Second, MaxDown: 3}, nil)
+	s.run(500)
+	last.State = batch.MachineUp
+	s.run(300)
+	if s.c.withdrawals[last.ID] == nil && !s.c.waves[1].begun[last.ID] {
+		t.Error("the last machine of the wave got no withdrawal, want one while the others are down")
+	}
+	if got, want := s.down, 3; got > want {
+		t.Errorf("machines down at once got %d, want at most %d", got, want)
+	}
+}
