pool: throttle orders that were lost, or given by an earlier owner

Cause: after a throttle order without an answer the share of the run was -1, from which the next one was worked out: 0% after a lost 50%, or 14% on the way up. A new owner took the runs of its predecessor as unthrottled and never raised one that was at 10%. Change: the share last ordered is kept beside a mark that it is not certain, and is ordered again. The simulation now loses throttle orders too. Result: TestThrottleAfterALostOrder (0% before, 25% after) and TestThrottleOfAnEarlierOwnerEnds (10% before, 100% after).

--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -146,19 +146,19 @@
 		case worst < throttleRecoverPercent:
 			percent = min(percent+throttleStep, 100)
 		}
-		if percent == r.throttle {
+		if percent == r.throttle && (!r.throttleUnknown || worst >= throttleRecoverPercent && worst < 100) {
 			continue
 		}
 		w.throttledAt = s.now
 		s.log(eventRunThrottled, slog.String("task", r.task.name), slog.String("worker", w.entry.ID),
 			slog.Int("percent", percent), slog.Int("response-percent", worst))
-		r.throttle = percent
+		r.throttle, r.throttleUnknown = percent, false
 		s.orders = append(s.orders, Throttle{Target: w.target(), Task: r.task.name, Run: r.number, Percent: percent, Token: w.token})
 	}
 }
 
-// ThrottleAnswered handles the answer to a throttle order. After one that was not carried out, the share of the run is unknown
-// until throttle orders another one.
+// ThrottleAnswered handles the answer to a throttle order. After one that may not have been carried out, the share of the run is unknown,
+// and throttle orders it again.
 func (s *Scheduler) ThrottleAnswered(order Throttle, reply Reply) {
 	w := s.workers[order.Target.ID]
 	if w == nil {
@@ -168,6 +168,6 @@
 		s.refusedByToken(w, order.Token)
 	}
 	if r := w.runs[order.Task]; r != nil && r.number == order.Run && reply.Outcome != Accepted {
-		r.throttle = -1 // unknown
+		r.throttleUnknown = true
 	}
 }
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -160,7 +160,11 @@
 			}
 			w.s.StopAnswered(o, reply)
 		case Throttle:
-			w.s.ThrottleAnswered(o, w.workers[o.Target.ID].takeThrottle(o))
+			reply := Reply{}
+			if !lost {
+				reply = w.workers[o.Target.ID].takeThrottle(o)
+			}
+			w.s.ThrottleAnswered(o, reply)
 		case Hold:
 			w.holds = append(w.holds, pendingHold{o, w.now, w.now + o.Wait, w.incarnationOf(o)})
 		}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -229,7 +229,7 @@
 		}
 		w.leaseReported = known
 		w.leaseUntil = max(w.leaseUntil, until)
-		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100}
+		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true}
 		t.run = r
 		w.runs[t.name] = r
 		w.used = w.used.Add(st.def.Reserve())
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -341,6 +341,48 @@
 	}
 }
 
+// Guards against a background task that is stopped altogether, or regains a wrong share, after a throttle order without an answer.
+func TestThrottleAfterALostOrder(t *testing.T) {
+	w := newPoolSim(t, 1, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("serves", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true, TargetLatency: 100})
+	w.submit("fills", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true, BestEffort: true})
+	w.run(2 * clock.Second)
+	lost := 0
+	w.lose = func(order any) (bool, clock.Millis) {
+		if _, ok := order.(Throttle); ok && lost == 0 {
+			lost++
+			return true, 0
+		}
+		return false, 0
+	}
+	latencySensitive, background := w.workers["w0"].runs["serves.0.0.0"], w.workers["w0"].runs["fills.0.0.0"]
+	latencySensitive.measurement = 150
+	for range 300 {
+		if w.run(10); background.cpuPercent != 100 {
+			break
+		}
+	}
+	if got, want := background.cpuPercent, 25; lost != 1 || got != want {
+		t.Errorf("processor share in percent after a lost order got %d, want %d: the lost order was for 50", got, want)
+	}
+}
+
+// Guards against a background task that stays slowed down for good after its pool has got a new owner.
+func TestThrottleOfAnEarlierOwnerEnds(t *testing.T) {
+	w := newPoolSim(t, 1, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("fills", batch.Step{Count: 1, Need: cpu(1000), LongRunning: true, BestEffort: true})
+	w.run(2 * clock.Second)
+	background := w.workers["w0"].runs["fills.0.0.0"]
+	background.cpuPercent = 10 // as an earlier owner has ordered
+	w.replaceOwner(w.s.jobs["fills"].def, w.s.progress(w.s.jobs["fills"], &Transaction{}))
+	w.run(3 * clock.Second)
+	if got, want := background.cpuPercent, 100; got != want {
+		t.Errorf("processor share in percent under the new owner got %d, want %d: no task beside it serves", got, want)
+	}
+}
+
 // Guards against a worker on which every run fails: it always has free resources, and would use up the attempts of every
 // task.
 func TestFailedTaskGoesElsewhere(t *testing.T) {
--- a/pool/state.go
+++ b/pool/state.go
@@ -31,7 +31,8 @@
 	reportedAt         clock.Millis // when the worker last reported the percentage
 	measurement        int
 	progressedAt       clock.Millis // when percent last changed
-	throttle           int          // percent of its processor time that it may use; -1: unknown
+	throttle           int          // percent of its processor time that it may use, as last ordered
+	throttleUnknown    bool         // the worker may not have carried that order out, or an earlier owner ordered another percentage
 	incarnation        int64        // incarnation of the worker on which it was placed
 	runningIncarnation int64        // incarnation of the worker that confirmed the run; 0: none yet
 	listedClock        clock.Millis // newest time on the worker's clock at which the run was present; older lists do not show that it is gone
