machines: pools that have lent machines get them back when a surge is over

Change: idle machines of a pool whose surge is over go to the pools below their base first, then to standby. Result: TestLentMachinesComeBackAfterASurge: 3 machines before, at least the base of 8 after.

--- a/machines/balance.go
+++ b/machines/balance.go
@@ -69,6 +69,7 @@
 	size        int             // usable, joining or incoming
 	desired     int             // needed for the present work
 	returnFloor int             // idle machines above this size go back to standby: highest recent demand, or the base for a surge
+	base        int             // what an idle pool keeps for the beginning of a surge
 	minSize     int             // the pool is refilled from standby up to this size: lentBasePercent of the base
 	lendFloor   int             // donors above this size move to pools that are short: present demand, or minSize
 	donors      []batch.Machine // idle ones first, then those that run only tasks of late jobs
@@ -113,19 +114,37 @@
 			p.size++
 		}
 	}
+	// Idle machines of a pool whose surge is over go to the pools that have lent machines, up to their base, and then to standby: the
+	// next surge may begin in any pool, and two moves take twice as long as one.
 	standby := c.standbyPool()
-	if standby == "" {
-		return
-	}
 	for _, p := range plans {
 		for _, m := range p.idle {
 			if p.size <= p.returnFloor || c.withdrawals[m.ID] != nil {
 				continue
 			}
+			to := standby
+			if lent := furthestBelowBase(plans); lent != nil {
+				to = lent.name
+				lent.size++
+			}
+			if to == "" {
+				return
+			}
 			p.size--
-			c.open(Withdrawal{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: standby})
+			c.open(Withdrawal{Machine: m.ID, Worker: m.Worker, Op: Move, Pool: to})
+		}
+	}
+}
+
+// furthestBelowBase returns the pool that lacks most of its base, or nil if none does.
+func furthestBelowBase(plans []*poolPlan) *poolPlan {
+	var lowest *poolPlan
+	for _, p := range plans {
+		if p.size < p.base && (lowest == nil || p.base-p.size > lowest.base-lowest.size) {
+			lowest = p
 		}
 	}
+	return lowest
 }
 
 // logPools logs the size and the demand of the pools, at most once in poolLogPeriod.
@@ -233,7 +252,7 @@
 	base := len(c.listed) * basePercent / 100 / len(plans)
 	for _, p := range plans {
 		load := c.loads[p.name]
-		p.minSize = base * lentBasePercent / 100
+		p.base, p.minSize = base, base*lentBasePercent/100
 		machineCPU := max(load.TotalCapacity.CPU/max(load.Workers, 1), 1) // capacity of one machine, in thousandths of a core
 		if load.Workers == 0 {
 			// No machine of the pool can be used, for example because all are withdrawn or have crashed.
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -538,3 +538,16 @@
 		t.Errorf("machines down at once got %d, want at most %d", got, want)
 	}
 }
+
+// Guards against pools that have lent their machines and stay small when the surge elsewhere is over: its machines went to standby, from
+// where the next surge had to bring them back with a second move.
+func TestLentMachinesComeBackAfterASurge(t *testing.T) {
+	s := newTestSite(t, map[string]int{"a": 3, "b": 24, "c": 3, "standby": 0})
+	s.run(6 * clock.Second)
+	base := 30 * basePercent / 100 / 3
+	for _, name := range []string{"a", "b", "c"} {
+		if got := machinesOf(s, name); got < base {
+			t.Errorf("machines of pool %s after the surge of b got %d, want at least %d", name, got, base)
+		}
+	}
+}
