--- a/cmd/doctables/matrix_test.go
+++ b/cmd/doctables/matrix_test.go
@@ -17,7 +17,7 @@
 	// matrixSteps names the sections of docs/fault-matrix.md; the last three are not steps.
 	matrixSteps = []string{"submit", "spread", "request", "claim", "dispatch", "answer", "drain", "reboot", "return",
 		"move", "place", "start", "cancel", "lease-renewal", "start-up", "shutdown", "pairs", "promises on the platform",
-		"disturbances of large deployments"}
+		"faults of large deployments"}
 	matrixFaults = []string{"failures in waves", "racing processes", "wrong declarations", "jobs that never run",
 		"wave of cancellations", "workers that fail everything", "flood of the least urgent work",
 		"flood of the most urgent work", "store down", "store slow", "store answer lost",
@@ -30,8 +30,8 @@
 var platformPromises = []string{"LOST", "CONFIG", "RECOVER", "LIMIT", "TWICE", "ORDER", "ROUTE", "BUDGET", "GANG", "UNASKED", "REFUSED",
 	"HARM", "AVAIL", "MIXED", "ONE", "DRAIN", "acknowledgements"}
 
-// platformDisturbances names the disturbances that came with the larger deployments on the users' platform.
-var platformDisturbances = []string{"orders without an answer are carried out late", "workers are cut off and run on",
+// platformFaults names the faults that came with the larger deployments on the users' platform.
+var platformFaults = []string{"orders without an answer are carried out late", "workers are cut off and run on",
 	"an address goes to another service", "a machine is removed and another comes at a new address", "the store turns some instances away",
 	"power is lost right after a configuration change", "the store forgets its history", "many processes are killed at once",
 	"the settings file changes", "an odd entry among those of the workers", "a surge beyond what a pool can run"}
@@ -123,9 +123,9 @@
 			}
 			continue
 		}
-		if step == "disturbances of large deployments" {
-			if !slices.Equal(faults, platformDisturbances) {
-				t.Errorf("section %s: got rows %q, want %q", step, faults, platformDisturbances)
+		if step == "faults of large deployments" {
+			if !slices.Equal(faults, platformFaults) {
+				t.Errorf("section %s: got rows %q, want %q", step, faults, platformFaults)
 			}
 			continue
 		}
--- a/machines/balance.go
+++ b/machines/balance.go
@@ -114,8 +114,8 @@
 			p.size++
 		}
 	}
-	// Idle machines of a pool whose surge is over go to the pools that have lent machines, up to their base, and then to standby: the
-	// next surge may begin in any pool, and two moves take twice as long as one.
+	// After a surge, idle machines move to the pools that have lent machines, up to their base, and then to standby: the next surge may
+	// begin in any pool, and two moves take twice as long as one.
 	standby := c.standbyPool()
 	for _, p := range plans {
 		for _, m := range p.idle {
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -539,8 +539,8 @@
 	}
 }
 
-// Guards against pools that have lent their machines and stay small when the surge elsewhere is over: its machines went to standby, from
-// where the next surge had to bring them back with a second move.
+// Guards against pools that have lent machines and stay small after the surge elsewhere: its machines went to standby, from where the next
+// surge had to bring them back with a second move.
 func TestLentMachinesComeBackAfterASurge(t *testing.T) {
 	s := newTestSite(t, map[string]int{"a": 3, "b": 24, "c": 3, "standby": 0})
 	s.run(6 * clock.Second)
