pool: long-running tasks go before the rest of jobs that have begun

Cause: found in reading the diff: since jobs that have begun go first, a long-running task that has to start again waited behind their other tasks. Change: jobs without an objective count as begun, and come first among these as their remaining work is 0. Result: TestLongRunningTasksGoBeforeBegunJobs fails before and passes.

--- a/pool/rank.go
+++ b/pool/rank.go
@@ -13,7 +13,7 @@
 	job      *job
 	class    int
 	priority int
-	begun    bool // tasks of it have run or are running
+	begun    bool // tasks of it have run or are running, or it has no objective
 	behind   bool // too few jobs of its size meet their objective, see sizeShares
 	work     int  // remaining work, see forecast
 }
@@ -59,6 +59,7 @@
 	}
 	r.priority = queue.Priority
 	if !j.hasObjective() {
+		r.begun = true // long-running tasks are due at once
 		return r
 	}
 	f := s.forecast(j)
--- a/pool/rank_test.go
+++ b/pool/rank_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// Guards against long-running tasks that wait for the rest of jobs that have begun.
+func TestLongRunningTasksGoBeforeBegunJobs(t *testing.T) {
+	w := newPoolSim(t, 1, testQueue)
+	w.length = func(task string) clock.Millis {
+		if task == "lasts.0.0.0" {
+			return 0
+		}
+		return 1000
+	}
+	w.run(200)
+	w.submit("begun", batch.Step{Count: 6, Need: cpu(2000), Estimate: 1000})
+	w.run(500)
+	w.submit("lasts", batch.Step{Count: 1, Need: cpu(2000), LongRunning: true})
+	w.run(800)
+	if got, want := w.runner("lasts.0.0.0"), "w0"; got != want {
+		t.Errorf("long-running task runs on %q, want %q as soon as a task of the begun job has ended", got, want)
+	}
+}
+
 // Guards against jobs that can no longer meet their objective and take resources from jobs that can.
 func TestLateJobsGoLast(t *testing.T) {
 	w := newPoolSim(t, 1, testQueue)
