--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -73,9 +73,8 @@
 // wave is a wave with its progress.
 type wave struct {
 	batch.Wave
-	state  WaveState
-	status string          // "running" if an earlier coordinator stored the wave
-	begun  map[string]bool // machines whose maintenance has begun, or whose order the platform refused as invalid
+	state WaveState
+	begun map[string]bool // machines whose maintenance has begun, or whose order the platform refused as invalid
 }
 
 // openWithdrawal is a withdrawal with the state of its row and of its order.
@@ -136,7 +135,6 @@
 		for _, machine := range stored.Begun {
 			w.begun[machine] = true
 		}
-		w.status = "running"
 	} else {
 		w.state.FirstSeen = int64(c.wall)
 		c.dirty = true
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -215,6 +215,7 @@
 			cordon, err := machines.DecodeCordon(row.Value)
 			if err != nil {
 				b.addUnreadable(row, err)
+				continue
 			}
 			emptied[cordon.Withdrawal] = true
 		case store.KindWave:
--- a/overview/overview_test.go
+++ b/overview/overview_test.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// Guards against a worker that is shown as empty because of a cordon that cannot be decoded.
+func TestUnreadableCordon(t *testing.T) {
+	r, table := newFilledReader(t)
+	if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{{Table: store.FleetTable, Part: "p",
+		Key: store.Key(store.KindCordon, "m1"), Value: []byte(`{"want":"w1","want":[]}`)}}}); err != nil {
+		t.Fatal(err)
+	}
+	fleet, err := r.Fleet(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(fleet.Withdrawals) != 1 || fleet.Withdrawals[0].Empty {
+		t.Errorf("withdrawals got %+v, want one whose worker is not shown as empty", fleet.Withdrawals)
+	}
+	if got, want := len(fleet.Unreadable), 2; got != want {
+		t.Errorf("unreadable rows got %d, want %d", got, want)
+	}
+}
+
 // Guards against an answer with the content of another job, and against a missing job that is not reported as an error.
 func TestJob(t *testing.T) {
 	r, table := newFilledReader(t)
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -58,7 +58,6 @@
 	lastUsed    atomic.Int64             // time of the end of the last exchange, or of opening
 	unsolicited atomic.Bool              // bytes arrived that belong to no request
 	silent      atomic.Bool              // closed because it carried no byte for Client.ProgressTimeout
-	retired     atomic.Bool              // not usable for another request
 	closed      atomic.Bool              // Close was called
 	armed       atomic.Bool              // the timer is set
 }
@@ -126,7 +125,7 @@
 
 // usable reports whether an idle connection can carry another request.
 func (c *conn) usable() bool {
-	return !c.closed.Load() && !c.unsolicited.Load() && !c.retired.Load() && c.http.Err() == nil
+	return !c.closed.Load() && !c.unsolicited.Load() && c.http.Err() == nil
 }
 
 // awaiting reports whether a request was sent completely and no byte of its answer has arrived.
