--- a/standin/site_test.go
+++ b/standin/site_test.go
@@ -97,7 +97,7 @@
 		fleet: standin.NewFleet(table, c, func() int64 { return int64(c.Now()) })}
 	f.fleet.SetStandby("spare")
 	for _, id := range []string{"m1", "m2"} {
-		handler := f.fleet.Add(id, "p", "z", "r", "unused:1", batch.Resources{CPU: 1000, MemoryMB: 100}, 1000)
+		handler := f.fleet.Add(id, "p", "z", "r", "127.0.0.1:1", batch.Resources{CPU: 1000, MemoryMB: 100}, 1000)
 		f.handlers = append(f.handlers, handler)
 		f.targets = append(f.targets, pool.Target{Address: serve(t, handler)})
 	}
