--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test lint generate demo build fuzz measure soak bench-owner
+.PHONY: test lint generate demo build fuzz measure soak bench-owner regress
 
 # The test command; .ci/run calls it with the tests of KNOWN-RED.txt in SKIP.
 test:
@@ -37,3 +37,9 @@
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./settings
 	go test -run FuzzDecode -fuzz FuzzDecode -fuzztime 60s ./platform
 	go test -run FuzzHeaders -fuzz FuzzHeaders -fuzztime 60s ./caller
+
+# Quick scores of the sites that are played before a landing: make regress SITES=FOLDER BENCH=PROGRAM, both of the users.
+REGRESS = further/hpsg-ferry further-grown/hpsg-ferry-grown large/kervan-etki-large grown/kervan-etki-grown grown/lsgrc-ferry-grown
+regress:
+	@test -d "$(SITES)" && test -x "$(BENCH)" || { echo "not played: set SITES to the folder of the sites and BENCH to the bench"; exit 1; }
+	for site in $(REGRESS); do "$(BENCH)" score "$(SITES)/$$site.toml" --quick --why regress || exit 1; done
