--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 	echo "could not run: build target/magnoliaferry and run review/build.sh first"
 	exit 2
 fi
-exec target/review/stand --case waiting-count --folder review/5
+exec target/review/stand --case stale-upkeep --folder review/5
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -62,6 +62,7 @@
 type site struct {
 	record    *record
 	store     *platformStore
+	platform  machinePlatform
 	advisor   *advisor
 	workers   []*worker
 	instances []*instance
@@ -112,6 +113,7 @@
 func newSite(r *record, workers int, routes ...map[string]any) (*site, error) {
 	s := &site{record: r, store: newStore(r), advisor: newAdvisor(r), client: &http.Client{Timeout: callerWait}, checkpointing: map[string]bool{},
 		needsTicket: map[string]bool{}, refusals: map[string]int{}, done: map[string]int{}, failedAt: map[string][]taskNote{}}
+	s.platform.site = s
 	var err error
 	if s.directory, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
@@ -168,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	machinesAddress, err := listen(http.HandlerFunc(s.serveMachines))
+	machinesAddress, err := listen(&s.platform)
 	if err != nil {
 		return err
 	}
@@ -261,31 +263,6 @@
 	return addresses, nil
 }
 
-// serveMachines is a stand-in of the platform's list of machines. With one service no machine can be moved.
-func (s *site) serveMachines(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet {
-		s.record.add("platform: an order for a machine is refused")
-		answer(w, http.StatusBadRequest, struct{}{})
-		return
-	}
-	list := []map[string]any{}
-	all := s.allWorkers()
-	for i, m := range all {
-		m.mu.Lock()
-		state, id := "up", m.id
-		if m.state == workerDark {
-			state, id = "down", ""
-		}
-		m.mu.Unlock()
-		if slices.ContainsFunc(all[i+1:], func(later *worker) bool { return later.machine == m.machine }) {
-			continue // a new worker runs on the machine
-		}
-		list = append(list, map[string]any{"machine": m.machine, "pool": m.service, "state": state, "zone": m.zone, "id": id,
-			"labels": []string{"kind-a", m.rack}, "capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemory, "gpus": 0}})
-	}
-	answer(w, http.StatusOK, map[string]any{"machines": list})
-}
-
 // call sends a request of a caller; the status is 0 if there was no answer.
 func (s *site) call(in *instance, method, path string, body any) (int, []byte) {
 	var content []byte
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -19,6 +19,8 @@
 	stopTime         = 200 * time.Millisecond // stopTimeoutMs is 400
 	checkpointPeriod = 500 * time.Millisecond // checkpointIntervalS
 	gangTimeout      = 3 * time.Second        // gangTimeoutMs
+	upkeepTime       = 2 * time.Second        // maintenanceS
+	readyTime        = 900 * time.Millisecond // from the start of a task that lasts to its work
 	tick             = 10 * time.Millisecond
 	maxListedEnds    = 500
 )
@@ -138,6 +140,36 @@
 	}
 }
 
+// leave ends the worker for the upkeep of its machine: all that runs on it ends, and its entry is removed. It returns the tasks that
+// were at work, and starts a new worker on the machine after the upkeep.
+func (w *worker) leave() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = workerDark
+	w.listener.silence()
+	tasks := []string{}
+	for task, run := range w.runs {
+		if time.Since(run.began) >= readyTime {
+			tasks = append(tasks, task)
+		}
+	}
+	w.runs = map[string]*taskRun{}
+	w.site.store.remove(tableWorkers, w.id)
+	time.AfterFunc(upkeepTime, w.replace)
+	return tasks
+}
+
+// replace starts a new worker on the machine.
+func (w *worker) replace() {
+	next, err := newWorker(w.site, newWorkerID(), w.machine, w.service, w.zone, w.rack)
+	if err != nil {
+		w.site.record.add("machine %s has no new worker: %v", w.machine, err)
+		return
+	}
+	w.site.record.add("worker %s starts on machine %s", next.id, next.machine)
+	w.site.addWorker(next)
+}
+
 // crash ends the worker: all that runs on it ends, its address becomes silent, and its entry is removed after some time. After
 // the downtime a new worker starts on the machine, unless the downtime is 0.
 func (w *worker) crash(downtime time.Duration) {
@@ -152,15 +184,7 @@
 		w.site.store.remove(tableWorkers, w.id)
 	})
 	if downtime > 0 {
-		time.AfterFunc(downtime, func() {
-			next, err := newWorker(w.site, newWorkerID(), w.machine, w.service, w.zone, w.rack)
-			if err != nil {
-				w.site.record.add("machine %s has no new worker: %v", w.machine, err)
-				return
-			}
-			w.site.record.add("worker %s starts on machine %s", next.id, next.machine)
-			w.site.addWorker(next)
-		})
+		time.AfterFunc(downtime, w.replace)
 	}
 }
 
@@ -371,7 +395,7 @@
 	now := time.Now()
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		percent := 100
+		percent := min(int(now.Sub(r.began)*100/readyTime), 100)
 		if r.length > 0 {
 			percent = min(int(now.Sub(r.began)*100/r.length), 99)
 		}
@@ -385,3 +409,6 @@
 
 // used returns the number of runs.
 func (w *worker) used() int { w.mu.Lock(); defer w.mu.Unlock(); return len(w.runs) }
+
+// up reports whether the worker runs.
+func (w *worker) up() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.state == workerUp }
