--- a/review/stand/case_renamed_route.go
+++ b/review/stand/case_renamed_route.go
@@ -23,7 +23,9 @@
 		return "", err
 	}
 	job := newID()
-	if err := s.submit("credit", job, "ms=8000", map[string]any{"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 8000}); err != nil {
+	step := map[string]any{"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 14000}
+	next := map[string]any{"count": 2, "cpu": 1000, "memMb": 256, "estimatedMs": 14000, "after": []int{0}}
+	if err := s.submit("credit", job, "ms=14000", step, next); err != nil {
 		return "", err
 	}
 	accepted := time.Now()
@@ -53,9 +55,12 @@
 		}
 		time.Sleep(2 * time.Second)
 	}
-	r.add("job %s: %d starts, %d of 2 ends done; %d answers 410, %d answers 200", job, len(s.startsOf(job)), s.doneOf(job), gone, known)
+	status, _ := s.call(s.instances[0], http.MethodDelete, "/credit/"+job, nil)
+	time.Sleep(6 * time.Second)
+	r.add("job %s: %d answers 410, %d answers 200 to GETs; then the DELETE is answered %d, and 6 s later %d of 4 tasks have started and %d are done",
+		job, gone, known, status, len(s.startsOf(job)), s.doneOf(job))
 	if gone > 0 {
-		return fmt.Sprintf("LOST: %d of %d GETs for accepted job %s, which nobody has cancelled and which ran, were answered 410", gone, gone+known, job), nil
+		return fmt.Sprintf("LOST: %d of %d GETs for accepted job %s, which nobody had cancelled and which was running, were answered 410", gone, gone+known, job), nil
 	}
 	if known == 0 {
 		return "", fmt.Errorf("no instance answered for job %s", job)
