--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -83,8 +83,8 @@
 	case !t.step.def.Checkpointing && s.now-r.sent < evacuateGrace:
 		return
 	}
-	if s.choose(t, usable, r.worker) == nil {
-		return // no other worker has room
+	if !s.hasRoomElsewhere(t, usable, r.worker) {
+		return
 	}
 	s.stop(r, "worker is to be evacuated")
 }
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -283,7 +283,7 @@
 	s.finish(r, EndLost, "")
 	switch reply.Outcome {
 	case NoTicket:
-		t.step.advice = nil
+		s.ticketRefused(t, w)
 	case Outdated, TooLate:
 	default:
 		w.avoidUntil = max(w.avoidUntil, s.now+startRefusedDelay)
--- a/pool/place.go
+++ b/pool/place.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"fmt"
 	"log/slog"
 	"sort"
 	"strconv"
@@ -19,9 +18,6 @@
 	costMaintenance      = 1200 // a long-running task on a machine that is due for maintenance would soon have to move
 )
 
-// maxAdvisedWorkers is the maximum number of workers in one request to the advisor.
-const maxAdvisedWorkers = 30
-
 // Plan treats calls that have timed out as unanswered, evicts workers, places tasks, and queues stops and holds.
 // Orders and Transaction return the results.
 func (s *Scheduler) Plan() {
@@ -177,7 +173,7 @@
 }
 
 func (s *Scheduler) placeStep(st *step, pass *placement) {
-	if !s.adviceReady(st, pass.workers) || !pass.fits(st.def.Reserve()) {
+	if !pass.fits(st.def.Reserve()) {
 		return
 	}
 	if st.def.Gang {
@@ -191,6 +187,7 @@
 		}
 		w := s.choose(t, pass.workers, nil)
 		if w == nil {
+			s.requestMissingAdvice(st, pass.workers)
 			pass.recordTooBig(st.def.Reserve())
 			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
@@ -236,7 +233,9 @@
 			}
 		}
 	}
-	s.placeGangOn(st, workers, number+1)
+	if !s.placeGangOn(st, workers, number+1) {
+		s.requestMissingAdvice(st, workers)
+	}
 }
 
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
@@ -285,9 +284,21 @@
 	return groups
 }
 
-// choose returns the cheapest worker on which the task fits, or nil. The worker exclude, if set, is not considered.
+// hasRoomElsewhere reports whether the task fits on one of the workers other than the one on which it runs. It asks the advisor about
+// workers that may not be known to be allowed.
+func (s *Scheduler) hasRoomElsewhere(t *task, workers []*worker, current *worker) bool {
+	if s.choose(t, workers, current) != nil {
+		return true
+	}
+	s.requestMissingAdvice(t.step, workers)
+	return false
+}
+
+// choose returns the cheapest worker on which the task fits, or nil. The worker exclude, if set, is not considered; the task is then not
+// placed yet, and needs no valid ticket.
 func (s *Scheduler) choose(t *task, workers []*worker, exclude *worker) *worker {
 	def := t.step.def
+	advised := s.advised(t.step)
 	need := def.Reserve()
 	// Only some steps depend on what else runs on a worker.
 	dependsOnOthers := def.MaxPerWorker > 0 || def.BestEffort || def.TargetLatency > 0 || def.LongRunning
@@ -297,7 +308,7 @@
 		if w == exclude || (w == t.avoid && s.now < t.avoidUntil) || !need.Fits(w.free()) || (def.Label != "" && !w.entry.HasLabel(def.Label)) {
 			continue
 		}
-		if t.step.advice != nil && t.step.advice.Tickets[w.entry.ID] == "" {
+		if advised && !t.step.hasTicket(w, s.now) && (exclude == nil || !t.step.isAllowed(w)) {
 			continue
 		}
 		peers, latencySensitive, background := 0, 0, 0
@@ -360,50 +371,3 @@
 	placeTime.Observe(s.now - j.acceptedAt)
 	return r
 }
-
-// adviceReady reports whether valid tickets of the step are available or not needed, and requests them from the advisor
-// otherwise.
-func (s *Scheduler) adviceReady(st *step, workers []*worker) bool {
-	queue, ok := s.configuration.Queue(st.job.def.Queue)
-	if !ok || !queue.Advised {
-		st.advice = nil
-		return true
-	}
-	if st.advice != nil && s.now-st.advisedAt < st.advice.Validity/2 {
-		return true
-	}
-	if st.adviceRequested {
-		return false
-	}
-	st.adviceRequested = true
-	order := Advise{Step: st.name()}
-	for _, w := range workers {
-		if len(order.Workers) < maxAdvisedWorkers {
-			order.Workers = append(order.Workers, w.entry.ID)
-		}
-	}
-	s.orders = append(s.orders, order)
-	return false
-}
-
-// AdviseAnswered handles the answer of the advisor; ok is false if there was none.
-func (s *Scheduler) AdviseAnswered(order Advise, advice Advice, ok bool) {
-	for _, j := range s.active {
-		for _, o := range j.occurrences {
-			for _, st := range o.steps {
-				if st.adviceRequested && st.name() == order.Step {
-					st.adviceRequested = false
-					if ok {
-						st.advice, st.advisedAt = &advice, s.now
-					}
-				}
-			}
-		}
-	}
-}
-
-// name returns the name of a step, which is the prefix of the names of its tasks. A step has at least one task.
-func (st *step) name() string {
-	key := st.tasks[0].key
-	return fmt.Sprintf("%s.%d.%d", st.job.def.ID, key.Occurrence, key.Step)
-}
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -56,6 +56,7 @@
 	storeBlocked bool // the store rejects writes
 	endHistory   *endHistory
 	routes       routes
+	advisor      *fakeAdvisor // nil: no queue is advised
 	// dropsOnRestart is set if orders in transit are lost when their worker restarts.
 	dropsOnRestart bool
 }
@@ -116,6 +117,9 @@
 		w.s.Tick(w.now, w.now)
 		w.advanceWorkers()
 		w.deliver()
+		if w.advisor != nil {
+			w.advisor.answer(w)
+		}
 		w.s.Plan()
 		w.dispatch()
 		if !w.storeBlocked {
@@ -167,6 +171,8 @@
 			w.s.ThrottleAnswered(o, reply)
 		case Hold:
 			w.holds = append(w.holds, pendingHold{o, w.now, w.now + o.Wait, w.incarnationOf(o)})
+		case Advise:
+			w.advisor.ask(o, w.now)
 		}
 	}
 }
@@ -309,6 +315,9 @@
 	}
 	f.token = o.Token
 	f.lease = max(f.lease, o.Deadline)
+	if f.runs[o.Task] == nil && w.advisor != nil && !w.advisor.admits(w, o, f) {
+		return f.reply(w, NoTicket)
+	}
 	if f.runs[o.Task] == nil {
 		job, _, _ := batch.ParseTask(o.Task)
 		if violation := w.routes.violation(w.defs[job], o.Task, f.entry, sortedNames(f.runs)); violation != "" {
--- a/pool/progress.go
+++ b/pool/progress.go
@@ -30,7 +30,7 @@
 		if !s.stalled(r) {
 			continue
 		}
-		if s.choose(r.task, s.usable(), w) == nil {
+		if !s.hasRoomElsewhere(r.task, s.usable(), w) {
 			continue
 		}
 		s.log(eventStalled, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
--- a/pool/state.go
+++ b/pool/state.go
@@ -77,9 +77,10 @@
 	done            int
 	totalRunTime    clock.Millis // sum of the run times of timedTasks tasks
 	timedTasks      int
-	advice          *Advice // newest tickets
-	advisedAt       clock.Millis
-	adviceRequested bool
+	verdicts        map[string]verdict // of the advisor, by worker
+	asked           map[string]int64   // workers in the newest request to the advisor, with their incarnations
+	adviceRequested bool               // that request has no answer yet
+	nextAdvice      clock.Millis       // earliest time of the next request
 }
 
 func (st *step) complete() bool { return st.done == len(st.tasks) }
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -139,12 +139,8 @@
 	r.resumed = t.checkpoint != ""
 	deadline := w.clockNow(s.now) + s.Lease
 	w.leaseUntil = max(w.leaseUntil, w.leaseEnd(deadline))
-	ticket := ""
-	if t.step.advice != nil {
-		ticket = t.step.advice.Tickets[w.entry.ID]
-	}
 	s.orders = append(s.orders, Start{Target: w.target(), Task: t.name, Run: r.number, Spec: t.step.job.def.Spec,
-		Deadline: deadline, Token: w.token, Checkpoint: t.checkpoint, Ticket: ticket})
+		Deadline: deadline, Token: w.token, Checkpoint: t.checkpoint, Ticket: t.step.ticketFor(w)})
 }
 
 // stop queues the order to end a run. The order is repeated until the end is listed.
