--- a/batch/configuration.go
+++ b/batch/configuration.go
@@ -19,6 +19,15 @@
 	Advised     bool         // only workers that the advisor names may run a step
 }
 
+// Address is where callers reach a queue. A queue that is renamed keeps it.
+type Address struct {
+	Host   string
+	Prefix string // of the request path
+}
+
+// Address returns where callers reach the queue.
+func (q *Queue) Address() Address { return Address{q.Host, q.Prefix} }
+
 // Pool is a set of workers as the configuration declares it.
 type Pool struct {
 	Name    string
@@ -54,6 +63,18 @@
 	return nil, false
 }
 
+// QueueOf returns the queue that serves the jobs accepted by a queue of the given name and address, which an earlier version of the
+// configuration may have declared: the one that has the address now, otherwise the one that has the name. The address is zero if it is not
+// known.
+func (c *Configuration) QueueOf(name string, address Address) (*Queue, bool) {
+	for i := range c.Queues {
+		if q := &c.Queues[i]; address != (Address{}) && q.Address() == address {
+			return q, true
+		}
+	}
+	return c.Queue(name)
+}
+
 // Pool returns the pool with the given name.
 func (c *Configuration) Pool(name string) (*Pool, bool) {
 	for i := range c.Pools {
--- a/daemon/cleanup.go
+++ b/daemon/cleanup.go
@@ -42,9 +42,12 @@
 // cancel queues a request to cancel a job that has ended for deletion.
 func (c *cleaner) cancel(id string) { c.add(store.JobsTable(c.pool), store.KindCancel, id, "") }
 
-// state queues the first state of a job for deletion. That row prevents the id from being used again; once it is deleted,
-// takeCleaned returns the job.
-func (c *cleaner) state(id string) { c.add(store.StateTable, store.KindJob, id, id) }
+// state queues the address and the first state of a job for deletion. The first state prevents the id from being used again; once it is
+// deleted, takeCleaned returns the job.
+func (c *cleaner) state(id string) {
+	c.add(store.StateTable, store.KindAddress, id, "")
+	c.add(store.StateTable, store.KindJob, id, id)
+}
 
 func (c *cleaner) add(table, kind, id, lastOfJob string) {
 	part := store.IntakePart(id)
--- a/front/service.go
+++ b/front/service.go
@@ -92,14 +92,15 @@
 	part := store.IntakePart(job.ID)
 	row := store.EncodeState(part, job.ID, queue.Name, job.Pool, batch.Pending)
 	tx := store.Transaction{Conditions: []store.Condition{{Table: row.Table, Part: row.Part, Key: row.Key}},
-		Puts: []store.Row{row, {Table: store.JobsTable(job.Pool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value}}}
+		Puts: []store.Row{row, {Table: store.JobsTable(job.Pool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value},
+			store.EncodeAddress(job.ID, queue.Address())}}
 	started := s.Clock.Now()
 	outcome, err := s.write(ctx, tx, wait)
 	acceptTime.Observe(s.Clock.Now() - started)
 	switch {
 	case err == nil && outcome.Applied:
 		row.Version = outcome.Version
-		s.States.Apply([]store.Row{row})
+		s.States.Apply([]store.Row{row, store.EncodeAddress(job.ID, queue.Address())})
 		s.log(ctx, eventAccepted, job.ID, slog.String("queue", queue.Name), slog.String("pool", job.Pool),
 			slog.Int("steps", len(job.Steps)), slog.Int64("version", outcome.Version))
 		return nil
@@ -151,7 +152,7 @@
 	return s.Table.Commit(ctx, tx)
 }
 
-// State returns the state of a job of the queue. The refusal is CodeNoJob, or CodeStale if the local copy is too old to say whether
+// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, or CodeStale if the local copy is too old to say whether
 // the job exists. If the copy is too old and the job has not ended in it, State waits at most maxCopyWait for a recent one, and may then
 // return an outdated state.
 func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
@@ -163,7 +164,7 @@
 	switch {
 	case !ok && s.CopyAge() > staleAge:
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
-	case !ok || known.Queue != queue.Name:
+	case !ok || !s.belongs(known, queue):
 		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
 	}
 	return known.State, nil
@@ -189,7 +190,7 @@
 			return refusal
 		}
 	}
-	if known.Queue != queue.Name {
+	if !s.belongs(known, queue) {
 		return s.refuse(ctx, CodeNoJob, id, nil, 0)
 	}
 	if known.Cancelled {
@@ -229,7 +230,20 @@
 }
 
 // Waiting returns the number of jobs of the queue that are pending, that is, no task has started, and are not cancelled.
-func (s *Service) Waiting(queue *batch.Queue) int { return s.States.Waiting(queue.Name) }
+func (s *Service) Waiting(queue *batch.Queue) int {
+	return s.States.Waiting(func(known store.JobEntry) bool { return s.belongs(known, queue) })
+}
+
+// belongs reports whether callers reach the job through the queue. The configuration may have renamed, moved or removed the queue that
+// accepted it.
+func (s *Service) belongs(known store.JobEntry, queue *batch.Queue) bool {
+	serving, ok := s.Configuration().QueueOf(known.Queue, known.Address)
+	if ok {
+		return serving.Address() == queue.Address()
+	}
+	// An earlier version did not store the address. A queue that is gone under its name may have been renamed.
+	return known.Address == batch.Address{} && known.Pool == queue.Pool
+}
 
 func (s *Service) refuse(ctx context.Context, code *result.Code, id string, err error, after clock.Millis) *result.Refusal {
 	detail := ""
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -16,8 +16,9 @@
 
 // JobEntry is what a StateCache holds for one job.
 type JobEntry struct {
-	Queue     string
-	Pool      string // the pool whose workers run the job
+	Queue     string        // name of the queue that accepted the job
+	Address   batch.Address // of that queue at the time; zero if an earlier version stored the job
+	Pool      string        // the pool whose workers run the job
 	State     batch.State
 	Cancelled bool // this instance has stored a request to cancel the job, which the owner of the pool may not have processed yet
 	version   int64
@@ -37,6 +38,12 @@
 	return queue, pool, state, ok
 }
 
+// EncodeAddress returns the row with the address of the queue that accepted a job. Its value is the host, a newline and the path prefix. It
+// is a row of its own, as instances of earlier versions read the row of EncodeState.
+func EncodeAddress(id string, address batch.Address) Row {
+	return Row{Table: StateTable, Part: IntakePart(id), Key: Key(KindAddress, id), Value: []byte(address.Host + "\n" + address.Prefix)}
+}
+
 // OwnerEntry is the owner row of a part, with the time at which the copy received its newest version.
 type OwnerEntry struct {
 	Owner            Owner
@@ -53,14 +60,15 @@
 	Clock  *clock.Clock
 	Logger *slog.Logger
 
-	mu     sync.RWMutex
-	jobs   map[string]*JobEntry
-	owners map[string]OwnerEntry
+	mu        sync.RWMutex
+	jobs      map[string]*JobEntry
+	addresses map[string]batch.Address // by job; the row can arrive before or after that of the job
+	owners    map[string]OwnerEntry
 }
 
 // NewStateCache returns an empty copy.
 func NewStateCache(c *clock.Clock, logger *slog.Logger) *StateCache {
-	return &StateCache{Clock: c, Logger: logger, jobs: map[string]*JobEntry{}, owners: map[string]OwnerEntry{}}
+	return &StateCache{Clock: c, Logger: logger, jobs: map[string]*JobEntry{}, addresses: map[string]batch.Address{}, owners: map[string]OwnerEntry{}}
 }
 
 // Load replaces the copy with the rows of the whole table.
@@ -68,7 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	owners := s.owners
-	s.jobs, s.owners = map[string]*JobEntry{}, map[string]OwnerEntry{}
+	s.jobs, s.addresses, s.owners = map[string]*JobEntry{}, map[string]batch.Address{}, map[string]OwnerEntry{}
 	for _, row := range rows {
 		s.apply(row)
 	}
@@ -95,6 +103,8 @@
 	switch {
 	case row.Key == OwnerKey:
 		s.applyOwner(row)
+	case kind == KindAddress:
+		s.applyAddress(id, row)
 	case kind != KindJob:
 		s.logUnreadable(row, batch.ErrInvalid.New("the key has an unknown kind"))
 	case row.Deleted:
@@ -118,6 +128,19 @@
 	}
 }
 
+func (s *StateCache) applyAddress(id string, row Row) {
+	if row.Deleted {
+		delete(s.addresses, id)
+		return
+	}
+	host, prefix, ok := strings.Cut(string(row.Value), "\n")
+	if !ok {
+		s.logUnreadable(row, batch.ErrInvalid.New("the value is not the address of a queue"))
+		return
+	}
+	s.addresses[id] = batch.Address{Host: host, Prefix: prefix}
+}
+
 func (s *StateCache) applyOwner(row Row) {
 	before, known := s.owners[row.Part]
 	if row.Deleted || before.Version >= row.Version {
@@ -153,7 +176,13 @@
 	if known == nil {
 		return JobEntry{}, false
 	}
-	return *known, true
+	return s.entry(id, known), true
+}
+
+func (s *StateCache) entry(id string, known *JobEntry) JobEntry {
+	entry := *known
+	entry.Address = s.addresses[id]
+	return entry
 }
 
 // Cancel records that this instance has stored a request to cancel the job.
@@ -172,13 +201,13 @@
 	return len(s.jobs)
 }
 
-// Waiting returns the number of jobs of a queue that are pending, that is, no task has started, and are not cancelled.
-func (s *StateCache) Waiting(queue string) int {
+// Waiting returns the number of jobs that belong to a queue and are pending, that is, no task has started, and are not cancelled.
+func (s *StateCache) Waiting(belongs func(JobEntry) bool) int {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	n := 0
-	for _, known := range s.jobs {
-		if known.Queue == queue && known.State == batch.Pending && !known.Cancelled {
+	for id, known := range s.jobs {
+		if known.State == batch.Pending && !known.Cancelled && belongs(s.entry(id, known)) {
 			n++
 		}
 	}
--- a/store/tables.go
+++ b/store/tables.go
@@ -48,6 +48,7 @@
 // The kinds of rows whose key consists of the kind, a slash and an id.
 const (
 	KindJob        = "job"    // in StateTable: the state of a job; in JobsTable: the job itself
+	KindAddress    = "path"   // in StateTable, intake part: where the job was accepted, see EncodeAddress
 	KindCancel     = "cancel" // in JobsTable: request to cancel the job
 	KindWithdrawal = "want"   // in FleetTable, FleetPart: machines.Withdrawal for a machine
 	KindWave       = "wave"   // in FleetTable, FleetPart: machines.WaveState
