--- a/batch/configuration.go
+++ b/batch/configuration.go
@@ -21,13 +21,27 @@
 
 // Address is where callers reach a queue. A queue that is renamed keeps it.
 type Address struct {
-	Host   string
-	Prefix string // of the request path
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"` // of the request path
 }
 
 // Address returns where callers reach the queue.
 func (q *Queue) Address() Address { return Address{q.Host, q.Prefix} }
 
+// Terms are what jobs need of their queue until they end, also after the queue was removed.
+type Terms struct {
+	Priority    int          `json:"priority,omitempty"`
+	MaxAttempts int          `json:"max-attempts,omitempty"`
+	Stretch     float64      `json:"stretch,omitempty"`
+	Objective   clock.Millis `json:"objective,omitempty"`
+	Advised     bool         `json:"advised,omitempty"`
+}
+
+// Terms returns the terms of the queue's jobs.
+func (q *Queue) Terms() Terms {
+	return Terms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Objective: q.Objective, Advised: q.Advised}
+}
+
 // Pool is a set of workers as the configuration declares it.
 type Pool struct {
 	Name    string
--- a/batch/job.go
+++ b/batch/job.go
@@ -86,6 +86,9 @@
 	Occurrences int          `json:"occurrences,omitempty"` // 0: the steps run once, immediately
 	FirstDue    clock.Millis `json:"first-due,omitempty"`   // Unix time of occurrence 0
 	Interval    clock.Millis `json:"interval,omitempty"`    // between the due times of two occurrences
+	// Address and Terms are those of the queue when it accepted the job. Jobs that earlier versions stored have neither.
+	Address Address `json:"address,omitzero"`
+	Terms   *Terms  `json:"terms,omitempty"`
 }
 
 // Runs returns how many times the steps run: once for each occurrence.
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -120,6 +120,7 @@
 	s.SetToken(o.ownership.Token())
 	s.Tick(d.clock.Now(), d.wall())
 	s.Configure(d.configuration.Load())
+	s.SetInheritedTerms(report.Terms)
 	if existed {
 		o.restoreLeases(previous, report, lease)
 	}
--- a/front/service.go
+++ b/front/service.go
@@ -66,8 +66,8 @@
 	return queue, path[len(queue.Prefix):], nil
 }
 
-// Submit stores a job of the queue, and waits for the store at most wait and at most maxStoreWait. It sets the Queue, Pool and Accepted
-// fields of the job. It returns nil if the job is stored now or was stored before; of the refusals, only CodeUnknown means that the
+// Submit stores a job of the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
+// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before; of the refusals, only CodeUnknown means that the
 // job may be stored.
 func (s *Service) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job, wait clock.Millis) *result.Refusal {
 	if err := job.Check(); err != nil {
@@ -77,7 +77,9 @@
 		s.log(ctx, eventRepeated, job.ID, slog.String("known", "copy"))
 		return nil
 	}
-	job.Queue, job.Pool, job.Accepted = queue.Name, queue.Pool, s.WallClock()
+	terms := queue.Terms()
+	job.Queue, job.Address, job.Terms = queue.Name, queue.Address(), &terms
+	job.Pool, job.Accepted = queue.Pool, s.WallClock()
 	value, err := job.Encode()
 	if err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
--- a/pool/advice.go
+++ b/pool/advice.go
@@ -27,10 +27,7 @@
 }
 
 // advised reports whether the step may run only on workers that the advisor names.
-func (s *Scheduler) advised(st *step) bool {
-	queue, ok := s.configuration.Queue(st.job.def.Queue)
-	return ok && queue.Advised
-}
+func (st *step) advised() bool { return st.job.terms.Advised || st.job.needsTickets }
 
 // verdictOn returns the advisor's answer about the current incarnation of a worker, and false if there is none.
 func (st *step) verdictOn(w *worker) (verdict, bool) {
@@ -58,7 +55,7 @@
 
 // requestMissingAdvice asks the advisor about further workers for a step whose tasks do not fit on those that it may use now.
 func (s *Scheduler) requestMissingAdvice(st *step, workers []*worker) {
-	if s.advised(st) {
+	if st.advised() {
 		s.requestAdvice(st, workers)
 	}
 }
@@ -128,8 +125,12 @@
 	}
 }
 
-// ticketRefused handles a start that a worker refused because of its ticket: the next one needs a new ticket.
-func (s *Scheduler) ticketRefused(t *task, w *worker) {
+// ticketRefused handles a start that a worker refused because of its ticket: the next one needs a new ticket. A start without one shows
+// that the queue of the job has an advisor.
+func (s *Scheduler) ticketRefused(t *task, w *worker, ticket string) {
+	if ticket == "" {
+		t.step.job.needsTickets = true
+	}
 	if v, ok := t.step.verdictOn(w); ok && s.now-v.at < v.validity {
 		t.avoidWorker(w, s.now) // it may refuse the next ticket as well
 	}
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -283,7 +283,7 @@
 	s.finish(r, EndLost, "")
 	switch reply.Outcome {
 	case NoTicket:
-		s.ticketRefused(t, w)
+		s.ticketRefused(t, w, order.Ticket)
 	case Outdated, TooLate:
 	default:
 		w.avoidUntil = max(w.avoidUntil, s.now+startRefusedDelay)
--- a/pool/load.go
+++ b/pool/load.go
@@ -25,6 +25,9 @@
 	// Leases is the remaining time of the leases of workers that do not answer, in milliseconds. These leases are not
 	// renewed while the table reports them, so that the next owner need not assume the longest lease.
 	Leases map[string]clock.Millis `json:"leases,omitempty"`
+	// Terms are those of the queues of jobs that were stored without them, by the name of the queue. The next owner may know only a
+	// configuration without the queue.
+	Terms map[string]batch.Terms `json:"terms,omitempty"`
 }
 
 // Load returns the load of the pool, to be stored with the transaction in flight.
@@ -52,6 +55,12 @@
 	}
 	for _, j := range s.active {
 		load.MinWorkers = max(load.MinWorkers, j.minWorkers())
+		if j.def.Terms == nil && j.termsKnown {
+			if load.Terms == nil {
+				load.Terms = map[string]batch.Terms{}
+			}
+			load.Terms[j.def.Queue] = j.terms
+		}
 		if j.waiting == 0 || late[j] {
 			continue
 		}
--- a/pool/place.go
+++ b/pool/place.go
@@ -298,7 +298,7 @@
 // placed yet, and needs no valid ticket.
 func (s *Scheduler) choose(t *task, workers []*worker, exclude *worker) *worker {
 	def := t.step.def
-	advised := s.advised(t.step)
+	advised := t.step.advised()
 	need := def.Reserve()
 	// Only some steps depend on what else runs on a worker.
 	dependsOnOthers := def.MaxPerWorker > 0 || def.BestEffort || def.TargetLatency > 0 || def.LongRunning
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -51,20 +51,14 @@
 }
 
 func (s *Scheduler) computeRank(j *job) rank {
-	r := rank{job: j, priority: 1 << 20} // after all queues; replaced unless the queue was removed
-	queue, ok := s.configuration.Queue(j.def.Queue)
-	if !ok {
-		r.class = classOverdue
-		return r
-	}
-	r.priority = queue.Priority
+	r := rank{job: j, priority: j.terms.Priority}
 	if !j.hasObjective() {
 		r.begun = true // long-running tasks are due at once
 		return r
 	}
 	f := s.forecast(j)
 	r.work = f.work
-	objective := objectiveOf(queue, f.criticalPath)
+	objective := objectiveOf(j.terms, f.criticalPath)
 	switch age := s.now - j.acceptedAt; {
 	case age+f.remainingTime > overdueFactor*objective:
 		r.class = classOverdue
@@ -102,9 +96,9 @@
 // hasObjective reports whether the job has an objective for the time since its acceptance.
 func (j *job) hasObjective() bool { return !j.def.LongRunning() && j.def.Occurrences == 0 }
 
-// objectiveOf returns the time from acceptance in which a job of the queue is to be completed.
-func objectiveOf(queue *batch.Queue, criticalPath clock.Millis) clock.Millis {
-	return clock.Millis(queue.Stretch*float64(criticalPath)) + queue.Objective
+// objectiveOf returns the time from acceptance in which a job is to be completed.
+func objectiveOf(terms batch.Terms, criticalPath clock.Millis) clock.Millis {
+	return clock.Millis(terms.Stretch*float64(criticalPath)) + terms.Objective
 }
 
 // forecast is the estimated run time and remaining work of a job without occurrences.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -86,6 +86,7 @@
 	orders             []any
 	inheritedLeaseEnd  clock.Millis            // see SetInheritedLeases
 	inheritedLeaseEnds map[string]clock.Millis // by worker
+	inheritedTerms     map[string]batch.Terms  // by queue; see SetInheritedTerms
 }
 
 type finalJob struct {
@@ -106,9 +107,6 @@
 	e.Log(context.Background(), s.Logger, append(attributes, slog.String("pool", s.Pool))...)
 }
 
-// Configure sets the configuration in force.
-func (s *Scheduler) Configure(c *batch.Configuration) { s.configuration = c }
-
 // Tick sets the current monotonic time and Unix time, both in milliseconds.
 func (s *Scheduler) Tick(now, wall clock.Millis) { s.now, s.wall = now, wall }
 
@@ -127,6 +125,7 @@
 	j := &job{def: def, state: batch.Pending, occurrences: map[int]*occurrence{}}
 	age := min(max(s.wall-def.Accepted, 0), clock.Minute) // clocks of instances differ
 	j.acceptedAt = s.now - age
+	s.setTerms(j)
 	s.jobs[def.ID] = j
 	if j.hasObjective() {
 		if s.shares[def.Queue] == nil {
@@ -280,8 +279,8 @@
 	s.final = append(s.final, finalJob{j.def.ID, s.now})
 	jobTime.Observe(s.now - j.acceptedAt)
 	objective := clock.Millis(0)
-	if queue, ok := s.configuration.Queue(j.def.Queue); ok && j.hasObjective() && j.occurrences[0] != nil {
-		objective = objectiveOf(queue, s.forecast(j).criticalPath)
+	if j.hasObjective() && j.occurrences[0] != nil {
+		objective = objectiveOf(j.terms, s.forecast(j).criticalPath)
 		if state == batch.Completed {
 			s.recordOutcome(j, s.now-j.acceptedAt <= objective)
 		}
@@ -321,13 +320,16 @@
 			s.occurrence(j, k)
 		}
 	}
-	j.waiting, j.finished = 0, 0
+	j.waiting, j.finished, j.exhausted = 0, 0, false
 	for _, o := range j.occurrences {
 		if s.advanceOccurrence(j, o) {
 			j.finished++
 		}
 	}
-	if j.finished == j.def.Runs() {
+	switch {
+	case j.exhausted:
+		s.conclude(j, batch.Failed)
+	case j.finished == j.def.Runs():
 		s.conclude(j, batch.Completed)
 	}
 }
@@ -348,6 +350,7 @@
 		for _, t := range st.tasks {
 			if !t.done && t.run == nil {
 				j.waiting++
+				j.exhausted = j.exhausted || t.failures >= j.maxAttempts() && !st.def.LongRunning
 			}
 		}
 	}
@@ -548,13 +551,7 @@
 	counted.failures++
 	t.avoidWorker(r.worker, s.now)
 	s.countFailure(r.worker)
-	attempts := 1
-	if queue, ok := s.configuration.Queue(t.step.job.def.Queue); ok {
-		attempts = max(queue.MaxAttempts, 1)
-	} else {
-		attempts = counted.failures + 1 // the queue, and with it the limit of attempts, was removed; the job must still be completed
-	}
-	if counted.failures >= attempts {
+	if counted.failures >= t.step.job.maxAttempts() {
 		s.conclude(t.step.job, batch.Failed)
 	}
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -93,6 +93,9 @@
 
 type job struct {
 	def          *batch.Job
+	terms        batch.Terms // of its queue
+	termsKnown   bool
+	needsTickets bool // a worker refused a start that had no ticket
 	state        batch.State
 	acceptedAt   clock.Millis // when it was accepted, on the local clock
 	occurrences  map[int]*occurrence
@@ -100,7 +103,8 @@
 	dirty        bool
 	hasNewStarts bool // a start waits for the next transaction
 	cancelled    bool
-	waiting      int // number of tasks without a run whose step may run
+	waiting      int  // number of tasks without a run whose step may run
+	exhausted    bool // one of these has failed as often as the terms allow; an earlier owner may have known other terms
 	ranked       rank
 	rankedAt     clock.Millis
 	size         int  // see sizeShares
