--- a/daemon/machines_test.go
+++ b/daemon/machines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 
 	"magnoliaferry/batch"
@@ -57,7 +58,12 @@
 			platform := &silentPlatform{clock: c, ownership: ownership}
 			d := &Daemon{clock: c, table: &store.Monitor{Table: table, Clock: c}, Machines: platform}
 			d.Settings.Node = "a"
-			d.configuration.Store(&batch.Configuration{})
+			d.configuration.Store(&batch.Configuration{Pools: []batch.Pool{{Name: "p"}}})
+			cordon, err := json.Marshal(machines.Cordon{Withdrawal: "1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.fleet.Load([]store.Row{{Table: store.FleetTable, Part: "p", Key: store.Key(store.KindCordon, "m"), Value: cordon, Version: 1}})
 			o := &machineOwner{daemon: d, ownership: ownership, events: newWorkQueue[func()](), rows: map[string][]byte{},
 				reports: map[string]int64{}, coordinator: machines.NewCoordinator(ownership.Token(), 0, nil),
 				listing: true, committing: true} // so that step only sends orders
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -277,26 +277,26 @@
 	}
 }
 
-// applyWithdrawal passes the withdrawal of a machine to the scheduler. It has an effect only if the worker is in this pool.
+// applyWithdrawal passes the withdrawal of a machine to the scheduler. It has an effect only if a worker on the machine is in this pool.
 func (o *poolOwner) applyWithdrawal(row store.Row) {
 	_, machine := store.SplitKey(row.Key)
-	if before, ok := o.withdrawals[machine]; ok {
-		o.scheduler.RequestEvacuation(before.Worker, "")
-		delete(o.withdrawals, machine)
-	}
+	delete(o.withdrawals, machine)
 	if row.Deleted {
+		o.scheduler.CancelEvacuation(machine)
 		return
 	}
 	withdrawal, err := machines.DecodeWithdrawal(row.Value)
 	if err != nil {
 		eventUnreadableWithdrawal.Log(context.Background(), o.daemon.Logger, slog.String("machine", machine), slog.String("error", err.Error()))
+		o.scheduler.CancelEvacuation(machine)
 		return
 	}
-	if withdrawal.Worker == "" {
-		return // the machine is off and has no worker
+	if withdrawal.Worker == "" || withdrawal.Op == machines.Move && withdrawal.Pool == o.pool {
+		o.scheduler.CancelEvacuation(machine) // the machine is off, or a worker on it in this pool has arrived
+		return
 	}
 	o.withdrawals[machine] = withdrawal
-	o.scheduler.RequestEvacuation(withdrawal.Worker, withdrawal.ID)
+	o.scheduler.RequestEvacuation(pool.Evacuation{ID: withdrawal.ID, Machine: machine, Worker: withdrawal.Worker, Accepted: withdrawal.Accepted})
 }
 
 // cordons returns the changes to the stored cordons. A cordon says that the worker of a withdrawn machine has been emptied and gets
--- a/machines/codes.go
+++ b/machines/codes.go
@@ -15,5 +15,6 @@
 		"an order for a machine has ended; outcome 0: no answer, 1: accepted, 2: machine busy, 3: invalid order, 4: higher fencing token, 5: rejected")
 	eventReturned          = event.New(4305, "machine-back", slog.LevelInfo, "a machine is up again after its maintenance or move")
 	eventWithdrawalDropped = event.New(4306, "machine-want-dropped", slog.LevelInfo, "the withdrawal of a machine is dropped before the machine is up again, for the logged reason")
+	eventRetargeted        = event.New(4308, "machine-want-renewed", slog.LevelWarn, "another worker has started on a machine whose order may have been sent; the machine is emptied again before the order is repeated")
 	eventPools             = event.New(4307, "pools", slog.LevelInfo, "the machines that the pools have and need, once a second")
 )
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -23,6 +23,9 @@
 	maxEvacuating = 3
 	// orderRetryDelay is the pause before an order that was not accepted is repeated.
 	orderRetryDelay = 300 * clock.Millis(1)
+	// alreadyDoneAfter is how long after its order was accepted a machine that the list still shows as up has not gone down for it: the
+	// operation had been carried out for an earlier order, whose answer was lost.
+	alreadyDoneAfter = 1 * clock.Second
 	// returnLimit is how long a machine counts as down after its order was accepted, if the list never shows it as up again.
 	returnLimit = 30 * clock.Second
 	// maxWithdrawals bounds the withdrawals that are open at once if OrderRate is not set. Moves that take longer than arrivalLimit
@@ -83,6 +86,7 @@
 	opened     clock.Millis // when it was opened or restored
 	stored     bool         // the stored row is up to date
 	sent       bool         // an order was sent and has no outcome yet
+	orderedAt  clock.Millis // when the newest order was sent
 	acceptedAt clock.Millis // when the order was accepted; 0: not yet
 	retryAt    clock.Millis // earliest time of the next order
 }
@@ -119,7 +123,11 @@
 // Restore adds a withdrawal that an earlier coordinator stored. Tick must have been called before.
 func (c *Coordinator) Restore(stored Withdrawal) {
 	if c.withdrawals[stored.Machine] == nil {
-		c.withdrawals[stored.Machine] = &openWithdrawal{Withdrawal: stored, stored: true, opened: c.now}
+		w := &openWithdrawal{Withdrawal: stored, stored: true, opened: c.now}
+		if stored.Accepted {
+			w.acceptedAt = c.now
+		}
+		c.withdrawals[stored.Machine] = w
 	}
 }
 
@@ -166,10 +174,16 @@
 			c.drop(w, "gone")
 		case !w.Ordered && m.Worker != w.Worker:
 			c.drop(w, "another worker runs on the machine")
-		case w.acceptedAt != 0 && m.State == batch.MachineUp && m.Worker != w.Worker && m.Worker != "":
+		case w.acceptedAt == 0 && w.Ordered && requestedAt > w.orderedAt && w.isUnderWay(m):
+			c.accepted(w)
+		case w.acceptedAt == 0 && !w.sent && m.State == batch.MachineUp && m.Worker != w.Worker && m.Worker != "":
+			c.retarget(w, m.Worker)
+		case w.acceptedAt != 0 && m.State == batch.MachineUp && m.Worker != w.Worker && m.Worker != "" && requestedAt > w.acceptedAt:
 			c.log(eventReturned, slog.String("machine", machine), slog.String("worker", m.Worker),
 				slog.Int64("after-ms", int64(c.now-w.acceptedAt)))
 			c.drop(w, "")
+		case w.acceptedAt != 0 && m.State == batch.MachineUp && m.Worker != "" && requestedAt > w.acceptedAt+alreadyDoneAfter:
+			c.drop(w, "the operation had been carried out before")
 		case w.acceptedAt != 0 && m.State == batch.MachineUp && c.isStandby(m.Pool) && requestedAt > w.acceptedAt:
 			c.drop(w, "") // a machine of a standby pool is off and has no worker
 		case w.acceptedAt != 0 && c.now-w.acceptedAt > returnLimit:
@@ -178,6 +192,43 @@
 	}
 }
 
+// isUnderWay reports whether the platform's list shows that the operation of a withdrawal is being carried out or is done.
+func (w *openWithdrawal) isUnderWay(m batch.Machine) bool {
+	if w.Op == Upkeep {
+		return m.State == batch.MachineUpkeep
+	}
+	return m.State == batch.MachineMoving || m.Pool == w.Pool
+}
+
+// retarget makes an ordered withdrawal one for the worker that runs on the machine now: its order is repeated only once the machine is
+// known to be empty again.
+func (c *Coordinator) retarget(w *openWithdrawal, worker string) {
+	c.log(eventRetargeted, slog.String("machine", w.Machine), slog.String("worker", worker), slog.String("before", w.Worker),
+		slog.String("op", string(w.Op)), slog.Int64("wave", w.Wave))
+	w.Worker, w.ID = worker, c.nextID()
+	w.stored = false
+	c.dirty = true
+}
+
+// accepted records that the platform carries out the operation of a withdrawal.
+func (c *Coordinator) accepted(w *openWithdrawal) {
+	w.acceptedAt = c.now
+	if w.Op != Upkeep {
+		return // the machine comes back in another pool, whose owner does not keep it empty
+	}
+	w.Accepted, w.stored = true, false
+	c.dirty = true
+	if wave := c.waves[w.Wave]; wave != nil && !wave.begun[w.Machine] {
+		wave.begun[w.Machine] = true
+		wave.state.Begun = append(wave.state.Begun, w.Machine)
+	}
+}
+
+func (c *Coordinator) nextID() string {
+	c.opened++
+	return fmt.Sprintf("%d-%d", c.Token, c.opened)
+}
+
 func (c *Coordinator) isStandby(name string) bool {
 	p, ok := c.configuration.Pool(name)
 	return ok && p.Standby
@@ -340,8 +391,7 @@
 		return
 	}
 	c.openBudget--
-	c.opened++
-	w.ID = fmt.Sprintf("%d-%d", c.Token, c.opened)
+	w.ID = c.nextID()
 	// A machine that is off is empty already, so that one transaction stores the withdrawal and that its order may have been sent.
 	w.Ordered = c.isOff(w) && (w.Op == Move || c.mayGoDown(w.Wave))
 	c.withdrawals[w.Machine] = &openWithdrawal{Withdrawal: w, opened: c.now}
@@ -359,6 +409,11 @@
 	return w.Worker == "" && c.isStandby(c.listed[w.Machine].Pool)
 }
 
+// isEmpty reports whether nothing runs on the machine of a withdrawal, and nothing can begin to run.
+func (c *Coordinator) isEmpty(w *openWithdrawal) bool {
+	return c.cordons[w.Machine] == w.ID || c.isOff(w.Withdrawal)
+}
+
 // planOrder adds the order for a machine that is empty. The row that says that the order may have been sent is stored first, so
 // that a successor counts the machine as down.
 func (c *Coordinator) planOrder(w *openWithdrawal) {
@@ -366,18 +421,17 @@
 		return
 	}
 	if !w.Ordered {
-		empty := c.cordons[w.Machine] == w.ID || c.isOff(w.Withdrawal)
-		if !empty || !w.stored || (w.Op == Upkeep && !c.mayGoDown(w.Wave)) {
+		if !c.isEmpty(w) || !w.stored || (w.Op == Upkeep && !c.mayGoDown(w.Wave)) {
 			return
 		}
 		w.Ordered, w.stored = true, false
 		c.dirty = true
 		return
 	}
-	if !w.stored {
+	if !w.stored || !c.isEmpty(w) {
 		return
 	}
-	w.sent = true
+	w.sent, w.orderedAt = true, c.now
 	c.orders = append(c.orders, Order{Withdrawal: w.Withdrawal, Token: c.Token})
 	c.log(eventOrder, slog.String("machine", w.Machine), slog.String("op", string(w.Op)), slog.String("to", w.Pool),
 		slog.Int64("wave", w.Wave), slog.Int64("token", c.Token))
@@ -387,19 +441,14 @@
 func (c *Coordinator) Answered(order Order, outcome Outcome) {
 	c.log(eventAnswer, slog.String("machine", order.Withdrawal.Machine), slog.Int("outcome", int(outcome)))
 	w := c.withdrawals[order.Withdrawal.Machine]
-	if w == nil || !w.sent {
+	if w == nil || !w.sent || w.ID != order.Withdrawal.ID {
 		return
 	}
 	w.sent = false
 	w.retryAt = c.now + orderRetryDelay
 	switch outcome {
 	case Accepted:
-		w.acceptedAt = c.now
-		if wave := c.waves[w.Wave]; wave != nil && w.Op == Upkeep && !wave.begun[w.Machine] {
-			wave.begun[w.Machine] = true
-			wave.state.Begun = append(wave.state.Begun, w.Machine)
-			c.dirty = true
-		}
+		c.accepted(w)
 	case InvalidOrder:
 		c.drop(w, "the platform refused the order as invalid")
 		if wave := c.waves[w.Wave]; wave != nil {
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -24,6 +24,7 @@
 	loads      map[string]pool.Load
 	mostRows   int                       // largest number of rows in one transaction
 	answer     func(order Order) Outcome // nil: every order is accepted
+	done       bool                      // accepted orders change nothing: the operation had been carried out before
 	cutZone    string                    // availability zone whose machines do not come up again
 }
 
@@ -96,7 +97,7 @@
 			outcome = s.answer(order)
 		}
 		m := s.machines[order.Withdrawal.Machine]
-		if outcome == Accepted {
+		if outcome == Accepted && !s.done {
 			m.State, m.Worker = batch.MachineUpkeep, ""
 			if order.Withdrawal.Op == Move {
 				m.State, m.Pool = batch.MachineMoving, order.Withdrawal.Pool
@@ -551,3 +552,137 @@
 		}
 	}
 }
+
+// crash replaces the worker of a machine that is up, as after a crash, by one with a new id.
+func (s *testSite) crash(machine string) {
+	s.restarts++
+	s.machines[machine].Worker = fmt.Sprintf("w-%s-%d", machine, s.restarts)
+}
+
+// Guards against an order that is repeated after another worker has started on the machine: the platform would end its tasks, although only
+// the worker before it was emptied: review case 5, AVAIL.
+func TestOrderIsNotRepeatedForAnotherWorker(t *testing.T) {
+	for _, op := range []Operation{Upkeep, Move} {
+		for _, takeover := range []bool{false, true} {
+			for _, outcome := range []Outcome{Rejected, Unanswered, Busy} {
+				when := fmt.Sprintf("%s, takeover %v, outcome %d", op, takeover, outcome)
+				s, machine := siteWithAnOpenOrder(t, op, outcome)
+				s.crash(machine)
+				s.notEmptied[machine] = true // tasks run on the new worker
+				if takeover {
+					s.takeOver()
+				}
+				before := s.ordersFor(machine)
+				s.answer = nil
+				s.run(3 * clock.Second)
+				if got := s.ordersFor(machine) - before; got != 0 {
+					t.Errorf("%s: orders got %d, want 0 while tasks run on the new worker", when, got)
+				}
+				withdrawal := s.c.withdrawals[machine]
+				if withdrawal == nil || withdrawal.Worker != s.machines[machine].Worker || !withdrawal.Ordered {
+					t.Fatalf("%s: withdrawal got %+v, want one for worker %s that counts as ordered", when, withdrawal, s.machines[machine].Worker)
+				}
+				s.cordons[machine] = withdrawal.ID
+				s.run(1 * clock.Second)
+				if got := s.ordersFor(machine) - before; got != 1 {
+					t.Errorf("%s: orders got %d, want 1 once the new worker is empty", when, got)
+				}
+				s.run(10 * clock.Second)
+				if left := s.c.withdrawals[machine]; left != nil && left.ID == withdrawal.ID {
+					t.Errorf("%s: withdrawal %+v is open, want none after the operation", when, left)
+				}
+			}
+		}
+	}
+}
+
+// siteWithAnOpenOrder returns a site that has sent one order at least, which had the outcome, and the machine of that order.
+func siteWithAnOpenOrder(t *testing.T, op Operation, outcome Outcome) (s *testSite, machine string) {
+	t.Helper()
+	s = newTestSite(t, map[string]int{"a": 20, "b": 4})
+	s.answer = func(Order) Outcome { return outcome }
+	s.c.Tick(s.now, s.now)
+	if op == Upkeep {
+		s.c.SetWave(batch.Wave{Number: 1, Machines: []string{"a-0"}, Duration: 30 * clock.Second, MaxDown: 1}, nil)
+	} else {
+		load := s.loads["b"]
+		load.Waiting.CPU = 5000
+		s.loads["b"] = load
+	}
+	for len(s.orders) == 0 && s.now < 20*clock.Second {
+		s.run(100)
+	}
+	if len(s.orders) == 0 || s.orders[0].Withdrawal.Op != op {
+		t.Fatalf("orders got %+v, want one of kind %s", s.orders, op)
+	}
+	return s, s.orders[0].Withdrawal.Machine
+}
+
+// ordersFor returns the number of orders for a machine so far.
+func (s *testSite) ordersFor(machine string) int {
+	n := 0
+	for _, order := range s.orders {
+		if order.Withdrawal.Machine == machine {
+			n++
+		}
+	}
+	return n
+}
+
+// takeOver replaces the coordinator by one that knows what is stored.
+func (s *testSite) takeOver() {
+	before := s.c
+	s.c = NewCoordinator(before.Token+1, s.now, nil)
+	s.c.Configure(before.configuration)
+	s.c.Tick(s.now, s.now)
+	for _, machine := range sorted(before.withdrawals) {
+		s.c.Restore(before.withdrawals[machine].Withdrawal)
+	}
+	for _, number := range sorted(before.waves) {
+		s.c.SetWave(before.waves[number].Wave, &before.waves[number].state)
+	}
+}
+
+// Guards against a machine that is kept from its pool although its maintenance or its move is done: the answer to the order was lost, and
+// the order is not repeated, as the worker that it was for is gone.
+func TestOperationWithoutAnAnswerEnds(t *testing.T) {
+	for _, op := range []Operation{Upkeep, Move} {
+		for _, takeover := range []bool{false, true} {
+			s, machine := siteWithAnOpenOrder(t, op, Unanswered)
+			m := s.machines[machine]
+			m.State, m.Worker = batch.MachineUpkeep, ""
+			if op == Move {
+				m.State, m.Pool = batch.MachineMoving, s.orders[0].Withdrawal.Pool
+			}
+			s.upAt[machine] = s.now + 2000
+			s.notEmptied[machine] = true
+			delete(s.cordons, machine)
+			if takeover {
+				s.takeOver()
+			}
+			id := s.c.withdrawals[machine].ID
+			s.run(4 * clock.Second)
+			if left := s.c.withdrawals[machine]; left != nil && left.ID == id {
+				t.Errorf("%s, takeover %v: withdrawal %+v is open, want none", op, takeover, left.Withdrawal)
+			}
+			if op == Upkeep && !s.c.waves[1].state.Completed {
+				t.Errorf("%s, takeover %v: wave is open, want it completed", op, takeover)
+			}
+		}
+	}
+}
+
+// Guards against a machine that counts as back, or stays withdrawn, after an order that the platform accepted because the operation had
+// been carried out for an earlier one.
+func TestOperationThatWasDoneBefore(t *testing.T) {
+	s, machine := siteWithAnOpenOrder(t, Upkeep, Unanswered)
+	s.crash(machine) // in truth the maintenance, which no list has shown
+	s.answer, s.done = nil, true
+	s.run(5 * clock.Second)
+	if left := s.c.withdrawals[machine]; left != nil {
+		t.Errorf("withdrawal %+v is open, want none", left.Withdrawal)
+	}
+	if !s.c.waves[1].state.Completed {
+		t.Error("wave is open, want it completed")
+	}
+}
--- a/machines/orders.go
+++ b/machines/orders.go
@@ -17,15 +17,19 @@
 )
 
 // Withdrawal is the stored decision to withdraw a machine from its pool, for maintenance or for a move. The owner of the pool
-// empties the worker and keeps it empty until the withdrawal is deleted. A machine has at most one.
+// empties the machine and keeps it empty until the operation is accepted or the withdrawal is deleted. A machine has at most one. It is
+// for one worker: if another one starts on the machine before the operation, the withdrawal gets a new ID, for which the owner of the pool
+// has to confirm again that the machine is empty.
 type Withdrawal struct {
 	ID      string    `json:"id"` // unique for each withdrawal
 	Machine string    `json:"machine"`
-	Worker  string    `json:"worker"` // id of the worker that has to be empty; "" if none runs on the machine
+	Worker  string    `json:"worker"` // id of the worker on the machine, which has to be empty; "" if none runs on it
 	Op      Operation `json:"op"`
 	Pool    string    `json:"pool,omitempty"`    // destination of a move
 	Wave    int64     `json:"wave,omitempty"`    // number of the wave that the maintenance belongs to; 0 for a move
-	Ordered bool      `json:"ordered,omitempty"` // the order may have been sent to the platform
+	Ordered bool      `json:"ordered,omitempty"` // an order may have been sent to the platform, for this worker or an earlier one
+	// Accepted is set once the platform has accepted the order for maintenance. Another worker on the machine then started afterwards.
+	Accepted bool `json:"accepted,omitempty"`
 }
 
 // DecodeWithdrawal decodes a stored withdrawal.
--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -194,7 +194,7 @@
 		}
 		w.replaceOwner(w.s.jobs["j"].def, w.s.progress(w.s.jobs["j"], &Transaction{}))
 		w.run(2 * clock.Second)
-		w.s.RequestEvacuation(first, "want-1")
+		w.s.RequestEvacuation(evacuationOf(first))
 		w.run(4 * clock.Second)
 		if got := w.runner("j.0.0.0"); got == "" || (got != first) != other {
 			t.Errorf("another worker allowed %v: the task runs on %q, before on %q", other, got, first)
--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -14,35 +14,85 @@
 // evacuateRemaining is the remaining run time below which a late task is left running on a worker that is to be evacuated.
 const evacuateRemaining = 600 * clock.Millis(1)
 
-// RequestEvacuation requests that a worker be emptied for an operation on its machine that ends all its runs. The worker
-// gets no new tasks, and its runs are moved away. An empty id withdraws the request.
-func (s *Scheduler) RequestEvacuation(worker, id string) {
-	if id == "" {
-		delete(s.evacuations, worker)
-	} else {
-		s.evacuations[worker] = id
+// Evacuation is a request to empty a machine for an operation that ends all runs on it.
+type Evacuation struct {
+	ID      string // unique among requests
+	Machine string
+	Worker  string // id of the worker that runs on the machine, as far as the request knows
+	// Accepted is set once the platform has accepted the operation: a later worker on the machine is not affected by it.
+	Accepted bool
+}
+
+// RequestEvacuation requests that a machine be emptied. No worker on it gets new tasks, not even one that starts while the request
+// lasts, and their runs are moved away. It replaces an earlier request for the machine.
+func (s *Scheduler) RequestEvacuation(e Evacuation) {
+	if s.evacuations[e.Machine] != e {
+		s.evacuations[e.Machine] = e
+		s.markEvacuating()
+	}
+}
+
+// CancelEvacuation withdraws the request to empty a machine, if there is one.
+func (s *Scheduler) CancelEvacuation(machine string) {
+	if _, ok := s.evacuations[machine]; ok {
+		delete(s.evacuations, machine)
+		s.markEvacuating()
 	}
-	if w := s.workers[worker]; w != nil {
-		w.evacuating = id != ""
+}
+
+func (s *Scheduler) markEvacuating() {
+	for _, w := range s.workers {
+		_, w.evacuating = s.evacuationOf(w)
+	}
+}
+
+// evacuationOf returns the request that concerns a worker, and false if there is none.
+func (s *Scheduler) evacuationOf(w *worker) (Evacuation, bool) {
+	if w.entry.Machine == "" { // its entry does not tell
+		for _, e := range s.evacuations {
+			if e.Worker == w.entry.ID {
+				return e, true
+			}
+		}
 	}
+	e, ok := s.evacuations[w.entry.Machine]
+	return e, ok && (!e.Accepted || w.entry.ID == e.Worker)
 }
 
 // SetMaintenanceDue sets the machines on which operators have requested maintenance that has not begun. Long-running tasks
 // are preferably placed elsewhere.
 func (s *Scheduler) SetMaintenanceDue(machines map[string]bool) { s.maintenanceDue = machines }
 
-// CompletedEvacuations returns the IDs of the evacuation requests whose workers have no runs and cannot begin any.
+// CompletedEvacuations returns the IDs of the evacuation requests whose worker has answered, has no runs and cannot begin any, while no
+// later worker on the machine may have runs.
 func (s *Scheduler) CompletedEvacuations() []string {
+	if len(s.evacuations) == 0 {
+		return nil
+	}
+	busy := map[string]bool{} // by ID of the request
+	for _, w := range s.workers {
+		e, ok := s.evacuationOf(w)
+		if !ok || w.entry.ID == e.Worker {
+			continue
+		}
+		requested := s.workers[e.Worker]
+		if requested != nil && w.entry.Incarnation > requested.entry.Incarnation && !w.isEmpty() {
+			busy[e.ID] = true
+		}
+	}
 	var ids []string
-	for worker, id := range s.evacuations {
-		if w := s.workers[worker]; w != nil && w.confirmed && len(w.runs) == 0 && len(w.strays) == 0 {
-			ids = append(ids, id)
+	for _, e := range s.evacuations {
+		if w := s.workers[e.Worker]; w != nil && w.isEmpty() && !busy[e.ID] {
+			ids = append(ids, e.ID)
 		}
 	}
 	sort.Strings(ids)
 	return ids
 }
 
+// isEmpty reports whether this incarnation of the worker has answered and has no runs.
+func (w *worker) isEmpty() bool { return w.confirmed && len(w.runs) == 0 && len(w.strays) == 0 }
+
 // evacuate moves long-running tasks and tasks with checkpoints away from workers that drain or are to be evacuated.
 func (s *Scheduler) evacuate() {
 	var usable []*worker
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -57,6 +57,9 @@
 	endHistory   *endHistory
 	routes       routes
 	advisor      *fakeAdvisor // nil: no queue is advised
+	// failures counts the failed ends of each task that were acknowledged; a start beyond maxAttempts fails the test. 0: no limit.
+	failures    map[string]int
+	maxAttempts int
 	// dropsOnRestart is set if orders in transit are lost when their worker restarts.
 	dropsOnRestart bool
 }
@@ -76,7 +79,7 @@
 
 func newPoolSim(t *testing.T, workers int, queue batch.Queue) *poolSim {
 	w := &poolSim{t: t, s: NewScheduler(testPool, 6*clock.Second, clock.Minute, nil), now: 1000, token: 10,
-		workers: map[string]*fakeWorker{}, starts: map[string]int{}, defs: map[string]*batch.Job{}, states: map[string]batch.State{},
+		workers: map[string]*fakeWorker{}, starts: map[string]int{}, failures: map[string]int{}, defs: map[string]*batch.Job{}, states: map[string]batch.State{},
 		endHistory: newEndHistory(), routes: routes{}, length: func(string) clock.Millis { return 1000 }, fails: func(string, string) bool { return false }}
 	queue.Pool = testPool
 	w.configure(&batch.Configuration{Version: 1, Queues: []batch.Queue{queue}, Pools: []batch.Pool{{Name: testPool}}})
@@ -93,8 +96,11 @@
 	w.s.Configure(c)
 }
 
-func (w *poolSim) addWorker(id string) *fakeWorker {
-	f := &fakeWorker{runs: map[string]*fakeRun{}, stopTime: 300, entry: batch.Worker{ID: id, Machine: "m-" + id, Pool: testPool,
+func (w *poolSim) addWorker(id string) *fakeWorker { return w.addWorkerOn(id, "m-"+id) }
+
+// addWorkerOn adds a worker that has just started on the machine.
+func (w *poolSim) addWorkerOn(id, machine string) *fakeWorker {
+	f := &fakeWorker{runs: map[string]*fakeRun{}, stopTime: 300, entry: batch.Worker{ID: id, Machine: machine, Pool: testPool,
 		Address: id, Incarnation: int64(w.now), Capacity: batch.Resources{CPU: 4000, MemoryMB: 8000}, Labels: []string{"a", "r1"}}}
 	w.workers[id] = f
 	w.s.SetWorker(f.entry)
@@ -323,6 +329,9 @@
 		if violation := w.routes.violation(w.defs[job], o.Task, f.entry, sortedNames(f.runs)); violation != "" {
 			w.t.Fatalf("%d ms: %s", w.now, violation)
 		}
+		if n := w.failures[o.Task]; w.maxAttempts > 0 && n >= w.maxAttempts {
+			w.t.Fatalf("%d ms: task %s starts after %d failed ends were acknowledged, want at most %d", w.now, o.Task, n, w.maxAttempts)
+		}
 		f.runs[o.Task] = &fakeRun{start: o, began: w.now, length: w.length(o.Task), cpuPercent: 100}
 		w.starts[o.Task]++
 		if end := w.endHistory.start(o.Task, o.Run, f.incarnation(), w.now); end != nil {
@@ -364,8 +373,11 @@
 	}
 	kept := f.ended[:0]
 	for _, e := range f.ended {
-		if e.Number > o.Ack {
+		switch {
+		case e.Number > o.Ack:
 			kept = append(kept, e)
+		case e.Reason == EndFailed:
+			w.failures[e.Task]++
 		}
 	}
 	f.ended = kept
--- a/pool/rank_test.go
+++ b/pool/rank_test.go
@@ -103,7 +103,7 @@
 	w.add(&batch.Job{ID: "late", Queue: "q", Pool: testPool, Spec: "spec", Accepted: w.now - clock.Minute,
 		Steps: []batch.Step{{Count: 1, Need: cpu(4000), Estimate: 500}}})
 	w.run(2 * clock.Second)
-	w.s.RequestEvacuation("w0", "want-1")
+	w.s.RequestEvacuation(evacuationOf("w0"))
 	w.run(1 * clock.Second)
 	if got := w.s.CompletedEvacuations(); len(got) != 1 {
 		t.Errorf("completed evacuations got %v, want that of the worker", got)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -73,7 +73,7 @@
 	arrivals          arrivals
 	corrections       map[string]*correction // by queue
 	shares            map[string]*sizeShares // by queue
-	evacuations       map[string]string      // IDs of evacuation requests, by worker
+	evacuations       map[string]Evacuation  // by machine
 	maintenanceDue    map[string]bool        // machines that are due for maintenance
 	token             int64
 	fenced            bool
@@ -98,7 +98,7 @@
 func NewScheduler(pool string, lease, retention clock.Millis, logger *slog.Logger) *Scheduler {
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
-		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]string{},
+		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
 		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
 	}
 }
@@ -371,7 +371,6 @@
 	w := s.workers[entry.ID]
 	if w == nil {
 		w = &worker{runs: map[string]*run{}, strays: map[string]batch.Resources{}, token: s.token, incarnation: entry.Incarnation}
-		w.evacuating = s.evacuations[entry.ID] != ""
 		_, w.leaseReported = s.inheritedLeaseEnds[entry.ID]
 		s.workers[entry.ID] = w
 		s.loseEarlierIncarnations(entry)
@@ -384,6 +383,7 @@
 			slog.Bool("draining", entry.Draining), slog.Int64("born", entry.Incarnation))
 	}
 	w.entry, w.listed = entry, true
+	_, w.evacuating = s.evacuationOf(w)
 	if entry.Incarnation > w.incarnation {
 		s.workerRestarted(w, entry.Incarnation)
 	}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -110,7 +110,7 @@
 	unresponsive, other := w.runner("j.0.0.0"), w.runner("j.0.0.1")
 	w.workers[unresponsive].unreachable = true
 	w.run(1600)
-	w.s.RequestEvacuation(other, "want-1")
+	w.s.RequestEvacuation(evacuationOf(other))
 	w.run(2 * clock.Second)
 	if got := w.runner("j.0.0.1"); got != other {
 		t.Errorf("task runs on %q, want it to stay on %q", got, other)
@@ -208,7 +208,7 @@
 	stored := w.s.progress(w.s.jobs["j"], &Transaction{})
 	first, second := w.runner("j.0.0.0"), w.runner("j.0.0.1")
 	w.replaceOwner(w.s.jobs["j"].def, stored)
-	w.s.RequestEvacuation(second, "want-1")
+	w.s.RequestEvacuation(evacuationOf(second))
 	w.workers[first].runs["j.0.0.0"].stopping = w.now
 	away := func(task string) bool {
 		worker := w.workers[w.runner(task)]
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -98,7 +98,7 @@
 	s.runUntil("the stored start", func() bool { return len(s.rows["j"]) > 1 })
 	first.frozenUntil = s.now + 2500 // the owner reads the answer of the store only afterwards
 	target := first.scheduler.jobs["j"].occurrences[0].steps[0].tasks[0].run.worker.entry.ID
-	s.waitForOwner(1).scheduler.RequestEvacuation(target, "want-1") // so that the task is placed elsewhere
+	s.waitForOwner(1).scheduler.RequestEvacuation(evacuationOf(target)) // so that the task is placed elsewhere
 	s.runUntil("the second start", func() bool { return s.runner("j.0.0.0") != "" })
 	s.run(first.frozenUntil - 5 - s.now)
 	s.workers[target].crash()
