daemon: a withdrawal that ended during a takeover does not stay with the new owner

Cause: refresh, which applies what changed while an owner of a pool restored its state, passed on the withdrawals that exist, and not that others were deleted. The machine was then kept empty until the ownership ended.

Evidence: TestWithdrawalThatEndedDuringRestore fails before ("withdrawals got map[ended:... open:...], want the open one only") and passes now.

--- a/daemon/leave_test.go
+++ b/daemon/leave_test.go
@@ -7,6 +7,7 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
+	"magnoliaferry/machines"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
 )
@@ -65,3 +66,28 @@
 		t.Errorf("workers got %v, want %v", got, want)
 	}
 }
+
+// Guards against a machine that is kept empty until the ownership ends: its withdrawal was deleted while the scheduler was being built,
+// before changes were passed on to it.
+func TestWithdrawalThatEndedDuringRestore(t *testing.T) {
+	c := clock.NewFake(10000)
+	d := &Daemon{clock: c}
+	d.workers = newWorkerList(c, nil, func(batch.Worker, bool) {})
+	d.workers.healthy = func() clock.Millis { return clock.Hour }
+	d.configuration.Store(&batch.Configuration{})
+	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil), withdrawals: map[string]machines.Withdrawal{}}
+	withdrawal := func(machine string) store.Row {
+		value, err := json.Marshal(machines.Withdrawal{ID: "1-" + machine, Machine: machine, Worker: "w-" + machine, Op: machines.Upkeep})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store.Row{Table: store.FleetTable, Part: store.FleetPart, Key: store.Key(store.KindWithdrawal, machine), Value: value, Version: 1}
+	}
+	o.applyWithdrawal(withdrawal("ended"))
+	o.applyWithdrawal(withdrawal("open"))
+	d.fleet.Load([]store.Row{withdrawal("open")})
+	o.refresh()
+	if _, ok := o.withdrawals["open"]; !ok || len(o.withdrawals) != 1 {
+		t.Errorf("withdrawals got %v, want the open one only", o.withdrawals)
+	}
+}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -537,8 +537,16 @@
 			o.scheduler.RemoveWorker(id)
 		}
 	}
+	open := map[string]bool{} // machines with a withdrawal
 	for _, row := range d.fleet.Rows(store.FleetPart, store.KindWithdrawal) {
+		_, machine := store.SplitKey(row.Key)
+		open[machine] = true
 		o.applyWithdrawal(row)
 	}
+	for machine := range o.withdrawals {
+		if !open[machine] {
+			o.applyWithdrawal(store.Row{Key: store.Key(store.KindWithdrawal, machine), Deleted: true})
+		}
+	}
 	o.scheduler.SetMaintenanceDue(d.dueMachines())
 }
