pool: a task that avoids a worker does not hold up its step

Cause: placeStep stops at the first task without a place, as tasks of a step are equal. A task that failed on a worker avoids it for 2 s; if that was the only one with room, the others waited with it.

Evidence: TestFailedTaskDoesNotHoldUpItsStep fails before ("tasks started got 4, want at least 6") and passes now.

--- a/pool/place.go
+++ b/pool/place.go
@@ -189,6 +189,9 @@
 		if w == nil {
 			s.requestMissingAdvice(st, pass.workers)
 			pass.recordTooBig(st.def.Reserve())
+			if t.avoid != nil && s.now < t.avoidUntil {
+				continue // the others may run on the worker that this one avoids
+			}
 			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
 		placed = append(placed, s.assign(t, w, t.number+1))
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -403,6 +403,25 @@
 	}
 }
 
+// Guards against tasks that wait although they fit on a worker, because the first task of their step avoids that worker.
+func TestFailedTaskDoesNotHoldUpItsStep(t *testing.T) {
+	w := newPoolSim(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 400 }
+	w.fails = func(task, _ string) bool { return task == "j.0.0.0" && w.starts[task] == 1 }
+	w.submit("j", batch.Step{Count: 12, Need: cpu(2000)})
+	for w.starts["j.0.0.0"] == 0 {
+		w.run(10)
+	}
+	failedOn := w.runner("j.0.0.0")
+	for id, f := range w.workers {
+		f.unreachable = id != failedOn // the other worker gets no more tasks
+	}
+	w.run(1800)
+	if got, least := len(w.starts), 6; got < least {
+		t.Errorf("tasks started got %d, want at least %d: only the failed one avoids the worker that answers", got, least)
+	}
+}
+
 // Guards against a run that counts as lost with the earlier incarnation of the worker although its start reached the new
 // one, and that is started a second time beside it.
 func TestStartReachesNewIncarnation(t *testing.T) {
