--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -16,7 +16,7 @@
 	validity clock.Millis
 	fails    bool // it does not answer
 
-	queue   string // whose starts need a ticket
+	jobs    func(job *batch.Job) bool // whose starts need a ticket
 	asked   []Advise
 	open    []pendingAdvice
 	tickets map[string]clock.Millis // until when a ticket is valid, by step, worker, incarnation and number
@@ -28,7 +28,8 @@
 }
 
 func newFakeAdvisor(allows func(worker string) bool) *fakeAdvisor {
-	return &fakeAdvisor{allows: allows, takes: 50, validity: 4000, queue: "q", tickets: map[string]clock.Millis{}}
+	return &fakeAdvisor{allows: allows, takes: 50, validity: 4000,
+		jobs: func(job *batch.Job) bool { return job.Queue == "q" }, tickets: map[string]clock.Millis{}}
 }
 
 func (a *fakeAdvisor) ask(order Advise, now clock.Millis) {
@@ -60,7 +61,7 @@
 // admits reports whether the worker may carry out the start.
 func (a *fakeAdvisor) admits(w *poolSim, o Start, f *fakeWorker) bool {
 	id, key, _ := batch.ParseTask(o.Task)
-	if w.defs[id].Queue != a.queue {
+	if !a.jobs(w.defs[id]) {
 		return true
 	}
 	prefix := fmt.Sprintf("%s.%d.%d %s %d ", id, key.Occurrence, key.Step, f.entry.ID, f.entry.Incarnation)
