--- a/soak/site.go
+++ b/soak/site.go
@@ -42,6 +42,7 @@
 type site struct {
 	options        Options
 	table          *standin.Table
+	queues         []batch.Queue // of the first configuration
 	fleet          *standin.Fleet
 	fault          atomic.Int64 // standin.TableFault for transactions
 	down           atomic.Bool  // whether the store rejects reads
@@ -84,12 +85,11 @@
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
 	table.Down = s.down.Load
-	var queues []batch.Queue
 	for _, pool := range pools {
-		queues = append(queues, batch.Queue{Name: "q-" + pool, Host: hostName, Prefix: "/" + pool + "/", Pool: pool, Priority: 1,
+		s.queues = append(s.queues, batch.Queue{Name: "q-" + pool, Host: hostName, Prefix: "/" + pool + "/", Pool: pool, Priority: 1,
 			MaxAttempts: 20, Stretch: 1.6, Objective: 600})
 	}
-	table.Configure(1, pools, standbyPool, queues)
+	table.Configure(1, pools, standbyPool, s.queues)
 	s.fleet.SetStandby(standbyPool)
 	if err := s.addMachines(ctx); err != nil {
 		return nil, err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,6 +76,7 @@
 		return Report{}, err
 	}
 	go s.advance(ctx)
+	go s.renameRoutes(ctx)
 	paths, err := s.submitLongRunning(ctx)
 	if err != nil {
 		return Report{}, err
