--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -48,7 +48,7 @@
 
 // evacuationOf returns the request that concerns a worker, and false if there is none.
 func (s *Scheduler) evacuationOf(w *worker) (Evacuation, bool) {
-	if w.entry.Machine == "" { // its entry does not tell
+	if w.entry.Machine == "" { // an entry without a machine
 		for _, e := range s.evacuations {
 			if e.Worker == w.entry.ID {
 				return e, true
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -185,8 +185,14 @@
 
 // replaceOwner replaces the scheduler with a new one that has the stored progress of one job.
 func (w *poolSim) replaceOwner(def *batch.Job, stored *batch.Progress) {
+	w.succeed(w.s.configuration, nil, def, stored)
+}
+
+// succeed replaces the scheduler with a new one that knows the configuration, the reported terms and the stored progress of one job.
+func (w *poolSim) succeed(c *batch.Configuration, terms map[string]batch.Terms, def *batch.Job, stored *batch.Progress) {
 	successor := NewScheduler(testPool, 6*clock.Second, clock.Minute, nil)
-	successor.Configure(w.s.configuration)
+	successor.Configure(c)
+	successor.SetInheritedTerms(terms)
 	w.token += 5
 	successor.SetToken(w.token)
 	successor.Tick(w.now, w.now)
--- a/pool/terms_test.go
+++ b/pool/terms_test.go
@@ -27,19 +27,7 @@
 func (w *poolSim) takeOver(id string, c *batch.Configuration) {
 	w.s.configuration = c
 	load := w.s.Load()
-	def, stored := w.s.jobs[id].def, w.s.progress(w.s.jobs[id], &Transaction{})
-	successor := NewScheduler(testPool, 6*clock.Second, clock.Minute, nil)
-	successor.Configure(c)
-	successor.SetInheritedTerms(load.Terms)
-	w.token += 5
-	successor.SetToken(w.token)
-	successor.Tick(w.now, w.now)
-	for _, f := range w.workers {
-		successor.SetWorker(f.entry)
-	}
-	successor.SetInheritedLeases(w.now+10*clock.Second, nil)
-	successor.AddJob(def, stored, false)
-	w.s, w.holds = successor, nil
+	w.succeed(c, load.Terms, w.s.jobs[id].def, w.s.progress(w.s.jobs[id], &Transaction{}))
 }
 
 func configurationOf(version int64, queues ...batch.Queue) *batch.Configuration {
