--- /dev/null
+++ b/review/stand-2/cases.go
@@ -0,0 +1,292 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the rules, as in the settings file of DEPLOY.md.
+const (
+	cancelBound     = 3000 * time.Millisecond // cancel_ms
+	visibleBound    = 3000 * time.Millisecond // visible_ms
+	finishBound     = 14 * time.Second        // finish_s
+	stabilityWindow = 3000 * time.Millisecond // stabilityWindowMs
+)
+
+// playGangCheckpoint drains a worker on which a task of a gang with checkpoints works. All tasks of the next run must start from one
+// checkpoint.
+func playGangCheckpoint(s *site) (broken bool, err error) {
+	const (
+		id    = "5c0e7a21d94b36f8"
+		tasks = 4
+		work  = 6 * time.Second
+	)
+	spec := fmt.Sprintf("%d %d 1", work.Milliseconds(), work.Milliseconds())
+	st := taskStep{Count: tasks, CPU: 20000, Memory: 4000, Estimate: int(work.Milliseconds()), Checkpointing: true, Gang: true}
+	if status := s.submit(s.instances[0], id, spec, st); status != http.StatusOK {
+		return false, fmt.Errorf("the job was answered with %d", status)
+	}
+	if !await(5*time.Second, func() bool { return s.workers.begun(id) == tasks }) {
+		return false, fmt.Errorf("the gang has not started")
+	}
+	time.Sleep(2300 * time.Millisecond)
+	if s.trouble {
+		s.workers.drain(s.workerOf(id+".0.0.2"), 8*time.Second)
+	}
+	await(25*time.Second, func() bool { return s.state(s.instances[1], id) == "completed" })
+	values := map[int]map[string]bool{} // checkpoints by run
+	for _, start := range s.workers.startsOf(id) {
+		if values[start.run] == nil {
+			values[start.run] = map[string]bool{}
+		}
+		values[start.run][start.checkpoint] = true
+	}
+	for number, checkpoints := range values {
+		if len(checkpoints) > 1 {
+			s.rec.add("BROKEN: the tasks of run %d of the gang were started with %d different checkpoints", number, len(checkpoints))
+			broken = true
+		}
+	}
+	return broken, nil
+}
+
+// workerOf returns the worker that runs a task.
+func (s *site) workerOf(task string) *worker {
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	for _, w := range s.workers.all {
+		if w.runs[task] != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// await waits until the condition holds and returns whether it did.
+func await(limit time.Duration, holds func() bool) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
+
+// playLargeJob hands in one job with many tasks. Small jobs that are accepted after it must run.
+func playLargeJob(s *site) (broken bool, err error) {
+	const (
+		id       = "5c0e7a21d94b36f8"
+		many     = 640
+		few      = 24
+		largeCPU = 150
+		smallCPU = 2300
+		small    = 5
+	)
+	s.workers.mu.Lock()
+	s.workers.quiet = true
+	s.workers.mu.Unlock()
+	count := few
+	if s.trouble {
+		count = many
+	}
+	st := taskStep{Count: count, CPU: largeCPU, Memory: 100, Estimate: 40000, Checkpointing: true}
+	if status := s.submit(s.instances[0], id, "40000 15000 40", st); status != http.StatusOK {
+		return false, fmt.Errorf("the large job was answered with %d", status)
+	}
+	if !await(10*time.Second, func() bool { return s.workers.begun(id) >= count }) {
+		s.rec.add("%d of %d tasks of the large job have begun after 10 s", s.workers.begun(id), count)
+	}
+	time.Sleep(16 * time.Second)
+	var ids []string
+	for i := range small {
+		job := fmt.Sprintf("7a21d94b36f8%04x", i)
+		if status := s.submit(s.instances[i%instanceCount], job, "1000 1000 1", taskStep{Count: 4, CPU: smallCPU, Memory: 500, Estimate: 1000}); status == http.StatusOK {
+			ids = append(ids, job)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if len(ids) == 0 {
+		return false, fmt.Errorf("no small job was accepted")
+	}
+	s.rec.add("end of the traffic")
+	time.Sleep(finishBound)
+	cpu := func(task string) int {
+		if strings.HasPrefix(task, id) {
+			return largeCPU
+		}
+		return smallCPU
+	}
+	stalled := map[string]bool{}
+	for _, job := range ids {
+		stalled[job] = true
+	}
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		used := s.workers.used(cpu)
+		for _, job := range ids {
+			if s.workers.begun(job) > 0 || used >= workerCount*workerCPU/2 {
+				stalled[job] = false
+			}
+		}
+	}
+	s.rec.add("%d of %d thousandths of a core are in use; the store has refused %d rows", s.workers.used(cpu), workerCount*workerCPU, s.store.refusedRows())
+	for _, job := range ids {
+		state := s.state(s.instances[0], job)
+		if stalled[job] && state != "completed" {
+			s.rec.add("BROKEN: job %s was accepted, is %q, and has had nothing running for 3 s", job, state)
+			broken = true
+		}
+	}
+	return broken, nil
+}
+
+// playLateAfter410 hands in a job whose write the store does not answer and carries out late. The caller is told that the outcome is not
+// known, and cancels the job. Once that is acknowledged, no task of the job may start after the bound.
+func playLateAfter410(s *site) (broken bool, err error) {
+	const (
+		id      = "5c0e7a21d94b36f8"
+		window  = 4500 * time.Millisecond
+		late    = 5800 * time.Millisecond // 1 to 6 s
+		handIn  = 3000 * time.Millisecond // after the begin of the window
+		observe = 10 * time.Second
+	)
+	st := taskStep{Count: 2, CPU: 2300, Memory: 500, Estimate: 1000}
+	begin := time.Now()
+	if s.trouble {
+		s.rec.add("the store begins to leave one write in three without an answer")
+		s.store.setLate(func(keys []string) (time.Duration, bool) {
+			return late, time.Since(begin) < window && slices.Contains(keys, "board job/"+id)
+		})
+	}
+	in := s.instances[0]
+	for i := range 4 {
+		s.submit(s.instances[i%instanceCount], fmt.Sprintf("7a21d94b36f8%04x", i), "1000 1000 1", st)
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(time.Until(begin.Add(handIn)))
+	s.submit(in, id, "1000 1000 1", st)
+	status, _ := s.send(in, http.MethodDelete, id, nil)
+	acknowledged := time.Now()
+	if status != http.StatusGone && status/100 != 2 {
+		s.rec.add("the cancelling was not acknowledged")
+		return false, nil
+	}
+	time.Sleep(observe)
+	for _, start := range s.workers.startsOf(id) {
+		after := start.at.Sub(acknowledged)
+		s.rec.add("task %s started %d ms after the cancelling was acknowledged with %d", start.task, after.Milliseconds(), status)
+		if after > cancelBound && start.at.Sub(begin) > window+stabilityWindow {
+			s.rec.add("BROKEN: that is later than %d ms, and the store has been stable for %d ms", cancelBound.Milliseconds(),
+				(start.at.Sub(begin) - window).Milliseconds())
+			broken = true
+		}
+	}
+	s.state(in, id)
+	return broken, nil
+}
+
+// playWaitingGangs hands in gangs of which one fits into the service at a time. As long as no task of a job has started, it counts as
+// waiting.
+func playWaitingGangs(s *site) (broken bool, err error) {
+	const (
+		gangs = 4
+		work  = "12000 12000 1"
+	)
+	time.Sleep(time.Second)
+	// It leaves 15 cores free on each of the eight workers.
+	first := taskStep{Count: workerCount, CPU: 17000, Memory: 4000, Estimate: 12000, Gang: true}
+	if status := s.submit(s.instances[0], "5c0e7a21d94b36f8", work, first); status != http.StatusOK {
+		return false, fmt.Errorf("the first gang was answered with %d", status)
+	}
+	if !await(5*time.Second, func() bool { return s.workers.begun("5c0e7a21d94b36f8") == workerCount }) {
+		return false, fmt.Errorf("the first gang has not started")
+	}
+	jobs := newAcceptedJobs()
+	if s.trouble {
+		for i := range gangs {
+			id := fmt.Sprintf("7a21d94b36f8%04x", i)
+			if s.submit(s.instances[i%instanceCount], id, work, taskStep{Count: 12, CPU: 14000, Memory: 4000, Estimate: 12000, Gang: true}) == http.StatusOK {
+				jobs.add(id)
+			}
+		}
+	}
+	broken = s.checkWaitingCount(jobs, 8*time.Second)
+	for _, id := range jobs.ids {
+		s.rec.add("job %s: %d starts, state %q", id, s.workers.begun(id), s.state(s.instances[0], id))
+	}
+	return broken, nil
+}
+
+// playWaitingSilent hands in jobs while one worker is silent.
+func playWaitingSilent(s *site) (broken bool, err error) {
+	const jobCount = 12
+	time.Sleep(2 * time.Second)
+	if s.trouble {
+		w := s.workers.all[0]
+		// Holds of an idle worker come every 1.5 s. The silence begins with one, so that it is not noticed before the next one is due.
+		if !await(5*time.Second, func() bool { return s.workers.heldSince(w) < 100*time.Millisecond }) {
+			return false, fmt.Errorf("worker %s was not asked", w.id)
+		}
+		s.workers.silence(w)
+		time.Sleep(500 * time.Millisecond)
+	}
+	jobs := newAcceptedJobs()
+	var group sync.WaitGroup
+	for i := range jobCount {
+		id := fmt.Sprintf("7a21d94b36f8%04x", i)
+		group.Go(func() {
+			if s.submit(s.instances[i%instanceCount], id, "1000 1000 1", taskStep{Count: 1, CPU: 2300, Memory: 500, Estimate: 1000}) == http.StatusOK {
+				jobs.add(id)
+			}
+		})
+	}
+	group.Wait()
+	return s.checkWaitingCount(jobs, 9*time.Second), nil
+}
+
+// acceptedJobs are jobs with the times at which their callers were told that they are accepted.
+type acceptedJobs struct {
+	mu  sync.Mutex
+	ids []string
+	at  map[string]time.Time
+}
+
+func newAcceptedJobs() *acceptedJobs { return &acceptedJobs{at: map[string]time.Time{}} }
+
+func (a *acceptedJobs) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ids, a.at[id] = append(a.ids, id), time.Now()
+}
+
+// checkWaitingCount asks the instances in turn for the number of waiting jobs, and returns whether an answer was under half of the jobs that
+// were accepted over visible_ms + 2 s before and had not begun when the answer had arrived.
+func (s *site) checkWaitingCount(jobs *acceptedJobs, observe time.Duration) (broken bool) {
+	for until, n := time.Now().Add(observe), 0; time.Now().Before(until); n++ {
+		asked := time.Now()
+		status, content := s.send(s.instances[n%instanceCount], http.MethodGet, "", nil)
+		var answer struct {
+			Waiting int `json:"waitingCount"`
+		}
+		if status != http.StatusOK || json.Unmarshal([]byte(content), &answer) != nil {
+			continue
+		}
+		notBegun := 0
+		for _, id := range jobs.ids {
+			if asked.Sub(jobs.at[id]) > visibleBound+2*time.Second && s.workers.begun(id) == 0 {
+				notBegun++
+			}
+		}
+		if 2*answer.Waiting < notBegun {
+			s.rec.add("BROKEN: waitingCount is %d, and %d jobs that were accepted over %d ms before have not begun", answer.Waiting, notBegun,
+				(visibleBound + 2*time.Second).Milliseconds())
+			broken = true
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return broken
+}
