--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Bounds of the rules, as in the settings file of DEPLOY.md.
+// Bounds of the rules, as on the site lsgrc-ferry.
 const (
 	cancelBound     = 3000 * time.Millisecond // cancel_ms
 	visibleBound    = 3000 * time.Millisecond // visible_ms
@@ -55,6 +55,35 @@
 	return broken, nil
 }
 
+// playGangFailure hands in a gang of which two tasks run on a worker that fails all that it starts. That is one failure of the gang, which may
+// fail once before its job has failed.
+func playGangFailure(s *site) (broken bool, err error) {
+	const (
+		id    = "5c0e7a21d94b36f8"
+		tasks = 4
+	)
+	time.Sleep(3 * time.Second)
+	if s.trouble {
+		s.workers.fail(s.workers.all[0], 6500*time.Millisecond)
+	}
+	if status := s.submit(s.instances[0], id, "3000 3000 1", taskStep{Count: tasks, CPU: 12000, Memory: 4000, Estimate: 3000, Gang: true}); status != http.StatusOK {
+		return false, fmt.Errorf("the job was answered with %d", status)
+	}
+	state := ""
+	await(20*time.Second, func() bool {
+		state = s.state(s.instances[1], id)
+		return state == "completed" || state == "failed"
+	})
+	s.workers.mu.Lock()
+	defer s.workers.mu.Unlock()
+	s.rec.add("the job is %q; ends failed by the number of the run of the gang: %v", state, s.workers.failed)
+	if state == "failed" && len(s.workers.failed) < maxAttempts {
+		s.rec.add("BROKEN: the gang has failed in %d of its runs, and may fail %d times", len(s.workers.failed), maxAttempts)
+		return true, nil
+	}
+	return false, nil
+}
+
 // workerOf returns the worker that runs a task.
 func (s *site) workerOf(task string) *worker {
 	s.workers.mu.Lock()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,7 @@
 	"gang-checkpoint": playGangCheckpoint,
 	"large-job":       playLargeJob,
 	"late-after-410":  playLateAfter410,
+	"gang-failure":    playGangFailure,
 	"waiting-gangs":   playWaitingGangs,
 	"waiting-silent":  playWaitingSilent,
 }
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -27,6 +27,7 @@
 	workerCPU     = 32000 // thousandths of a core
 	workerMemory  = 65536 // megabytes
 	racks         = 2
+	maxAttempts   = 2 // of a task or a gang
 	callTimeout   = 3 * time.Second
 	readyTimeout  = 15 * time.Second
 	graceTime     = 6 * time.Second
@@ -75,10 +76,10 @@
 	table := standin.NewTable()
 	table.FeedRows = feedRows
 	s := &site{rec: rec, trouble: trouble, table: table, store: newRowStore(table, rec), client: &http.Client{},
-		workers: &workers{table: table, rec: rec, gangs: map[string]int{}, changed: make(chan struct{})}}
+		workers: &workers{table: table, rec: rec, gangs: map[string]int{}, failed: map[int]int{}, saving: map[string]bool{}, changed: make(chan struct{})}}
 	configuration, err := json.Marshal(map[string]any{"version": 1, "limits": map[string]any{}, "services": []map[string]any{{"name": service, "enforcesCapacity": false}},
 		"routes": []map[string]any{{"name": "r-8pjbvk9", "host": host, "prefix": prefix, "kind": "unsafe", "timeoutMs": 3000, "targetCompletionMs": 600,
-			"priority": 0, "service": service, "maxAttempts": 3, "stretch": 1.6}}})
+			"priority": 0, "service": service, "maxAttempts": maxAttempts, "stretch": 1.6}}})
 	if err != nil {
 		return nil, err
 	}
@@ -210,7 +211,7 @@
 		if m.silent {
 			state = "down"
 		}
-		list = append(list, map[string]any{"machine": m.machine, "pool": m.service, "state": state, "zone": "zone-a", "labels": []string{"a", m.rack},
+		list = append(list, map[string]any{"machine": m.machine, "pool": m.service, "state": state, "zone": "austin-a", "labels": []string{"a", m.rack},
 			"capacity": map[string]int{"cpu": m.cpu, "memMb": m.memory}, "id": m.id})
 	}
 	s.workers.mu.Unlock()
@@ -230,11 +231,12 @@
 
 // submit hands in a job of one step, and returns the status of the answer. The spec says for how long its tasks work, see workOfTask.
 func (s *site) submit(in *instance, id, spec string, st taskStep) int {
+	s.workers.mu.Lock()
 	if st.Gang {
-		s.workers.mu.Lock()
 		s.workers.gangs[id+".0.0"] = st.Count
-		s.workers.mu.Unlock()
 	}
+	s.workers.saving[id+".0.0"] = st.Checkpointing
+	s.workers.mu.Unlock()
 	status, _ := s.send(in, http.MethodPost, id, map[string]any{"spec": spec, "steps": []taskStep{st}})
 	return status
 }
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	rowBytes         = 65536               // largest value of a row, as in the settings file of DEPLOY.md
+	rowBytes         = 65536               // largest value of a row: rowBytes of the settings file
 	transactionTime  = 8 * clock.Millis(1) // txMs
 	maxTransaction   = 1 << 20             // bytes of a call
 	feedRows         = 500                 // rows in an answer of a feed
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -15,17 +15,18 @@
 	"magnoliaferry/standin"
 )
 
-// Figures of the workers, as in the settings file of DEPLOY.md.
+// Figures of the workers, as on the site lsgrc-ferry.
 const (
-	maxLease           = 6000 * time.Millisecond
+	maxLease           = 10000 * time.Millisecond // holdMaxMs
 	heartbeat          = 1500 * time.Millisecond
-	checkpointInterval = 500 * time.Millisecond // of work
-	restoreTime        = 250 * time.Millisecond
+	checkpointInterval = 2000 * time.Millisecond // of work
+	restoreTime        = 100 * time.Millisecond
 	stopTime           = 200 * time.Millisecond // stopTimeoutMs is 400
 	gangTimeout        = 3000 * time.Millisecond
 	maxHold            = 2000 * time.Millisecond
 	maxListedEnds      = 500
 	tick               = 10 * time.Millisecond
+	failTime           = 300 * time.Millisecond  // of work, until a run on a failing worker fails
 	clockOffset        = 1000 * time.Millisecond // of a worker's clock at its start
 )
 
@@ -38,8 +39,10 @@
 	all     []*worker
 	gangs   map[string]int // number of tasks by step, named ID.K.STEP
 	starts  []start
-	changed chan struct{} // closed and replaced when a run ends
-	quiet   bool          // starts and ends are not recorded one by one
+	failed  map[int]int     // number of ends failed, by the number of the run
+	saving  map[string]bool // steps whose tasks checkpoint their progress
+	changed chan struct{}   // closed and replaced when a run ends
+	quiet   bool            // starts and ends are not recorded one by one
 }
 
 // start is a start that a worker has carried out.
@@ -65,6 +68,7 @@
 	lastEnd                    int64
 	sequence                   int
 	silent, gone, draining     bool
+	failing                    bool          // fails all that it starts
 	remaining                  time.Duration // while it drains
 	heldAt                     time.Time     // when the newest hold arrived
 }
@@ -121,7 +125,7 @@
 	if w.draining {
 		state = "draining"
 	}
-	entry := map[string]any{"service": w.service, "address": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
+	entry := map[string]any{"service": w.service, "address": w.address, "zone": "austin-a", "version": "v1", "slots": 8, "state": state,
 		"coldRemainingMs": 0, "sequence": w.sequence, "machine": w.machine, "labels": []string{"a", w.rack}, "born": w.born.UnixMilli(),
 		"clockMs": w.clock().Milliseconds(), "capacity": map[string]int{"cpu": w.cpu, "memMb": w.memory, "gpus": 0}}
 	if w.draining {
@@ -163,6 +167,20 @@
 	})
 }
 
+// fail makes the worker fail all that it starts, for the given time.
+func (f *workers) fail(w *worker, duration time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rec.add("worker %s fails all that it starts", w.id)
+	w.failing = true
+	time.AfterFunc(duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.rec.add("worker %s works again", w.id)
+		w.failing = false
+	})
+}
+
 // step returns the name of the step of a task, ID.K.STEP.
 func step(task string) string { return task[:strings.LastIndexByte(task, '.')] }
 
@@ -193,8 +211,11 @@
 	return r.base + max(now.Sub(r.workFrom), 0)
 }
 
-// saved returns the newest checkpoint of the run: a new value is produced with each interval of work.
-func (r *run) saved(now time.Time) string {
+// saved returns the newest checkpoint of a run, or "": a new value is produced with each interval of work.
+func (f *workers) saved(r *run, now time.Time) string {
+	if !f.saving[step(r.task)] {
+		return ""
+	}
 	work := r.worked(now)
 	if whole := work.Truncate(checkpointInterval); whole > r.base {
 		return checkpoint(r.task, whole)
@@ -205,6 +226,14 @@
 	return ""
 }
 
+// savedAtStop returns the checkpoint of a run that is stopped: a stop produces a new value too.
+func (f *workers) savedAtStop(r *run, now time.Time) string {
+	if !f.saving[step(r.task)] {
+		return ""
+	}
+	return checkpoint(r.task, r.worked(now))
+}
+
 // advance starts complete gangs and ends runs. The lock is held.
 func (f *workers) advance() {
 	now := time.Now()
@@ -229,12 +258,13 @@
 			}
 			switch {
 			case w.clock() > w.leaseEnd:
-				f.end(w, r, "lapsed", r.saved(now))
+				f.end(w, r, "lapsed", f.saved(r, now))
 			case !r.stopAt.IsZero() && now.After(r.stopAt):
-				// A stop produces a checkpoint too.
-				f.end(w, r, "stopped", checkpoint(r.task, r.worked(now)))
+				f.end(w, r, "stopped", f.savedAtStop(r, now))
+			case w.fails(r):
+				f.end(w, r, "failed", "")
 			case r.workFrom.IsZero() && now.Sub(r.began) > gangTimeout:
-				f.end(w, r, "alone", r.saved(now))
+				f.end(w, r, "alone", f.saved(r, now))
 			case !r.workFrom.IsZero() && r.worked(now) >= r.length:
 				f.end(w, r, "done", "")
 			}
@@ -242,6 +272,11 @@
 	}
 }
 
+// fails reports whether the run fails now through the fault of its worker.
+func (w *worker) fails(r *run) bool {
+	return w.failing && !r.workFrom.IsZero() && time.Since(r.workFrom) >= failTime
+}
+
 func restoreDelay(r *run) time.Duration {
 	if r.base > 0 {
 		return restoreTime
@@ -268,8 +303,10 @@
 			case gang == "" || f.gangOf(member) != gang || member.workFrom.IsZero():
 			case reason == "done":
 				other.addEnd(member, "done", "")
+			case other.fails(member):
+				other.addEnd(member, "failed", "")
 			default:
-				other.addEnd(member, "broken", member.saved(time.Now()))
+				other.addEnd(member, "broken", f.saved(member, time.Now()))
 			}
 		}
 	}
@@ -282,6 +319,9 @@
 	w.blocked[r.task] = max(w.blocked[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, r.task, r.number, reason, saved})
+	if reason == "failed" {
+		w.fleet.failed[r.number]++
+	}
 	if !w.fleet.quiet {
 		w.fleet.rec.add("worker %s: task %s run %d ends %s, checkpoint %q", w.id, r.task, r.number, reason, saved)
 	}
@@ -438,7 +478,7 @@
 	for _, name := range w.sorted() {
 		r := w.runs[name]
 		percent := min(int(r.worked(now)*100/max(r.length, 1)), 99)
-		running = append(running, []any{r.task, r.number, r.saved(now), percent, 0})
+		running = append(running, []any{r.task, r.number, w.fleet.saved(r, now), percent, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.reason, e.saved})
