--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -106,12 +107,15 @@
 	return false
 }
 
-// playLargeJob hands in one job with many tasks. Small jobs that are accepted after it must run.
+// playLargeJob hands in one job whose steps run several times. Small jobs that are accepted after it must run.
 func playLargeJob(s *site) (broken bool, err error) {
 	const (
 		id       = "5c0e7a21d94b36f8"
-		many     = 640
-		few      = 24
+		steps    = 5
+		tasks    = 16
+		many     = 8 // times that the steps run
+		few      = 2
+		interval = 3 * time.Second
 		largeCPU = 150
 		smallCPU = 2300
 		small    = 5
@@ -119,18 +123,18 @@
 	s.workers.mu.Lock()
 	s.workers.quiet = true
 	s.workers.mu.Unlock()
-	count := few
+	times := few
 	if s.trouble {
-		count = many
+		times = many
 	}
-	st := taskStep{Count: count, CPU: largeCPU, Memory: 100, Estimate: 40000, Checkpointing: true}
-	if status := s.submit(s.instances[0], id, "40000 15000 40", st); status != http.StatusOK {
+	st := taskStep{Count: tasks, CPU: largeCPU, Memory: 100, Estimate: 30000, Checkpointing: true}
+	if status := s.submitTimes(s.instances[0], id, "30000 30000 1", slices.Repeat([]taskStep{st}, steps), times, interval); status != http.StatusOK {
 		return false, fmt.Errorf("the large job was answered with %d", status)
 	}
-	if !await(10*time.Second, func() bool { return s.workers.begun(id) >= count }) {
-		s.rec.add("%d of %d tasks of the large job have begun after 10 s", s.workers.begun(id), count)
+	for range 8 {
+		time.Sleep(interval)
+		s.rec.add("%d tasks of the large job have begun", s.workers.begun(id))
 	}
-	time.Sleep(16 * time.Second)
 	var ids []string
 	for i := range small {
 		job := fmt.Sprintf("7a21d94b36f8%04x", i)
@@ -277,6 +281,59 @@
 	return s.checkWaitingCount(jobs, 9*time.Second), nil
 }
 
+// playLostOwner removes the instance that owns the service for good, shortly after the store was down. A job that lasts and is handed in
+// afterwards must run.
+func playLostOwner(s *site) (broken bool, err error) {
+	const (
+		id     = "5c0e7a21d94b36f8"
+		outage = 4500 * time.Millisecond
+		calm   = 4 * time.Second // before the 3 s without a run
+		noRun  = 3 * time.Second
+		first  = 6 * time.Second // from the last run of a task, or from its job's acceptance
+	)
+	time.Sleep(3 * time.Second)
+	lost := time.Now()
+	if s.trouble {
+		if os.Getenv("OUTAGE") != "0" {
+			s.store.setDown(true)
+			time.Sleep(outage)
+			s.store.setDown(false)
+		}
+		time.Sleep(700 * time.Millisecond)
+		in := s.owner()
+		if in == nil {
+			return false, fmt.Errorf("the service has no owner")
+		}
+		s.remove(in)
+		lost = time.Now()
+	}
+	time.Sleep(time.Second)
+	if !await(5*time.Second, func() bool {
+		return s.submit(s.instances[0], id, "0 0 1", taskStep{Count: 4, CPU: 2700, Memory: 8800, Estimate: 700, LongRunning: true, MayMiss: 1}) == http.StatusOK
+	}) {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	accepted := time.Now()
+	await(20*time.Second, func() bool { return s.workers.begun(id) > 0 })
+	s.state(s.instances[0], id)
+	starts := s.workers.startsOf(id)
+	bound := lost.Add(stabilityWindow + calm)
+	if since := accepted.Add(first); since.After(bound) {
+		bound = since
+	}
+	bound = bound.Add(noRun)
+	if len(starts) == 0 || starts[0].at.After(bound) {
+		s.rec.add("BROKEN: no task of the job ran until %d ms after its acceptance; the last 3 s and the 4 s before them were calm",
+			bound.Sub(accepted).Milliseconds())
+		broken = true
+	}
+	if len(starts) > 0 {
+		s.rec.add("the first task started %d ms after the acceptance and %d ms after the loss", starts[0].at.Sub(accepted).Milliseconds(),
+			starts[0].at.Sub(lost).Milliseconds())
+	}
+	return broken, nil
+}
+
 // acceptedJobs are jobs with the times at which their callers were told that they are accepted.
 type acceptedJobs struct {
 	mu  sync.Mutex
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -24,6 +24,7 @@
 	"large-job":       playLargeJob,
 	"late-after-410":  playLateAfter410,
 	"gang-failure":    playGangFailure,
+	"lost-owner":      playLostOwner,
 	"waiting-gangs":   playWaitingGangs,
 	"waiting-silent":  playWaitingSilent,
 }
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -162,6 +164,34 @@
 	return nil
 }
 
+// owner returns the instance that owns the service's part of the store, or nil.
+func (s *site) owner() *instance {
+	page, err := s.table.Range(context.Background(), "board", service, "owner")
+	if err != nil || len(page.Rows) == 0 {
+		return nil
+	}
+	var owner struct {
+		Node string `json:"node"`
+	}
+	if json.Unmarshal(page.Rows[0].Value, &owner) != nil {
+		return nil
+	}
+	for _, in := range s.instances {
+		if in.name == owner.Node {
+			return in
+		}
+	}
+	return nil
+}
+
+// remove ends an instance for good.
+func (s *site) remove(in *instance) {
+	s.rec.add("%s is removed for good, without SIGTERM", in.name)
+	_ = in.process.Process.Kill() // fails only if it has ended
+	<-in.ended
+	s.instances = slices.DeleteFunc(s.instances, func(other *instance) bool { return other == in })
+}
+
 func (s *site) awaitReady(in *instance) error {
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		response, err := s.client.Get("http://" + in.ready + "/readiness")
@@ -227,17 +257,33 @@
 	Estimate      int  `json:"estimatedMs"`
 	Checkpointing bool `json:"checkpointing,omitempty"`
 	Gang          bool `json:"gang,omitempty"`
+	LongRunning   bool `json:"longRunning,omitempty"`
+	MayMiss       int  `json:"mayMiss,omitempty"`
 }
 
 // submit hands in a job of one step, and returns the status of the answer. The spec says for how long its tasks work, see workOfTask.
 func (s *site) submit(in *instance, id, spec string, st taskStep) int {
+	return s.submitTimes(in, id, spec, []taskStep{st}, 0, 0)
+}
+
+// submitTimes hands in a job whose steps run the given number of times, from now on; 0 stands for a job without times.
+func (s *site) submitTimes(in *instance, id, spec string, steps []taskStep, times int, interval time.Duration) int {
 	s.workers.mu.Lock()
-	if st.Gang {
-		s.workers.gangs[id+".0.0"] = st.Count
+	for i, st := range steps {
+		for k := range max(times, 1) {
+			name := fmt.Sprintf("%s.%d.%d", id, k, i)
+			if st.Gang {
+				s.workers.gangs[name] = st.Count
+			}
+			s.workers.saving[name] = st.Checkpointing
+		}
 	}
-	s.workers.saving[id+".0.0"] = st.Checkpointing
 	s.workers.mu.Unlock()
-	status, _ := s.send(in, http.MethodPost, id, map[string]any{"spec": spec, "steps": []taskStep{st}})
+	job := map[string]any{"spec": spec, "steps": steps}
+	if times > 0 {
+		job["maxRuns"], job["startAtMs"], job["intervalMs"] = times, time.Now().UnixMilli(), interval.Milliseconds()
+	}
+	status, _ := s.send(in, http.MethodPost, id, job)
 	return status
 }
 
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	late    func(keys []string) (after time.Duration, late bool) // nil: no write is late
+	down    bool                                                 // every call is answered with 503
 	refused int                                                  // transactions refused for the size of a row
 }
 
@@ -43,8 +44,23 @@
 	s.late = late
 }
 
+// setDown sets whether the store answers every call with 503.
+func (s *rowStore) setDown(down bool) {
+	s.rec.add("store down: %t", down)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // ServeHTTP implements http.Handler.
 func (s *rowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
 	if r.URL.Path != transactionsPath {
 		s.rows.ServeHTTP(w, r)
 		return
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -26,6 +26,7 @@
 	maxHold            = 2000 * time.Millisecond
 	maxListedEnds      = 500
 	tick               = 10 * time.Millisecond
+	startupTime        = 300 * time.Millisecond  // of a task that lasts
 	failTime           = 300 * time.Millisecond  // of work, until a run on a failing worker fails
 	clockOffset        = 1000 * time.Millisecond // of a worker's clock at its start
 )
@@ -265,7 +266,7 @@
 				f.end(w, r, "failed", "")
 			case r.workFrom.IsZero() && now.Sub(r.began) > gangTimeout:
 				f.end(w, r, "alone", f.saved(r, now))
-			case !r.workFrom.IsZero() && r.worked(now) >= r.length:
+			case !r.workFrom.IsZero() && r.length > 0 && r.worked(now) >= r.length:
 				f.end(w, r, "done", "")
 			}
 		}
@@ -437,7 +438,7 @@
 	return ""
 }
 
-// workOfTask returns how long a task works. The spec is "LENGTH SHORT EVERY" in milliseconds: each task whose index is a multiple of EVERY
+// workOfTask returns how long a task works, 0 for one that lasts. The spec is "LENGTH SHORT EVERY" in milliseconds: each task whose index is a multiple of EVERY
 // works for SHORT, the others for LENGTH.
 func workOfTask(task, spec string) time.Duration {
 	var length, short, every int
@@ -477,7 +478,10 @@
 	running, ended := [][]any{}, [][]any{}
 	for _, name := range w.sorted() {
 		r := w.runs[name]
-		percent := min(int(r.worked(now)*100/max(r.length, 1)), 99)
+		percent := min(int(r.worked(now)*100/max(r.length, startupTime)), 99)
+		if r.length == 0 && r.worked(now) >= startupTime {
+			percent = 100 // the task lasts and is at work
+		}
 		running = append(running, []any{r.task, r.number, w.fleet.saved(r, now), percent, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
