--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,8 +25,6 @@
 	"late-after-410":  playLateAfter410,
 	"gang-failure":    playGangFailure,
 	"lost-owner":      playLostOwner,
-	"waiting-gangs":   playWaitingGangs,
-	"waiting-silent":  playWaitingSilent,
 }
 
 func main() {
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -237,11 +237,7 @@
 		if m.gone {
 			continue
 		}
-		state := "up"
-		if m.silent {
-			state = "down"
-		}
-		list = append(list, map[string]any{"machine": m.machine, "pool": m.service, "state": state, "zone": "austin-a", "labels": []string{"a", m.rack},
+		list = append(list, map[string]any{"machine": m.machine, "pool": m.service, "state": "up", "zone": "austin-a", "labels": []string{"a", m.rack},
 			"capacity": map[string]int{"cpu": m.cpu, "memMb": m.memory}, "id": m.id})
 	}
 	s.workers.mu.Unlock()
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -40,6 +40,7 @@
 	all     []*worker
 	gangs   map[string]int // number of tasks by step, named ID.K.STEP
 	starts  []start
+	alone   []time.Time     // when runs ended alone
 	failed  map[int]int     // number of ends failed, by the number of the run
 	saving  map[string]bool // steps whose tasks checkpoint their progress
 	changed chan struct{}   // closed and replaced when a run ends
@@ -68,16 +69,16 @@
 	ends                       []end
 	lastEnd                    int64
 	sequence                   int
-	silent, gone, draining     bool
+	gone, draining             bool
 	failing                    bool          // fails all that it starts
 	remaining                  time.Duration // while it drains
-	heldAt                     time.Time     // when the newest hold arrived
 }
 
 type run struct {
 	task     string
 	number   int
 	length   time.Duration
+	from     string        // checkpoint that it was started with
 	base     time.Duration // work of earlier runs, from the checkpoint
 	began    time.Time
 	workFrom time.Time // zero while a gang is incomplete
@@ -110,7 +111,7 @@
 		if time.Since(lastReport) >= heartbeat {
 			lastReport = time.Now()
 			for _, w := range f.all {
-				if !w.silent && !w.gone {
+				if !w.gone {
 					w.report()
 				}
 			}
@@ -141,16 +142,6 @@
 
 func (w *worker) clock() time.Duration { return time.Since(w.born) + clockOffset }
 
-// silence makes the worker answer and report nothing, as after a loss of power; its runs end. Its entry is removed after three heartbeats.
-func (f *workers) silence(w *worker) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.rec.add("worker %s falls silent", w.id)
-	w.silent = true
-	w.runs = map[string]*run{}
-	time.AfterFunc(3*heartbeat, func() { f.table.Delete("servers", w.id) })
-}
-
 // drain makes the worker report that it drains; it leaves after the given time.
 func (f *workers) drain(w *worker, after time.Duration) {
 	f.mu.Lock()
@@ -285,12 +276,13 @@
 	return 0
 }
 
-// gangOf names the gang of a run, of which all runs have the same number; it is empty for a run of no gang.
+// gangOf names the gang of a run, of which all runs have the same number and the same checkpoint; it is empty for a run of no gang. Runs that
+// were started with different checkpoints cannot work together.
 func (f *workers) gangOf(r *run) string {
 	if f.gangs[step(r.task)] == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%s/%d", step(r.task), r.number)
+	return fmt.Sprintf("%s/%d/%s", step(r.task), r.number, r.from)
 }
 
 // end ends a run, and with it the others of its gang. The lock is held.
@@ -320,6 +312,9 @@
 	w.blocked[r.task] = max(w.blocked[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, r.task, r.number, reason, saved})
+	if reason == "alone" {
+		w.fleet.alone = append(w.fleet.alone, time.Now())
+	}
 	if reason == "failed" {
 		w.fleet.failed[r.number]++
 	}
@@ -357,10 +352,10 @@
 	}
 	w.fleet.mu.Lock()
 	status, answer := 0, map[string]any(nil)
-	if !w.silent && !w.gone {
+	if !w.gone {
 		status, answer = w.execute(in, &o)
 	}
-	dead := w.silent || w.gone
+	dead := w.gone
 	w.fleet.mu.Unlock()
 	if dead {
 		<-in.Context().Done()
@@ -400,7 +395,6 @@
 	case "/hold":
 		w.extendLease(o.Deadline)
 		w.ends = slices.DeleteFunc(w.ends, func(e end) bool { return e.number <= o.Ack })
-		w.heldAt = time.Now()
 		w.awaitEnd(in, o)
 		w.list(answer)
 	case "/pace":
@@ -426,7 +420,7 @@
 	if o.Run <= w.blocked[o.Task] {
 		return "old"
 	}
-	r := &run{task: o.Task, number: o.Run, length: workOfTask(o.Task, o.Spec), base: workOf(o.Checkpoint), began: time.Now()}
+	r := &run{task: o.Task, number: o.Run, length: workOfTask(o.Task, o.Spec), from: o.Checkpoint, base: workOf(o.Checkpoint), began: time.Now()}
 	if w.fleet.gangOf(r) == "" {
 		r.workFrom = r.began.Add(restoreDelay(r))
 	}
@@ -503,13 +497,6 @@
 	return n
 }
 
-// heldSince returns the time since the newest hold arrived at a worker.
-func (f *workers) heldSince(w *worker) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Since(w.heldAt)
-}
-
 // startsOf returns the starts of a job that workers have carried out.
 func (f *workers) startsOf(job string) []start {
 	f.mu.Lock()
