--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,6 +97,13 @@
 		OnLoad: load, OnRows: apply}
 }
 
+// followStates creates the copy of StateTable and its follower, which waits at the store for the given time.
+func (d *Daemon) followStates(wait clock.Millis) {
+	d.stateCache = store.NewStateCache(d.clock, d.Logger)
+	d.stateFeed = d.follower(store.StateTable, statePeriod, wait, d.stateCache.Load, d.stateCache.Apply)
+	d.stateCache.ObservedFor = d.stateFeed.HealthyFor
+}
+
 // Run serves until the context ends, and then shuts down gracefully: after drainTime, requests in progress may end within the rest of
 // StopGrace less one second, and within at least one second. It returns an error if the server for callers or for readiness cannot
 // listen, or if any server fails.
@@ -106,11 +113,10 @@
 	d.table = &store.Monitor{Table: d.Table, Clock: d.clock, Logger: d.Logger}
 	d.owners, d.claimers = map[*poolOwner]bool{}, map[string]bool{}
 	d.waves = map[int64]batch.Wave{}
-	d.stateCache = store.NewStateCache(d.clock, d.Logger)
+	d.followStates(feedWait)
 	d.workers = newWorkerList(d.clock, d.Logger, d.workerChanged)
 	d.fleet.OnRows = d.fleetChanged
 	d.reports.OnRows = func([]store.Row) { d.wakeMachineOwner() }
-	d.stateFeed = d.follower(store.StateTable, statePeriod, feedWait, d.stateCache.Load, d.stateCache.Apply)
 	workersFeed := d.follower(platform.TableWorkers, workersPeriod, operatorWait, d.workers.load, d.workers.apply)
 	d.workers.healthy = workersFeed.HealthyFor
 	d.ownerFeeds = []*store.Follower{
--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -16,13 +16,16 @@
 // Times of the ownership of parts.
 const (
 	// An owner that has not renewed its ownership for ownershipTimeout sends no more orders. Other instances may take over
-	// sooner: once the owner's row is unchanged for takeoverFactor times the longest of its last pauses between renewals, and
-	// for at least takeoverMin. The pauses count because busy owners renew every few milliseconds, and a slow store makes the
-	// pauses longer. An order that the old owner sends after a takeover is harmless: its fencing token is lower than that of
+	// sooner: once the owner's row is unchanged for takeoverFactor times the longest of its last intervals between renewals, and
+	// for at least takeoverMin. The intervals count because busy owners renew every few milliseconds, and a slow store makes the
+	// intervals longer. An order that the old owner sends after a takeover is harmless: its fencing token is lower than that of
 	// the new owner.
 	ownershipTimeout = 3 * clock.Second
 	takeoverMin      = 1 * clock.Second
 	takeoverFactor   = 2.5
+	// takeoverMax bounds the wait for a renewal, and applies while no interval is known. An owner that may still send orders has renewed
+	// within ownershipTimeout, and a copy from which parts are claimed shows that maxCopyAge later.
+	takeoverMax = ownershipTimeout + maxCopyAge
 	// takeoverMinMachines replaces takeoverMin for the part of the machines: a new owner there has to wait before its first
 	// order, so an unnecessary takeover costs more time than an early one saves.
 	takeoverMinMachines = 2 * clock.Second
@@ -30,8 +33,8 @@
 	watchPeriod    = 60 * clock.Millis(1)   // between two checks of the owner
 	maxCopyAge     = 1 * clock.Second       // of the copy of StateTable; an older one does not show whether an owner is alive
 	minFeedHealthy = 1200 * clock.Millis(1) // the store must have answered for this long: owners renew first after an outage
-	// A claim is deferred until the owner's row is unchanged for slowReadFactor times the duration of a read: while the store
-	// is slow, owners renew late, and claims of all instances would add load that keeps the renewals from getting through.
+	// A claim is deferred until the owner's row is unchanged for slowReadFactor times the duration of a read, at most for takeoverMax:
+	// while the store is slow, owners renew late, and claims of all instances would add load that keeps the renewals from getting through.
 	slowReadFactor = 12
 	maxClaimJitter = 120 * clock.Millis(1) // spreads the claims of the instances
 	claimTimeout   = 3 * clock.Second
@@ -59,7 +62,9 @@
 	runOwner ownerFunc
 	owned    *atomic.Int32 // number of parts that this instance owns or is claiming
 
-	slowUntil clock.Millis // no claim before this time, as the store was slow
+	// No claim that replaces this version of the owner's row is made before deferredUntil, as the store was slow.
+	deferredVersion int64
+	deferredUntil   clock.Millis
 }
 
 func (c *partClaimer) run(ctx context.Context) {
@@ -91,22 +96,30 @@
 		return seen, false, false
 	}
 	seen, existed = d.stateCache.Owner(c.part)
-	takeoverAfter := max(c.takeoverMin(), clock.Millis(takeoverFactor*float64(seen.MaxRenewalInterval())))
+	unchanged := d.clock.Now() - seen.FirstSeen
 	switch {
 	case !existed, seen.Owner.Released:
 		return seen, existed, true
 	case seen.Owner.Node == d.Settings.Node:
 		// An earlier incarnation of this process, which has ended and can send no orders.
-		return seen, existed, seen.Owner.Incarnation() != d.incarnation || d.clock.Now()-seen.FirstSeen > takeoverAfter
+		return seen, existed, seen.Owner.Incarnation() != d.incarnation || unchanged > c.takeoverAfter(seen)
 	}
-	return seen, existed, d.clock.Now()-seen.FirstSeen > takeoverAfter && d.stateFeed.HealthyFor() > minFeedHealthy
+	// While the store was away, or this instance was cut off or suspended, the owner could not renew, or its renewals were not seen.
+	healthy := d.stateFeed.HealthyFor()
+	return seen, existed, min(unchanged, healthy) > c.takeoverAfter(seen) && healthy > minFeedHealthy
 }
 
-func (c *partClaimer) takeoverMin() clock.Millis {
+// takeoverAfter returns for how long this instance must have seen the owner's row unchanged before it takes the part over.
+func (c *partClaimer) takeoverAfter(seen store.OwnerEntry) clock.Millis {
+	interval, known := seen.RenewalInterval()
+	if !known {
+		return takeoverMax
+	}
+	least := takeoverMin
 	if c.part == store.FleetPart {
-		return takeoverMinMachines
+		least = takeoverMinMachines
 	}
-	return takeoverMin
+	return min(max(least, clock.Millis(takeoverFactor*float64(interval))), takeoverMax)
 }
 
 // confirmed reads the owner's row from the store and reports whether it is unchanged. It reports false while reads are so slow that
@@ -114,7 +127,7 @@
 func (c *partClaimer) confirmed(ctx context.Context, seen store.OwnerEntry) bool {
 	d := c.daemon
 	started := d.clock.Now()
-	if started < c.slowUntil {
+	if c.deferredVersion == seen.Version && started < c.deferredUntil {
 		return false
 	}
 	page, err := d.table.Range(ctx, store.StateTable, c.part, store.OwnerKey)
@@ -126,8 +139,9 @@
 		version = page.Rows[0].Version
 	}
 	took := d.clock.Now() - started
-	if silent := d.clock.Now() - seen.FirstSeen; version == seen.Version && silent < slowReadFactor*took && !seen.Owner.Released {
-		c.slowUntil = seen.FirstSeen + slowReadFactor*took
+	wait := min(slowReadFactor*took, takeoverMax)
+	if silent := d.clock.Now() - seen.FirstSeen; version == seen.Version && silent < wait && !seen.Owner.Released {
+		c.deferredVersion, c.deferredUntil = seen.Version, seen.FirstSeen+wait
 		eventClaimDeferred.Log(ctx, d.Logger, slog.String("part", c.part), slog.Int64("read-ms", int64(took)),
 			slog.Int64("unchanged-ms", int64(silent)))
 		return false
@@ -164,8 +178,10 @@
 // claim claims the part and, if that succeeds, runs its owner until the ownership ends. The caller has counted the part as owned.
 func (c *partClaimer) claim(ctx context.Context, seen store.OwnerEntry, existed bool) {
 	d := c.daemon
+	interval, _ := seen.RenewalInterval()
 	eventVacant.Log(ctx, d.Logger, slog.String("part", c.part), slog.String("owner", seen.Owner.Node),
 		slog.Bool("released", seen.Owner.Released), slog.Int64("unchanged-ms", int64(d.clock.Now()-seen.FirstSeen)),
+		slog.Int64("interval-ms", int64(interval)), slog.Int64("healthy-ms", int64(d.stateFeed.HealthyFor())),
 		slog.Int64("version", seen.Version))
 	ownership := &store.Ownership{Store: d.table, Clock: d.clock, Logger: d.Logger, Part: c.part,
 		Node: d.Settings.Node, Cores: d.Settings.Cores(), Incarnation: d.incarnation, SinceBoot: d.sinceBoot}
--- a/store/follower.go
+++ b/store/follower.go
@@ -37,6 +37,8 @@
 	// follower would fall further and further behind.
 	largeAnswerBytes = 128 << 10
 	idlePause        = 20 * clock.Millis(1) // between two calls of Follower.Idle while it returns true
+	// maxAnswerDelay is how late an answer may be before the follower counts as interrupted: this instance was suspended, or the store hung.
+	maxAnswerDelay = 1 * clock.Second
 )
 
 // Follower keeps a local copy of a table up to date: it reads the whole table once and then polls the table's feed of changes.
@@ -63,7 +65,8 @@
 	version       int64
 	loaded        bool
 	asOf          clock.Millis       // the copy includes all changes made before this time, at which a call was sent
-	healthySince  clock.Millis       // start of the period in which no call has failed; 0 while calls fail or the follower is idle
+	healthySince  clock.Millis       // start of the period without an interruption; 0 while calls fail or the follower is idle
+	lastAnswer    clock.Millis       // when the newest answer arrived
 	advanced      chan struct{}      // closed when the copy has been updated; nil if nobody waits
 	skipWait      bool               // the next call does not wait for a change
 	interrupt     context.CancelFunc // cancels the call in flight, or the pause after it
@@ -91,8 +94,8 @@
 	return f.Clock.Now() - f.asOf
 }
 
-// HealthyFor returns the time for which the copy has been kept up to date without a failed call; 0 while calls fail and while the
-// follower is idle.
+// HealthyFor returns the time for which the copy has been kept up to date without an interruption, that is, without a failed call and
+// without an answer that was late by more than maxAnswerDelay; 0 while calls fail and while the follower is idle.
 func (f *Follower) HealthyFor() clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -212,6 +215,7 @@
 	if err != nil {
 		return false, err
 	}
+	f.recordAnswer()
 	if len(page.Rows) > 0 {
 		f.OnRows(page.Rows)
 		f.checkAnswerSize(page.Rows)
@@ -248,6 +252,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordAnswer()
 	f.OnLoad(rows)
 	f.checkAnswerSize(rows)
 	eventLoaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
@@ -336,6 +341,17 @@
 	}
 }
 
+// recordAnswer records the arrival of an answer, and an interruption if it was late.
+func (f *Follower) recordAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.healthySince == 0 || now-f.lastAnswer > f.Period()+f.Wait+maxAnswerDelay {
+		f.healthySince = max(now, 1)
+	}
+	f.lastAnswer = now
+}
+
 func (f *Follower) markUnhealthy() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -347,9 +363,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version, f.loaded, f.asOf = version, true, sent
-	if f.healthySince == 0 {
-		f.healthySince = max(f.Clock.Now(), 1)
-	}
 	if f.advanced != nil {
 		close(f.advanced)
 		f.advanced = nil
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -49,16 +49,22 @@
 	Owner            Owner
 	Version          int64
 	FirstSeen        clock.Millis
-	renewalIntervals [4]clock.Millis // intervals between the arrivals of the newest versions, newest first
+	renewalIntervals [4]clock.Millis // intervals between the arrivals of versions, newest first; 0: not observed yet
 }
 
-// MaxRenewalInterval returns the longest of the last four intervals between renewals of the ownership.
-func (s OwnerEntry) MaxRenewalInterval() clock.Millis { return slices.Max(s.renewalIntervals[:]) }
+// RenewalInterval returns the longest of the last four intervals between renewals of the ownership that this instance has observed without
+// interruption, and false if it has observed none.
+func (s OwnerEntry) RenewalInterval() (longest clock.Millis, ok bool) {
+	longest = slices.Max(s.renewalIntervals[:])
+	return longest, longest > 0
+}
 
 // StateCache is the local copy of StateTable; every instance has one, which a Follower keeps up to date through Load and Apply.
 type StateCache struct {
 	Clock  *clock.Clock
 	Logger *slog.Logger
+	// ObservedFor returns for how long the copy has followed the table without interruption; if it is nil, there were no interruptions.
+	ObservedFor func() clock.Millis
 
 	mu        sync.RWMutex
 	jobs      map[string]*JobEntry
@@ -75,16 +81,18 @@
 func (s *StateCache) Load(rows []Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owners := s.owners
-	s.jobs, s.addresses, s.owners = map[string]*JobEntry{}, map[string]batch.Address{}, map[string]OwnerEntry{}
+	s.jobs, s.addresses = map[string]*JobEntry{}, map[string]batch.Address{}
+	owned := map[string]bool{}
+	now := s.Clock.Now()
 	for _, row := range rows {
-		s.apply(row)
+		s.apply(row, now)
+		owned[row.Part] = owned[row.Part] || row.Key == OwnerKey
 	}
-	// After a reload, an unchanged owner row keeps the time at which it was first seen; otherwise a gap in the feed's history
-	// would make an owner that has stopped look alive.
-	for part, seen := range s.owners {
-		if before, ok := owners[part]; ok && before.Version == seen.Version {
-			s.owners[part] = before
+	// What is known of the owners outlasts a reload: without the time at which an unchanged row was first seen, an owner that has stopped
+	// would look alive, and without the intervals between its renewals, an owner that a slow store delays would look stopped.
+	for part := range s.owners {
+		if !owned[part] {
+			delete(s.owners, part)
 		}
 	}
 }
@@ -93,16 +101,18 @@
 func (s *StateCache) Apply(rows []Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Clock.Now()
 	for _, row := range rows {
-		s.apply(row)
+		s.apply(row, now)
 	}
 }
 
-func (s *StateCache) apply(row Row) {
+// apply applies a row that arrived at the given time.
+func (s *StateCache) apply(row Row, now clock.Millis) {
 	kind, id := SplitKey(row.Key)
 	switch {
 	case row.Key == OwnerKey:
-		s.applyOwner(row)
+		s.applyOwner(row, now)
 	case kind == KindAddress:
 		s.applyAddress(id, row)
 	case kind != KindJob:
@@ -141,7 +151,7 @@
 	s.addresses[id] = batch.Address{Host: host, Prefix: prefix}
 }
 
-func (s *StateCache) applyOwner(row Row) {
+func (s *StateCache) applyOwner(row Row, now clock.Millis) {
 	before, known := s.owners[row.Part]
 	if row.Deleted || before.Version >= row.Version {
 		return
@@ -151,14 +161,15 @@
 		s.logUnreadable(row, err)
 		return
 	}
-	seen := OwnerEntry{Owner: owner, Version: row.Version, FirstSeen: s.Clock.Now()}
-	switch {
-	case !known:
-	case before.Owner.Incarnation() == owner.Incarnation():
+	seen := OwnerEntry{Owner: owner, Version: row.Version, FirstSeen: now}
+	// The intervals outlast a change of the owner, as a slow store also slows the renewals of the next one.
+	seen.renewalIntervals = before.renewalIntervals
+	interval := seen.FirstSeen - before.FirstSeen
+	// An interval with an outage of the store, or with a pause of this instance, says nothing about the owner; nor do the versions that
+	// arrive together after it.
+	if known && before.Owner.Incarnation() == owner.Incarnation() && interval > 0 && (s.ObservedFor == nil || s.ObservedFor() >= interval) {
 		copy(seen.renewalIntervals[1:], before.renewalIntervals[:])
-		seen.renewalIntervals[0] = seen.FirstSeen - before.FirstSeen
-	default: // a new owner; the intervals are kept, as a slow store also slows its renewals
-		seen.renewalIntervals = before.renewalIntervals
+		seen.renewalIntervals[0] = interval
 	}
 	s.owners[row.Part] = seen
 }
