--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -48,6 +48,9 @@
 	// for a pool under peak load, and all strong instances that can reach the store have claimed by then.
 	weakShare      = 0.5
 	weakClaimDelay = 700 * clock.Millis(1)
+	// maxClaimDelay bounds the delay, counted from when this instance found that the part has no owner: a stronger or less loaded
+	// instance, if there is one, has claimed the part by then.
+	maxClaimDelay  = 3 * clock.Second
 	releaseTimeout = 1500 * clock.Millis(1) // of the last transaction of an owner, and of the one that releases the part
 )
 
@@ -65,13 +68,21 @@
 	// No claim that replaces this version of the owner's row is made before deferredUntil, as the store was slow.
 	deferredVersion int64
 	deferredUntil   clock.Millis
+	vacantSince     clock.Millis // when this instance found that the part has no owner; 0 while it has one
 }
 
 func (c *partClaimer) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if seen, existed, vacant := c.vacant(); vacant {
+		seen, existed, vacant := c.vacant()
+		if !vacant {
+			c.vacantSince = 0
+		} else {
+			if c.vacantSince == 0 {
+				c.vacantSince = max(c.daemon.clock.Now(), 1)
+			}
 			owned := c.owned.Load()
-			delay := c.claimJitter() + c.claimDelay()
+			left := max(c.vacantSince+maxClaimDelay-c.daemon.clock.Now(), 0)
+			delay := c.claimJitter() + min(c.claimDelay(), left)
 			if c.daemon.clock.Sleep(ctx, delay) != nil {
 				return
 			}
@@ -80,6 +91,7 @@
 			if still && again.Version == seen.Version && c.confirmed(ctx, seen) && c.owned.CompareAndSwap(owned, owned+1) {
 				c.claim(ctx, seen, existed)
 				c.owned.Add(-1)
+				c.vacantSince = 0
 			}
 		}
 		if c.daemon.clock.Sleep(ctx, watchPeriod) != nil {
