--- a/front/breaker.go
+++ b/front/breaker.go
@@ -13,6 +13,9 @@
 	breakerDelay = 700 * clock.Millis(1)
 	// probePeriod is the time between two writes that an open breaker lets through.
 	probePeriod = 250 * clock.Millis(1)
+	// breakerMemory is how long a failure counts after it was sent. It is longer than a write takes to fail, so that the failures of probes
+	// keep the breaker open during an outage.
+	breakerMemory = 2 * clock.Second
 )
 
 // breaker is a circuit breaker for writes to the store, so that callers do not wait for a store that does not answer. When
@@ -22,6 +25,8 @@
 	mu           sync.Mutex
 	failing      bool
 	failingSince clock.Millis // when the first of the failed writes was sent
+	lastFailed   clock.Millis // when the newest of the failed writes was sent
+	lastOK       clock.Millis // when the newest write that succeeded was sent
 	nextProbe    clock.Millis
 }
 
@@ -32,6 +37,10 @@
 	if !b.failing || now-b.failingSince < breakerDelay {
 		return true
 	}
+	if now-b.lastFailed > breakerMemory {
+		b.failing = false
+		return true
+	}
 	if now < b.nextProbe {
 		return false
 	}
@@ -39,14 +48,22 @@
 	return true
 }
 
-// record records whether a write that was sent at the given time succeeded.
+// record records whether a write that was sent at the given time succeeded. A write that hung and failed says nothing about the store
+// after a later one succeeded.
 func (b *breaker) record(ok bool, sent clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !ok && !b.failing {
+	if ok {
+		b.failing, b.lastOK = false, max(b.lastOK, sent)
+		return
+	}
+	if sent < b.lastOK {
+		return
+	}
+	if !b.failing {
 		b.failingSince = sent
 	}
-	b.failing = !ok
+	b.failing, b.lastFailed = true, max(b.lastFailed, sent)
 }
 
 // maxUnresolvedWrites is the number of job ids that unresolvedWrites holds; when it is exceeded, the oldest id is removed.
