--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -268,6 +268,9 @@
 		kind, id := store.SplitKey(row.Key)
 		switch {
 		case row.Deleted || kind != store.KindCancel || o.cancels[id]:
+		case store.IsTombstoneCancel(row):
+			o.scheduler.AddEnded(id) // the tombstone is kept as long as the state of an ended job
+			o.cleaner.cancel(id)
 		case o.scheduler.Active(id):
 			o.cancels[id] = true
 			o.scheduler.Cancel(id)
--- a/front/codes.go
+++ b/front/codes.go
@@ -14,8 +14,9 @@
 	CodeState     = result.New(2501, "job-state", 200, result.Ran, "the state of the job")
 	CodeCancelled = result.New(2502, "job-cancelled", 200, result.Ran, "the job is cancelled")
 	CodeNoQueue   = result.New(2510, "no-such-queue", 404, result.NotRun, "no queue has this host and path")
-	CodeNoJob     = result.New(2511, "no-such-job", 410, result.NotRun, "no such job exists in this queue")
+	CodeNoJob     = result.New(2511, "no-such-job", 410, result.NotRun, "no such job exists in this queue, and no earlier request will create it")
 	CodeInvalid   = result.New(2512, "job-invalid", 400, result.NotRun, "the job cannot be carried out as it is described")
+	CodeWithdrawn = result.New(2513, "job-cancelled-before", 503, result.NotRun, "the id was cancelled before a job with it was stored; the job will not run")
 	CodeNotReady  = result.New(2520, "not-ready", 503, result.NotRun, "this instance has no configuration or no copy of the jobs yet")
 	CodeNotStored = result.New(2521, "job-not-stored", 503, result.NotRun, "the platform's store did not take the job; it will not run")
 	CodeUnknown   = result.New(2522, "job-outcome-unknown", 504, result.Unknown, "the platform's store did not tell in time whether it has the job; repeat the request with the same id")
@@ -26,6 +27,7 @@
 	eventAccepted  = event.New(2550, "job-accepted", slog.LevelInfo, "a new job has been stored")
 	eventRepeated  = event.New(2551, "job-repeated", slog.LevelInfo, "a job that is already stored was submitted again")
 	eventRefused   = event.New(2552, "request-refused", slog.LevelWarn, "a request about a job was refused")
+	eventTombstone = event.New(2554, "job-id-withdrawn", slog.LevelInfo, "an id without a stored job was cancelled; a job with this id can no longer be stored")
 	eventCancelled = event.New(2553, "job-cancel-stored", slog.LevelInfo, "a request to cancel a job has been stored")
 )
 
--- a/front/service.go
+++ b/front/service.go
@@ -73,9 +73,8 @@
 	if err := job.Check(); err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
 	}
-	if _, known := s.States.Find(job.ID); known {
-		s.log(ctx, eventRepeated, job.ID, slog.String("known", "copy"))
-		return nil
+	if known, ok := s.States.Find(job.ID); ok {
+		return s.answerRepeat(ctx, known, job.ID, "copy")
 	}
 	terms := queue.Terms()
 	job.Queue, job.Address, job.Terms = queue.Name, queue.Address(), &terms
@@ -107,8 +106,9 @@
 			slog.Int("steps", len(job.Steps)), slog.Int64("version", outcome.Version))
 		return nil
 	case err == nil:
-		s.log(ctx, eventRepeated, job.ID, slog.String("known", "store"))
-		return nil
+		s.States.Apply(outcome.Current)
+		known, _ := s.States.Find(job.ID) // a row that cannot be decoded is that of a job
+		return s.answerRepeat(ctx, known, job.ID, "store")
 	case errorx.IsOfType(err, store.ErrRejected) && !s.unresolved.contains(job.ID):
 		return s.refuse(ctx, CodeNotStored, job.ID, err, retryAfter)
 	}
@@ -116,6 +116,15 @@
 	return s.refuse(ctx, CodeUnknown, job.ID, err, retryPause)
 }
 
+// answerRepeat answers a request to store a job whose id is in use.
+func (s *Service) answerRepeat(ctx context.Context, known store.JobEntry, id, source string) *result.Refusal {
+	if known.Tombstone {
+		return s.refuse(ctx, CodeWithdrawn, id, nil, 0)
+	}
+	s.log(ctx, eventRepeated, id, slog.String("known", source))
+	return nil
+}
+
 // write executes a transaction. Once the outcome of an attempt is unknown, it repeats the transaction until the store answers
 // or the caller's time has elapsed. Repeating is safe: a transaction with a condition is applied once, and one without a
 // condition writes the same row again.
@@ -166,7 +175,7 @@
 	switch {
 	case !ok && s.CopyAge() > staleAge:
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
-	case !ok || !s.belongs(known, queue):
+	case !ok || known.Tombstone || !s.belongs(known, queue):
 		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
 	}
 	return known.State, nil
@@ -183,50 +192,71 @@
 }
 
 // Cancel stores a request to cancel a job, and waits at most wait. It returns nil once the request is stored; the owner of the pool
-// cancels the job later. It also returns nil if a cancellation is known already, and CodeNoJob if the job has ended.
+// cancels the job later. It also returns nil if a cancellation is known already, and CodeNoJob if the job has ended or if there is none. The
+// answer CodeNoJob holds for all instances: a write of such a job that is still under way can no longer be carried out.
 func (s *Service) Cancel(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) *result.Refusal {
 	known, ok := s.States.Find(id)
 	if !ok {
 		var refusal *result.Refusal
-		if known, refusal = s.lookUp(ctx, id, wait); refusal != nil {
+		if known, refusal = s.storeTombstone(ctx, queue, id, wait); refusal != nil {
 			return refusal
 		}
 	}
-	if !s.belongs(known, queue) {
+	switch {
+	case known.Tombstone, !s.belongs(known, queue):
 		return s.refuse(ctx, CodeNoJob, id, nil, 0)
-	}
-	if known.Cancelled {
+	case known.Cancelled:
 		return nil
-	}
-	if known.State.Final() {
+	case known.State.Final():
 		return s.refuse(ctx, CodeNoJob, id, batch.ErrInvalid.New("the job is %s", known.State), 0)
 	}
-	row := store.Row{Table: store.JobsTable(known.Pool), Part: store.IntakePart(id), Key: store.Key(store.KindCancel, id), Value: []byte("{}")}
-	outcome, err := s.write(ctx, store.Transaction{Puts: []store.Row{row}}, wait)
+	row, err := store.EncodeCancel(known.Pool, id, false)
 	if err != nil {
+		return s.refuse(ctx, CodeInvalid, id, err, 0)
+	}
+	tx := store.Transaction{Puts: []store.Row{row}}
+	if known.IntakeVersion != 0 {
+		// A request that the store carries out late must not outlast the job and cancel a later one with the same id.
+		tx.Conditions = []store.Condition{{Table: store.StateTable, Part: row.Part, Key: store.Key(store.KindJob, id), Version: known.IntakeVersion}}
+	}
+	outcome, err := s.write(ctx, tx, wait)
+	switch {
+	case err != nil:
 		return s.refuse(ctx, CodeUnknown, id, err, retryPause)
+	case !outcome.Applied:
+		return s.refuse(ctx, CodeNoJob, id, batch.ErrInvalid.New("the job has ended and been removed"), 0)
 	}
 	s.States.Cancel(id)
 	s.log(ctx, eventCancelled, id, slog.Int64("version", outcome.Version))
 	return nil
 }
 
-// lookUp reads a job that is missing from the local copy from the store: another instance may have accepted it just before.
-func (s *Service) lookUp(ctx context.Context, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
-	ctx, cancel := s.Clock.WithTimeout(ctx, wait)
-	defer cancel()
-	key := store.Key(store.KindJob, id)
-	page, err := s.Table.Range(ctx, store.StateTable, store.IntakePart(id), key)
+// storeTombstone stores a tombstone for an id that is missing from the local copy, and returns the entry that the store has then. This is
+// the entry of a job if another instance has stored it meanwhile.
+func (s *Service) storeTombstone(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
+	tombstone := store.EncodeTombstone(id, queue.Pool)
+	cancel, err := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
 	if err != nil {
-		return store.JobEntry{}, s.refuse(ctx, CodeStale, id, err, retryAfter)
+		return store.JobEntry{}, s.refuse(ctx, CodeInvalid, id, err, 0)
 	}
-	if len(page.Rows) == 0 || page.Rows[0].Key != key {
-		return store.JobEntry{}, s.refuse(ctx, CodeNoJob, id, nil, 0)
+	outcome, err := s.write(ctx, store.Transaction{
+		Conditions: []store.Condition{{Table: tombstone.Table, Part: tombstone.Part, Key: tombstone.Key}},
+		Puts:       []store.Row{tombstone, cancel}}, wait)
+	switch {
+	case errorx.IsOfType(err, store.ErrRejected):
+		return store.JobEntry{}, s.refuse(ctx, CodeStale, id, err, retryAfter)
+	case err != nil:
+		return store.JobEntry{}, s.refuse(ctx, CodeUnknown, id, err, retryPause)
+	case outcome.Applied:
+		tombstone.Version = outcome.Version
+		s.States.Apply([]store.Row{tombstone})
+		s.log(ctx, eventTombstone, id, slog.Int64("version", outcome.Version))
+	default:
+		s.States.Apply(outcome.Current)
 	}
-	s.States.Apply(page.Rows[:1])
 	known, ok := s.States.Find(id)
 	if !ok {
-		return store.JobEntry{}, s.refuse(ctx, CodeNoJob, id, nil, 0)
+		return store.JobEntry{}, s.refuse(ctx, CodeStale, id, batch.ErrInvalid.New("the stored state of the job cannot be read"), retryAfter)
 	}
 	return known, nil
 }
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -187,7 +187,7 @@
 	for _, row := range rows {
 		kind, id := store.SplitKey(row.Key)
 		if row.Key != store.OwnerKey {
-			if known, ok := jobStates.Find(id); ok && kind == store.KindJob && !counted[id] {
+			if known, ok := jobStates.Find(id); ok && kind == store.KindJob && !known.Tombstone && !counted[id] {
 				counted[id] = true
 				b.pool(known.Pool).Jobs[known.State.String()]++
 			}
@@ -263,6 +263,9 @@
 	if !ok {
 		return nil, ErrNoJob.New("no job %q is stored; it was never accepted, or its state is no longer kept", id)
 	}
+	if known.Tombstone {
+		return nil, ErrNoJob.New("no job %q is stored; the id was cancelled before a job with it was stored", id)
+	}
 	job := &Job{ID: id, Queue: known.Queue, Pool: known.Pool, State: known.State.String()}
 	page, err := r.Table.Range(ctx, store.JobsTable(known.Pool), store.IntakePart(id), store.Key(store.KindJob, id))
 	if err != nil {
--- a/overview/overview_test.go
+++ b/overview/overview_test.go
@@ -138,3 +138,21 @@
 		t.Error("Fleet got no error while the store is down, want one")
 	}
 }
+
+// Guards against an id that was cancelled before a job with it was stored, and that operators see as a cancelled job.
+func TestTombstoneIsNoJob(t *testing.T) {
+	r, table := newFilledReader(t)
+	if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone("d", "p")}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Job(context.Background(), "d"); !errorx.IsOfType(err, overview.ErrNoJob) {
+		t.Errorf("error got %v, want no-job", err)
+	}
+	fleet, err := r.Fleet(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fleet.Pools[0].Jobs["cancelled"]; got != 0 {
+		t.Errorf("cancelled jobs got %d, want 0", got)
+	}
+}
--- /dev/null
+++ b/store/cancel.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"encoding/json"
+
+	"magnoliaferry/batch"
+)
+
+// cancelRow is the value of a row of KindCancel. The fields are unknown to earlier versions, which ignore them.
+type cancelRow struct {
+	// Tombstone is set if the id was cancelled while no job with it was stored.
+	Tombstone bool `json:"tombstone,omitempty"`
+}
+
+// EncodeCancel returns the row with the request to cancel a job of the pool. With tombstone set, there is no such job, and EncodeTombstone
+// keeps it from being stored.
+func EncodeCancel(pool, id string, tombstone bool) (Row, error) {
+	value, err := json.Marshal(cancelRow{tombstone})
+	return Row{Table: JobsTable(pool), Part: IntakePart(id), Key: Key(KindCancel, id), Value: value}, err
+}
+
+// IsTombstoneCancel reports whether the row is one that EncodeCancel returns for a tombstone.
+func IsTombstoneCancel(row Row) bool {
+	var decoded cancelRow
+	return json.Unmarshal(row.Value, &decoded) == nil && decoded.Tombstone // any other value requests to cancel a job
+}
+
+// EncodeTombstone returns the row of StateTable for an id that was cancelled while no job with it was stored. A write that stores such a job
+// requires that the row does not exist, so that it fails even if the store carries it out later. The value is that of a cancelled job
+// without a queue: instances of earlier versions remove it like that of any ended job.
+func EncodeTombstone(id, pool string) Row {
+	return EncodeState(IntakePart(id), id, "", pool, batch.Cancelled)
+}
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -21,7 +21,10 @@
 	Pool      string        // the pool whose workers run the job
 	State     batch.State
 	Cancelled bool // this instance has stored a request to cancel the job, which the owner of the pool may not have processed yet
-	version   int64
+	Tombstone bool // no job was stored: the id was cancelled before, see EncodeTombstone
+	// IntakeVersion is the version of the row that the accepting instance wrote. The row stays unchanged until the job is removed.
+	IntakeVersion int64
+	version       int64
 }
 
 // EncodeState returns the row of a job in StateTable. Its value is the letter of the state followed by the name of the queue, a
@@ -130,6 +133,9 @@
 			known = &JobEntry{}
 			s.jobs[id] = known
 		}
+		if row.Part == IntakePart(id) {
+			known.IntakeVersion, known.Tombstone = row.Version, queue == ""
+		}
 		// Rows can arrive out of order: the feed after a load can bring versions older than the loaded ones, and a load can return
 		// the owner's row of a job before the older row in the intake part.
 		if row.Version > known.version {
