--- a/front/breaker.go
+++ b/front/breaker.go
@@ -20,7 +20,7 @@
 
 // breaker is a circuit breaker for writes to the store, so that callers do not wait for a store that does not answer. When
 // writes have failed for breakerDelay, it lets through one write per probePeriod until one succeeds. A write that it does not
-// let through is never sent, so the job can be refused as not run.
+// let through is never sent.
 type breaker struct {
 	mu           sync.Mutex
 	failing      bool
@@ -65,37 +65,3 @@
 	}
 	b.failing, b.lastFailed = true, max(b.lastFailed, sent)
 }
-
-// maxUnresolvedWrites is the number of job ids that unresolvedWrites holds; when it is exceeded, the oldest id is removed.
-const maxUnresolvedWrites = 10000
-
-// unresolvedWrites holds the ids of jobs whose write has an unknown outcome. A later request with the same id must not be answered
-// with "not run", because the store may still execute the first write.
-type unresolvedWrites struct {
-	mu    sync.Mutex
-	ids   map[string]bool
-	order []string
-}
-
-func (w *unresolvedWrites) add(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ids == nil {
-		w.ids = map[string]bool{}
-	}
-	if w.ids[id] {
-		return
-	}
-	w.ids[id] = true
-	w.order = append(w.order, id)
-	if len(w.order) > maxUnresolvedWrites {
-		delete(w.ids, w.order[0])
-		w.order = w.order[1:]
-	}
-}
-
-func (w *unresolvedWrites) contains(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.ids[id]
-}
--- a/front/cancel_test.go
+++ b/front/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"testing/synctest"
 
@@ -118,6 +119,55 @@
 	}
 }
 
+// Guards against a repeated request that is answered with "not run" (429 or 503) while the store may still execute the write of the first
+// request: at the same instance, at another one and after a restart, whether the store rejects the repeat, the breaker is open, or the
+// store cannot be reached. A GET must not rule the job out either.
+func TestRepeatIsNotRefusedWhileAWriteIsOpen(t *testing.T) {
+	for _, where := range []string{"the same instance", "another instance", "the restarted instance"} {
+		for _, fault := range []string{"rejected", "breaker open", "unreachable"} {
+			t.Run(where+", "+fault, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(2)
+					f.table.Fault = func(store.Transaction) standin.TableFault { return standin.TableDelays }
+					if got, want := f.submit(0, "a"), CodeUnknown; got == nil || got.Code() != want {
+						t.Fatalf("result of the first request got %v, want %s", got, want.Name())
+					}
+					f.table.Fault = func(store.Transaction) standin.TableFault { return standin.TableRejects }
+					at := 0
+					switch where {
+					case "another instance":
+						at = 1
+					case "the restarted instance":
+						f.restart(0)
+					}
+					s := f.instances[at]
+					s.breaker.record(true, f.clock.Now())
+					switch fault {
+					case "breaker open":
+						s.breaker.record(false, f.clock.Now())
+						f.clock.Advance(breakerDelay)
+						s.breaker.record(false, f.clock.Now())
+						s.breaker.allow(f.clock.Now()) // the probe
+					case "unreachable":
+						s.Reachable = func(context.Context) bool { return false }
+					}
+					got := f.submit(at, "a")
+					if got == nil || got.Code().Outcome() != result.Unknown || got.Code().Status() != http.StatusGatewayTimeout || got.RetryAfter() == 0 {
+						t.Errorf("result of the repeated request got %v, want one with status 504, an unknown outcome and a time for a retry", got)
+					}
+					if _, got := f.state(at, "a"); got == nil || got.Code().Outcome() != result.Unknown {
+						t.Errorf("state got %v, want a refusal with an unknown outcome", got)
+					}
+					f.table.ApplyDelayed()
+					if !f.runs("a") {
+						t.Error("the job is not stored by the late write, want it stored: the test shows nothing otherwise")
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a request to cancel a job that the store carries out after the job was removed, and that cancels a later job with the same
 // id once the pool has a new owner.
 func TestLateCancelDoesNotOutlastTheJob(t *testing.T) {
@@ -165,6 +215,7 @@
 	f := newFleet(instances)
 	ids := []string{"a", "b", "c"}
 	accepted, ended := map[string]bool{}, map[string]bool{} // answered with success, and cancelled or answered as not existing
+	neverRuns := map[string]bool{}                          // according to the answer to the newest request to store the job
 	trace := []string{}
 	fail := func(format string, values ...any) {
 		t.Helper()
@@ -180,6 +231,7 @@
 			refusal := f.submit(i, id)
 			trace = append(trace, fmt.Sprintf("submit %s at %d: %v", id, i, refusal))
 			accepted[id] = accepted[id] || refusal == nil
+			neverRuns[id] = refusal != nil && refusal.Code().Outcome() == result.NotRun
 		case op < 5:
 			refusal := f.cancel(i, id)
 			trace = append(trace, fmt.Sprintf("cancel %s at %d: %v", id, i, refusal))
@@ -218,6 +270,8 @@
 	f.table.ApplyDelayed()
 	for _, id := range ids {
 		switch runs := f.runs(id); {
+		case neverRuns[id] && runs:
+			fail("job %s runs, and its submission was answered with the outcome not-run", id)
 		case ended[id] && runs:
 			fail("job %s runs, and its cancelling was answered", id)
 		case accepted[id] && !ended[id] && !runs && !cancelStored(f, id):
--- a/front/service.go
+++ b/front/service.go
@@ -49,8 +49,7 @@
 	// WallClock returns the milliseconds since 1970.
 	WallClock func() clock.Millis
 
-	breaker    breaker
-	unresolved unresolvedWrites
+	breaker breaker
 }
 
 // Match returns the queue for the host and path of a request and the rest of the path after the queue's prefix, or a refusal.
@@ -67,8 +66,8 @@
 }
 
 // Submit stores a job of the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
-// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before; of the refusals, only CodeUnknown means that the
-// job may be stored.
+// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store causes, only
+// CodeWithdrawn says that the job will not run: another instance, or this one before a restart, may have sent a write that is carried out later.
 func (s *Service) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job, wait clock.Millis) *result.Refusal {
 	if err := job.Check(); err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
@@ -83,11 +82,8 @@
 	if err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
 	}
-	// A write that hangs leaves the caller with an unknown outcome. If nothing is sent, the caller can safely try another instance.
+	// Nothing is sent to a store that does not answer, as the write would hang until the caller's time has elapsed.
 	if !s.breaker.allow(s.Clock.Now()) || !s.Reachable(ctx) {
-		if s.unresolved.contains(job.ID) {
-			return s.refuse(ctx, CodeUnknown, job.ID, store.ErrUnknown.New("an earlier write of this job may still be carried out"), retryAfter)
-		}
 		return s.refuse(ctx, CodeNotStored, job.ID, store.ErrRejected.New("the store does not answer; nothing was sent to it"), retryAfter)
 	}
 	part := store.IntakePart(job.ID)
@@ -109,10 +105,9 @@
 		s.States.Apply(outcome.Current)
 		known, _ := s.States.Find(job.ID) // a row that cannot be decoded is that of a job
 		return s.answerRepeat(ctx, known, job.ID, "store")
-	case errorx.IsOfType(err, store.ErrRejected) && !s.unresolved.contains(job.ID):
+	case errorx.IsOfType(err, store.ErrRejected):
 		return s.refuse(ctx, CodeNotStored, job.ID, err, retryAfter)
 	}
-	s.unresolved.add(job.ID)
 	return s.refuse(ctx, CodeUnknown, job.ID, err, retryPause)
 }
 
@@ -163,8 +158,8 @@
 	return s.Table.Commit(ctx, tx)
 }
 
-// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, or CodeStale if the local copy is too old to say whether
-// the job exists. If the copy is too old and the job has not ended in it, State waits at most maxCopyWait for a recent one, and may then
+// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still store
+// the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and the job has not ended in it, State waits at most maxCopyWait for a recent one, and may then
 // return an outdated state.
 func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
 	known, ok := s.States.Find(id)
@@ -175,7 +170,9 @@
 	switch {
 	case !ok && s.CopyAge() > staleAge:
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
-	case !ok || known.Tombstone || !s.belongs(known, queue):
+	case !ok:
+		return 0, s.refuse(ctx, CodeNotFound, id, nil, 0)
+	case known.Tombstone || !s.belongs(known, queue):
 		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
 	}
 	return known.State, nil
