soak: an owner that is lost for good after an outage, and callers that give up jobs

One job in four is given up if its submission has an unknown outcome: it is cancelled at random instances, and after an answer that there is no such job it must not start.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -23,6 +23,7 @@
 	referenceTask     = 1500 * clock.Millis(1)
 	pollInterval      = 400 * clock.Millis(1) // between two requests for the state of a job
 	cancelOneIn       = 20                    // one in this many jobs is cancelled
+	abandonOneIn      = 4                     // one in this many jobs is given up if its submission has an unknown outcome
 	propagationTime   = 3 * clock.Second      // until all instances report a state that one has reported; the users' documentation states this time
 	completionTimeout = 45 * clock.Second     // for the remaining work after the last fault
 	retryInterval     = 100 * clock.Millis(1) // between attempts to submit a job
@@ -78,7 +79,7 @@
 			steps = append(steps, batch.Step{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}, After: []int{0}})
 		}
 		j := &followedJob{site: s, jobCounts: counts, id: fmt.Sprintf("%08x%08d", uint32(s.options.Seed), n),
-			pool: pools[random.IntN(len(pools))], body: standin.JobBody(work, steps...), cancel: random.IntN(cancelOneIn) == 0,
+			pool: pools[random.IntN(len(pools))], body: standin.JobBody(work, steps...), cancel: random.IntN(cancelOneIn) == 0, abandon: n%abandonOneIn == 0,
 			random: rand.New(rand.NewPCG(s.options.Seed, uint64(n+10)))}
 		followed.Go(func() { j.follow(ctx, until+completionTimeout) })
 	}
@@ -92,6 +93,7 @@
 	pool      string
 	body      []byte
 	cancel    bool
+	abandon   bool // the caller gives the job up if its submission has an unknown outcome
 	random    *rand.Rand
 
 	acceptedAt clock.Millis
@@ -156,7 +158,12 @@
 		switch status, content := j.site.send(ctx, j.any(), http.MethodPost, j.path(), j.body); status {
 		case http.StatusOK:
 			return true
-		case 0, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusGatewayTimeout:
+		case 0, http.StatusGatewayTimeout:
+			if j.abandon {
+				j.giveUp(ctx)
+				return false
+			}
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		default:
 			j.site.options.recordViolation("job %s was refused with status %d: %s", j.id, status, content)
 			return false
@@ -168,6 +175,25 @@
 	return false
 }
 
+// giveUp cancels a job that may be stored at random instances, until one acknowledges that, at most for submitTimeout.
+func (j *followedJob) giveUp(ctx context.Context) {
+	c := clock.System()
+	for until := c.Now() + submitTimeout; c.Now() < until; {
+		switch status, _ := j.site.send(ctx, j.any(), http.MethodDelete, j.path(), nil); status {
+		case http.StatusOK:
+			return
+		case http.StatusGone:
+			if j.site.begun(j.id) == 0 { // otherwise the job has ended
+				j.site.abandonedJob(j.id)
+			}
+			return
+		}
+		if c.Sleep(ctx, retryInterval) != nil {
+			return
+		}
+	}
+}
+
 // poll requests the state of the job from a random instance. It records a violation if the answer contradicts an earlier one, except
 // while the instance cannot have read the latest state yet.
 func (j *followedJob) poll(ctx context.Context) {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -60,3 +60,35 @@
 		}
 	}
 }
+
+// Guards against a soak that does not notice a job which starts after its caller was told that it does not exist, and against one that
+// records a violation for a job that ran before its caller gave it up.
+func TestAbandonedJobsMustNotStart(t *testing.T) {
+	const id = "00000000000000aa"
+	for _, test := range []struct {
+		name          string
+		status        int // of the answer to the cancelling
+		startedBefore bool
+		wantViolation bool // if the job starts afterwards
+	}{
+		{"no such job", http.StatusGone, false, true},
+		{"ended before", http.StatusGone, true, false},
+		{"cancelled", http.StatusOK, false, false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
+		begun := 0
+		s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, begun: func(string) int { return begun },
+			instances: []*instance{{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}}}
+		j := &followedJob{site: s, id: id, pool: "north", random: rand.New(rand.NewPCG(1, 1))}
+		if test.startedBefore {
+			begun = 1
+		}
+		j.giveUp(context.Background())
+		server.Close()
+		begun = 1
+		s.checkAbandonedJobs()
+		if got := len(s.options.state.violations) > 0; got != test.wantViolation {
+			t.Errorf("%s: violations got %v, want some: %t", test.name, s.options.state.violations, test.wantViolation)
+		}
+	}
+}
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -16,8 +16,8 @@
 const (
 	finalOutage = 4500 * clock.Millis(1)
 	lossDelay   = 700 * clock.Millis(1) // from the end of the outage to the loss
-	// lossBound is the longest time from the loss until tasks of a new job run: the users' documentation excuses the time until the
-	// system counts as undisturbed, and then 4 s and 3 s.
+	// lossBound is the longest time from the loss until tasks of a new job run, according to the users' documentation: 3 s until the system
+	// counts as undisturbed, 4 s in which it stays so, and 3 s without a run.
 	lossBound = 10 * clock.Second
 )
 
@@ -46,7 +46,7 @@
 	const id = "afterloss"
 	body := standin.JobBody(standin.Work{Length: clock.Second, CPU: 250}, batch.Step{Count: 1, Need: batch.Resources{MemoryMB: taskMemory}})
 	accepted := false
-	for c.Now() < at+lossBound && s.fleet.Begun(id) == 0 {
+	for c.Now() < at+lossBound && s.begun(id) == 0 {
 		if !accepted {
 			status, _ := s.send(ctx, s.instances[0], http.MethodPost, "/"+pool+"/"+id, body)
 			accepted = status == http.StatusOK
@@ -55,7 +55,7 @@
 			return
 		}
 	}
-	if s.fleet.Begun(id) == 0 {
+	if s.begun(id) == 0 {
 		s.options.recordViolation("job %s has no task running %d ms after the owner of pool %s was removed (accepted: %v)", id, lossBound, pool, accepted)
 	}
 }
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range s.abandoned {
-		if n := s.fleet.Begun(id); n > 0 {
+		if n := s.begun(id); n > 0 {
 			s.options.recordViolation("%d tasks of job %s have started, and its cancelling was answered with %d", n, id, http.StatusGone)
 		}
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -196,9 +196,9 @@
 	return acted, func() bool { return s.writeHook.CompareAndSwap(&writeHook, nil) }
 }
 
-// afterWrite is called after each applied transaction of an instance. Only transactions of owners have conditions on existing rows.
+// afterWrite is called after each applied transaction of an instance. Only transactions of owners have a condition on an existing owner row.
 func (s *site) afterWrite(in *instance, tx store.Transaction) {
-	if !slices.ContainsFunc(tx.Conditions, func(c store.Condition) bool { return c.Version > 0 }) {
+	if !slices.ContainsFunc(tx.Conditions, func(c store.Condition) bool { return c.Key == store.OwnerKey && c.Version > 0 }) {
 		return
 	}
 	if writeHook := s.writeHook.Swap(nil); writeHook != nil {
--- a/soak/site.go
+++ b/soak/site.go
@@ -44,8 +44,9 @@
 	table          *standin.Table
 	queues         []batch.Queue // of the first configuration
 	fleet          *standin.Fleet
-	fault          atomic.Int64 // standin.TableFault for transactions
-	down           atomic.Bool  // whether the store rejects reads
+	begun          func(job string) int // number of tasks of a job that have started, which is Begun of fleet
+	fault          atomic.Int64         // standin.TableFault for transactions
+	down           atomic.Bool          // whether the store rejects reads
 	machines       []string
 	instances      []*instance
 	workers        map[string]*standin.Proxy          // by machine
@@ -56,8 +57,9 @@
 	writeHook      atomic.Pointer[func(in *instance)] // called once, after the next conditional write
 	client         *http.Client                       // of the callers
 
-	mu     sync.Mutex
-	random *rand.Rand // for drawLateDelay
+	mu        sync.Mutex
+	random    *rand.Rand // for drawLateDelay
+	abandoned []string   // jobs that do not exist, according to the answer to their cancelling
 }
 
 // instance is one process of the product and its proxies to the platform.
@@ -79,6 +81,7 @@
 	table.FeedRows = feedRows
 	s := &site{options: o, table: table, workers: map[string]*standin.Proxy{},
 		fleet: standin.NewFleet(table, clock.System(), func() int64 { return time.Now().UnixMilli() })}
+	s.begun = s.fleet.Begun
 	s.random = rand.New(rand.NewPCG(o.Seed, 4))
 	s.fleet.Late, s.fleet.LateForNextIncarnation = s.drawLateDelay, o.LateForNextIncarnation
 	// Callers keep their connections open while the instance runs.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,6 +100,8 @@
 	if got, want := s.fleet.MaintainedMachines(), len(s.machines); got != want {
 		o.recordViolation("%d machines of the wave had maintenance, want %d", got, want)
 	}
+	s.checkOwnerLoss(ctx)
+	s.checkAbandonedJobs()
 	report.Accepted, report.Refused, report.Completed, report.Cancelled = counts.accepted, counts.refused, counts.completed, counts.cancelled
 	report.Runs, report.MaintainedMachines = s.fleet.Started(), s.fleet.MaintainedMachines()
 	report.Violations = append(s.fleet.Violations(), o.state.violations...)
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -215,6 +215,19 @@
 	return n
 }
 
+// Begun returns the number of tasks of a job that have started so far.
+func (f *Fleet) Begun(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for task := range f.latestStarts {
+		if of, _, ok := batch.ParseTask(task); ok && of == job {
+			n++
+		}
+	}
+	return n
+}
+
 // Violations returns the recorded violations of the platform's rules, in order.
 func (f *Fleet) Violations() []string {
 	f.mu.Lock()
