--- a/daemon/tombstone_test.go
+++ b/daemon/tombstone_test.go
@@ -26,10 +26,7 @@
 			states: map[string]batch.State{}, stored: map[string]bool{}, cancels: map[string]bool{}, damaged: map[string]bool{},
 			cleaner: newCleaner(d, "p")}
 		o.scheduler.Tick(c.Now(), c.Now())
-		cancel, err := store.EncodeCancel("p", id, true)
-		if err != nil {
-			t.Fatal(err)
-		}
+		cancel := store.EncodeCancel("p", id, true)
 		if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone(id, "p"), cancel}}); err != nil {
 			t.Fatal(err)
 		}
--- a/front/service.go
+++ b/front/service.go
@@ -207,10 +207,7 @@
 	case known.State.Final():
 		return s.refuse(ctx, CodeNoJob, id, batch.ErrInvalid.New("the job is %s", known.State), 0)
 	}
-	row, err := store.EncodeCancel(known.Pool, id, false)
-	if err != nil {
-		return s.refuse(ctx, CodeInvalid, id, err, 0)
-	}
+	row := store.EncodeCancel(known.Pool, id, false)
 	tx := store.Transaction{Puts: []store.Row{row}}
 	if known.IntakeVersion != 0 {
 		// A request that the store carries out late must not outlast the job and cancel a later one with the same id.
@@ -232,10 +229,7 @@
 // the entry of a job if another instance has stored it meanwhile.
 func (s *Service) storeTombstone(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
 	tombstone := store.EncodeTombstone(id, queue.Pool)
-	cancel, err := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
-	if err != nil {
-		return store.JobEntry{}, s.refuse(ctx, CodeInvalid, id, err, 0)
-	}
+	cancel := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
 	outcome, err := s.write(ctx, store.Transaction{
 		Conditions: []store.Condition{{Table: tombstone.Table, Part: tombstone.Part, Key: tombstone.Key}},
 		Puts:       []store.Row{tombstone, cancel}}, wait)
--- a/store/cancel.go
+++ b/store/cancel.go
@@ -6,22 +6,27 @@
 	"magnoliaferry/batch"
 )
 
-// cancelRow is the value of a row of KindCancel. The fields are unknown to earlier versions, which ignore them.
-type cancelRow struct {
-	// Tombstone is set if the id was cancelled while no job with it was stored.
-	Tombstone bool `json:"tombstone,omitempty"`
-}
+// The values of a row of KindCancel. Earlier versions ignore them.
+const (
+	cancelJob       = `{}`
+	cancelTombstone = `{"tombstone":true}`
+)
 
 // EncodeCancel returns the row with the request to cancel a job of the pool. With tombstone set, there is no such job, and EncodeTombstone
 // keeps it from being stored.
-func EncodeCancel(pool, id string, tombstone bool) (Row, error) {
-	value, err := json.Marshal(cancelRow{tombstone})
-	return Row{Table: JobsTable(pool), Part: IntakePart(id), Key: Key(KindCancel, id), Value: value}, err
+func EncodeCancel(pool, id string, tombstone bool) Row {
+	value := cancelJob
+	if tombstone {
+		value = cancelTombstone
+	}
+	return Row{Table: JobsTable(pool), Part: IntakePart(id), Key: Key(KindCancel, id), Value: []byte(value)}
 }
 
 // IsTombstoneCancel reports whether the row is one that EncodeCancel returns for a tombstone.
 func IsTombstoneCancel(row Row) bool {
-	var decoded cancelRow
+	var decoded struct {
+		Tombstone bool `json:"tombstone"`
+	}
 	return json.Unmarshal(row.Value, &decoded) == nil && decoded.Tombstone // any other value requests to cancel a job
 }
 
