--- a/front/service.go
+++ b/front/service.go
@@ -66,8 +66,9 @@
 }
 
 // Submit stores a job of the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
-// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store causes, only
-// CodeWithdrawn says that the job will not run: another instance, or this one before a restart, may have sent a write that is carried out later.
+// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store
+// causes, only CodeWithdrawn says that the job will not run: another instance, or this one before a restart, may have sent a write that is
+// carried out later.
 func (s *Service) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job, wait clock.Millis) *result.Refusal {
 	if err := job.Check(); err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
@@ -158,9 +159,9 @@
 	return s.Table.Commit(ctx, tx)
 }
 
-// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still store
-// the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and the job has not ended in it, State waits at most maxCopyWait for a recent one, and may then
-// return an outdated state.
+// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still
+// store the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and the job has not ended in
+// it, State waits at most maxCopyWait for a recent one, and may then return an outdated state.
 func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
 	known, ok := s.States.Find(id)
 	if ok && !known.State.Final() && s.CopyAge() > staleAge {
