batch, platform, daemon: customers of the configuration, and settings for keys, caps and places

Cause: two deployments declare customers with keys, weights and caps; nothing decoded them. Keys are kept as hashes, and looked up by hash with a comparison in constant time. Nothing uses them yet. The settings take the bounds for withdrawn keys, for exceeding a cap, the factor of remote tasks and the limit of descriptors from the platform; absent ones are 0.

--- a/batch/configuration.go
+++ b/batch/configuration.go
@@ -17,6 +17,7 @@
 	Stretch     float64      // factor for the critical path (longest path through the steps by run time), see Objective
 	Objective   clock.Millis // a job is to be completed within Stretch times its critical path, plus this; 0 adds nothing
 	Advised     bool         // only workers that the advisor names may run a step
+	Public      bool         // callers need no key, and its jobs belong to no customer
 }
 
 // Address is where callers reach a queue. A queue that is renamed keeps it.
@@ -53,6 +54,10 @@
 	Version int64
 	Queues  []Queue
 	Pools   []Pool
+
+	customers []Customer
+	byName    map[string]*Customer
+	byKey     map[KeyHash]*Customer
 }
 
 // Match returns the queue of the host with the longest prefix that the path begins with.
--- a/batch/job.go
+++ b/batch/job.go
@@ -89,6 +89,8 @@
 	// Address and Terms are those of the queue when it accepted the job. Jobs that earlier versions stored have neither.
 	Address Address `json:"address,omitzero"`
 	Terms   *Terms  `json:"terms,omitempty"`
+	// Customer is the name of the customer whose key the caller had; empty for a queue without keys.
+	Customer string `json:"customer,omitempty"`
 }
 
 // Runs returns how many times the steps run: once for each occurrence.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -52,8 +52,15 @@
 	MachineLease clock.Millis `json:"machine-lease"` // from the last order of one owner of the machines to the first of the next, at least
 	// MachineOrderRate is the number of orders for machines that the platform accepts in a second from all instances; 0 if not known.
 	MachineOrderRate float64 `json:"machine-orders-per-s"`
-	StopGrace        Seconds `json:"stop-grace-s"`      // from SIGTERM to the end of the process
-	StateRetention   Seconds `json:"state-retention-s"` // for which callers can read the state of an ended job
+	// RevocationLimit is the time after which no instance may accept a withdrawn key, whether or not it reaches the store; 0: there is no
+	// such limit, and a withdrawn key ends with the configuration that an instance knows.
+	RevocationLimit clock.Millis `json:"revocation-limit"`
+	CapOverage      float64      `json:"cap-overage"`   // part of a customer's cap by which the customer may exceed it
+	RemoteFactor    float64      `json:"remote-factor"` // factor for the run time of a task away from its data or its group; 0 if not known
+	MaxFiles        int          `json:"max-files"`     // descriptors that the process may have open; 0 if not known
+
+	StopGrace      Seconds `json:"stop-grace-s"`      // from SIGTERM to the end of the process
+	StateRetention Seconds `json:"state-retention-s"` // for which callers can read the state of an ended job
 }
 
 // Cores returns the processor of the instance in standard cores; 1 if the settings do not have both the share and the speed.
@@ -112,6 +119,12 @@
 	if s.MachineOrderRate < 0 {
 		faults.Add(diag.New(DiagRange, path, 0, "/machine-orders-per-s", fmt.Sprintf("%g is not a rate of at least 0", s.MachineOrderRate)))
 	}
+	for field, value := range map[string]float64{"/revocation-limit": float64(s.RevocationLimit), "/cap-overage": s.CapOverage,
+		"/remote-factor": s.RemoteFactor, "/max-files": float64(s.MaxFiles)} {
+		if value < 0 {
+			faults.Add(diag.New(DiagRange, path, 0, field, fmt.Sprintf("%g is below 0", value)))
+		}
+	}
 	for field, value := range map[string]clock.Millis{"/lease-limit": s.LeaseLimit,
 		"/state-retention-s": s.StateRetention.Millis(), "/stop-grace-s": s.StopGrace.Millis()} {
 		if value <= 0 {
