pool: one place where a run takes and releases its resources, and what each customer uses

Cause: six places changed the resources of a worker; a cap, shares and copies of tasks each need the same change of what a customer uses. Change: attach and detach. customerUse counts the whole need of a task, also for best-effort ones. No behaviour changes.

--- a/pool/ends.go
+++ b/pool/ends.go
@@ -45,9 +45,7 @@
 	switch r := t.run; {
 	case r == nil:
 	case r.state == planned:
-		delete(r.worker.runs, t.name)
-		r.worker.used = r.worker.used.Sub(st.def.Reserve())
-		t.run = nil
+		s.detach(r)
 	default:
 		s.stop(r, "task done by an earlier run")
 	}
--- a/pool/place.go
+++ b/pool/place.go
@@ -259,9 +259,7 @@
 
 // withdraw cancels the placement of a task that is neither stored nor ordered yet.
 func (s *Scheduler) withdraw(r *run) {
-	delete(r.worker.runs, r.task.name)
-	r.worker.used = r.worker.used.Sub(r.task.step.def.Reserve())
-	r.task.run = nil
+	s.detach(r)
 	r.task.step.job.waiting++
 }
 
@@ -364,9 +362,7 @@
 func (s *Scheduler) assign(t *task, w *worker, number int) *run {
 	t.number = number
 	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100}
-	t.run = r
-	w.runs[t.name] = r
-	w.used = w.used.Add(t.step.def.Reserve())
+	s.attach(r)
 	j := t.step.job
 	j.waiting--
 	j.hasNewStarts = true
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -71,10 +71,11 @@
 	workers           map[string]*worker
 	sorted            []*worker // by ID; out of date if its length differs from that of workers
 	arrivals          arrivals
-	corrections       map[string]*correction // by queue
-	shares            map[string]*sizeShares // by queue
-	evacuations       map[string]Evacuation  // by machine
-	maintenanceDue    map[string]bool        // machines that are due for maintenance
+	corrections       map[string]*correction     // by queue
+	shares            map[string]*sizeShares     // by queue
+	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
+	evacuations       map[string]Evacuation      // by machine
+	maintenanceDue    map[string]bool            // machines that are due for maintenance
 	token             int64
 	fenced            bool
 	lastHoldID        int64        // ID of the newest hold
@@ -100,6 +101,7 @@
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
 		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
+		customerUse: map[string]batch.Resources{},
 	}
 }
 
@@ -229,9 +231,7 @@
 		w.leaseReported = known
 		w.leaseUntil = max(w.leaseUntil, until)
 		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true}
-		t.run = r
-		w.runs[t.name] = r
-		w.used = w.used.Add(st.def.Reserve())
+		s.attach(r)
 	}
 }
 
@@ -468,9 +468,7 @@
 func (s *Scheduler) finish(r *run, how EndReason, checkpoint string) {
 	t, j := r.task, r.task.step.job
 	w := r.worker
-	delete(w.runs, t.name)
-	w.used = w.used.Sub(t.step.def.Reserve())
-	t.run = nil
+	s.detach(r)
 	if r.sent != 0 {
 		runTime.Observe(s.now - r.sent)
 	}
@@ -532,10 +530,7 @@
 func (s *Scheduler) finishGang(st *step) {
 	for _, t := range st.tasks {
 		if t.run != nil {
-			other := t.run
-			delete(other.worker.runs, t.name)
-			other.worker.used = other.worker.used.Sub(st.def.Reserve())
-			t.run = nil
+			s.detach(t.run)
 		}
 		t.done = true
 	}
--- /dev/null
+++ b/pool/use.go
@@ -0,0 +1,31 @@
+package pool
+
+import "magnoliaferry/batch"
+
+// attach reserves the resources of a run on its worker.
+func (s *Scheduler) attach(r *run) {
+	t, w := r.task, r.worker
+	t.run = r
+	w.runs[t.name] = r
+	w.used = w.used.Add(t.step.def.Reserve())
+	if customer := t.step.job.def.Customer; customer != "" {
+		s.customerUse[customer] = s.customerUse[customer].Add(t.step.def.Need)
+	}
+}
+
+// detach releases the resources of a run that is certain not to be running.
+func (s *Scheduler) detach(r *run) {
+	t, w := r.task, r.worker
+	t.run = nil
+	delete(w.runs, t.name)
+	w.used = w.used.Sub(t.step.def.Reserve())
+	customer := t.step.job.def.Customer
+	if customer == "" {
+		return
+	}
+	if use := s.customerUse[customer].Sub(t.step.def.Need); use != (batch.Resources{}) {
+		s.customerUse[customer] = use
+	} else {
+		delete(s.customerUse, customer)
+	}
+}
