pool: a task waits for the rack of its data as long as that pays

Cause: a task whose rack was full ran elsewhere at once, at remote-factor times its run time; no decision read the factor. Change: pool/wait.go predicts when the rack has room, from the runs there and the tasks that wait before; a task waits while what it has waited and the expected wait are at most what leaving costs plus what its job can spare. Tightly coupled gangs likewise. No state is stored. It acts only with remote-factor above 1 and on steps with a rack or tightly coupled gangs.

--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -116,6 +116,7 @@
 	}
 	lease := min(pool.MaxLease, d.Settings.LeaseLimit)
 	o.scheduler = pool.NewScheduler(o.pool, lease, d.Settings.StateRetention.Millis(), d.Logger)
+	o.scheduler.RemoteFactor = d.Settings.RemoteFactor
 	s := o.scheduler
 	s.SetToken(o.ownership.Token())
 	s.Tick(d.clock.Now(), d.wall())
--- a/pool/codes.go
+++ b/pool/codes.go
@@ -30,6 +30,7 @@
 	eventNotSent            = event.New(4219, "start-not-sent", slog.LevelInfo, "a start was stored, but its job has ended or its worker cannot take it now; no order was sent")
 	eventLeaseReported      = event.New(4220, "lease-reported", slog.LevelInfo, "a worker does not answer; the owner reports the remaining time of its lease and no longer renews it")
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
+	eventRackWait           = event.New(4230, "rack-wait", slog.LevelInfo, "a task, or a tightly coupled gang, waits for a place on a rack although it could run elsewhere, as that costs more")
 	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
 )
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -87,6 +87,7 @@
 type placement struct {
 	workers []*worker
 	tooBig  []batch.Resources
+	racks   map[string]*rackForecast // see forecast
 }
 
 // fits reports whether it is still possible that a worker has the resources free.
@@ -177,7 +178,7 @@
 		return
 	}
 	if st.def.Gang {
-		s.placeGang(st, pass.workers)
+		s.placeGang(st, pass)
 		return
 	}
 	var placed []*run
@@ -194,6 +195,10 @@
 			}
 			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
+		if s.waitsForRack(t, w, pass) {
+			continue
+		}
+		t.wait.end(s.now, s.RemoteFactor > 1 && st.def.Rack != "" && !w.entry.HasLabel(st.def.Rack))
 		placed = append(placed, s.assign(t, w, t.number+1))
 	}
 	s.logPlaced(st, placed)
@@ -221,8 +226,8 @@
 }
 
 // placeGang places all tasks of a gang or none.
-func (s *Scheduler) placeGang(st *step, workers []*worker) {
-	number := 0
+func (s *Scheduler) placeGang(st *step, pass *placement) {
+	workers, number := pass.workers, 0
 	for _, t := range st.tasks {
 		if t.run != nil || t.retryAt > s.now {
 			return
@@ -232,13 +237,19 @@
 	if st.def.TightlyCoupled {
 		for _, rack := range racks(workers) {
 			if s.placeGangOn(st, rack, number+1) {
+				st.wait.end(s.now, false)
 				return
 			}
 		}
+		if s.gangWaits(st, pass) {
+			return
+		}
 	}
 	if !s.placeGangOn(st, workers, number+1) {
 		s.requestMissingAdvice(st, workers)
+		return
 	}
+	st.wait.end(s.now, s.RemoteFactor > 1 && st.def.TightlyCoupled)
 }
 
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -40,8 +40,10 @@
 	now     clock.Millis
 	workers map[string]*fakeWorker
 	length  func(task string) clock.Millis // run time of a task; 0: long-running
-	fails   func(task, worker string) bool
-	stalls  func(task, worker string) bool // if set, reports which tasks make no progress
+	// factor, if set, returns the factor for the run time of a task on a worker.
+	factor func(task string, f *fakeWorker) int
+	fails  func(task, worker string) bool
+	stalls func(task, worker string) bool // if set, reports which tasks make no progress
 	// lose, if set, reports which orders get no answer. If late is positive, a Start is carried out after that time;
 	// other orders never are.
 	lose func(order any) (lost bool, late clock.Millis)
@@ -253,6 +255,14 @@
 	}
 }
 
+func (w *poolSim) lengthOn(task string, f *fakeWorker) clock.Millis {
+	length := w.length(task)
+	if w.factor != nil {
+		length *= clock.Millis(w.factor(task, f))
+	}
+	return length
+}
+
 func sortedNames(runs map[string]*fakeRun) []string {
 	names := make([]string, 0, len(runs))
 	for name := range runs {
@@ -332,7 +342,7 @@
 		if n := w.failures[o.Task]; w.maxAttempts > 0 && n >= w.maxAttempts {
 			w.t.Fatalf("%d ms: task %s starts after %d failed ends were acknowledged, want at most %d", w.now, o.Task, n, w.maxAttempts)
 		}
-		f.runs[o.Task] = &fakeRun{start: o, began: w.now, length: w.length(o.Task), cpuPercent: 100}
+		f.runs[o.Task] = &fakeRun{start: o, began: w.now, length: w.lengthOn(o.Task, f), cpuPercent: 100}
 		w.starts[o.Task]++
 		if end := w.endHistory.start(o.Task, o.Run, f.incarnation(), w.now); end != nil {
 			w.t.Fatalf("%d ms: %v", w.now, end)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -57,6 +57,9 @@
 	Pool   string
 	Logger *slog.Logger
 	Lease  clock.Millis // granted with a start and with each renewal; at most MaxLease
+	// RemoteFactor is the factor for the run time of a task away from the rack of its data, and of a tightly coupled gang on several racks;
+	// with at most 1 no task waits for a rack.
+	RemoteFactor float64
 	// Retention is how long the rows of a job in a final state are kept.
 	Retention clock.Millis
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -51,6 +51,7 @@
 	avoid      *worker // worker on which the last run failed or made no progress
 	avoidUntil clock.Millis
 	restarts   int // consecutive ends of a long-running task before it was ready
+	wait       placeWait
 }
 
 // avoidWorker keeps the task off the worker for taskAvoidTime.
@@ -81,6 +82,7 @@
 	asked           map[string]int64   // workers in the newest request to the advisor, with their incarnations
 	adviceRequested bool               // that request has no answer yet
 	nextAdvice      clock.Millis       // earliest time of the next request
+	wait            placeWait          // of a gang
 }
 
 func (st *step) complete() bool { return st.done == len(st.tasks) }
--- /dev/null
+++ b/pool/wait.go
@@ -0,0 +1,310 @@
+package pool
+
+import (
+	"expvar"
+	"log/slog"
+	"slices"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/metrics"
+)
+
+const (
+	// minTimeLeft is the remaining time assumed for a run that should have ended already.
+	minTimeLeft = 100 * clock.Millis(1)
+	// never is the remaining time of a long-running task.
+	never = clock.Day
+)
+
+var (
+	rackWaits    = expvar.NewInt("rack-waits")          // tasks and gangs that began to wait for a rack
+	remoteRuns   = expvar.NewInt("rack-runs-remote")    // tasks placed away from their data, and gangs on several racks
+	rackWaitTime = metrics.NewHistogram("rack-wait-ms") // of tasks and gangs that were placed after a wait
+)
+
+// placeWait is the wait of a task, or of a gang, for a place on a rack while it could run elsewhere.
+type placeWait struct {
+	began clock.Millis // 0: it does not wait
+}
+
+// end ends the wait when the task or the gang is placed.
+func (w *placeWait) end(now clock.Millis, remote bool) {
+	if w.began != 0 {
+		rackWaitTime.Observe(now - w.began)
+	}
+	if remote {
+		remoteRuns.Add(1)
+	}
+	w.began = 0
+}
+
+// waitsForRack reports whether a task that would be placed away from the rack of its data waits for a place there instead.
+func (s *Scheduler) waitsForRack(t *task, chosen *worker, pass *placement) bool {
+	st := t.step
+	if s.RemoteFactor <= 1 || st.def.Rack == "" || st.def.LongRunning || chosen.entry.HasLabel(st.def.Rack) {
+		return false
+	}
+	budget := s.waitBudget(st, &t.wait)
+	if budget <= 0 {
+		return false
+	}
+	wait, ok := pass.forecast(s, st.def.Rack).book(s, t, budget)
+	return ok && s.continueWait(&t.wait, t.name, st, wait)
+}
+
+// gangWaits reports whether a tightly coupled gang that fits only on several racks waits until it fits on one.
+func (s *Scheduler) gangWaits(st *step, pass *placement) bool {
+	if s.RemoteFactor <= 1 || st.def.LongRunning || !fitsNow(st, pass.workers) {
+		return false
+	}
+	budget := s.waitBudget(st, &st.wait)
+	best := budget + 1
+	for _, rack := range racks(pass.workers) {
+		if wait, ok := newRackForecast(s, rack).room(st, budget); ok {
+			best = min(best, wait)
+		}
+	}
+	return best <= budget && s.continueWait(&st.wait, st.name(), st, best)
+}
+
+// fitsNow reports whether all tasks of a gang fit on the workers.
+func fitsNow(st *step, workers []*worker) bool {
+	tasks := 0
+	for _, w := range workers {
+		if tasks += (&workerForecast{worker: w}).count(st, 0); tasks >= len(st.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) continueWait(w *placeWait, name string, st *step, expected clock.Millis) bool {
+	if w.began == 0 {
+		w.began = s.now
+		rackWaits.Add(1)
+		s.log(eventRackWait, slog.String("for", name), slog.String("rack", st.def.Rack), slog.Int64("expected-ms", int64(expected)))
+	}
+	return true
+}
+
+// waitBudget returns how much longer the next task of a step may wait for its rack: what running elsewhere costs and what its job can
+// spare, less what it has waited.
+func (s *Scheduler) waitBudget(st *step, w *placeWait) clock.Millis {
+	length := s.runTime(st)
+	cost := clock.Millis((s.RemoteFactor - 1) * float64(length))
+	budget := cost
+	if j := st.job; j.hasObjective() {
+		slack, after := s.slack(st, length)
+		budget += slack
+		// Of two ends that are both too late, the earlier one counts.
+		left := j.acceptedAt + objectiveOf(j.terms, s.forecast(j).criticalPath) - s.now - after
+		if left >= length+cost {
+			budget = min(budget, left-length)
+		}
+	}
+	if w.began != 0 {
+		budget -= s.now - w.began
+	}
+	return budget
+}
+
+// slack returns by how much a step with tasks of the given run time may end later without delaying its job, and the time that the steps
+// after it take.
+func (s *Scheduler) slack(st *step, length clock.Millis) (slack, after clock.Millis) {
+	steps := st.job.occurrences[0].steps
+	tails := make([]clock.Millis, len(steps)) // longest path behind each step
+	own, longest := clock.Millis(0), clock.Millis(0)
+	for i := len(steps) - 1; i >= 0; i-- {
+		other := steps[i]
+		if other.complete() {
+			continue
+		}
+		runTime := s.runTime(other)
+		for _, earlier := range other.def.After {
+			tails[earlier] = max(tails[earlier], tails[i]+runTime)
+		}
+		path := tails[i] + s.remainingTime(other, runTime)
+		if other == st {
+			own, after = tails[i]+length, tails[i]
+		}
+		longest = max(longest, path)
+	}
+	return max(longest-own, 0), after
+}
+
+// rackForecast predicts when the workers of a rack have room. Tasks that wait book their places, so that each sees those before it.
+type rackForecast struct {
+	workers []*workerForecast
+	failed  []failedBooking
+}
+
+// failedBooking is a need for which no place is free within a time.
+type failedBooking struct {
+	need   batch.Resources
+	within clock.Millis
+}
+
+type workerForecast struct {
+	worker  *worker
+	changes []roomChange // by time
+}
+
+// roomChange changes the room of a worker after a time.
+type roomChange struct {
+	in     clock.Millis
+	amount batch.Resources // negative parts are taken
+}
+
+// forecast returns the forecast of a rack for this pass.
+func (p *placement) forecast(s *Scheduler, rack string) *rackForecast {
+	if f := p.racks[rack]; f != nil {
+		return f
+	}
+	var workers []*worker
+	for _, w := range p.workers {
+		if w.entry.HasLabel(rack) {
+			workers = append(workers, w)
+		}
+	}
+	if p.racks == nil {
+		p.racks = map[string]*rackForecast{}
+	}
+	p.racks[rack] = newRackForecast(s, workers)
+	return p.racks[rack]
+}
+
+func newRackForecast(s *Scheduler, workers []*worker) *rackForecast {
+	f := &rackForecast{}
+	for _, w := range workers {
+		forecast := &workerForecast{worker: w}
+		for _, r := range w.runs {
+			if left := s.timeLeft(r); left < never {
+				forecast.changes = append(forecast.changes, roomChange{left, r.task.step.def.Reserve()})
+			}
+		}
+		forecast.sort()
+		f.workers = append(f.workers, forecast)
+	}
+	return f
+}
+
+func (w *workerForecast) sort() {
+	slices.SortFunc(w.changes, func(a, b roomChange) int { return int(a.in - b.in) })
+}
+
+// timeLeft returns the expected remaining time of a run.
+func (s *Scheduler) timeLeft(r *run) clock.Millis {
+	st := r.task.step
+	if st.def.LongRunning {
+		return never
+	}
+	length := s.runTime(st)
+	switch {
+	case r.sent == 0:
+		return length
+	case r.percent >= minPercent && r.reportedAt > r.sent:
+		return max((r.reportedAt-r.sent)*clock.Millis(100-r.percent)/clock.Millis(r.percent)-(s.now-r.reportedAt), minTimeLeft)
+	}
+	return max(length-(s.now-r.sent), minTimeLeft)
+}
+
+// book returns the expected wait for a place for the task, and books the place. It returns false if there is none within the time.
+func (f *rackForecast) book(s *Scheduler, t *task, within clock.Millis) (clock.Millis, bool) {
+	def := t.step.def
+	need := def.Reserve()
+	for _, failed := range f.failed {
+		if failed.need.Fits(need) && within <= failed.within {
+			return 0, false
+		}
+	}
+	length := s.runTime(t.step)
+	var best *workerForecast
+	wait := within + 1
+	for _, w := range f.workers {
+		if def.Label != "" && !w.worker.entry.HasLabel(def.Label) || w.worker == t.avoid && s.now < t.avoidUntil ||
+			t.step.advised() && !t.step.hasTicket(w.worker, s.now) {
+			continue
+		}
+		if in, ok := w.room(need, length, wait-1); ok {
+			best, wait = w, in
+		}
+	}
+	if best == nil {
+		f.failed = append(f.failed, failedBooking{need, within})
+		return 0, false
+	}
+	best.changes = append(best.changes, roomChange{wait, batch.Resources{}.Sub(need)}, roomChange{wait + length, need})
+	best.sort()
+	return wait, true
+}
+
+// room returns the time after which the need is free on the worker for the given length, and false if it is not within the given time.
+func (w *workerForecast) room(need batch.Resources, length, within clock.Millis) (clock.Millis, bool) {
+	free := w.worker.free()
+	start, found := clock.Millis(0), need.Fits(free)
+	for i := 0; i < len(w.changes); {
+		in := w.changes[i].in
+		if found && in >= start+length {
+			break
+		}
+		for ; i < len(w.changes) && w.changes[i].in == in; i++ {
+			free = free.Add(w.changes[i].amount)
+		}
+		switch fits := need.Fits(free); {
+		case !fits:
+			found = false
+		case !found:
+			start, found = in, true
+		}
+		if found && start > within {
+			break
+		}
+	}
+	return start, found && start <= within
+}
+
+// room returns the time after which all tasks of a gang fit on the rack, and false if that is not within the given time.
+func (f *rackForecast) room(st *step, within clock.Millis) (clock.Millis, bool) {
+	times := []clock.Millis{0}
+	for _, w := range f.workers {
+		for _, c := range w.changes {
+			if c.in <= within {
+				times = append(times, c.in)
+			}
+		}
+	}
+	slices.Sort(times)
+	for _, in := range slices.Compact(times) {
+		tasks := 0
+		for _, w := range f.workers {
+			if st.def.Label == "" || w.worker.entry.HasLabel(st.def.Label) {
+				tasks += w.count(st, in)
+			}
+		}
+		if tasks >= len(st.tasks) {
+			return in, true
+		}
+	}
+	return 0, false
+}
+
+// count returns how many tasks of the step fit on the worker after a time.
+func (w *workerForecast) count(st *step, in clock.Millis) int {
+	free := w.worker.free()
+	for _, c := range w.changes {
+		if c.in <= in {
+			free = free.Add(c.amount)
+		}
+	}
+	most := len(st.tasks)
+	if st.def.MaxPerWorker > 0 {
+		most = min(most, st.def.MaxPerWorker)
+	}
+	need, n := st.def.Reserve(), 0
+	for n < most && need.Fits(free) {
+		free = free.Sub(need)
+		n++
+	}
+	return n
+}
