front, store, daemon: keys of customers, whose job is whose, and confirmations of the configuration

Cause: no call was checked for a key; any caller could see, cancel or rule out any job. Change: a queue that is not public needs the key of a customer (401); jobs carry their customer in their address row; a customer's tombstone binds its own jobs only. Tests in front name testAccess where they named testQueue, as the permission replaces the queue; their checks are unchanged. Result: front.TestMatchChecksKeys, TestKeyWithdrawnBeforeTheEffect, TestCustomersSeeOnlyTheirJobs, TestTombstoneBindsItsCustomerOnly and TestJobsWithoutACustomer pass; go test -race of front, store, platform, batch, overview and daemon passes. Not yet: tests of the confirmation.

--- a/batch/customer.go
+++ b/batch/customer.go
@@ -43,7 +43,11 @@
 
 // CustomerOfKey returns the customer that has the key.
 func (c *Configuration) CustomerOfKey(key string) (*Customer, bool) {
-	hash := HashKey(key)
+	return c.CustomerOfHash(HashKey(key))
+}
+
+// CustomerOfHash returns the customer that has the key with the hash.
+func (c *Configuration) CustomerOfHash(hash KeyHash) (*Customer, bool) {
 	customer, ok := c.byKey[hash]
 	if !ok {
 		return nil, false
--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -29,11 +29,14 @@
 	eventListFailed           = event.New(1086, "machines-unlisted", slog.LevelWarn, "the platform did not return the list of machines")
 	eventUnreadableLoad       = event.New(1087, "load-unreadable", slog.LevelError,
 		"the last report of the previous owner of a pool cannot be decoded; the longest leases are assumed")
-	eventUnreadableJob  = event.New(1088, "job-unreadable", slog.LevelError, "a stored job cannot be decoded; it is not scheduled")
-	eventCleanupFailed  = event.New(1089, "rows-not-swept", slog.LevelWarn, "rows of ended jobs could not be deleted; the deletion is retried")
-	eventUnreadableWave = event.New(1092, "wave-unreadable", slog.LevelError, "the stored state of a wave cannot be decoded; long-running tasks may be placed on machines that are due for maintenance")
-	eventClaimDeferred  = event.New(1091, "claim-deferred", slog.LevelInfo, "a claim is deferred: the store is slow, and the owner of the part may only be late with its renewal")
-	eventReread         = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
-	eventLateOrder      = event.New(1093, "machine-order-late", slog.LevelWarn,
+	eventUnreadableJob   = event.New(1088, "job-unreadable", slog.LevelError, "a stored job cannot be decoded; it is not scheduled")
+	eventCleanupFailed   = event.New(1089, "rows-not-swept", slog.LevelWarn, "rows of ended jobs could not be deleted; the deletion is retried")
+	eventUnreadableWave  = event.New(1092, "wave-unreadable", slog.LevelError, "the stored state of a wave cannot be decoded; long-running tasks may be placed on machines that are due for maintenance")
+	eventClaimDeferred   = event.New(1091, "claim-deferred", slog.LevelInfo, "a claim is deferred: the store is slow, and the owner of the part may only be late with its renewal")
+	eventReread          = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
+	eventKeysUnconfirmed = event.New(1095, "keys-unconfirmed", slog.LevelWarn,
+		"the newest configuration has not been confirmed at the store for too long; requests with keys are refused until it is")
+	eventKeysConfirmed = event.New(1096, "keys-confirmed", slog.LevelInfo, "the configuration is confirmed at the store; requests with keys are served")
+	eventLateOrder     = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,6 +72,7 @@
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
 	reportsFeed   *store.Follower   // idle while this instance does not own the machines
 	configuration atomic.Pointer[batch.Configuration]
+	confirmation  confirmation // of configuration; used only with a limit for withdrawn keys
 	owned         atomic.Int32 // number of parts that this instance owns or is claiming
 	ownsMachines  atomic.Bool
 	machineOwner  atomic.Pointer[machineOwner] // nil while another instance owns the machines
@@ -134,8 +135,8 @@
 	claimContext, stopClaimers := context.WithCancel(follow)
 	defer stopClaimers()
 	var claimersDone sync.WaitGroup
-	operatorFeed.OnLoad = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
-	operatorFeed.OnRows = operatorFeed.OnLoad
+	operatorFeed.OnRows = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
+	operatorFeed.OnLoad = func(rows []store.Row) { operatorFeed.OnRows(rows); d.confirmation.loaded(rows) }
 	operatorFeed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
 	for _, f := range append([]*store.Follower{d.stateFeed, d.reportsFeed, operatorFeed}, d.ownerFeeds...) {
 		go func() { _ = f.Run(follow) }() // returns only when its context ends
@@ -143,6 +144,10 @@
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
 	service := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
 		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
+	if d.Settings.RevocationLimit > 0 {
+		operatorFeed.SinceBoot, operatorFeed.OnCurrent = d.sinceBoot, d.confirmation.confirm
+		service.KeysConfirmed = d.keysConfirmed
+	}
 	callers := &http.Server{Handler: &platform.Front{Service: service}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
@@ -216,12 +221,18 @@
 		if c := d.configuration.Load(); c != nil {
 			version = c.Version
 		}
+		var confirmationAge *clock.Millis
+		if age, ok := d.confirmation.age(d.sinceBoot()); ok {
+			confirmationAge = &age
+		}
 		return struct {
 			CopyAge       clock.Millis `json:"copy-age-ms"`
 			Configuration int64        `json:"configuration"`
 			Owned         int32        `json:"owned-parts"`
 			Jobs          int          `json:"jobs-known"`
-		}{d.stateFeed.Age(), version, d.owned.Load(), d.stateCache.Len()}
+			// ConfirmationAge is absent without a confirmation of the keys, and without a limit for withdrawn keys.
+			ConfirmationAge *clock.Millis `json:"keys-confirmed-age-ms,omitempty"`
+		}{d.stateFeed.Age(), version, d.owned.Load(), d.stateCache.Len(), confirmationAge}
 	}))
 }
 
@@ -230,6 +241,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if d.Settings.RevocationLimit > 0 && !d.keysConfirmed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -237,9 +252,15 @@
 // for each part that the configuration adds.
 func (d *Daemon) operatorRows(ctx context.Context, claimersDone *sync.WaitGroup, rows []store.Row) {
 	for _, row := range rows {
-		if row.Deleted || row.Part != "" {
+		if row.Part != "" {
 			continue // operators write into the empty part
 		}
+		if row.Deleted {
+			if isConfiguration(row) {
+				d.confirmation.ignored(row)
+			}
+			continue
+		}
 		wave, isWave, err := platform.DecodeWave(row)
 		if err != nil {
 			eventUnreadableConfig.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
@@ -255,12 +276,15 @@
 		c, err := platform.DecodeConfiguration(row.Value)
 		if err != nil {
 			eventUnreadableConfig.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
+			d.confirmation.ignored(row)
 			continue
 		}
 		if before := d.configuration.Load(); before != nil && before.Version >= c.Version {
+			d.confirmation.ignored(row)
 			continue
 		}
 		d.configuration.Store(c)
+		d.confirmation.putInForce(row)
 		eventConfigInForce.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
 		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.scheduler.Configure(c) }) })
 		if d.Machines != nil {
--- /dev/null
+++ b/front/access_test.go
@@ -0,0 +1,257 @@
+package front
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/result"
+	"magnoliaferry/standin"
+	"magnoliaferry/store"
+)
+
+// keyedSite returns a configuration with queue q for customers a and b, whose keys are "ka" and "kb", and the public queue open.
+func keyedSite() *batch.Configuration {
+	c := &batch.Configuration{Queues: []batch.Queue{*testQueue, {Name: "open", Host: "h", Prefix: "/open/", Pool: "p", Public: true}}}
+	c.SetCustomers([]batch.Customer{{Name: "a", Keys: []batch.KeyHash{batch.HashKey("ka")}}, {Name: "b", Keys: []batch.KeyHash{batch.HashKey("kb")}}})
+	return c
+}
+
+// newKeyedFleet returns instances that serve keyedSite.
+func newKeyedFleet(n int) *fleetOfServices {
+	f := newFleet(n)
+	site := keyedSite()
+	for _, s := range f.instances {
+		s.Configuration = func() *batch.Configuration { return site }
+	}
+	return f
+}
+
+// access returns the permission at queue q for a key, or at the public queue for an empty one.
+func (f *fleetOfServices) access(t *testing.T, i int, key string) *Access {
+	t.Helper()
+	path := "/q/"
+	if key == "" {
+		path = "/open/"
+	}
+	access, _, refusal := f.instances[i].Match("h", path, key)
+	if refusal != nil {
+		t.Fatalf("access with the key of %q got %v", key, refusal)
+	}
+	return access
+}
+
+func code(refusal *result.Refusal) *result.Code {
+	if refusal == nil {
+		return nil
+	}
+	return refusal.Code()
+}
+
+// Guards against a call that is served without a valid key, a public queue or a site without customers that asks for one, and a valid key that
+// is refused as unknown because the instance is cut off.
+func TestMatchChecksKeys(t *testing.T) {
+	withoutCustomers := &batch.Configuration{Queues: []batch.Queue{*testQueue}}
+	yes, no := func() bool { return true }, func() bool { return false }
+	for _, test := range []struct {
+		name          string
+		configuration *batch.Configuration
+		confirmed     func() bool
+		path, key     string
+		want          *result.Code
+		customer      string
+	}{
+		{"valid key", keyedSite(), nil, "/q/1", "kb", nil, "b"},
+		{"valid key, confirmed", keyedSite(), yes, "/q/1", "ka", nil, "a"},
+		{"valid key, not confirmed", keyedSite(), no, "/q/1", "ka", CodeKeysUnconfirmed, ""},
+		{"unknown key", keyedSite(), yes, "/q/1", "kc", CodeNoKey, ""},
+		{"unknown key, not confirmed", keyedSite(), no, "/q/1", "kc", CodeKeysUnconfirmed, ""},
+		{"no key", keyedSite(), yes, "/q/1", "", CodeNoKey, ""},
+		{"no key, not confirmed", keyedSite(), no, "/q/1", "", CodeKeysUnconfirmed, ""},
+		{"no queue", keyedSite(), no, "/x/1", "kc", CodeNoQueue, ""},
+		{"public queue", keyedSite(), no, "/open/1", "", nil, ""},
+		{"public queue with an unknown key", keyedSite(), no, "/open/1", "kc", nil, ""},
+		{"no customers", withoutCustomers, nil, "/q/1", "", nil, ""},
+		{"no customers, any key", withoutCustomers, nil, "/q/1", "kc", nil, ""},
+		{"the last customer was removed", withoutCustomers, yes, "/q/1", "ka", CodeNoKey, ""},
+	} {
+		s, _ := newService(&scriptedTable{})
+		s.Configuration, s.KeysConfirmed = func() *batch.Configuration { return test.configuration }, test.confirmed
+		access, rest, refusal := s.Match("h", test.path, test.key)
+		if got := code(refusal); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, refusal, test.want)
+			continue
+		}
+		if refusal == nil && (access.customer != test.customer || rest != "1") {
+			t.Errorf("%s: customer and id got %q, %q, want %q, 1", test.name, access.customer, rest, test.customer)
+		}
+	}
+}
+
+// Guards against a key that is withdrawn, or can no longer be confirmed, between the reading of a call and its effect: the caller sends its
+// body slowly, or the instance is suspended.
+func TestKeyWithdrawnBeforeTheEffect(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		keys      []batch.KeyHash // of customer a after the call was read
+		confirmed bool
+		want      *result.Code
+	}{
+		{"key in force", []batch.KeyHash{batch.HashKey("k2"), batch.HashKey("ka")}, true, nil},
+		{"key withdrawn", []batch.KeyHash{batch.HashKey("k2")}, true, CodeNoKey},
+		{"not confirmed", []batch.KeyHash{batch.HashKey("ka")}, false, CodeKeysUnconfirmed},
+	} {
+		for _, during := range []string{"the body", "the probe of the store"} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newKeyedFleet(1)
+				s := f.instances[0]
+				confirmed := true
+				s.KeysConfirmed = func() bool { return confirmed }
+				access := f.access(t, 0, "ka")
+				change := func() {
+					next := &batch.Configuration{Version: 2, Queues: keyedSite().Queues}
+					next.SetCustomers([]batch.Customer{{Name: "a", Keys: test.keys}})
+					s.Configuration, confirmed = func() *batch.Configuration { return next }, test.confirmed
+				}
+				if during == "the body" {
+					change()
+				} else {
+					s.Reachable = func(context.Context) bool { change(); return true }
+				}
+				refusal := f.call(func() *result.Refusal { return s.Submit(context.Background(), access, testJob("1"), 2900) })
+				if got := code(refusal); got != test.want {
+					t.Errorf("%s during %s: got %v, want %v", test.name, during, refusal, test.want)
+				}
+				if got, want := f.runs("1"), test.want == nil; got != want {
+					t.Errorf("%s during %s: job stored got %v, want %v", test.name, during, got, want)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a customer that sees, counts or cancels the job of another one, is told that a job with such an id is stored, or can tell
+// the id from one without a job; at the accepting instance, and at one that knows of the job or not.
+func TestCustomersSeeOnlyTheirJobs(t *testing.T) {
+	for _, other := range []string{"kb", ""} {
+		for _, where := range []string{"the accepting instance", "another instance", "another instance with an old copy"} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newKeyedFleet(2)
+				ctx := context.Background()
+				owner, at := f.access(t, 0, "ka"), 0
+				if refusal := f.call(func() *result.Refusal { return f.instances[0].Submit(ctx, owner, testJob("1"), 2900) }); refusal != nil {
+					t.Fatalf("job of a got %v", refusal)
+				}
+				if where != "the accepting instance" {
+					at = 1
+				}
+				if where == "another instance" {
+					f.reload(1)
+				}
+				s, stranger := f.instances[at], f.access(t, at, other)
+				if _, got := s.State(ctx, stranger, "1"); code(got) != CodeNotFound {
+					t.Errorf("%q at %s: state got %v, want %s", other, where, got, CodeNotFound.Name())
+				}
+				if got := f.call(func() *result.Refusal { return s.Submit(ctx, stranger, testJob("1"), 2900) }); code(got) != CodeIDInUse {
+					t.Errorf("%q at %s: job with the same id got %v, want %s", other, where, got, CodeIDInUse.Name())
+				}
+				for _, id := range []string{"1", "2"} { // the answers to an id of another and to one without a job are the same
+					if got := f.call(func() *result.Refusal { return s.Cancel(ctx, stranger, id, 2900) }); code(got) != CodeNoJob || got.Detail() != "" {
+						t.Errorf("%q at %s: cancel of %s got %v, want %s", other, where, id, got, CodeNoJob.Name())
+					}
+				}
+				if !f.runs("1") {
+					t.Errorf("%q at %s: the job was cancelled", other, where)
+				}
+				if got := s.Waiting(stranger); got != 0 {
+					t.Errorf("%q at %s: waiting got %d, want 0", other, where, got)
+				}
+				f.reload(at)
+				owner = f.access(t, at, "ka")
+				if state, got := s.State(ctx, owner, "1"); got != nil || state != batch.Pending || s.Waiting(owner) != 1 {
+					t.Errorf("%q at %s: its owner sees %v, %v and %d waiting, want it pending and counted", other, where, state, got, s.Waiting(owner))
+				}
+				if got := f.call(func() *result.Refusal { return s.Submit(ctx, owner, testJob("1"), 2900) }); got != nil {
+					t.Errorf("%q at %s: repeat of the owner got %v, want success", other, where, got)
+				}
+				if got := f.call(func() *result.Refusal { return s.Cancel(ctx, owner, "1", 2900) }); got != nil || f.runs("1") {
+					t.Errorf("%q at %s: cancel of the owner got %v, want the job cancelled", other, where, got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a tombstone of one customer, or of a caller at a public queue, that keeps another customer's job from being stored, and
+// against one that does not rule out its own customer's late write.
+func TestTombstoneBindsItsCustomerOnly(t *testing.T) {
+	for _, test := range []struct {
+		canceller, submitter string
+		want                 *result.Code
+	}{
+		{"ka", "ka", CodeWithdrawn}, {"ka", "kb", nil}, {"ka", "", nil}, {"", "ka", nil}, {"", "", CodeWithdrawn},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newKeyedFleet(2)
+			ctx := context.Background()
+			submit := func(i int, key string) *result.Refusal {
+				access := f.access(t, i, key)
+				return f.call(func() *result.Refusal { return f.instances[i].Submit(ctx, access, testJob("1"), 2900) })
+			}
+			f.table.Fault = func(store.Transaction) standin.TableFault { return standin.TableDelays }
+			if got := submit(0, test.canceller); code(got) != CodeUnknown {
+				t.Fatalf("first request got %v, want %s", got, CodeUnknown.Name())
+			}
+			f.table.Fault = nil
+			access := f.access(t, 1, test.canceller)
+			if got := f.call(func() *result.Refusal { return f.instances[1].Cancel(ctx, access, "1", 2900) }); code(got) != CodeNoJob {
+				t.Fatalf("cancel got %v, want %s", got, CodeNoJob.Name())
+			}
+			f.table.ApplyDelayed()
+			if f.runs("1") {
+				t.Error("the late write stored a cancelled job")
+			}
+			for i := range f.instances { // the second one knows the tombstone, the first one does not
+				if got := submit(i, test.submitter); code(got) != test.want {
+					t.Errorf("%q after the cancel of %q at %d got %v, want %v", test.submitter, test.canceller, i, got, test.want)
+				}
+			}
+			if got, want := f.runs("1"), test.want == nil; got != want {
+				t.Errorf("%q after the cancel of %q: job stored got %v, want %v", test.submitter, test.canceller, got, want)
+			}
+		})
+	}
+}
+
+// Guards against jobs that nobody finds any more: those stored without a customer, and those of customers whose queue becomes public.
+func TestJobsWithoutACustomer(t *testing.T) {
+	s, _ := newService(&scriptedTable{})
+	site := keyedSite()
+	s.Configuration = func() *batch.Configuration { return site }
+	for id, customer := range map[string]string{"1": "", "2": "a"} {
+		rows := []store.Row{store.EncodeState(store.IntakePart(id), id, "q", "p", batch.Pending), store.EncodeAddress(id, testQueue.Address(), customer)}
+		s.States.Apply(withVersion(rows, 1))
+	}
+	waiting := func(key string) int {
+		access, _, refusal := s.Match("h", "/q/", key)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		return s.Waiting(access)
+	}
+	if got, want := [2]int{waiting("ka"), waiting("kb")}, [2]int{2, 1}; got != want {
+		t.Errorf("jobs that a and b see got %v, want %v", got, want)
+	}
+	site = keyedSite()
+	site.Queues[0].Public = true
+	if got, want := waiting(""), 2; got != want {
+		t.Errorf("jobs at the queue that is public now got %d, want %d", got, want)
+	}
+	// The address arrives after the state: until then it is not known whose job it is.
+	s.States.Apply(withVersion([]store.Row{store.EncodeState(store.IntakePart("3"), "3", "q", "p", batch.Pending)}, 1))
+	site = keyedSite()
+	if got, want := waiting("kb"), 1; got != want {
+		t.Errorf("jobs that b sees beside one of an unknown customer got %d, want %d", got, want)
+	}
+}
--- a/front/cancel_test.go
+++ b/front/cancel_test.go
@@ -53,16 +53,16 @@
 
 func (f *fleetOfServices) submit(i int, id string) *result.Refusal {
 	return f.call(func() *result.Refusal {
-		return f.instances[i].Submit(context.Background(), testQueue, testJob(id), 2900)
+		return f.instances[i].Submit(context.Background(), testAccess, testJob(id), 2900)
 	})
 }
 
 func (f *fleetOfServices) cancel(i int, id string) *result.Refusal {
-	return f.call(func() *result.Refusal { return f.instances[i].Cancel(context.Background(), testQueue, id, 2900) })
+	return f.call(func() *result.Refusal { return f.instances[i].Cancel(context.Background(), testAccess, id, 2900) })
 }
 
 func (f *fleetOfServices) state(i int, id string) (batch.State, *result.Refusal) {
-	return f.instances[i].State(context.Background(), testQueue, id)
+	return f.instances[i].State(context.Background(), testAccess, id)
 }
 
 // runs reports whether the store has a job that the owner of the pool would run.
@@ -110,7 +110,7 @@
 						t.Errorf("instance %d: state got %v, want %s", i, got, CodeNoJob.Name())
 					}
 					f.reload(i)
-					if got := f.instances[i].Waiting(testQueue); got != 0 {
+					if got := f.instances[i].Waiting(testAccess); got != 0 {
 						t.Errorf("instance %d: waiting jobs got %d, want 0", i, got)
 					}
 				}
--- a/front/codes.go
+++ b/front/codes.go
@@ -18,10 +18,14 @@
 	CodeInvalid   = result.New(2512, "job-invalid", 400, result.NotRun, "the job cannot be carried out as it is described")
 	CodeWithdrawn = result.New(2513, "job-cancelled-before", 503, result.NotRun, "the id was cancelled before a job with it was stored; the job will not run")
 	CodeNotFound  = result.New(2514, "job-not-found", 410, result.Unknown, "no such job is stored now; an earlier request that got no answer may still store it, unless the job is cancelled")
+	CodeNoKey     = result.New(2515, "key-unknown", 401, result.NotRun, "the request has no key, or one that no customer has now")
+	CodeIDInUse   = result.New(2516, "job-id-in-use", 409, result.NotRun, "the id belongs to a job that this caller cannot see; the job was not stored")
 	CodeNotReady  = result.New(2520, "not-ready", 503, result.Unknown, "this instance has no configuration or no copy of the jobs yet")
 	CodeNotStored = result.New(2521, "job-not-stored", 504, result.Unknown, "the platform's store did not take the job from this request, but may still carry out an earlier one; repeat the request with the same id, or cancel the job")
 	CodeUnknown   = result.New(2522, "job-outcome-unknown", 504, result.Unknown, "the platform's store did not tell in time whether it has the job; repeat the request with the same id")
-	CodeStale     = result.New(2523, "state-unknown", 503, result.Unknown, "this instance is cut off from the platform's store and cannot tell")
+	// CodeKeysUnconfirmed has an unknown outcome, as an earlier request with the same id may have stored the job.
+	CodeKeysUnconfirmed = result.New(2524, "keys-unconfirmed", 503, result.Unknown, "this instance cannot confirm at the platform's store which keys are valid; this request did nothing")
+	CodeStale           = result.New(2523, "state-unknown", 503, result.Unknown, "this instance is cut off from the platform's store and cannot tell")
 )
 
 var (
--- a/front/rename_test.go
+++ b/front/rename_test.go
@@ -67,17 +67,17 @@
 func checkJob(t *testing.T, when string, s *Service, c *clock.Clock, path string, want bool) {
 	t.Helper()
 	ctx := context.Background()
-	queue, id, refusal := s.Match("h", path+"a")
+	access, id, refusal := s.Match("h", path+"a", "")
 	if refusal != nil || id != "a" {
 		t.Fatalf("%s: route of %sa got %v, %q", when, path, refusal, id)
 	}
-	if got := s.Waiting(queue); got == 1 != want {
+	if got := s.Waiting(access); got == 1 != want {
 		t.Errorf("%s: waiting jobs at %s got %d, want the job counted: %v", when, path, got, want)
 	}
-	if _, refusal := s.State(ctx, queue, "a"); refusal == nil != want {
+	if _, refusal := s.State(ctx, access, "a"); refusal == nil != want {
 		t.Errorf("%s: state at %s got refusal %v, want the job found: %v", when, path, refusal, want)
 	}
-	if refusal := s.Cancel(ctx, queue, "a", 2900); refusal == nil != want {
+	if refusal := s.Cancel(ctx, access, "a", 2900); refusal == nil != want {
 		t.Errorf("%s: cancel at %s got refusal %v, want the job found: %v", when, path, refusal, want)
 	}
 }
--- a/front/service.go
+++ b/front/service.go
@@ -46,38 +46,36 @@
 	Reachable func(ctx context.Context) bool
 	// CopyAge returns the time for which the local copy of the job states may have missed changes.
 	CopyAge func() clock.Millis
+	// KeysConfirmed reports whether the configuration is known to have been the newest one recently enough to accept its keys; nil if
+	// keys may be accepted without. If it is set, callers need a key even if the configuration has no customers.
+	KeysConfirmed func() bool
 	// WallClock returns the milliseconds since 1970.
 	WallClock func() clock.Millis
 
 	breaker breaker
 }
 
-// Match returns the queue for the host and path of a request and the rest of the path after the queue's prefix, or a refusal.
-func (s *Service) Match(host, path string) (*batch.Queue, string, *result.Refusal) {
-	configuration := s.Configuration()
-	if configuration == nil {
-		return nil, "", result.Refuse(CodeNotReady, "no configuration was read yet", retryAfter)
-	}
-	queue, ok := configuration.Match(host, path)
-	if !ok {
-		return nil, "", result.Refuse(CodeNoQueue, host+path, 0)
-	}
-	return queue, path[len(queue.Prefix):], nil
-}
-
-// Submit stores a job of the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
-// that come from the queue, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store
+// Submit stores a job in the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
+// that come from the queue and its customer, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store
 // causes, only CodeWithdrawn says that the job will not run: another instance, or this one before a restart, may have sent a write that is
 // carried out later.
-func (s *Service) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job, wait clock.Millis) *result.Refusal {
+func (s *Service) Submit(ctx context.Context, access *Access, job *batch.Job, wait clock.Millis) *result.Refusal {
+	// The key may have been withdrawn while the request was read.
+	if refusal := s.recheck(ctx, access, job.ID); refusal != nil {
+		return refusal
+	}
 	if err := job.Check(); err != nil {
 		return s.refuse(ctx, CodeInvalid, job.ID, err, 0)
 	}
-	if known, ok := s.States.Find(job.ID); ok {
+	if known, ok := s.find(access, job.ID); ok {
 		return s.answerRepeat(ctx, known, job.ID, "copy")
 	}
+	if s.isForeign(access, job.ID) {
+		return s.refuse(ctx, CodeIDInUse, job.ID, nil, 0)
+	}
+	queue := access.queue
 	terms := queue.Terms()
-	job.Queue, job.Address, job.Terms = queue.Name, queue.Address(), &terms
+	job.Queue, job.Address, job.Terms, job.Customer = queue.Name, queue.Address(), &terms, access.customer
 	job.Pool, job.Accepted = queue.Pool, s.WallClock()
 	value, err := job.Encode()
 	if err != nil {
@@ -89,23 +87,32 @@
 	}
 	part := store.IntakePart(job.ID)
 	row := store.EncodeState(part, job.ID, queue.Name, job.Pool, batch.Pending)
-	tx := store.Transaction{Conditions: []store.Condition{{Table: row.Table, Part: row.Part, Key: row.Key}},
-		Puts: []store.Row{row, {Table: store.JobsTable(job.Pool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value},
-			store.EncodeAddress(job.ID, queue.Address())}}
+	address := store.EncodeAddress(job.ID, queue.Address(), access.customer)
+	tx := store.Transaction{Conditions: unusedID(access, part, job.ID),
+		Puts: []store.Row{row, {Table: store.JobsTable(job.Pool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value}, address}}
+	if refusal := s.recheck(ctx, access, job.ID); refusal != nil {
+		return refusal
+	}
 	started := s.Clock.Now()
 	outcome, err := s.write(ctx, tx, wait)
 	acceptTime.Observe(s.Clock.Now() - started)
 	switch {
 	case err == nil && outcome.Applied:
 		row.Version = outcome.Version
-		s.States.Apply([]store.Row{row, store.EncodeAddress(job.ID, queue.Address())})
-		s.log(ctx, eventAccepted, job.ID, slog.String("queue", queue.Name), slog.String("pool", job.Pool),
+		s.States.Apply([]store.Row{row, address})
+		s.log(ctx, eventAccepted, job.ID, slog.String("queue", queue.Name), slog.String("pool", job.Pool), slog.String("customer", job.Customer),
 			slog.Int("steps", len(job.Steps)), slog.Int64("version", outcome.Version))
 		return nil
 	case err == nil:
 		s.States.Apply(outcome.Current)
-		known, _ := s.States.Find(job.ID) // a row that cannot be decoded is that of a job
-		return s.answerRepeat(ctx, known, job.ID, "store")
+		if s.isForeign(access, job.ID) {
+			return s.refuse(ctx, CodeIDInUse, job.ID, nil, 0)
+		}
+		known, ok := s.find(access, job.ID)
+		if !ok && access.scoped {
+			return s.refuse(ctx, CodeUnknown, job.ID, batch.ErrInvalid.New("the stored state of the job cannot be read"), retryAfter)
+		}
+		return s.answerRepeat(ctx, known, job.ID, "store") // a row that cannot be decoded is that of a job
 	case errorx.IsOfType(err, store.ErrRejected):
 		return s.refuse(ctx, CodeNotStored, job.ID, err, retryAfter)
 	}
@@ -159,21 +166,24 @@
 	return s.Table.Commit(ctx, tx)
 }
 
-// State returns the state of a job that belongs to the queue. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still
+// State returns the state of a job that belongs to the queue and that the caller may see. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still
 // store the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and the job has not ended in
 // it, State waits at most maxCopyWait for a recent one, and may then return an outdated state.
-func (s *Service) State(ctx context.Context, queue *batch.Queue, id string) (batch.State, *result.Refusal) {
-	known, ok := s.States.Find(id)
+func (s *Service) State(ctx context.Context, access *Access, id string) (batch.State, *result.Refusal) {
+	known, ok := s.find(access, id)
 	if ok && !known.State.Final() && s.CopyAge() > staleAge {
 		s.awaitRecentCopy(ctx)
-		known, ok = s.States.Find(id)
+		known, ok = s.find(access, id)
+		if refusal := s.recheck(ctx, access, id); refusal != nil {
+			return 0, refusal
+		}
 	}
 	switch {
 	case !ok && s.CopyAge() > staleAge:
 		return 0, s.refuse(ctx, CodeStale, id, nil, retryAfter)
 	case !ok:
 		return 0, s.refuse(ctx, CodeNotFound, id, nil, 0)
-	case known.Tombstone || !s.belongs(known, queue):
+	case known.Tombstone || !s.belongs(known, access.queue):
 		return 0, s.refuse(ctx, CodeNoJob, id, nil, 0)
 	}
 	return known.State, nil
@@ -192,16 +202,16 @@
 // Cancel stores a request to cancel a job, and waits at most wait. It returns nil once the request is stored; the owner of the pool
 // cancels the job later. It also returns nil if a cancellation is known already, and CodeNoJob if the job has ended or if there is none. The
 // answer CodeNoJob holds for all instances: a write of such a job that is still under way can no longer be carried out.
-func (s *Service) Cancel(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) *result.Refusal {
-	known, ok := s.States.Find(id)
+func (s *Service) Cancel(ctx context.Context, access *Access, id string, wait clock.Millis) *result.Refusal {
+	known, ok := s.find(access, id)
 	if !ok {
 		var refusal *result.Refusal
-		if known, refusal = s.storeTombstone(ctx, queue, id, wait); refusal != nil {
+		if known, refusal = s.storeTombstone(ctx, access, id, wait); refusal != nil {
 			return refusal
 		}
 	}
 	switch {
-	case known.Tombstone, !s.belongs(known, queue):
+	case known.Tombstone, !s.belongs(known, access.queue):
 		return s.refuse(ctx, CodeNoJob, id, nil, 0)
 	case known.Cancelled:
 		return nil
@@ -214,6 +224,9 @@
 		// A request that the store carries out late must not outlast the job and cancel a later one with the same id.
 		tx.Conditions = []store.Condition{{Table: store.StateTable, Part: row.Part, Key: store.Key(store.KindJob, id), Version: known.IntakeVersion}}
 	}
+	if refusal := s.recheck(ctx, access, id); refusal != nil {
+		return refusal
+	}
 	outcome, err := s.write(ctx, tx, wait)
 	switch {
 	case err != nil:
@@ -226,36 +239,43 @@
 	return nil
 }
 
-// storeTombstone stores a tombstone for an id that is missing from the local copy, and returns the entry that the store has then. This is
-// the entry of a job if another instance has stored it meanwhile.
-func (s *Service) storeTombstone(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
-	tombstone := store.EncodeTombstone(id, queue.Pool)
-	cancel := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
-	outcome, err := s.write(ctx, store.Transaction{
-		Conditions: []store.Condition{{Table: tombstone.Table, Part: tombstone.Part, Key: tombstone.Key}},
-		Puts:       []store.Row{tombstone, cancel}}, wait)
-	switch {
-	case errorx.IsOfType(err, store.ErrRejected):
-		return store.JobEntry{}, s.refuse(ctx, CodeStale, id, err, retryAfter)
-	case err != nil:
-		return store.JobEntry{}, s.refuse(ctx, CodeUnknown, id, err, retryPause)
-	case outcome.Applied:
-		tombstone.Version = outcome.Version
-		s.States.Apply([]store.Row{tombstone})
-		s.log(ctx, eventTombstone, id, slog.Int64("version", outcome.Version))
-	default:
-		s.States.Apply(outcome.Current)
-	}
-	known, ok := s.States.Find(id)
-	if !ok {
-		return store.JobEntry{}, s.refuse(ctx, CodeStale, id, batch.ErrInvalid.New("the stored state of the job cannot be read"), retryAfter)
+// storeTombstone stores a tombstone for an id that the caller sees no job with, and returns the entry that the store has then. This is the
+// entry of a job if another instance has stored it meanwhile. The id of a job that the caller may not see gets a tombstone like an id without
+// a job, which does not affect that job.
+func (s *Service) storeTombstone(ctx context.Context, access *Access, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
+	pool, tombstoneID := access.queue.Pool, access.tombstone(id)
+	tombstone := store.EncodeTombstone(tombstoneID, pool)
+	cancel := store.EncodeCancel(pool, tombstoneID, true) // from this row the owner of the pool learns of the tombstone
+	const attempts = 2                                    // the first one can show that the id has another customer's job
+	for range attempts {
+		conditions := unusedID(access, tombstone.Part, id)
+		if s.isForeign(access, id) {
+			conditions = conditions[len(conditions)-1:]
+		}
+		outcome, err := s.write(ctx, store.Transaction{Conditions: conditions, Puts: []store.Row{tombstone, cancel}}, wait)
+		switch {
+		case errorx.IsOfType(err, store.ErrRejected):
+			return store.JobEntry{}, s.refuse(ctx, CodeStale, id, err, retryAfter)
+		case err != nil:
+			return store.JobEntry{}, s.refuse(ctx, CodeUnknown, id, err, retryPause)
+		case outcome.Applied:
+			tombstone.Version = outcome.Version
+			s.States.Apply([]store.Row{tombstone})
+			s.log(ctx, eventTombstone, id, slog.Int64("version", outcome.Version))
+		default:
+			s.States.Apply(outcome.Current)
+		}
+		if known, ok := s.find(access, id); ok {
+			return known, nil
+		}
 	}
-	return known, nil
+	return store.JobEntry{}, s.refuse(ctx, CodeStale, id, batch.ErrInvalid.New("the stored state of the job cannot be read"), retryAfter)
 }
 
-// Waiting returns the number of jobs of the queue that are pending, that is, no task has started, and are not cancelled.
-func (s *Service) Waiting(queue *batch.Queue) int {
-	return s.States.Waiting(func(known store.JobEntry) bool { return s.belongs(known, queue) })
+// Waiting returns the number of jobs of the queue that the caller may see and that are pending, that is, no task has started, and are not
+// cancelled.
+func (s *Service) Waiting(access *Access) int {
+	return s.States.Waiting(func(known store.JobEntry) bool { return s.sees(access, known) && s.belongs(known, access.queue) })
 }
 
 // belongs reports whether callers reach the job through the queue. The configuration may have renamed, moved or removed the queue that
@@ -274,9 +294,13 @@
 	if err != nil {
 		detail = err.Error()
 	}
+	s.logRefusal(ctx, code, id, detail)
+	return result.Refuse(code, detail, after)
+}
+
+func (s *Service) logRefusal(ctx context.Context, code *result.Code, id, detail string) {
 	eventRefused.Log(ctx, s.Logger, slog.String("job", id), slog.Int("result", code.Number()),
 		slog.Int64("copy-age-ms", int64(s.CopyAge())), slog.String("detail", detail))
-	return result.Refuse(code, detail, after)
 }
 
 func (s *Service) log(ctx context.Context, e *event.Event, id string, attributes ...slog.Attr) {
--- a/front/service_test.go
+++ b/front/service_test.go
@@ -41,7 +41,10 @@
 	return store.Result{Applied: true, Version: int64(t.calls)}, nil
 }
 
-var testQueue = &batch.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"}
+var (
+	testQueue  = &batch.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"}
+	testAccess = &Access{queue: testQueue}
+)
 
 func newService(table *scriptedTable) (*Service, *clock.Clock) {
 	c := clock.NewFake(1000)
@@ -63,7 +66,7 @@
 func submit(s *Service, c *clock.Clock, id string) int {
 	done := make(chan int, 1)
 	go func() {
-		refusal := s.Submit(context.Background(), testQueue, testJob(id), 2900)
+		refusal := s.Submit(context.Background(), testAccess, testJob(id), 2900)
 		if refusal == nil {
 			done <- CodeAccepted.Number()
 			return
@@ -150,11 +153,11 @@
 // Guards against an instance with an outdated copy that answers that a job does not exist, although another instance has accepted it.
 func TestStateWithAnOldCopy(t *testing.T) {
 	s, _ := newService(&scriptedTable{})
-	if _, refusal := s.State(context.Background(), testQueue, "a"); refusal == nil || refusal.Code() != CodeNotFound {
+	if _, refusal := s.State(context.Background(), testAccess, "a"); refusal == nil || refusal.Code() != CodeNotFound {
 		t.Errorf("state of an unknown job with a recent copy got %v, want %s", refusal, CodeNotFound.Name())
 	}
 	s.CopyAge = func() clock.Millis { return staleAge + 1 }
-	if _, refusal := s.State(context.Background(), testQueue, "a"); refusal == nil || refusal.Code() != CodeStale {
+	if _, refusal := s.State(context.Background(), testAccess, "a"); refusal == nil || refusal.Code() != CodeStale {
 		t.Errorf("state of an unknown job with an outdated copy got %v, want %s", refusal, CodeStale.Name())
 	}
 }
@@ -182,7 +185,7 @@
 	getState := func() batch.State {
 		states := make(chan batch.State, 1)
 		go func() {
-			state, refusal := s.State(context.Background(), testQueue, "a")
+			state, refusal := s.State(context.Background(), testAccess, "a")
 			if refusal != nil {
 				t.Errorf("State got refusal %v, want none", refusal)
 			}
@@ -208,16 +211,16 @@
 	row := store.EncodeState("p", "a", "q", "p", batch.Running)
 	row.Version = 1
 	s.States.Apply([]store.Row{row})
-	if refusal := s.Cancel(context.Background(), testQueue, "a", 2900); refusal != nil {
+	if refusal := s.Cancel(context.Background(), testAccess, "a", 2900); refusal != nil {
 		t.Fatalf("cancel got %v, want it stored", refusal)
 	}
-	if state, refusal := s.State(context.Background(), testQueue, "a"); refusal != nil || state.Final() {
+	if state, refusal := s.State(context.Background(), testAccess, "a"); refusal != nil || state.Final() {
 		t.Errorf("state after the request to cancel got %v, %v, want one that is not final", state, refusal)
 	}
 	row = store.EncodeState("p", "a", "q", "p", batch.Completed)
 	row.Version = 2
 	s.States.Apply([]store.Row{row})
-	if state, refusal := s.State(context.Background(), testQueue, "a"); refusal != nil || state != batch.Completed {
+	if state, refusal := s.State(context.Background(), testAccess, "a"); refusal != nil || state != batch.Completed {
 		t.Errorf("state after the job ended got %v, %v, want completed", state, refusal)
 	}
 }
@@ -258,11 +261,11 @@
 			s.Configuration = func() *batch.Configuration {
 				return &batch.Configuration{Version: int64(i + 1), Queues: []batch.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: pool}}}
 			}
-			queue, id, refusal := s.Match("h", fmt.Sprintf("/q/%016d", i))
+			access, id, refusal := s.Match("h", fmt.Sprintf("/q/%016d", i), "")
 			if refusal != nil {
 				t.Fatalf("version %d: %v", i+1, refusal)
 			}
-			if refusal := s.Submit(context.Background(), queue, testJob(id), 2900); refusal != nil {
+			if refusal := s.Submit(context.Background(), access, testJob(id), 2900); refusal != nil {
 				t.Fatalf("version %d: %v", i+1, refusal)
 			}
 			stored := table.last.Puts[1]
--- a/store/cancel.go
+++ b/store/cancel.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 
 	"magnoliaferry/batch"
@@ -36,3 +38,11 @@
 func EncodeTombstone(id, pool string) Row {
 	return EncodeState(IntakePart(id), id, "", pool, batch.Cancelled)
 }
+
+// TombstoneID returns the id under which the tombstones of a customer are stored for the id of a job, so that they rule out the jobs of this
+// customer only. The name is hashed, as the length of a key is limited. Callers cannot name such an id.
+func TombstoneID(id, customer string) string {
+	const hashBytes = 8
+	hash := sha256.Sum256([]byte(customer))
+	return id + "/" + hex.EncodeToString(hash[:hashBytes])
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -60,6 +60,11 @@
 	// version. OnRows receives changes in the order of the feed.
 	OnLoad func(rows []Row)
 	OnRows func(rows []Row)
+	// OnCurrent, if set, is called after the copy was updated by an answer that certainly includes all changes made before its call was
+	// sent. It receives that time on SinceBoot, which must be set then. With OnCurrent, polls do not wait for changes while this time is long ago.
+	OnCurrent func(sent clock.Millis)
+	// SinceBoot returns the time since the machine was booted, including time during which it was suspended.
+	SinceBoot func() clock.Millis
 
 	mu            sync.Mutex
 	version       int64
@@ -72,6 +77,7 @@
 	interrupt     context.CancelFunc // cancels the call in flight, or the pause after it
 	newestVersion int64              // version of the newest row received
 	reload        bool               // the next call reads the whole table, as newer versions may exist after a large answer
+	current       clock.Millis       // the newest time that OnCurrent received
 }
 
 // Name implements kernel.Module.
@@ -192,7 +198,7 @@
 func (f *Follower) beginCall(end context.CancelFunc) clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.skipWait {
+	if f.skipWait || f.OnCurrent != nil && f.SinceBoot()-f.current > f.Period()+f.Wait+maxAnswerDelay {
 		f.skipWait, f.interrupt = false, nil
 		return 0
 	}
@@ -203,7 +209,7 @@
 // poll makes one call, or reads the whole table if necessary; more reports that the store already has further changes which
 // the answer does not include.
 func (f *Follower) poll(ctx context.Context, wait clock.Millis) (more bool, err error) {
-	sent := f.Clock.Now()
+	sent, sentSinceBoot := f.Clock.Now(), f.sinceBoot()
 	version, loaded := f.Version()
 	if !loaded || f.reload {
 		return f.reload, f.load(ctx)
@@ -216,9 +222,10 @@
 		return false, err
 	}
 	f.recordAnswer()
+	large := false
 	if len(page.Rows) > 0 {
 		f.OnRows(page.Rows)
-		f.checkAnswerSize(page.Rows)
+		large = f.checkAnswerSize(page.Rows)
 	}
 	// The store can delay the answer while it waits for a change, so an answer with rows proves only that the copy includes the
 	// changes made before the call was sent. If the answer left out changes, it does not prove that either, and asOf stays as it is.
@@ -226,18 +233,43 @@
 		sent = f.copyTime()
 	}
 	f.advance(page.Version, sent)
+	// The store can leave out changes of a large answer without a mark.
+	if !page.More && !large && page.Version >= version {
+		f.recordCurrent(sentSinceBoot)
+	}
 	return page.More, nil
 }
 
-// checkAnswerSize decides whether the next call reads the whole table, which it does after a large answer with new rows.
-func (f *Follower) checkAnswerSize(rows []Row) {
+func (f *Follower) sinceBoot() clock.Millis {
+	if f.SinceBoot == nil {
+		return 0
+	}
+	return f.SinceBoot()
+}
+
+// recordCurrent records that the copy includes all changes made before the given time on SinceBoot.
+func (f *Follower) recordCurrent(sent clock.Millis) {
+	if f.OnCurrent == nil {
+		return
+	}
+	f.mu.Lock()
+	f.current = sent
+	f.mu.Unlock()
+	f.OnCurrent(sent)
+}
+
+// checkAnswerSize decides whether the next call reads the whole table, which it does after a large answer with new rows. It reports whether
+// the answer was large.
+func (f *Follower) checkAnswerSize(rows []Row) (large bool) {
 	size, newestVersion := 0, f.newestVersion
 	for _, row := range rows {
 		size += len(row.Value)
 		newestVersion = max(newestVersion, row.Version)
 	}
-	f.reload = f.NewestOnly && size >= largeAnswerBytes && newestVersion > f.newestVersion
+	large = size >= largeAnswerBytes
+	f.reload = f.NewestOnly && large && newestVersion > f.newestVersion
 	f.newestVersion = newestVersion
+	return large
 }
 
 func (f *Follower) copyTime() clock.Millis {
@@ -247,7 +279,8 @@
 }
 
 func (f *Follower) load(ctx context.Context) error {
-	sent := f.Clock.Now()
+	sent, sentSinceBoot := f.Clock.Now(), f.sinceBoot()
+	before, _ := f.Version()
 	rows, version, err := f.Read(ctx)
 	if err != nil {
 		return err
@@ -258,6 +291,9 @@
 	eventLoaded.Log(ctx, f.Logger, slog.String("table", f.Table), slog.Int("rows", len(rows)),
 		slog.Int64("version", version))
 	f.advance(version, sent)
+	if version >= before {
+		f.recordCurrent(sentSinceBoot)
+	}
 	return nil
 }
 
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -18,6 +18,7 @@
 type JobEntry struct {
 	Queue     string        // name of the queue that accepted the job
 	Address   batch.Address // of that queue at the time; zero if an earlier version stored the job
+	Customer  string        // whose job it is; empty if it has none
 	Pool      string        // the pool whose workers run the job
 	State     batch.State
 	Cancelled bool // this instance has stored a request to cancel the job, which the owner of the pool may not have processed yet
@@ -41,10 +42,21 @@
 	return queue, pool, state, ok
 }
 
-// EncodeAddress returns the row with the address of the queue that accepted a job. Its value is the host, a newline and the path prefix. It
-// is a row of its own, as instances of earlier versions read the row of EncodeState.
-func EncodeAddress(id string, address batch.Address) Row {
-	return Row{Table: StateTable, Part: IntakePart(id), Key: Key(KindAddress, id), Value: []byte(address.Host + "\n" + address.Prefix)}
+// accepted is the decoded row of EncodeAddress.
+type accepted struct {
+	address  batch.Address
+	customer string
+}
+
+// EncodeAddress returns the row with the address of the queue that accepted a job, and the customer of the job, which may be empty. Its value is
+// the host, a newline and the path prefix, and for a customer another newline and the name. It is a row of its own, as instances of
+// earlier versions read the row of EncodeState. Those that do not know customers find the job by the name of its queue.
+func EncodeAddress(id string, address batch.Address, customer string) Row {
+	value := address.Host + "\n" + address.Prefix
+	if customer != "" {
+		value += "\n" + customer
+	}
+	return Row{Table: StateTable, Part: IntakePart(id), Key: Key(KindAddress, id), Value: []byte(value)}
 }
 
 // OwnerEntry is the owner row of a part, with the time at which the copy received its newest version.
@@ -71,20 +83,20 @@
 
 	mu        sync.RWMutex
 	jobs      map[string]*JobEntry
-	addresses map[string]batch.Address // by job; the row can arrive before or after that of the job
+	addresses map[string]accepted // by job; the row can arrive before or after that of the job
 	owners    map[string]OwnerEntry
 }
 
 // NewStateCache returns an empty copy.
 func NewStateCache(c *clock.Clock, logger *slog.Logger) *StateCache {
-	return &StateCache{Clock: c, Logger: logger, jobs: map[string]*JobEntry{}, addresses: map[string]batch.Address{}, owners: map[string]OwnerEntry{}}
+	return &StateCache{Clock: c, Logger: logger, jobs: map[string]*JobEntry{}, addresses: map[string]accepted{}, owners: map[string]OwnerEntry{}}
 }
 
 // Load replaces the copy with the rows of the whole table.
 func (s *StateCache) Load(rows []Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.jobs, s.addresses = map[string]*JobEntry{}, map[string]batch.Address{}
+	s.jobs, s.addresses = map[string]*JobEntry{}, map[string]accepted{}
 	owned := map[string]bool{}
 	now := s.Clock.Now()
 	for _, row := range rows {
@@ -154,7 +166,8 @@
 		s.logUnreadable(row, batch.ErrInvalid.New("the value is not the address of a queue"))
 		return
 	}
-	s.addresses[id] = batch.Address{Host: host, Prefix: prefix}
+	prefix, customer, _ := strings.Cut(prefix, "\n")
+	s.addresses[id] = accepted{batch.Address{Host: host, Prefix: prefix}, customer}
 }
 
 func (s *StateCache) applyOwner(row Row, now clock.Millis) {
@@ -198,7 +211,8 @@
 
 func (s *StateCache) entry(id string, known *JobEntry) JobEntry {
 	entry := *known
-	entry.Address = s.addresses[id]
+	from := s.addresses[id]
+	entry.Address, entry.Customer = from.address, from.customer
 	return entry
 }
 
--- a/store/tables.go
+++ b/store/tables.go
@@ -29,8 +29,10 @@
 const intakePartCount = 8
 
 // IntakePart returns the part in which instances store a new job and requests to cancel it. It differs from the part of the
-// pool, so that writes for callers and writes of the owner do not queue behind each other.
+// pool, so that writes for callers and writes of the owner do not queue behind each other. The id of a customer's tombstone, see
+// TombstoneID, is in the part of its job.
 func IntakePart(job string) string {
+	job, _, _ = strings.Cut(job, "/")
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(job)) // hash.Hash.Write never returns an error
 	return fmt.Sprintf("intake/%d", h.Sum32()%intakePartCount)
