daemon, store: failures that keep an instance from learning of a withdrawn key, and a shorter wait of its polls

Cause: when the store is cut off, the answer to the poll in flight is lost, so that the newest confirmation could be two polls of 1 s old; a key that holds was then refused after 2.4 s of an outage, while it has to be accepted for 3 s (0.6 of the limit; seen in TestWithdrawnKeyEndsInTime). Change: with revocation-limit, a poll of the operators' table waits for a tenth of it at most. A cancel also checks its key before a tombstone is stored.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	Machines machines.Platform
 
 	clock         *clock.Clock
+	bootClock     func() clock.Millis // of tests, in place of clock.SinceBoot
 	incarnation   string
 	table         *store.Monitor // wraps Table; all calls go through it
 	stateCache    *store.StateCache
@@ -86,7 +87,12 @@
 
 func (d *Daemon) wall() clock.Millis { return clock.Millis(time.Now().UnixMilli()) }
 
-func (d *Daemon) sinceBoot() clock.Millis { return clock.SinceBoot() }
+func (d *Daemon) sinceBoot() clock.Millis {
+	if d.bootClock != nil {
+		return d.bootClock()
+	}
+	return clock.SinceBoot()
+}
 
 func fixedPeriod(period clock.Millis) func() clock.Millis {
 	return func() clock.Millis { return period }
@@ -105,6 +111,27 @@
 	d.stateCache.ObservedFor = d.stateFeed.HealthyFor
 }
 
+// operatorFeed returns the follower of the operators' table, which passes rows to apply.
+func (d *Daemon) operatorFeed(apply func(rows []store.Row)) *store.Follower {
+	feed := d.follower(platform.TableOperator, operatorPeriod, d.operatorFeedWait(), nil, apply)
+	feed.OnLoad = func(rows []store.Row) { apply(rows); d.confirmation.loaded(rows) }
+	feed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
+	if d.Settings.RevocationLimit > 0 {
+		feed.SinceBoot, feed.OnCurrent = d.sinceBoot, d.confirmation.confirm
+	}
+	return feed
+}
+
+// service returns the service for callers.
+func (d *Daemon) service() *front.Service {
+	s := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
+		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
+	if d.Settings.RevocationLimit > 0 {
+		s.KeysConfirmed = d.keysConfirmed
+	}
+	return s
+}
+
 // Run serves until the context ends, and then shuts down gracefully: after drainTime, requests in progress may end within the rest of
 // StopGrace less one second, and within at least one second. It returns an error if the server for callers or for readiness cannot
 // listen, or if any server fails.
@@ -129,26 +156,17 @@
 	}
 	d.reportsFeed = d.follower(store.ReportsTable, fleetPeriod, feedWait, d.reports.Load, d.reports.Apply)
 	d.reportsFeed.Idle = func() bool { return !d.ownsMachines.Load() }
-	operatorFeed := d.follower(platform.TableOperator, operatorPeriod, operatorWait, nil, nil)
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
 	claimContext, stopClaimers := context.WithCancel(follow)
 	defer stopClaimers()
 	var claimersDone sync.WaitGroup
-	operatorFeed.OnRows = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
-	operatorFeed.OnLoad = func(rows []store.Row) { operatorFeed.OnRows(rows); d.confirmation.loaded(rows) }
-	operatorFeed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
+	operatorFeed := d.operatorFeed(func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) })
 	for _, f := range append([]*store.Follower{d.stateFeed, d.reportsFeed, operatorFeed}, d.ownerFeeds...) {
 		go func() { _ = f.Run(follow) }() // returns only when its context ends
 	}
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
-	service := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
-		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
-	if d.Settings.RevocationLimit > 0 {
-		operatorFeed.SinceBoot, operatorFeed.OnCurrent = d.sinceBoot, d.confirmation.confirm
-		service.KeysConfirmed = d.keysConfirmed
-	}
-	callers := &http.Server{Handler: &platform.Front{Service: service}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: &platform.Front{Service: d.service()}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -16,6 +16,10 @@
 // of this instance that runs slower than the operators' and the time that an answer is on its way.
 const confirmationShare = 0.9
 
+// confirmationsPerLimit is how many confirmations an instance asks for within Settings.RevocationLimit. When the store is cut off, the newest
+// confirmation can be two polls old, as the answer to the last one is lost; keys that hold are then accepted for the rest of the limit.
+const confirmationsPerLimit = 10
+
 // confirmation is what an instance knows about how recent its configuration is. Keys are withdrawn by a newer configuration, also while
 // an instance is cut off, suspended or slow; a key is accepted only while the newest confirmation is recent.
 type confirmation struct {
@@ -107,3 +111,11 @@
 func (d *Daemon) confirmationLimit() clock.Millis {
 	return clock.Millis(confirmationShare * float64(d.Settings.RevocationLimit))
 }
+
+// operatorFeedWait returns how long a poll of the operators' table waits for a change.
+func (d *Daemon) operatorFeedWait() clock.Millis {
+	if limit := d.Settings.RevocationLimit; limit > 0 {
+		return min(operatorWait, limit/confirmationsPerLimit)
+	}
+	return operatorWait
+}
--- a/front/service.go
+++ b/front/service.go
@@ -252,6 +252,9 @@
 		if s.isForeign(access, id) {
 			conditions = conditions[len(conditions)-1:]
 		}
+		if refusal := s.recheck(ctx, access, id); refusal != nil {
+			return store.JobEntry{}, refusal
+		}
 		outcome, err := s.write(ctx, store.Transaction{Conditions: conditions, Puts: []store.Row{tombstone, cancel}}, wait)
 		switch {
 		case errorx.IsOfType(err, store.ErrRejected):
