--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	Machines machines.Platform
 
 	clock         *clock.Clock
+	bootClock     func() clock.Millis // of tests, in place of clock.SinceBoot
 	incarnation   string
 	table         *store.Monitor // wraps Table; all calls go through it
 	stateCache    *store.StateCache
@@ -72,6 +73,7 @@
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
 	reportsFeed   *store.Follower   // idle while this instance does not own the machines
 	configuration atomic.Pointer[batch.Configuration]
+	confirmation  confirmation // of configuration; used only with a limit for withdrawn keys
 	owned         atomic.Int32 // number of parts that this instance owns or is claiming
 	ownsMachines  atomic.Bool
 	machineOwner  atomic.Pointer[machineOwner] // nil while another instance owns the machines
@@ -85,7 +87,12 @@
 
 func (d *Daemon) wall() clock.Millis { return clock.Millis(time.Now().UnixMilli()) }
 
-func (d *Daemon) sinceBoot() clock.Millis { return clock.SinceBoot() }
+func (d *Daemon) sinceBoot() clock.Millis {
+	if d.bootClock != nil {
+		return d.bootClock()
+	}
+	return clock.SinceBoot()
+}
 
 func fixedPeriod(period clock.Millis) func() clock.Millis {
 	return func() clock.Millis { return period }
@@ -104,6 +111,27 @@
 	d.stateCache.ObservedFor = d.stateFeed.HealthyFor
 }
 
+// operatorFeed returns the follower of the operators' table, which passes rows to apply.
+func (d *Daemon) operatorFeed(apply func(rows []store.Row)) *store.Follower {
+	feed := d.follower(platform.TableOperator, operatorPeriod, d.operatorFeedWait(), nil, apply)
+	feed.OnLoad = func(rows []store.Row) { apply(rows); d.confirmation.loaded(rows) }
+	feed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
+	if d.Settings.RevocationLimit > 0 {
+		feed.SinceBoot, feed.OnCurrent = d.sinceBoot, d.confirmation.confirm
+	}
+	return feed
+}
+
+// service returns the service for callers.
+func (d *Daemon) service() *front.Service {
+	s := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
+		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
+	if d.Settings.RevocationLimit > 0 {
+		s.KeysConfirmed = d.keysConfirmed
+	}
+	return s
+}
+
 // Run serves until the context ends, and then shuts down gracefully: after drainTime, requests in progress may end within the rest of
 // StopGrace less one second, and within at least one second. It returns an error if the server for callers or for readiness cannot
 // listen, or if any server fails.
@@ -128,22 +156,17 @@
 	}
 	d.reportsFeed = d.follower(store.ReportsTable, fleetPeriod, feedWait, d.reports.Load, d.reports.Apply)
 	d.reportsFeed.Idle = func() bool { return !d.ownsMachines.Load() }
-	operatorFeed := d.follower(platform.TableOperator, operatorPeriod, operatorWait, nil, nil)
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
 	claimContext, stopClaimers := context.WithCancel(follow)
 	defer stopClaimers()
 	var claimersDone sync.WaitGroup
-	operatorFeed.OnLoad = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
-	operatorFeed.OnRows = operatorFeed.OnLoad
-	operatorFeed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
+	operatorFeed := d.operatorFeed(func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) })
 	for _, f := range append([]*store.Follower{d.stateFeed, d.reportsFeed, operatorFeed}, d.ownerFeeds...) {
 		go func() { _ = f.Run(follow) }() // returns only when its context ends
 	}
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
-	service := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
-		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
-	callers := &http.Server{Handler: &platform.Front{Service: service}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: &platform.Front{Service: d.service()}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -216,12 +239,18 @@
 		if c := d.configuration.Load(); c != nil {
 			version = c.Version
 		}
+		var confirmationAge *clock.Millis
+		if age, ok := d.confirmation.age(d.sinceBoot()); ok {
+			confirmationAge = &age
+		}
 		return struct {
 			CopyAge       clock.Millis `json:"copy-age-ms"`
 			Configuration int64        `json:"configuration"`
 			Owned         int32        `json:"owned-parts"`
 			Jobs          int          `json:"jobs-known"`
-		}{d.stateFeed.Age(), version, d.owned.Load(), d.stateCache.Len()}
+			// ConfirmationAge is absent without a confirmation of the keys, and without a limit for withdrawn keys.
+			ConfirmationAge *clock.Millis `json:"keys-confirmed-age-ms,omitempty"`
+		}{d.stateFeed.Age(), version, d.owned.Load(), d.stateCache.Len(), confirmationAge}
 	}))
 }
 
@@ -230,6 +259,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if d.Settings.RevocationLimit > 0 && !d.keysConfirmed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -237,9 +270,15 @@
 // for each part that the configuration adds.
 func (d *Daemon) operatorRows(ctx context.Context, claimersDone *sync.WaitGroup, rows []store.Row) {
 	for _, row := range rows {
-		if row.Deleted || row.Part != "" {
+		if row.Part != "" {
 			continue // operators write into the empty part
 		}
+		if row.Deleted {
+			if isConfiguration(row) {
+				d.confirmation.ignored(row)
+			}
+			continue
+		}
 		wave, isWave, err := platform.DecodeWave(row)
 		if err != nil {
 			eventUnreadableConfig.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
@@ -255,12 +294,15 @@
 		c, err := platform.DecodeConfiguration(row.Value)
 		if err != nil {
 			eventUnreadableConfig.Log(ctx, d.Logger, slog.Int64("row", row.Version), slog.String("error", err.Error()))
+			d.confirmation.ignored(row)
 			continue
 		}
 		if before := d.configuration.Load(); before != nil && before.Version >= c.Version {
+			d.confirmation.ignored(row)
 			continue
 		}
 		d.configuration.Store(c)
+		d.confirmation.putInForce(row)
 		eventConfigInForce.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
 		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.scheduler.Configure(c) }) })
 		if d.Machines != nil {
