daemon, store: keys are confirmed again as soon as the store answers after an outage

Cause: a call that is sent into a cut link gets no answer later either; it hung until its timeout, and a pause followed. The tests did not show it, because the stand-in ended such calls with the cut. Monitor.OnRecovery, set only with revocation-limit, makes the followers of the operators' table and of the states poll at once, ending a call in flight and a pause of the former. Without revocation-limit nothing changes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -118,6 +118,8 @@
 	feed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
 	if d.Settings.RevocationLimit > 0 {
 		feed.SinceBoot, feed.OnCurrent = d.sinceBoot, d.confirmation.confirm
+		// Calls that were sent during the outage can hang until their timeouts, while callers with keys are refused.
+		d.table.OnRecovery = func() { feed.Hurry(); d.stateFeed.Hurry() }
 	}
 	return feed
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -119,14 +119,20 @@
 // CatchUp waits until the copy includes all changes made before CatchUp was called. It returns the error of the context if that
 // ends first. It interrupts a poll that waits for a change.
 func (f *Follower) CatchUp(ctx context.Context) error {
-	f.mu.Lock()
 	now := f.Clock.Now()
+	f.Hurry()
+	return f.wait(ctx, func() bool { return f.asOf >= now })
+}
+
+// Hurry makes the next poll not wait for a change. It interrupts a poll that waits for one; with OnCurrent also any other call in flight,
+// which may be one that gets no answer, and the pause after a failed one.
+func (f *Follower) Hurry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.skipWait = true
 	if f.interrupt != nil {
 		f.interrupt()
 	}
-	f.mu.Unlock()
-	return f.wait(ctx, func() bool { return f.asOf >= now })
 }
 
 func (f *Follower) wait(ctx context.Context, done func() bool) error {
@@ -175,20 +181,21 @@
 			end()
 			continue
 		}
-		interrupted := attempt.Err() != nil && ctx.Err() == nil
-		end()
-		if interrupted {
+		if interrupted := attempt.Err() != nil && ctx.Err() == nil; interrupted || ctx.Err() != nil {
+			end()
 			continue
 		}
-		if ctx.Err() != nil {
-			break
-		}
 		f.markUnhealthy()
 		if !failing {
 			failing = true
 			eventFeedLost.Log(ctx, f.Logger, slog.String("table", f.Table), slog.String("error", err.Error()))
 		}
-		_ = f.Clock.Sleep(ctx, pause) // fails only at the end of the context, which the loop checks
+		if f.OnCurrent == nil {
+			end()
+			attempt = ctx
+		}
+		_ = f.Clock.Sleep(attempt, pause) // fails only when Hurry or the end of the context interrupts it
+		end()
 		pause = min(pause*2, maxFeedRetry)
 	}
 	return nil
@@ -198,7 +205,11 @@
 func (f *Follower) beginCall(end context.CancelFunc) clock.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.skipWait || f.OnCurrent != nil && f.SinceBoot()-f.current > f.Period()+f.Wait+maxAnswerDelay {
+	if f.OnCurrent != nil && (f.skipWait || f.SinceBoot()-f.current > f.Period()+f.Wait+maxAnswerDelay) {
+		f.skipWait, f.interrupt = false, end
+		return 0
+	}
+	if f.skipWait {
 		f.skipWait, f.interrupt = false, nil
 		return 0
 	}
--- a/store/monitor.go
+++ b/store/monitor.go
@@ -35,6 +35,8 @@
 	Table  Table
 	Clock  *clock.Clock
 	Logger *slog.Logger
+	// OnRecovery, if set, is called when the table answers again after an outage.
+	OnRecovery func()
 
 	mu         sync.Mutex
 	lastAnswer clock.Millis            // when the newest answer arrived
@@ -117,19 +119,21 @@
 	delete(m.calls, c)
 	m.mu.Unlock()
 	if err == nil || errorx.IsOfType(err, ErrHistoryGone) {
-		m.recordAnswer(c.sent)
+		if recovered := m.recordAnswer(c.sent); recovered && m.OnRecovery != nil {
+			m.OnRecovery()
+		}
 	}
 }
 
-// recordAnswer records that a call sent at the given time has been answered. After an outage, it cancels the hanging calls.
-func (m *Monitor) recordAnswer(sent clock.Millis) {
+// recordAnswer records that a call sent at the given time has been answered. After an outage, it cancels the hanging calls and returns true.
+func (m *Monitor) recordAnswer(sent clock.Millis) (recovered bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
 	silence := now - m.lastAnswer
 	m.lastAnswer = now
 	if silence < outageThreshold {
-		return
+		return false
 	}
 	hanging := 0
 	for c := range m.calls {
@@ -141,6 +145,7 @@
 	if hanging > 0 {
 		eventAnswersAgain.Log(context.Background(), m.Logger, slog.Int64("silent-ms", int64(silence)), slog.Int("hanging", hanging))
 	}
+	return true
 }
 
 // Commit implements Table.
