--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -33,6 +33,9 @@
 	feedDelay                 = 800 * clock.Millis(1)
 )
 
+// recovery is within which keys are accepted again after an outage: a probe of the monitor finds out within 550 ms that the store answers.
+const recovery = 600 * clock.Millis(1)
+
 // faultyTable is the path of one instance to the store.
 type faultyTable struct {
 	store.Table
@@ -195,10 +198,7 @@
 // Guards against a withdrawn key that is accepted for longer than the limit, whatever keeps the instance from learning of it; against public
 // queues that are refused with it; and against an instance that is not back soon after the fault.
 func TestWithdrawnKeyEndsInTime(t *testing.T) {
-	const (
-		step     = 50 * clock.Millis(1)
-		recovery = 600 * clock.Millis(1) // of the monitor's probe, which finds out that the store answers within 550 ms, and a round trip
-	)
+	const step = 50 * clock.Millis(1)
 	for _, test := range []struct {
 		name  string
 		fault feedFault
@@ -319,6 +319,29 @@
 	}
 }
 
+// Guards against an instance that refuses keys long after an outage, because a call that was sent during it gets no answer, or because it
+// pauses; whenever the outage ends.
+func TestKeysAreBackAfterAnOutage(t *testing.T) {
+	for _, fault := range []feedFault{feedTurnedAway, feedSilent, feedLosesAnswer} {
+		for phase := clock.Millis(0); phase < 2*clock.Second; phase += 100 {
+			synctest.Test(t, func(t *testing.T) {
+				_, i := startKeyedSite(t)
+				defer i.stop()
+				i.path.set(fault)
+				i.advance(testRevocationLimit + phase)
+				if got, want := i.status("k1"), http.StatusServiceUnavailable; got != want {
+					t.Fatalf("%s for %d ms: key got %d, want %d", fault, testRevocationLimit+phase, got, want)
+				}
+				i.path.set(feedWorks)
+				i.advance(recovery)
+				if got, want := i.status("k1"), http.StatusOK; got != want {
+					t.Errorf("%s for %d ms: key %d ms after it got %d, want %d", fault, testRevocationLimit+phase, recovery, got, want)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an instance that was frozen or suspended and, woken, serves the request that waits in its socket with a key that was
 // withdrawn meanwhile, or stays without a confirmation until its next poll has waited for a change.
 func TestKeyAfterAFreeze(t *testing.T) {
