--- a/front/rename_test.go
+++ b/front/rename_test.go
@@ -102,3 +102,15 @@
 		checkJob(t, test.name, s, c, test.path, test.want)
 	}
 }
+
+// Guards against a job of a customer that instances of earlier versions do not find while both versions run: they read the customer as a part of
+// the path prefix.
+func TestEarlierVersionsFindJobsOfCustomers(t *testing.T) {
+	s, _ := newService(&scriptedTable{})
+	row := store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending)
+	misread := batch.Address{Host: "h", Prefix: "/q/\ncustomer"}
+	s.States.Apply(withVersion([]store.Row{row}, 1))
+	if known, ok := s.States.Find("a"); !ok || !s.belongs(store.JobEntry{Queue: known.Queue, Pool: known.Pool, Address: misread}, testQueue) {
+		t.Errorf("job with the address %q does not belong to its queue", misread)
+	}
+}
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -68,12 +68,13 @@
 
 // Job is one job with its runs.
 type Job struct {
-	ID    string     `json:"id"`
-	Queue string     `json:"queue"`
-	Pool  string     `json:"pool"`
-	State string     `json:"state"`
-	Job   *batch.Job `json:"job,omitempty"` // nil once the job has ended, because it is no longer stored
-	Runs  []Run      `json:"runs,omitempty"`
+	ID       string     `json:"id"`
+	Queue    string     `json:"queue"`
+	Customer string     `json:"customer,omitempty"` // empty if the job has none
+	Pool     string     `json:"pool"`
+	State    string     `json:"state"`
+	Job      *batch.Job `json:"job,omitempty"` // nil once the job has ended, because it is no longer stored
+	Runs     []Run      `json:"runs,omitempty"`
 }
 
 // Run summarizes the runs of a task whose start has been ordered at least once.
@@ -266,7 +267,7 @@
 	if known.Tombstone {
 		return nil, ErrNoJob.New("no job %q is stored; the id was cancelled before a job with it was stored", id)
 	}
-	job := &Job{ID: id, Queue: known.Queue, Pool: known.Pool, State: known.State.String()}
+	job := &Job{ID: id, Queue: known.Queue, Customer: known.Customer, Pool: known.Pool, State: known.State.String()}
 	page, err := r.Table.Range(ctx, store.JobsTable(known.Pool), store.IntakePart(id), store.Key(store.KindJob, id))
 	if err != nil {
 		return nil, err
@@ -338,7 +339,11 @@
 // Text returns the job as tables.
 func (j *Job) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "job %s: %s, queue %s, pool %s\n", j.ID, j.State, j.Queue, j.Pool)
+	fmt.Fprintf(&b, "job %s: %s, queue %s, pool %s", j.ID, j.State, j.Queue, j.Pool)
+	if j.Customer != "" {
+		fmt.Fprintf(&b, ", customer %s", j.Customer)
+	}
+	b.WriteByte('\n')
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	if j.Job != nil {
 		fmt.Fprintln(w, "STEP\tTASKS\tCORES\tMEMORY-MB\tESTIMATE-MS\tAFTER\tLASTS")
--- a/overview/overview_test.go
+++ b/overview/overview_test.go
@@ -43,6 +43,8 @@
 	put(store.Row{Table: store.StateTable, Part: store.FleetPart, Key: store.OwnerKey}, store.Owner{Node: "entry-2", WriteID: "entry-2/x/1"})
 	put(store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending), nil)
 	put(store.EncodeState("p", "a", "q", "p", batch.Running), nil)
+	put(store.EncodeAddress("a", batch.Address{Host: "h", Prefix: "/q/"}, "c1"), nil)
+	put(store.EncodeTombstone(store.TombstoneID("a", "c2"), "p"), nil) // no job
 	put(store.EncodeState(store.IntakePart("b"), "b", "q", "p", batch.Pending), nil)
 	job, err := (&batch.Job{ID: "a", Queue: "q", Pool: "p", Steps: []batch.Step{{Count: 2, Need: batch.Resources{CPU: 500}}}}).Encode()
 	if err != nil {
@@ -120,8 +122,8 @@
 	if job.State != "running" || job.Job == nil || len(job.Job.Steps) != 1 || len(job.Runs) != 1 || job.Runs[0].Task != "a.0.0.1" {
 		t.Errorf("Job(a) got %+v, want a running job with one step and one run", job)
 	}
-	if text := job.Text(); !strings.Contains(text, "a.0.0.1") || !strings.Contains(text, "queue q") {
-		t.Errorf("text got %q, want the task and the queue", text)
+	if text := job.Text(); !strings.Contains(text, "a.0.0.1") || !strings.Contains(text, "queue q") || !strings.Contains(text, "customer c1") {
+		t.Errorf("text got %q, want the task, the queue and the customer", text)
 	}
 	// A range read from the key of a missing row returns the next row, which must not be taken for the job's.
 	other, err := r.Job(context.Background(), "b")
