--- a/front/access_test.go
+++ b/front/access_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -255,3 +258,98 @@
 		t.Errorf("jobs that b sees beside one of an unknown customer got %d, want %d", got, want)
 	}
 }
+
+// Guards against customers that affect each other's jobs, whatever the store answers and whichever instances get the requests: a job that is lost,
+// runs after its cancelling, or is cancelled, seen or reported as stored by another customer.
+func TestRandomCustomersDoNotAffectEachOther(t *testing.T) {
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) { randomCustomers(t, seed) })
+	}
+}
+
+// attempt names an id as one customer uses it; the key is empty at the public queue.
+type attempt struct{ key, id string }
+
+func randomCustomers(t *testing.T, seed uint64) {
+	const (
+		instances = 2
+		steps     = 50
+	)
+	random := rand.New(rand.NewPCG(seed, 2))
+	f := newKeyedFleet(instances)
+	customers, ids := map[string]string{"ka": "a", "kb": "b", "": ""}, []string{"1", "2"}
+	accepted, ended, neverRuns := map[attempt]bool{}, map[attempt]bool{}, map[attempt]bool{}
+	var trace []string
+	fail := func(format string, values ...any) {
+		t.Helper()
+		t.Fatalf("seed %d: %s after\n%s", seed, fmt.Sprintf(format, values...), strings.Join(trace, "\n"))
+	}
+	ctx := context.Background()
+	for range steps {
+		i, a := random.IntN(instances), attempt{[]string{"ka", "kb", ""}[random.IntN(3)], ids[random.IntN(len(ids))]}
+		s, access := f.instances[i], f.access(t, i, a.key)
+		switch op := random.IntN(9); {
+		case op < 4:
+			refusal := f.call(func() *result.Refusal { return s.Submit(ctx, access, testJob(a.id), 2900) })
+			trace = append(trace, fmt.Sprintf("submit %v at %d: %v", a, i, refusal))
+			accepted[a] = accepted[a] || refusal == nil
+			neverRuns[a] = refusal != nil && refusal.Code().Outcome() == result.NotRun
+		case op < 5:
+			refusal := f.call(func() *result.Refusal { return s.Cancel(ctx, access, a.id, 2900) })
+			trace = append(trace, fmt.Sprintf("cancel %v at %d: %v", a, i, refusal))
+			if refusal == nil && !accepted[a] && !f.runsFor(customers[a.key], a.id, true) {
+				fail("the cancelling of %v is answered, and there is no such job", a)
+			}
+			ended[a] = ended[a] || refusal == nil || refusal.Code() == CodeNoJob
+		case op < 6:
+			f.reload(i)
+			_, refusal := s.State(ctx, access, a.id)
+			trace = append(trace, fmt.Sprintf("state of %v at %d: %v", a, i, refusal))
+			if refusal != nil && accepted[a] && !ended[a] {
+				fail("%v is accepted, and its state got %v", a, refusal)
+			}
+			if refusal == nil && !f.runsFor(customers[a.key], a.id, true) {
+				fail("%v has no job, and its state is told", a)
+			}
+		case op < 7:
+			f.table.ApplyDelayed()
+			trace = append(trace, "late transactions are carried out")
+		default:
+			fault := []standin.TableFault{standin.TableWorks, standin.TableRejects, standin.TableLosesCall, standin.TableLosesReply, standin.TableDelays}[random.IntN(5)]
+			f.table.Fault = func(store.Transaction) standin.TableFault {
+				if random.IntN(2) == 0 {
+					return standin.TableWorks
+				}
+				return fault
+			}
+			trace = append(trace, fmt.Sprintf("fault %d for half of the transactions", fault))
+		}
+	}
+	f.table.ApplyDelayed()
+	for key, customer := range customers {
+		for _, id := range ids {
+			a := attempt{key, id}
+			switch stored, runs := f.runsFor(customer, id, true), f.runsFor(customer, id, false); {
+			case neverRuns[a] && runs:
+				fail("%v runs, and its submission was answered with the outcome not-run", a)
+			case ended[a] && runs:
+				fail("%v runs, and its cancelling was answered", a)
+			case accepted[a] && !stored:
+				fail("%v is accepted, and is not stored", a)
+			}
+		}
+	}
+}
+
+// runsFor reports whether the store has a job with the id that belongs to the customer, and, unless it may be cancelled, that no request to cancel
+// it is stored.
+func (f *fleetOfServices) runsFor(customer, id string, orCancelled bool) bool {
+	for _, row := range f.table.Rows(store.JobsTable(testQueue.Pool)) {
+		if row.Key != store.Key(store.KindJob, id) {
+			continue
+		}
+		job, err := batch.DecodeJob(row.Value)
+		return err == nil && job.Customer == customer && (orCancelled || f.runs(id))
+	}
+	return false
+}
--- a/front/service.go
+++ b/front/service.go
@@ -56,9 +56,9 @@
 }
 
 // Submit stores a job in the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
-// that come from the queue and its customer, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the store
-// causes, only CodeWithdrawn says that the job will not run: another instance, or this one before a restart, may have sent a write that is
-// carried out later.
+// that come from the queue, its customer, and Accepted. It returns nil if the job is stored now or was stored before. Of the refusals that the
+// store causes, only CodeWithdrawn and CodeIDInUse say that the job will not run: another instance, or this one before a restart, may have sent
+// a write that is carried out later.
 func (s *Service) Submit(ctx context.Context, access *Access, job *batch.Job, wait clock.Millis) *result.Refusal {
 	// The key may have been withdrawn while the request was read.
 	if refusal := s.recheck(ctx, access, job.ID); refusal != nil {
@@ -166,9 +166,9 @@
 	return s.Table.Commit(ctx, tx)
 }
 
-// State returns the state of a job that belongs to the queue and that the caller may see. The refusal is CodeNoJob, CodeNotFound if a write that is under way may still
-// store the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and the job has not ended in
-// it, State waits at most maxCopyWait for a recent one, and may then return an outdated state.
+// State returns the state of a job that belongs to the queue and that the caller may see. The refusal is CodeNoJob, CodeNotFound if a write
+// that is under way may still store the job, or CodeStale if the local copy is too old to say whether it is stored. If the copy is too old and
+// the job has not ended in it, State waits at most maxCopyWait for a recent one, and may then return an outdated state.
 func (s *Service) State(ctx context.Context, access *Access, id string) (batch.State, *result.Refusal) {
 	known, ok := s.find(access, id)
 	if ok && !known.State.Final() && s.CopyAge() > staleAge {
