--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -27,7 +27,7 @@
 	row       int64             // version of the newest row with a configuration that was read
 	value     [sha256.Size]byte // hash of the row that holds the configuration in force
 	isInForce bool              // the newest row holds the configuration in force
-	sent      clock.Millis      // since boot: when the newest call was sent whose answer confirmed this
+	sent      clock.Millis      // on clock.SinceBoot: when the newest call was sent whose answer confirmed this
 	confirmed bool              // sent is set
 	held      bool              // the last check found the confirmation recent enough
 }
@@ -66,7 +66,7 @@
 	return row.Part == "" && row.Key == platform.KeyConfiguration
 }
 
-// confirm records that the rows that were read include all changes made before a call was sent, at the given time since boot.
+// confirm records that the rows that were read include all changes made before a call was sent, at the given time on clock.SinceBoot.
 func (c *confirmation) confirm(sent clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -18,7 +18,7 @@
 
 const (
 	testRevocationLimit = 5 * clock.Second
-	testReadTimeout     = 900 * clock.Millis(1) // after which the client of the store gives a read without an answer up, besides its wait
+	testReadTimeout     = 900 * clock.Millis(1) // the timeout of a read, besides its wait for a change
 )
 
 // feedFault is what happens to the calls of one instance to the store.
@@ -204,16 +204,16 @@
 		fault feedFault
 		after func(table *standin.Table) // done right after the key was withdrawn
 		row   string                     // of the withdrawal, if it is not a newer configuration
-		told  bool                       // the instance learns of the withdrawal
+		reads bool                       // the instance reads the withdrawal
 		isNew bool                       // the instance has just read the configuration for the first time
 	}{
-		{name: "no fault", told: true},
+		{name: "no fault", reads: true},
 		{name: string(feedTurnedAway), fault: feedTurnedAway},
 		{name: string(feedSilent), fault: feedSilent},
 		{name: string(feedLosesAnswer), fault: feedLosesAnswer},
-		{name: string(feedLate), fault: feedLate, told: true},
+		{name: string(feedLate), fault: feedLate, reads: true},
 		{name: "cut off right after the first read", fault: feedSilent, isNew: true},
-		{name: "history forgotten", after: (*standin.Table).DropHistory, told: true},
+		{name: "history forgotten", after: (*standin.Table).DropHistory, reads: true},
 		{name: "history forgotten while cut off", fault: feedSilent, after: (*standin.Table).DropHistory},
 		{name: "configuration deleted while cut off", fault: feedSilent, after: func(table *standin.Table) {
 			table.Delete(platform.TableOperator, platform.KeyConfiguration)
@@ -247,9 +247,9 @@
 					switch {
 					case passed > testRevocationLimit && withdrawn == http.StatusOK:
 						t.Fatalf("the withdrawn key is accepted %d ms after its withdrawal", passed)
-					case test.told && passed > 3*clock.Second && (withdrawn != http.StatusUnauthorized || kept != http.StatusOK || i.status("k3") != http.StatusOK):
+					case test.reads && passed > 3*clock.Second && (withdrawn != http.StatusUnauthorized || kept != http.StatusOK || i.status("k3") != http.StatusOK):
 						t.Fatalf("%d ms after the change the withdrawn, the kept and the added key got %d, %d, %d", passed, withdrawn, kept, i.status("k3"))
-					case !test.told && passed < testRevocationLimit*3/5 && kept != http.StatusOK:
+					case !test.reads && passed < testRevocationLimit*3/5 && kept != http.StatusOK:
 						t.Fatalf("a key that holds got %d after %d ms of the fault", kept, passed)
 					case kept == http.StatusServiceUnavailable && i.readiness() == http.StatusOK:
 						t.Fatalf("%d ms after the change the instance is ready and refuses a key that holds", passed)
--- a/front/access.go
+++ b/front/access.go
@@ -22,8 +22,8 @@
 }
 
 // Match returns the permission of a request with the given host, path and key, and the rest of the path after the queue's prefix, or a
-// refusal. The key is empty if the request has none. All instances answer in the same order: that there is no such queue, that this instance cannot
-// tell whether a key is valid, and that the key is not valid.
+// refusal. The key is empty if the request has none. All instances answer in the same order: that there is no such queue, that this instance does
+// not know which keys are valid, and that the key is not valid.
 func (s *Service) Match(host, path, key string) (*Access, string, *result.Refusal) {
 	// The confirmation is read before the configuration, which then is the confirmed one or a newer one.
 	confirmed := s.keysConfirmed()
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// Guards against a customer that sees, counts or cancels the job of another one, is told that a job with such an id is stored, or can tell
+// Guards against a customer that sees, counts or cancels the job of another one, gets success for a job with such an id, or can distinguish
 // the id from one without a job; at the accepting instance, and at one that knows of the job or not.
 func TestCustomersSeeOnlyTheirJobs(t *testing.T) {
 	for _, other := range []string{"kb", ""} {
@@ -227,7 +227,7 @@
 	}
 }
 
-// Guards against jobs that nobody finds any more: those stored without a customer, and those of customers whose queue becomes public.
+// Guards against jobs that are not found any more: those stored without a customer, and those of customers whose queue becomes public.
 func TestJobsWithoutACustomer(t *testing.T) {
 	s, _ := newService(&scriptedTable{})
 	site := keyedSite()
@@ -309,7 +309,7 @@
 				fail("%v is accepted, and its state got %v", a, refusal)
 			}
 			if refusal == nil && !f.runsFor(customers[a.key], a.id, true) {
-				fail("%v has no job, and its state is told", a)
+				fail("%v has no job, and its state is answered", a)
 			}
 		case op < 7:
 			f.table.ApplyDelayed()
