--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -18,7 +18,7 @@
 
 const (
 	testRevocationLimit = 5 * clock.Second
-	testReadTimeout     = 900 * clock.Millis(1) // after which the client of the store gives a read without an answer up, besides its wait
+	testReadTimeout     = 900 * clock.Millis(1) // the timeout of a read, besides its wait for a change
 )
 
 // feedFault is what happens to the calls of one instance to the store.
@@ -33,37 +33,32 @@
 	feedDelay                 = 800 * clock.Millis(1)
 )
 
+// recovery is within which keys are accepted again after an outage: a probe of the monitor finds out within 550 ms that the store answers.
+const recovery = 600 * clock.Millis(1)
+
 // faultyTable is the path of one instance to the store.
 type faultyTable struct {
 	store.Table
 	clock *clock.Clock
 	mu    sync.Mutex
 	fault feedFault
-	ended chan struct{} // closed when the fault changes; connections that hang end then
 }
 
 func (f *faultyTable) set(fault feedFault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fault = fault
-	if f.ended != nil {
-		close(f.ended)
-	}
-	f.ended = make(chan struct{})
 }
 
 // read makes a read with the fault that is in force when it begins. A path that was cut meanwhile delivers no answer.
 func (f *faultyTable) read(ctx context.Context, timeout clock.Millis, read func(ctx context.Context) error) error {
 	f.mu.Lock()
-	fault, ended := f.fault, f.ended
+	fault := f.fault
 	f.mu.Unlock()
 	ctx, cancel := f.clock.WithTimeout(ctx, timeout)
 	defer cancel()
-	hang := func() error { // until the timeout, or the path works again
-		select {
-		case <-ctx.Done():
-		case <-ended:
-		}
+	hang := func() error { // until the caller ends the call, also when the path works again
+		<-ctx.Done()
 		return store.ErrRejected.New("no answer")
 	}
 	switch fault {
@@ -84,7 +79,6 @@
 	err := read(ctx)
 	f.mu.Lock()
 	cut := f.fault == feedSilent || f.fault == feedLosesAnswer
-	ended = f.ended
 	f.mu.Unlock()
 	if cut {
 		return hang()
@@ -210,16 +204,16 @@
 		fault feedFault
 		after func(table *standin.Table) // done right after the key was withdrawn
 		row   string                     // of the withdrawal, if it is not a newer configuration
-		told  bool                       // the instance learns of the withdrawal
+		reads bool                       // the instance reads the withdrawal
 		isNew bool                       // the instance has just read the configuration for the first time
 	}{
-		{name: "no fault", told: true},
+		{name: "no fault", reads: true},
 		{name: string(feedTurnedAway), fault: feedTurnedAway},
 		{name: string(feedSilent), fault: feedSilent},
 		{name: string(feedLosesAnswer), fault: feedLosesAnswer},
-		{name: string(feedLate), fault: feedLate, told: true},
+		{name: string(feedLate), fault: feedLate, reads: true},
 		{name: "cut off right after the first read", fault: feedSilent, isNew: true},
-		{name: "history forgotten", after: (*standin.Table).DropHistory, told: true},
+		{name: "history forgotten", after: (*standin.Table).DropHistory, reads: true},
 		{name: "history forgotten while cut off", fault: feedSilent, after: (*standin.Table).DropHistory},
 		{name: "configuration deleted while cut off", fault: feedSilent, after: func(table *standin.Table) {
 			table.Delete(platform.TableOperator, platform.KeyConfiguration)
@@ -253,9 +247,9 @@
 					switch {
 					case passed > testRevocationLimit && withdrawn == http.StatusOK:
 						t.Fatalf("the withdrawn key is accepted %d ms after its withdrawal", passed)
-					case test.told && passed > 3*clock.Second && (withdrawn != http.StatusUnauthorized || kept != http.StatusOK || i.status("k3") != http.StatusOK):
+					case test.reads && passed > 3*clock.Second && (withdrawn != http.StatusUnauthorized || kept != http.StatusOK || i.status("k3") != http.StatusOK):
 						t.Fatalf("%d ms after the change the withdrawn, the kept and the added key got %d, %d, %d", passed, withdrawn, kept, i.status("k3"))
-					case !test.told && passed < testRevocationLimit*3/5 && kept != http.StatusOK:
+					case !test.reads && passed < testRevocationLimit*3/5 && kept != http.StatusOK:
 						t.Fatalf("a key that holds got %d after %d ms of the fault", kept, passed)
 					case kept == http.StatusServiceUnavailable && i.readiness() == http.StatusOK:
 						t.Fatalf("%d ms after the change the instance is ready and refuses a key that holds", passed)
@@ -267,11 +261,11 @@
 				}
 				putKeys(t, table, 3, "k2", "k3")
 				i.path.set(feedWorks)
-				i.advance(500)
+				i.advance(recovery)
 				if got, want := [3]int{i.status("k1"), i.status("k2"), i.status("k3")}, [3]int{401, 200, 200}; got != want {
-					t.Errorf("withdrawn, kept and added key 500 ms after the fault got %v, want %v", got, want)
+					t.Errorf("withdrawn, kept and added key right after the fault got %v, want %v", got, want)
 				}
-				i.advance(1500) // readiness also needs the copy of the states, and a poll of it that began during the fault may have to end
+				i.advance(2*clock.Second - recovery) // readiness also needs the copy of the states, and a poll of it that began during the fault may have to end
 				if got, want := i.readiness(), http.StatusOK; got != want {
 					t.Errorf("readiness after the fault got %d, want %d", got, want)
 				}
@@ -325,6 +319,29 @@
 	}
 }
 
+// Guards against an instance that refuses keys long after an outage, because a call that was sent during it gets no answer, or because it
+// pauses; whenever the outage ends.
+func TestKeysAreBackAfterAnOutage(t *testing.T) {
+	for _, fault := range []feedFault{feedTurnedAway, feedSilent, feedLosesAnswer} {
+		for phase := clock.Millis(0); phase < 2*clock.Second; phase += 100 {
+			synctest.Test(t, func(t *testing.T) {
+				_, i := startKeyedSite(t)
+				defer i.stop()
+				i.path.set(fault)
+				i.advance(testRevocationLimit + phase)
+				if got, want := i.status("k1"), http.StatusServiceUnavailable; got != want {
+					t.Fatalf("%s for %d ms: key got %d, want %d", fault, testRevocationLimit+phase, got, want)
+				}
+				i.path.set(feedWorks)
+				i.advance(recovery)
+				if got, want := i.status("k1"), http.StatusOK; got != want {
+					t.Errorf("%s for %d ms: key %d ms after it got %d, want %d", fault, testRevocationLimit+phase, recovery, got, want)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an instance that was frozen or suspended and, woken, serves the request that waits in its socket with a key that was
 // withdrawn meanwhile, or stays without a confirmation until its next poll has waited for a change.
 func TestKeyAfterAFreeze(t *testing.T) {
