pool: shares of customers when a pool is full

Cause: the order of jobs knows no customer. Change: customerShares. A job beyond its customer's entitlement (its weight in jobs a second, by the time of acceptance), and then a job of a customer that has lately used more than its weighted share of the processor or memory, waits for the others. Jobs that have begun, classes and priorities go before both; without customers the order is unchanged. What a customer uses, may use and waits for is logged once a second while some wait (customer-shares).

--- a/pool/codes.go
+++ b/pool/codes.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"expvar"
 	"log/slog"
 
 	"magnoliaferry/event"
@@ -31,10 +32,13 @@
 	eventLeaseReported      = event.New(4220, "lease-reported", slog.LevelInfo, "a worker does not answer; the owner reports the remaining time of its lease and no longer renews it")
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
 	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
+	eventCustomerShares     = event.New(4240, "customer-shares", slog.LevelInfo, "what the customers that use most of the pool use and may use, and how many of their jobs wait, while some wait for those of other customers; once a second")
 )
 
 var (
 	placeTime = metrics.NewHistogram("task-place-ms") // age of the job when a task is placed
 	runTime   = metrics.NewHistogram("run-ms")        // from the start order to the end
 	jobTime   = metrics.NewHistogram("job-ms")        // from acceptance to the final state
+	// jobsBeyond counts the jobs beyond the entitlements of their customers.
+	jobsBeyond = expvar.NewInt("jobs-beyond-entitlement")
 )
--- a/pool/place.go
+++ b/pool/place.go
@@ -61,6 +61,7 @@
 }
 
 func (s *Scheduler) place() {
+	s.updateShares()
 	var ranks []rank
 	for _, j := range s.active {
 		if j.waiting > 0 {
@@ -71,7 +72,7 @@
 		return
 	}
 	sort.SliceStable(ranks, func(a, b int) bool {
-		return ranks[a].before(ranks[b])
+		return s.jobOrder(ranks[a], ranks[b])
 	})
 	pass := &placement{workers: s.usable()}
 	if len(pass.workers) == 0 {
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -50,7 +50,8 @@
 	delayed      []delayedOrder
 	starts       map[string]int // starts that a worker carried out, by task
 	defs         map[string]*batch.Job
-	states       map[string]batch.State // as last stored
+	states       map[string]batch.State     // as last stored
+	progress     map[string]*batch.Progress // as last stored
 	token        int64
 	load         Load // as last stored
 	storeBlocked bool // the store rejects writes
@@ -79,7 +80,7 @@
 
 func newPoolSim(t *testing.T, workers int, queue batch.Queue) *poolSim {
 	w := &poolSim{t: t, s: NewScheduler(testPool, 6*clock.Second, clock.Minute, nil), now: 1000, token: 10,
-		workers: map[string]*fakeWorker{}, starts: map[string]int{}, failures: map[string]int{}, defs: map[string]*batch.Job{}, states: map[string]batch.State{},
+		workers: map[string]*fakeWorker{}, starts: map[string]int{}, failures: map[string]int{}, defs: map[string]*batch.Job{}, states: map[string]batch.State{}, progress: map[string]*batch.Progress{},
 		endHistory: newEndHistory(), routes: routes{}, length: func(string) clock.Millis { return 1000 }, fails: func(string, string) bool { return false }}
 	queue.Pool = testPool
 	w.configure(&batch.Configuration{Version: 1, Queues: []batch.Queue{queue}, Pools: []batch.Pool{{Name: testPool}}})
@@ -135,7 +136,7 @@
 			}
 			if tx != nil {
 				for _, row := range tx.Rows {
-					w.states[row.ID] = row.Progress.State
+					w.states[row.ID], w.progress[row.ID] = row.Progress.State, row.Progress
 				}
 				w.load = w.s.Load()
 				w.token++
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -14,6 +14,8 @@
 	class    int
 	priority int
 	begun    bool // tasks of it have run or are running, or it has no objective
+	beyond   bool // beyond the entitlement of its customer, see customerShares
+	over     bool // its customer uses more than its share
 	behind   bool // too few jobs of its size meet their objective, see sizeShares
 	work     int  // remaining work, see forecast
 }
@@ -34,6 +36,12 @@
 	if r.begun != o.begun {
 		return r.begun
 	}
+	if r.beyond != o.beyond {
+		return o.beyond
+	}
+	if r.over != o.over {
+		return o.over
+	}
 	if r.behind != o.behind {
 		return r.behind
 	}
@@ -69,6 +77,9 @@
 		s.recordOutcome(j, false)
 	}
 	r.begun = j.begun()
+	if j.share != nil {
+		r.beyond, r.over = j.beyond, j.share.over
+	}
 	r.behind = r.class == classOnTime && s.shares[j.def.Queue].behind(j.size)
 	return r
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -71,8 +71,10 @@
 	workers           map[string]*worker
 	sorted            []*worker // by ID; out of date if its length differs from that of workers
 	arrivals          arrivals
-	corrections       map[string]*correction     // by queue
-	shares            map[string]*sizeShares     // by queue
+	corrections       map[string]*correction // by queue
+	shares            map[string]*sizeShares // by queue
+	customerShares    customerShares
+	jobOrder          func(a, b rank) bool       // which of two jobs is placed first
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
 	evacuations       map[string]Evacuation      // by machine
 	maintenanceDue    map[string]bool            // machines that are due for maintenance
@@ -101,7 +103,7 @@
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
 		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
-		customerUse: map[string]batch.Resources{},
+		customerUse: map[string]batch.Resources{}, jobOrder: rank.before,
 	}
 }
 
@@ -135,6 +137,7 @@
 		}
 		j.size = s.shares[def.Queue].add(s.estimatedWork(def))
 	}
+	s.addToCustomer(j)
 	if def.Occurrences == 0 && age < arrivalWindow {
 		s.arrivals.add(s.now, s.estimatedWork(def))
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -107,8 +107,10 @@
 	exhausted    bool // one of these has failed as often as the terms allow; an earlier owner may have known other terms
 	ranked       rank
 	rankedAt     clock.Millis
-	size         int  // see sizeShares
-	outcomeKnown bool // whether it meets its objective is recorded
+	size         int            // see sizeShares
+	outcomeKnown bool           // whether it meets its objective is recorded
+	share        *customerShare // of its customer; nil if it has none, or has no objective
+	beyond       bool           // beyond the entitlement of its customer
 }
 
 type worker struct {
--- a/pool/use.go
+++ b/pool/use.go
@@ -11,6 +11,9 @@
 	if customer := t.step.job.def.Customer; customer != "" {
 		s.customerUse[customer] = s.customerUse[customer].Add(t.step.def.Need)
 	}
+	if share := t.step.job.share; share != nil {
+		share.running = share.running.Add(t.step.def.Need)
+	}
 }
 
 // detach releases the resources of a run that is certain not to be running.
@@ -19,6 +22,9 @@
 	t.run = nil
 	delete(w.runs, t.name)
 	w.used = w.used.Sub(t.step.def.Reserve())
+	if share := t.step.job.share; share != nil {
+		share.running = share.running.Sub(t.step.def.Need)
+	}
 	customer := t.step.job.def.Customer
 	if customer == "" {
 		return
