--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -9,7 +9,12 @@
 )
 
 // BenchmarkPlan measures one call of Plan for a pool of 90 full workers while some 700 of the 800 jobs wait.
-func BenchmarkPlan(b *testing.B) {
+func BenchmarkPlan(b *testing.B) { benchmarkPlan(b, 0) }
+
+// BenchmarkPlanCustomers measures the same with jobs of 800 customers.
+func BenchmarkPlanCustomers(b *testing.B) { benchmarkPlan(b, 800) }
+
+func benchmarkPlan(b *testing.B, customers int) {
 	s := NewScheduler(testPool, 6*clock.Second, clock.Minute, nil)
 	queue := testQueue
 	queue.Pool = testPool
@@ -37,7 +42,11 @@
 	}
 	step()
 	for i := range 800 {
-		s.AddJob(&batch.Job{ID: fmt.Sprint(i), Queue: "q", Pool: testPool, Accepted: now, Steps: []batch.Step{
+		customer := ""
+		if customers > 0 {
+			customer = fmt.Sprint("customer", i%customers)
+		}
+		s.AddJob(&batch.Job{ID: fmt.Sprint(i), Queue: "q", Pool: testPool, Accepted: now, Customer: customer, Steps: []batch.Step{
 			{Count: 12, Need: cpu(1000), Estimate: 100000}, {Count: 6, Need: cpu(1000), Estimate: 100000, After: []int{0}}}}, nil, false)
 	}
 	for range 5 {
--- a/pool/share_sim_test.go
+++ b/pool/share_sim_test.go
@@ -54,6 +54,8 @@
 	skews    [shareInstances]clock.Millis // of the clocks of the instances
 	hot      int                          // number of the customer that sends a multiple of its usual
 	multiple int
+	viewAge  clock.Millis // of the instances, which refuse jobs of customers that are reported to have jobs beyond their entitlements; 0: none refuses
+	reports  []shareReport
 	usual    []float64 // jobs a second of each customer in all pools
 	jobs     []*shareJob
 	open     []*shareJob
@@ -62,6 +64,42 @@
 	order    func(a, b rank) bool
 }
 
+// shareReport is what the owners of the pools told at a time: the customers with jobs beyond their entitlements that wait.
+type shareReport struct {
+	at     clock.Millis
+	beyond [sharePools][]string
+}
+
+// report stores what the owners tell, every 100 ms; an owner that is lost tells nothing new.
+func (s *shareSim) report() {
+	next := shareReport{at: s.pools[0].now}
+	for i, w := range s.pools {
+		if s.back[i] != 0 && len(s.reports) > 0 {
+			next.beyond[i] = s.reports[len(s.reports)-1].beyond[i]
+			continue
+		}
+		for name, c := range w.s.customerShares.customers {
+			if c.beyond > 0 {
+				next.beyond[i] = append(next.beyond[i], name)
+			}
+		}
+	}
+	s.reports = append(s.reports, next)
+}
+
+// refuses reports whether an instance whose view has the simulated age refuses a job of the customer.
+func (s *shareSim) refuses(pool int, customer string) bool {
+	if s.viewAge == 0 {
+		return false
+	}
+	for i := len(s.reports) - 1; i >= 0; i-- {
+		if s.pools[0].now-s.reports[i].at >= s.viewAge {
+			return slices.Contains(s.reports[i].beyond[pool], customer)
+		}
+	}
+	return false
+}
+
 // arrival is an accepted job that the owner of its pool has not read yet.
 type arrival struct {
 	at   clock.Millis
@@ -121,6 +159,9 @@
 			}
 		}
 		s.deliver()
+		if now%100 == 0 {
+			s.report()
+		}
 		for i, w := range s.pools {
 			if now == shareOwnerLostAt+clock.Millis(i)*clock.Second {
 				s.back[i] = w.now + shareOwnerless
@@ -198,8 +239,11 @@
 	}
 	instance := s.random.IntN(instances)
 	def := &batch.Job{ID: j.id, Queue: "q", Pool: testPool, Spec: "spec", Steps: steps, Accepted: w.now + s.skews[instance], Customer: fmt.Sprintf("c%02d", customer)}
-	s.coming = append(s.coming, arrival{w.now + 10 + clock.Millis(s.random.IntN(80)), pool, def})
 	s.jobs, s.open = append(s.jobs, j), append(s.open, j)
+	if s.refuses(pool, def.Customer) {
+		return
+	}
+	s.coming = append(s.coming, arrival{w.now + 10 + clock.Millis(s.random.IntN(80)), pool, def})
 }
 
 // deliver lets the owners read accepted jobs; a pool without an owner reads them when it has one.
@@ -323,11 +367,12 @@
 )
 
 // playShares returns the means of the figures over the seeds.
-func playShares(t *testing.T, order func(a, b rank) bool, hot int) (mean shareFigures) {
+func playShares(t *testing.T, order func(a, b rank) bool, hot int, viewAge clock.Millis) (mean shareFigures) {
 	mean.served, mean.against = make([]float64, shareCustomers), make([]float64, shareCustomers)
 	n := float64(*shareSeeds)
 	for seed := range *shareSeeds {
 		s := newShareSim(t, seed, order, hot)
+		s.viewAge = viewAge
 		s.run()
 		f := s.figures()
 		mean.all += f.all / n
@@ -357,7 +402,7 @@
 // Guards against a customer with seven times its usual load that takes from the others: while demand turns between the pools, their owners are
 // lost one after another, and instances join.
 func TestHotCustomerPaysForItself(t *testing.T) {
-	before, now := playShares(t, orderBefore, shareHot), playShares(t, rank.before, shareHot)
+	before, now := playShares(t, orderBefore, shareHot, 0), playShares(t, rank.before, shareHot, 0)
 	t.Logf("no regard to customers: %v", before)
 	t.Logf("shares: %v", now)
 	if now.others <= before.others {
@@ -376,29 +421,34 @@
 		return
 	}
 	for _, other := range []struct {
-		name  string
-		order func(a, b rank) bool
-		hot   int
+		name    string
+		order   func(a, b rank) bool
+		hot     int
+		viewAge clock.Millis
 	}{
-		{"first come first served", func(a, b rank) bool { return a.job.acceptedAt < b.job.acceptedAt }, shareHot},
-		{"entitlement", func(a, b rank) bool { a.over, b.over = false, false; return a.before(b) }, shareHot},
-		{"use against share", func(a, b rank) bool { a.beyond, b.beyond = false, false; return a.before(b) }, shareHot},
+		{"first come first served", func(a, b rank) bool { return a.job.acceptedAt < b.job.acceptedAt }, shareHot, 0},
+		{"entitlement", func(a, b rank) bool { a.over, b.over = false, false; return a.before(b) }, shareHot, 0},
+		{"use against share", func(a, b rank) bool { a.beyond, b.beyond = false, false; return a.before(b) }, shareHot, 0},
 		{"weighted fair queueing", func(a, b rank) bool {
 			use := func(r rank) float64 { return r.job.share.use / r.job.share.weight }
 			if a.class == b.class && a.begun == b.begun && use(a) != use(b) {
 				return use(a) < use(b)
 			}
 			return orderBefore(a, b)
-		}, shareHot},
+		}, shareHot, 0},
 		{"shares, begun jobs beyond the entitlement last", func(a, b rank) bool {
 			if a.class == b.class && a.beyond != b.beyond {
 				return b.beyond
 			}
 			return a.before(b)
-		}, shareHot},
-		{"shares, no customer hot", rank.before, 1},
-		{"no regard to customers, none hot", orderBefore, 1},
+		}, shareHot, 0},
+		{"shares, no customer hot", rank.before, 1, 0},
+		{"no regard to customers, none hot", orderBefore, 1, 0},
+		{"shares, refused at the door, views 0.1 s old", rank.before, shareHot, 100},
+		{"shares, refused at the door, views 1 s old", rank.before, shareHot, 1000},
+		{"shares, refused at the door, views 3 s old", rank.before, shareHot, 3000},
+		{"shares, refused at the door, views 0.1 s old, none hot", rank.before, 1, 100},
 	} {
-		t.Logf("%s: %v", other.name, playShares(t, other.order, other.hot))
+		t.Logf("%s: %v", other.name, playShares(t, other.order, other.hot, other.viewAge))
 	}
 }
--- a/pool/share_test.go
+++ b/pool/share_test.go
@@ -1,9 +1,12 @@
 package pool
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"magnoliaferry/batch"
@@ -280,3 +283,30 @@
 		}
 	}
 }
+
+// Guards against a log line that grows with the number of customers, and against one while nobody waits for others.
+func TestLoggedCustomersAreBounded(t *testing.T) {
+	var log bytes.Buffer
+	lines := func() int { return strings.Count(log.String(), `"name":"customer-shares"`) }
+	w := newSharedPool(t, 1, map[string]float64{"c00": 1})
+	w.s.Logger = slog.New(slog.NewJSONHandler(&log, nil))
+	w.submitFor("c00", "first", batch.Step{Count: 1, Need: cpu(4000), Estimate: 1000})
+	w.run(500)
+	if got := lines(); got != 0 {
+		t.Errorf("lines got %d, want 0 before any job waits for another customer's", got)
+	}
+	for i := range 30 {
+		for k := range minBurst + 2 {
+			w.submitFor(fmt.Sprintf("c%02d", i), fmt.Sprintf("%d-%d", i, k), batch.Step{Count: 1, Need: cpu(4000), Estimate: 1000})
+		}
+	}
+	w.run(2500)
+	if got := lines(); got < 2 || got > 3 {
+		t.Errorf("lines in 2.5 s got %d, want one a second", got)
+	}
+	line := log.String()[strings.Index(log.String(), `"name":"customer-shares"`):]
+	line = line[:strings.Index(line, "\n")]
+	if got, want := strings.Count(line, `"use-percent"`), loggedCustomers+1; got != want {
+		t.Errorf("customers in %s got %d, want %d and the rest", line, got, want)
+	}
+}
