--- a/pool/share_sim_test.go
+++ b/pool/share_sim_test.go
@@ -64,13 +64,13 @@
 	order    func(a, b rank) bool
 }
 
-// shareReport is what the owners of the pools told at a time: the customers with jobs beyond their entitlements that wait.
+// shareReport is what the owners of the pools reported at a time: the customers with jobs beyond their entitlements that wait.
 type shareReport struct {
 	at     clock.Millis
 	beyond [sharePools][]string
 }
 
-// report stores what the owners tell, every 100 ms; an owner that is lost tells nothing new.
+// report records what the owners report; one that is lost reports nothing new.
 func (s *shareSim) report() {
 	next := shareReport{at: s.pools[0].now}
 	for i, w := range s.pools {
--- a/pool/share_test.go
+++ b/pool/share_test.go
@@ -284,7 +284,7 @@
 	}
 }
 
-// Guards against a log line that grows with the number of customers, and against one while nobody waits for others.
+// Guards against a log line that grows with the number of customers, and against one while no job waits for those of other customers.
 func TestLoggedCustomersAreBounded(t *testing.T) {
 	var log bytes.Buffer
 	lines := func() int { return strings.Count(log.String(), `"name":"customer-shares"`) }
