--- a/pool/codes.go
+++ b/pool/codes.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"expvar"
 	"log/slog"
 
 	"magnoliaferry/event"
@@ -32,10 +33,13 @@
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
 	eventRackWait           = event.New(4230, "rack-wait", slog.LevelInfo, "a task, or a tightly coupled gang, waits for a place on a rack although it could run elsewhere, as that costs more")
 	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
+	eventCustomerShares     = event.New(4240, "customer-shares", slog.LevelInfo, "what the customers that use most of the pool use and may use, and how many of their jobs wait, while some wait for those of other customers; once a second")
 )
 
 var (
 	placeTime = metrics.NewHistogram("task-place-ms") // age of the job when a task is placed
 	runTime   = metrics.NewHistogram("run-ms")        // from the start order to the end
 	jobTime   = metrics.NewHistogram("job-ms")        // from acceptance to the final state
+	// jobsBeyond counts the jobs beyond the entitlements of their customers.
+	jobsBeyond = expvar.NewInt("jobs-beyond-entitlement")
 )
