--- a/batch/progress.go
+++ b/batch/progress.go
@@ -43,7 +43,8 @@
 	Index       int    `json:"i,omitempty"`
 	Number      int    `json:"r"`           // number of the newest run; grows with each start
 	Done        bool   `json:"d,omitempty"` // the task has succeeded
-	Failures    int    `json:"f,omitempty"` // number of failed runs
+	Failures    int    `json:"f,omitempty"` // number of failed runs; that of a gang is kept with its first task
+	FailedRun   int    `json:"g,omitempty"` // of the first task of a gang: number of the newest run that Failures includes
 	Worker      string `json:"w,omitempty"` // worker that may have the newest run; empty if there is none
 	Incarnation int64  `json:"b,omitempty"` // start of that worker, Unix milliseconds
 	Machine     string `json:"m,omitempty"` // machine of that worker
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -210,6 +210,7 @@
 		st := o.steps[stored.Step]
 		t := st.tasks[stored.Index]
 		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
+		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
 		if stored.Done {
 			t.done = true
 			st.done++
@@ -539,13 +540,16 @@
 
 func (s *Scheduler) recordFailure(r *run) {
 	t := r.task
+	t.avoidWorker(r.worker, s.now)
+	s.countFailure(r.worker)
 	counted := t
 	if t.step.def.Gang {
+		if !t.step.gang.countFailure(r.number) {
+			return
+		}
 		counted = t.step.tasks[0]
 	}
 	counted.failures++
-	t.avoidWorker(r.worker, s.now)
-	s.countFailure(r.worker)
 	if counted.failures >= t.step.job.maxAttempts() {
 		s.conclude(t.step.job, batch.Failed)
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -74,6 +74,7 @@
 	job             *job
 	def             *batch.Step
 	tasks           []*task
+	gang            gang
 	done            int
 	totalRunTime    clock.Millis // sum of the run times of timedTasks tasks
 	timedTasks      int
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -101,6 +101,9 @@
 				if !t.done {
 					stored.Checkpoint = t.checkpoint
 				}
+				if t.key.Index == 0 {
+					stored.FailedRun = st.gang.failedRun
+				}
 				if r := t.run; r != nil {
 					stored.Worker, stored.Incarnation, stored.Machine = r.worker.entry.ID, r.incarnation, r.worker.entry.Machine
 					if r.state == planned && !r.inTransaction {
