pool: all members of a gang resume from one checkpoint

The gang keeps the newest value of any member: by run, then the value of a stop, then by progress. Each run gets its checkpoint when it is placed. Stored progress has the same value for all members, which earlier versions read as before.

--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -65,3 +65,62 @@
 		}
 	}
 }
+
+// Guards against a gang whose members resume from different checkpoints: they never work together. One worker drains, and its runs save
+// more work at their stop than the others did before; the ends come in either order, and before or after a change of the owner.
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	for _, stoppedFirst := range []bool{true, false} {
+		for _, succeeds := range []bool{false, true} {
+			w := newGangSim(t, 2)
+			workers := w.gangWorkers()
+			stopped := func() { w.endAll(workers[0], EndStopped, "2600") }
+			broken := func() { w.endAll(workers[1], EndBroken, "2000") }
+			if !stoppedFirst {
+				stopped, broken = broken, stopped
+			}
+			stopped()
+			w.run(200)
+			if succeeds {
+				w.replaceOwner(w.s.jobs["j"].def, w.s.progress(w.s.jobs["j"], &Transaction{}))
+			}
+			broken()
+			w.run(3 * clock.Second)
+			got := map[string]int{}
+			for _, f := range w.workers {
+				for _, r := range f.runs {
+					got[r.start.Checkpoint]++
+				}
+			}
+			if len(got) != 1 || got[""] > 0 {
+				t.Errorf("stopped first %v, new owner %v: checkpoints of the runs got %v, want one", stoppedFirst, succeeds, got)
+			}
+			if !succeeds && got["2600"] != 4 {
+				t.Errorf("stopped first %v: checkpoints of the runs got %v, want that of the stop", stoppedFirst, got)
+			}
+		}
+	}
+}
+
+// Guards against a gang that loses work because a member reports an older checkpoint after a newer one of another member.
+func TestGangKeepsNewestCheckpoint(t *testing.T) {
+	g := gang{}
+	for _, report := range []struct {
+		value        string
+		run, percent int
+		atStop       bool
+		want         string
+	}{
+		{"a", 1, 10, false, "a"},
+		{"b", 1, 20, false, "b"},
+		{"a", 1, 10, false, "b"},
+		{"c", 1, 15, true, "c"}, // saved at the stop; the progress is that of an earlier report
+		{"b", 1, 20, false, "c"},
+		{"d", 2, 5, false, "d"},
+		{"c", 1, 90, true, "d"},
+	} {
+		g.saveCheckpoint(report.value, report.run, report.percent, report.atStop)
+		if got := g.checkpoint; got != report.want {
+			t.Errorf("checkpoint after %+v got %q, want %q", report, got, report.want)
+		}
+	}
+}
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -192,9 +192,7 @@
 			r.task.restarts = 0
 		}
 		r.measurement = entry.Measurement
-		if entry.Checkpoint != "" {
-			r.task.checkpoint = entry.Checkpoint
-		}
+		r.saveCheckpoint(entry.Checkpoint, false)
 	}
 	w.setStrays(strays)
 	if len(listing.Ended) >= MaxEndsPerListing {
--- a/pool/place.go
+++ b/pool/place.go
@@ -361,7 +361,8 @@
 // assign reserves resources for a task on a worker. The start goes out once the placement is stored.
 func (s *Scheduler) assign(t *task, w *worker, number int) *run {
 	t.number = number
-	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100}
+	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100,
+		checkpoint: t.resumePoint()}
 	s.attach(r)
 	j := t.step.job
 	j.waiting--
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -211,6 +211,9 @@
 		t := st.tasks[stored.Index]
 		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
 		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
+		if stored.Checkpoint != "" && st.gang.checkpoint == "" { // earlier versions stored different ones
+			st.gang.checkpoint = stored.Checkpoint
+		}
 		if stored.Done {
 			t.done = true
 			st.done++
@@ -478,9 +481,7 @@
 			slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)),
 			slog.Int64("declared-ms", int64(t.step.def.Estimate)))
 	}
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
+	r.saveCheckpoint(checkpoint, how == EndStopped)
 	if how == EndDone {
 		w.failures = 0
 		s.recordRunTime(r)
--- a/pool/state.go
+++ b/pool/state.go
@@ -21,6 +21,7 @@
 	number             int
 	state              runState
 	resumed            bool         // from a checkpoint, so that its run time covers only part of the work
+	checkpoint         string       // from which it starts; the same for all members of a gang
 	inTransaction      bool         // in the transaction in flight, or stored
 	token              int64        // highest fencing token of its orders
 	sent               clock.Millis // when the newest start was sent
@@ -46,7 +47,7 @@
 	failures   int
 	done       bool
 	run        *run
-	checkpoint string
+	checkpoint string // that of a gang is in step.gang
 	retryAt    clock.Millis
 	avoid      *worker // worker on which the last run failed or made no progress
 	avoidUntil clock.Millis
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -99,7 +99,7 @@
 				stored := batch.Run{Occurrence: t.key.Occurrence, Step: t.key.Step, Index: t.key.Index, Number: t.number,
 					Done: t.done, Failures: t.failures}
 				if !t.done {
-					stored.Checkpoint = t.checkpoint
+					stored.Checkpoint = t.resumePoint()
 				}
 				if t.key.Index == 0 {
 					stored.FailedRun = st.gang.failedRun
@@ -139,11 +139,11 @@
 func (s *Scheduler) sendStart(r *run) {
 	w, t := r.worker, r.task
 	r.state, r.sent, r.token = starting, s.now, w.token
-	r.resumed = t.checkpoint != ""
+	r.resumed = r.checkpoint != ""
 	deadline := w.clockNow(s.now) + s.Lease
 	w.leaseUntil = max(w.leaseUntil, w.leaseEnd(deadline))
 	s.orders = append(s.orders, Start{Target: w.target(), Task: t.name, Run: r.number, Spec: t.step.job.def.Spec,
-		Deadline: deadline, Token: w.token, Checkpoint: t.checkpoint, Ticket: t.step.ticketFor(w)})
+		Deadline: deadline, Token: w.token, Checkpoint: r.checkpoint, Ticket: t.step.ticketFor(w)})
 }
 
 // stop queues the order to end a run. The order is repeated until the end is listed.
