batch, pool: the progress of a large job fits into a row of the store

The incarnation and the machine of a worker now stand in its first run only; the runs keep their form, so that earlier versions read the row, and learn the worker from that first run. A transaction holds at most 512 KiB of progress, as the platform accepts 1 MB. The platform's 400 is now store.ErrInvalid, a subtype of ErrRejected, and the stand-in of the store refuses what is too large.

--- a/batch/progress.go
+++ b/batch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 )
 
 // State is the state of a job as callers see it. It is the first byte of the stored progress.
@@ -60,16 +61,54 @@
 	Runs  []Run
 }
 
-// Encode returns the stored form: the byte of the state, followed by the runs as JSON if there are any.
+// MaxProgressBytes is the limit of the stored form, which is one row of the platform's store.
+const MaxProgressBytes = 64 << 10
+
+// Encode returns the stored form: the byte of the state, followed by the runs as JSON if there are any. The incarnation and the machine of a
+// worker stand in its first run only; a decoder that does not restore them, as in earlier versions, learns them from that run.
 func (p *Progress) Encode() ([]byte, error) {
 	if len(p.Runs) == 0 {
 		return []byte{byte(p.State)}, nil
 	}
-	runs, err := json.Marshal(p.Runs)
+	runs := slices.Clone(p.Runs)
+	first := map[string]*Run{} // by worker
+	for i := range runs {
+		r := &runs[i]
+		if r.Worker == "" {
+			continue
+		}
+		if f := first[r.Worker]; f != nil && r.Incarnation == f.Incarnation && r.Machine == f.Machine {
+			r.Incarnation, r.Machine = 0, ""
+		} else {
+			first[r.Worker] = r
+		}
+	}
+	encoded, err := json.Marshal(runs)
 	if err != nil {
 		return nil, err
 	}
-	return append([]byte{byte(p.State)}, runs...), nil
+	return append([]byte{byte(p.State)}, encoded...), nil
+}
+
+// Bounds on the stored form of a run.
+const (
+	maxRunBytes    = 140 // without its texts
+	maxEscapeBytes = 6   // of one byte of a text
+)
+
+// Size returns the length of the stored form in bytes. For a progress that surely fits, it is an upper bound.
+func (p *Progress) Size() int {
+	bound := 1
+	for i := range p.Runs {
+		r := &p.Runs[i]
+		bound += maxRunBytes + maxEscapeBytes*(len(r.Worker)+len(r.Machine)+len(r.Checkpoint))
+	}
+	if bound > MaxProgressBytes {
+		if value, err := p.Encode(); err == nil {
+			return len(value)
+		}
+	}
+	return bound
 }
 
 // StateOf returns the state of a job from the stored form of its progress, or false if that does not begin with a known state.
@@ -97,5 +136,14 @@
 	if err := json.Unmarshal(value[1:], &p.Runs); err != nil {
 		return nil, ErrInvalid.Wrap(err, "cannot decode the runs of a stored progress")
 	}
+	first := map[string]*Run{} // by worker
+	for i := range p.Runs {
+		r := &p.Runs[i]
+		if f := first[r.Worker]; f != nil && r.Incarnation == 0 && r.Machine == "" {
+			r.Incarnation, r.Machine = f.Incarnation, f.Machine
+		} else if r.Worker != "" {
+			first[r.Worker] = r
+		}
+	}
 	return p, nil
 }
--- a/pool/codes.go
+++ b/pool/codes.go
@@ -31,6 +31,7 @@
 	eventLeaseReported      = event.New(4220, "lease-reported", slog.LevelInfo, "a worker does not answer; the owner reports the remaining time of its lease and no longer renews it")
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
 	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
+	eventStartsPostponed    = event.New(4223, "starts-postponed", slog.LevelWarn, "the progress of a job with these starts would not fit into one row of the store; they wait until other tasks of the job have ended")
 )
 
 var (
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -135,6 +135,7 @@
 			}
 			if tx != nil {
 				for _, row := range tx.Rows {
+					w.checkStored(row)
 					w.states[row.ID] = row.Progress.State
 				}
 				w.load = w.s.Load()
@@ -147,6 +148,13 @@
 	}
 }
 
+// checkStored fails the test if the progress of a job is larger than a row of the store.
+func (w *poolSim) checkStored(row JobRow) {
+	if got := row.Progress.Size(); got > batch.MaxProgressBytes {
+		w.t.Fatalf("%d ms: progress of %s has %d bytes, want at most %d", w.now, row.ID, got, batch.MaxProgressBytes)
+	}
+}
+
 func (w *poolSim) dispatch() {
 	for _, order := range w.s.Orders() {
 		lost, late := false, clock.Millis(0)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -48,6 +48,10 @@
 // requests.
 const MaxJobRows = 70
 
+// maxProgressBytes is the size of the progress of jobs after which no further job is added to a transaction. The platform accepts 1 MB per
+// transaction, in which values are encoded as base64.
+const maxProgressBytes = 512 << 10
+
 // Scheduler schedules the jobs of one pool. It is not safe for concurrent use. Exported fields must be set before the first
 // call. An incarnation of a worker is the time from one start of its process to the next, identified by its start time in
 // Unix milliseconds. A hold is a long poll of the worker protocol (path /hold): it renews the worker's lease and returns the
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -45,12 +45,14 @@
 		}
 		return 1
 	})
-	for entries := 0; len(s.dirty) > 0 && entries < MaxJobRows; {
+	size := 0
+	for entries := 0; len(s.dirty) > 0 && entries < MaxJobRows && size < maxProgressBytes; {
 		j := s.dirty[0]
 		s.dirty = s.dirty[1:]
 		j.dirty, j.hasNewStarts = false, false
-		row := JobRow{ID: j.def.ID, Queue: j.def.Queue, Progress: s.progress(j, tx), Finished: j.state.Final() && !j.running()}
+		row := JobRow{ID: j.def.ID, Queue: j.def.Queue, Progress: s.storableProgress(j, tx), Finished: j.state.Final() && !j.running()}
 		entries += rowEntries
+		size += row.Progress.Size()
 		tx.Rows = append(tx.Rows, row)
 		if row.Finished {
 			tx.ended = append(tx.ended, j.def.ID)
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -116,6 +117,10 @@
 	for _, d := range body.Deletes {
 		tx.Deletes = append(tx.Deletes, store.Row{Table: d.Table, Part: d.Part, Key: d.Key})
 	}
+	if err := checkSize(tx); err != nil {
+		answerError(w, err)
+		return
+	}
 	if s.Slow != nil {
 		_ = clock.System().Sleep(context.Background(), s.Slow()) // a background context is never cancelled
 	}
@@ -142,12 +147,29 @@
 	reply(w, http.StatusOK, encodePage(page))
 }
 
+// checkSize returns store.ErrInvalid for a transaction that the platform's store would refuse for its size.
+func checkSize(tx store.Transaction) error {
+	total := 0
+	for _, row := range tx.Puts {
+		if len(row.Value) > store.MaxRowBytes {
+			return store.ErrInvalid.New("row %q has %d bytes, at most %d are allowed", row.Key, len(row.Value), store.MaxRowBytes)
+		}
+		total += base64.StdEncoding.EncodedLen(len(row.Value))
+	}
+	if total > store.MaxTransactionBytes {
+		return store.ErrInvalid.New("the transaction has %d bytes, at most %d are allowed", total, store.MaxTransactionBytes)
+	}
+	return nil
+}
+
 // answerError answers a failed call as the platform does. A call with an unknown outcome gets no answer: the connection is
 // closed.
 func answerError(w http.ResponseWriter, err error) {
 	switch {
 	case errorx.IsOfType(err, store.ErrHistoryGone):
 		http.Error(w, err.Error(), http.StatusGone)
+	case errorx.IsOfType(err, store.ErrInvalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
 	case errorx.IsOfType(err, store.ErrRejected):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/standin/table.go
+++ b/standin/table.go
@@ -19,6 +19,7 @@
 const (
 	TableWorks      TableFault = iota // no fault
 	TableRejects                      // the call is rejected without effect
+	TableRefuses                      // the call is rejected for its content
 	TableLosesCall                    // no effect and no answer
 	TableLosesReply                   // the call takes effect, but there is no answer
 	TableDelays                       // as TableLosesCall, but ApplyDelayed applies the transaction later if its conditions still hold
@@ -59,6 +60,8 @@
 	switch fault {
 	case TableRejects:
 		return store.Result{}, store.ErrRejected.New("the stand-in rejects the call")
+	case TableRefuses:
+		return store.Result{}, store.ErrInvalid.New("the stand-in refuses the content of the call")
 	case TableLosesCall:
 		return store.Result{}, store.ErrUnknown.New("the stand-in drops the transaction without an answer")
 	case TableDelays:
--- a/store/table.go
+++ b/store/table.go
@@ -5,6 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 )
 
@@ -13,10 +14,17 @@
 
 // The types of errors returned by a Table and by the types that use one.
 var (
-	ErrRejected    = Errors.NewType("rejected")     // not applied, and will not be applied later
-	ErrUnknown     = Errors.NewType("unknown")      // may have been applied, or may still be applied later
-	ErrHistoryGone = Errors.NewType("history-gone") // the store no longer keeps the changes after the given version
-	ErrLost        = Errors.NewType("lost")         // another instance owns the part
+	ErrRejected    = Errors.NewType("rejected")        // not applied, and will not be applied later
+	ErrInvalid     = ErrRejected.NewSubtype("invalid") // rejected for its content, so that a repetition would be rejected too
+	ErrUnknown     = Errors.NewType("unknown")         // may have been applied, or may still be applied later
+	ErrHistoryGone = Errors.NewType("history-gone")    // the store no longer keeps the changes after the given version
+	ErrLost        = Errors.NewType("lost")            // another instance owns the part
+)
+
+// Limits of the platform's store.
+const (
+	MaxRowBytes         = batch.MaxProgressBytes // of the value of a row
+	MaxTransactionBytes = 1_000_000              // of the values of a transaction, encoded as base64
 )
 
 // Row is one row, identified by its table, part and key. A part is a partition of the store's tables and the scope of a
