store, daemon, pool: a transaction refused for its content is not repeated

Cause: Ownership.commit repeated each rejected transaction unchanged until it lost the part, also one that the store refuses for its content, and the next owner built the same one. Commit returns ErrInvalid at once. The owner of a pool then stores the rows of each job by themselves; a job whose own rows are refused fails, its new starts are withdrawn, and no end is acknowledged until its final state is stored.

--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -29,11 +29,13 @@
 	eventListFailed           = event.New(1086, "machines-unlisted", slog.LevelWarn, "the platform did not return the list of machines")
 	eventUnreadableLoad       = event.New(1087, "load-unreadable", slog.LevelError,
 		"the last report of the previous owner of a pool cannot be decoded; the longest leases are assumed")
-	eventUnreadableJob  = event.New(1088, "job-unreadable", slog.LevelError, "a stored job cannot be decoded; it is not scheduled")
-	eventCleanupFailed  = event.New(1089, "rows-not-swept", slog.LevelWarn, "rows of ended jobs could not be deleted; the deletion is retried")
-	eventUnreadableWave = event.New(1092, "wave-unreadable", slog.LevelError, "the stored state of a wave cannot be decoded; long-running tasks may be placed on machines that are due for maintenance")
-	eventClaimDeferred  = event.New(1091, "claim-deferred", slog.LevelInfo, "a claim is deferred: the store is slow, and the owner of the part may only be late with its renewal")
-	eventReread         = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
-	eventLateOrder      = event.New(1093, "machine-order-late", slog.LevelWarn,
+	eventUnreadableJob      = event.New(1088, "job-unreadable", slog.LevelError, "a stored job cannot be decoded; it is not scheduled")
+	eventCleanupFailed      = event.New(1089, "rows-not-swept", slog.LevelWarn, "rows of ended jobs could not be deleted; the deletion is retried")
+	eventUnreadableWave     = event.New(1092, "wave-unreadable", slog.LevelError, "the stored state of a wave cannot be decoded; long-running tasks may be placed on machines that are due for maintenance")
+	eventClaimDeferred      = event.New(1091, "claim-deferred", slog.LevelInfo, "a claim is deferred: the store is slow, and the owner of the part may only be late with its renewal")
+	eventReread             = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
+	eventTransactionRefused = event.New(1097, "transaction-refused", slog.LevelError, "the store refuses a transaction of a pool for its content; the rows of each job are stored by themselves")
+	eventJobRefused         = event.New(1098, "job-refused", slog.LevelError, "the store refuses the rows of a job for their content; the job fails, because its progress cannot be kept")
+	eventLateOrder          = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 )
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 
 	"magnoliaferry/batch"
@@ -429,7 +430,7 @@
 	}
 	o.committing, o.lastCommit = true, now
 	go func() {
-		err := o.ownership.Commit(ctx, puts, deletes)
+		refused, err := o.store(ctx, puts, deletes)
 		commitTime.Observe(d.clock.Now() - now)
 		o.events.put(func() {
 			o.committing = false
@@ -439,8 +440,12 @@
 				}
 				return
 			}
+			o.refuse(refused)
 			o.scheduler.Committed(o.ownership.Token())
 			for _, id := range ended {
+				if slices.Contains(refused, id) {
+					continue
+				}
 				o.cleaner.job(id)
 				if o.cancels[id] {
 					delete(o.cancels, id)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -88,6 +88,7 @@
 
 	dirty              []*job
 	transaction        *Transaction
+	refused            map[string]bool // jobs whose newest progress the store has refused
 	orders             []any
 	inheritedLeaseEnd  clock.Millis            // see SetInheritedLeases
 	inheritedLeaseEnds map[string]clock.Millis // by worker
@@ -105,7 +106,7 @@
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
 		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
-		customerUse: map[string]batch.Resources{},
+		customerUse: map[string]batch.Resources{}, refused: map[string]bool{},
 	}
 }
 
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -55,11 +55,12 @@
 		size += row.Progress.Size()
 		tx.Rows = append(tx.Rows, row)
 		if row.Finished {
+			delete(s.refused, j.def.ID)
 			tx.ended = append(tx.ended, j.def.ID)
 		}
 	}
 	s.expireStates(tx)
-	if len(s.dirty) == 0 {
+	if len(s.dirty) == 0 && len(s.refused) == 0 {
 		for _, w := range s.workers {
 			if w.lastEnd > w.ack {
 				tx.acks[w], tx.incarnations[w] = w.lastEnd, w.incarnation
@@ -73,6 +74,36 @@
 	return tx
 }
 
+// Refuse excludes jobs from the transaction in flight, because the store does not accept their rows and would not accept them later. Such a
+// job fails: its progress cannot be kept, and repeated writes would hold up the pool. No ends of runs are acknowledged until the job has no
+// runs and its final state is stored.
+func (s *Scheduler) Refuse(ids []string) {
+	tx := s.transaction
+	if tx == nil {
+		return
+	}
+	tx.acks = nil
+	for _, id := range ids {
+		j := s.jobs[id]
+		if j == nil || slices.Contains(tx.ended, id) { // its final state alone is refused; no smaller row exists
+			continue
+		}
+		s.refused[id] = true
+		tx.starts = slices.DeleteFunc(tx.starts, func(r *run) bool {
+			if r.task.step.job != j {
+				return false
+			}
+			if r.task.run == r {
+				s.finish(r, EndLost, "")
+			}
+			return true
+		})
+		if !j.state.Final() {
+			s.conclude(j, batch.Failed)
+		}
+	}
+}
+
 // urgent reports whether a start or a caller waits until the progress of the job is stored.
 func (j *job) urgent() bool { return j.hasNewStarts || j.state.Final() }
 
--- a/store/ownership.go
+++ b/store/ownership.go
@@ -114,7 +114,7 @@
 }
 
 // Commit applies the rows as the owner of the part. It repeats the transaction until the outcome is known or the context
-// ends. ErrLost means that another instance owns the part and that nothing was applied.
+// ends. ErrLost means that another instance owns the part and that nothing was applied, ErrInvalid that the store never accepts these rows.
 func (c *Ownership) Commit(ctx context.Context, puts, deletes []Row) error {
 	return c.commit(ctx, puts, deletes, Owner{})
 }
@@ -175,6 +175,8 @@
 		case ctx.Err() != nil:
 			c.markUnresolved(owner.WriteID)
 			return err
+		case errorx.IsOfType(err, ErrInvalid): // no attempt was applied
+			return err
 		}
 		eventRetry.Log(ctx, c.Logger, slog.String("part", c.Part), slog.Int("attempt", attempt),
 			slog.Bool("unknown", errorx.IsOfType(err, ErrUnknown)), slog.String("error", err.Error()))
--- a/store/ownership_test.go
+++ b/store/ownership_test.go
@@ -428,3 +428,30 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a transaction that is repeated without end although the store refuses it for its content.
+func TestRefusedContentIsNotRepeated(t *testing.T) { synctest.Test(t, refusedContentIsNotRepeated) }
+
+func refusedContentIsNotRepeated(t *testing.T) {
+	table := standin.NewTable()
+	c := clock.NewFake(1000)
+	ownership := newOwnership(table, "a", c)
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := ownership.Claim(ctx, 0); err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	table.Fault = func(store.Transaction) standin.TableFault {
+		if calls++; calls > 1 {
+			cancel()
+		}
+		return standin.TableRefuses
+	}
+	if err := runAdvancing(c, func() error { return ownership.Commit(ctx, nil, nil) }); !errorx.IsOfType(err, store.ErrInvalid) || calls != 1 {
+		t.Errorf("refused commit got %v after %d attempts, want %v after 1", err, calls, store.ErrInvalid)
+	}
+	table.Fault = nil
+	if err := ownership.Commit(context.Background(), nil, nil); err != nil {
+		t.Errorf("next commit got %v, want success: the part still has this owner", err)
+	}
+}
