pool: a slow run is moved only if that pays, and at most twice

A slow run now moves only if it would end later than a new one, where the part of the moves that help is learnt by queue; a task moves twice at most for being slow, and each move without progress doubles the time after which the next run counts as stalled.

--- a/batch/progress.go
+++ b/batch/progress.go
@@ -46,6 +46,7 @@
 	Done        bool   `json:"d,omitempty"` // the task has succeeded
 	Failures    int    `json:"f,omitempty"` // number of failed runs; that of a gang is kept with its first task
 	FailedRun   int    `json:"g,omitempty"` // of the first task of a gang: number of the newest run that Failures includes
+	Moves       int    `json:"v,omitempty"` // number of runs that were stopped for little or no progress
 	Worker      string `json:"w,omitempty"` // worker that may have the newest run; empty if there is none
 	Incarnation int64  `json:"b,omitempty"` // start of that worker, Unix milliseconds
 	Machine     string `json:"m,omitempty"` // machine of that worker
--- a/pool/progress.go
+++ b/pool/progress.go
@@ -19,8 +19,36 @@
 	slownessWeight    = 4 // weight of the average against a new run
 	// minPeers is the number of tasks of a step that must be done before the others are compared with them.
 	minPeers = 2
+	// maxMoves is how often a task is moved because its run is slow. Each move of a run without any progress doubles the time after which
+	// the next one counts as stalled, up to maxPatience times.
+	maxMoves    = 2
+	maxPatience = 64
+	// stopTime is how long a stop takes until the task can start elsewhere.
+	stopTime = 500 * clock.Millis(1)
+	// priorMoves is the weight of the assumption that half of the moves help, as a number of moves.
+	priorMoves = 2
 )
 
+// moveRecord counts the moves of a queue's slow tasks: those whose next run has ended, and those of them whose next run took less than half
+// of the time that the slow one would have taken.
+type moveRecord struct{ ended, helped int }
+
+// share returns the part of the moves that help.
+func (m *moveRecord) share() float64 {
+	if m == nil {
+		m = &moveRecord{}
+	}
+	return (float64(m.helped) + priorMoves/2) / (float64(m.ended) + priorMoves)
+}
+
+// movePays reports whether a slow run would end later than a new run elsewhere. A run is slow because of its worker, or by chance, and then
+// a new run takes the expected time; or the task itself is long, and then a new run loses the time for which this one has run.
+func (m *moveRecord) movePays(elapsed, left, expected clock.Millis) bool {
+	share := m.share()
+	anew := float64(stopTime) + share*float64(expected) + (1-share)*float64(elapsed+left)
+	return float64(left) > anew
+}
+
 // moveStalledRuns moves runs with little or no progress, as a task can hang on a worker that otherwise works.
 func (s *Scheduler) moveStalledRuns(w *worker) {
 	for _, r := range sortedRuns(w) {
@@ -36,6 +64,7 @@
 		s.log(eventStalled, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
 			slog.Int("percent", r.percent), slog.Int64("unchanged-ms", int64(s.now-r.progressedAt)),
 			slog.Int64("running-ms", int64(s.now-r.sent)), slog.Int64("declared-ms", int64(r.task.step.def.Estimate)))
+		r.task.recordSlow(r)
 		r.task.avoidWorker(w, s.now)
 		s.countFailure(w)
 		s.stop(r, "no progress")
@@ -52,16 +81,48 @@
 	if r.task.step.def.LongRunning {
 		return r.percent < 100 && s.now-r.progressedAt > 2*stallTime
 	}
-	expected, known := r.task.step.expected()
-	if s.now-r.progressedAt > max(stallTime, expected*stallPercent/100) {
+	t := r.task
+	expected, known := t.step.expected()
+	patience := max(stallTime, expected*stallPercent/100) * clock.Millis(min(1<<min(t.moves, 30), maxPatience))
+	if s.now-r.progressedAt > patience {
 		return true
 	}
 	elapsed := s.now - r.sent
-	if !known || r.percent <= 0 || r.resumed || elapsed < minSlowTime {
+	if !known || r.percent <= 0 || r.resumed || elapsed < minSlowTime || t.moves >= maxMoves {
 		return false
 	}
 	left := elapsed * clock.Millis(100-r.percent) / clock.Millis(r.percent)
-	return left > minSlowTime+slowFactor*max(expected, minSlowTime)
+	// If an earlier run was slow too, the task is likely to be as long as the shorter of them.
+	expected = max(expected, t.slowLength)
+	return left > minSlowTime+slowFactor*max(expected, minSlowTime) && s.moveRecords[t.step.job.def.Queue].movePays(elapsed, left, expected)
+}
+
+// recordSlow records that a run of the task is stopped for little or no progress, and how long it would take as a whole at its speed so far.
+func (t *task) recordSlow(r *run) {
+	t.moves++
+	t.slowRun = r.number
+	if r.percent <= 0 || r.resumed || r.sent == 0 {
+		return
+	}
+	if length := (r.reportedAt - r.sent) * 100 / clock.Millis(r.percent); t.slowLength == 0 || length < t.slowLength {
+		t.slowLength = length
+	}
+}
+
+// recordMove records whether the last move of a task has helped, once its next run is done.
+func (s *Scheduler) recordMove(r *run, took clock.Millis) {
+	t := r.task
+	if t.slowLength == 0 || r.number <= t.slowRun {
+		return
+	}
+	queue := t.step.job.def.Queue
+	if s.moveRecords[queue] == nil {
+		s.moveRecords[queue] = &moveRecord{}
+	}
+	s.moveRecords[queue].ended++
+	if 2*took < t.slowLength {
+		s.moveRecords[queue].helped++
+	}
 }
 
 // recordRunTime updates the run times of a step, and the slowness of the worker, from a run that ended as done.
@@ -70,6 +131,7 @@
 		return
 	}
 	st, w, took := r.task.step, r.worker, s.now-r.sent
+	s.recordMove(r, took)
 	expected, known := st.expected()
 	st.totalRunTime += took
 	st.timedTasks++
--- /dev/null
+++ b/pool/progress_test.go
@@ -0,0 +1,61 @@
+package pool
+
+import (
+	"testing"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+)
+
+// Guards against a task that is longer than the others of its step, or than a report of its progress can show, and that is stopped as slow
+// on every worker, so that its job never ends.
+func TestLongTaskEnds(t *testing.T) {
+	for _, long := range []clock.Millis{12 * clock.Second, 400 * clock.Second} {
+		w := newPoolSim(t, 4, testQueue)
+		w.length = func(task string) clock.Millis {
+			if task == "j.0.0.3" {
+				return long
+			}
+			return 1 * clock.Second
+		}
+		w.submit("j", batch.Step{Count: 4, Need: cpu(1000), Estimate: 1000})
+		w.run(2*long + 40*clock.Second)
+		if got, limit := w.starts["j.0.0.3"], 4; w.state("j") != batch.Completed || got > limit {
+			t.Errorf("task of %d ms: state got %v after %d starts, want completed after at most %d", long, w.state("j"), got, limit)
+		}
+	}
+}
+
+// Guards against a slow run that is stopped although it would end before a new run, and against one that is not stopped although the moves
+// of its queue help.
+func TestMovePays(t *testing.T) {
+	for _, test := range []struct {
+		record                  moveRecord
+		elapsed, left, expected clock.Millis
+		want                    bool
+	}{
+		{moveRecord{}, 1000, 11000, 1000, true},
+		{moveRecord{ended: 20}, 1000, 11000, 1000, false}, // no move has helped
+		{moveRecord{ended: 20, helped: 20}, 1000, 3000, 1000, true},
+		{moveRecord{}, 6000, 5000, 1000, false}, // more would be lost than gained
+		{moveRecord{ended: 20, helped: 20}, 9000, 1200, 1000, false},
+	} {
+		if got := test.record.movePays(test.elapsed, test.left, test.expected); got != test.want {
+			t.Errorf("move of a run after %d ms with %d ms left, %+v: got %v, want %v", test.elapsed, test.left, test.record, got, test.want)
+		}
+	}
+}
+
+// Guards against a task that no longer moves off a slow worker after moves of other tasks did not help, or before any move.
+func TestSlowWorkerIsLeft(t *testing.T) {
+	w := newPoolSim(t, 3, testQueue)
+	slow := ""
+	w.submit("j", batch.Step{Count: 4, Need: cpu(1000), Estimate: 1000, MaxPerWorker: 2})
+	w.run(50)
+	slow = w.runner("j.0.0.3")
+	w.workers[slow].runs["j.0.0.3"].length = 30 * clock.Second
+	w.run(6 * clock.Second)
+	if got := w.state("j"); got != batch.Completed {
+		t.Errorf("state got %v, want completed after a move off %s", got, slow)
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -77,6 +77,7 @@
 	arrivals          arrivals
 	corrections       map[string]*correction     // by queue
 	shares            map[string]*sizeShares     // by queue
+	moveRecords       map[string]*moveRecord     // by queue
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
 	evacuations       map[string]Evacuation      // by machine
 	maintenanceDue    map[string]bool            // machines that are due for maintenance
@@ -105,7 +106,7 @@
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
-		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
+		corrections: map[string]*correction{}, shares: map[string]*sizeShares{}, moveRecords: map[string]*moveRecord{},
 		customerUse: map[string]batch.Resources{}, refused: map[string]bool{},
 	}
 }
@@ -214,7 +215,7 @@
 		}
 		st := o.steps[stored.Step]
 		t := st.tasks[stored.Index]
-		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
+		t.number, t.failures, t.checkpoint, t.moves = stored.Number, stored.Failures, stored.Checkpoint, stored.Moves
 		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
 		if stored.Checkpoint != "" && st.gang.checkpoint == "" { // earlier versions stored different ones
 			st.gang.checkpoint = stored.Checkpoint
--- a/pool/state.go
+++ b/pool/state.go
@@ -51,7 +51,10 @@
 	retryAt    clock.Millis
 	avoid      *worker // worker on which the last run failed or made no progress
 	avoidUntil clock.Millis
-	restarts   int // consecutive ends of a long-running task before it was ready
+	restarts   int          // consecutive ends of a long-running task before it was ready
+	moves      int          // stops of its runs for little or no progress
+	slowLength clock.Millis // shortest time that one of these would have taken; 0: not known
+	slowRun    int          // number of the newest of these
 }
 
 // avoidWorker keeps the task off the worker for taskAvoidTime.
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -131,6 +131,9 @@
 				}
 				stored := batch.Run{Occurrence: t.key.Occurrence, Step: t.key.Step, Index: t.key.Index, Number: t.number,
 					Done: t.done, Failures: t.failures}
+				if !t.done {
+					stored.Moves = t.moves
+				}
 				if !t.done {
 					stored.Checkpoint = t.resumePoint()
 				}
