pool: copies of slow tasks

Cause: allow-duplicates was decoded and read by no decision, so that a step waited for its slowest task while workers were idle. A task of such a step may now have two runs: task.copy beside task.run, each with its own number, on different workers, in the stored progress as two entries that earlier versions read (the done one only once). copySlowTasks compares the rest of a run with a new one by what is learnt for the queue, after all first runs and within half of what they leave free; a waiting first run in time stops the later of two runs. Runs of a task that is done are restored as runs to be stopped. A step that allows copies moves a slow run only if there is no room for a copy.

--- a/pool/codes.go
+++ b/pool/codes.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"expvar"
 	"log/slog"
 
 	"magnoliaferry/event"
@@ -31,11 +32,16 @@
 	eventLeaseReported      = event.New(4220, "lease-reported", slog.LevelInfo, "a worker does not answer; the owner reports the remaining time of its lease and no longer renews it")
 	eventSlowOwner          = event.New(4221, "owner-slow", slog.LevelWarn, "the owner of the pool, or its network link, is slow; it evicts no worker for missing answers until it has caught up")
 	eventStepCompleted      = event.New(4222, "step-completed", slog.LevelInfo, "all tasks of a step are done; run-ms is the average time of their runs")
+	eventCopyStarted        = event.New(4230, "copy-started", slog.LevelInfo, "a run is slow; a copy of its task is started on another worker; left-ms is the estimated rest of the slow run, new-ms the usual time of a new one")
+	eventCopyEnded          = event.New(4231, "copy-ended", slog.LevelInfo, "a task with a copy is done; won tells whether the copy ended first")
 	eventStartsPostponed    = event.New(4223, "starts-postponed", slog.LevelWarn, "the progress of a job with these starts would not fit into one row of the store; they wait until other tasks of the job have ended")
 )
 
 var (
-	placeTime = metrics.NewHistogram("task-place-ms") // age of the job when a task is placed
-	runTime   = metrics.NewHistogram("run-ms")        // from the start order to the end
-	jobTime   = metrics.NewHistogram("job-ms")        // from acceptance to the final state
+	placeTime     = metrics.NewHistogram("task-place-ms") // age of the job when a task is placed
+	runTime       = metrics.NewHistogram("run-ms")        // from the start order to the end
+	copiesStarted = expvar.NewInt("copies-started")
+	copiesWon     = expvar.NewInt("copies-won")     // ended as done before the first run
+	copiesStopped = expvar.NewInt("copies-stopped") // all others that have ended
+	jobTime       = metrics.NewHistogram("job-ms")  // from acceptance to the final state
 )
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -24,6 +24,19 @@
 	}
 }
 
+// stopRuns stops the runs of a task that is done. A run whose start has not been sent is withdrawn.
+func (s *Scheduler) stopRuns(t *task, reason string) {
+	for _, r := range t.runs() {
+		switch {
+		case r == nil:
+		case r.state == planned:
+			s.detach(r)
+		default:
+			s.stop(r, reason)
+		}
+	}
+}
+
 // acceptLateEnd marks a task as done if a run of it that was given up before has ended as done, unless another run has
 // completed it, and reports whether it did. A run whose start has not been sent is withdrawn; any other run of the task is
 // stopped.
@@ -42,15 +55,9 @@
 	if t.done || st.def.LongRunning || st.def.Gang || end.Run > t.number {
 		return false
 	}
-	switch r := t.run; {
-	case r == nil:
-	case r.state == planned:
-		s.detach(r)
-	default:
-		s.stop(r, "task done by an earlier run")
-	}
 	t.done = true
 	st.done++
+	s.stopRuns(t, "task done by an earlier run")
 	if st.complete() {
 		s.stepCompleted(st)
 	}
--- a/pool/fit.go
+++ b/pool/fit.go
@@ -10,6 +10,9 @@
 // startPostponement is the delay before a task is placed again whose run did not fit into the progress of its job.
 const startPostponement = 500 * clock.Millis(1)
 
+// copyReserve is the room for the entries of copies that have ended before the first run of their task.
+const copyReserve = 24 << 10
+
 // maxWorkerFields bounds what the stored form of a run with a worker is longer than that of one without, apart from the two ids.
 const maxWorkerFields = 50
 
@@ -19,12 +22,16 @@
 func (s *Scheduler) storableProgress(j *job, tx *Transaction) *batch.Progress {
 	others := len(tx.starts)
 	p := s.progress(j, tx)
-	if p.Size() <= batch.MaxProgressBytes {
+	limit := batch.MaxProgressBytes
+	if j.allowsCopies() {
+		limit -= copyReserve
+	}
+	if p.Size() <= limit {
 		return p
 	}
 	dropCheckpoints(p)
 	postponed := 0
-	for excess := p.Size() - batch.MaxProgressBytes; excess > 0 && len(tx.starts) > others; {
+	for excess := p.Size() - limit; excess > 0 && len(tx.starts) > others; {
 		for excess > 0 && len(tx.starts) > others {
 			last := tx.starts[len(tx.starts)-1]
 			n := s.postpone(last, tx)
@@ -33,7 +40,7 @@
 		}
 		p = s.progress(j, tx)
 		dropCheckpoints(p)
-		excess = p.Size() - batch.MaxProgressBytes
+		excess = p.Size() - limit
 	}
 	if postponed > 0 {
 		s.log(eventStartsPostponed, slog.String("job", j.def.ID), slog.Int("starts", postponed), slog.Int("size-bytes", p.Size()))
--- a/pool/gang.go
+++ b/pool/gang.go
@@ -37,6 +37,7 @@
 	case value == "":
 	case t.step.def.Gang:
 		t.step.gang.saveCheckpoint(value, r.number, r.percent, atStop)
+	case t.copy != nil && r.percent < max(t.run.percent, t.copy.percent): // the other run has done more
 	default:
 		t.checkpoint = value
 	}
--- a/pool/place.go
+++ b/pool/place.go
@@ -27,7 +27,7 @@
 	s.updateJobs()
 	s.repeatStops()
 	s.evacuate()
-	s.place()
+	s.copySlowTasks(s.place())
 	s.holds()
 }
 
@@ -60,7 +60,8 @@
 	}
 }
 
-func (s *Scheduler) place() {
+// place places waiting tasks. It returns nil if there are none.
+func (s *Scheduler) place() *placement {
 	var ranks []rank
 	for _, j := range s.active {
 		if j.waiting > 0 {
@@ -68,18 +69,20 @@
 		}
 	}
 	if len(ranks) == 0 {
-		return
+		return nil
 	}
 	sort.SliceStable(ranks, func(a, b int) bool {
 		return ranks[a].before(ranks[b])
 	})
 	pass := &placement{workers: s.usable()}
 	if len(pass.workers) == 0 {
-		return
+		return pass
 	}
 	for _, r := range ranks {
+		pass.inTime = r.class == classOnTime
 		s.placeJob(r.job, pass)
 	}
+	return pass
 }
 
 // placement is one pass over the waiting jobs. In a surge most of them do not fit on any worker. Free resources only shrink during a
@@ -87,6 +90,9 @@
 type placement struct {
 	workers []*worker
 	tooBig  []batch.Resources
+	inTime  bool              // the job that is being placed can meet its objective
+	lacking []batch.Resources // those of tooBig of jobs that can
+	gangs   bool              // a gang of such a job waits
 }
 
 // fits reports whether it is still possible that a worker has the resources free.
@@ -107,6 +113,9 @@
 		}
 	}
 	p.tooBig = append(p.tooBig, need)
+	if p.inTime {
+		p.lacking = append(p.lacking, need)
+	}
 }
 
 func (s *Scheduler) placeJob(j *job, pass *placement) {
@@ -178,6 +187,7 @@
 	}
 	if st.def.Gang {
 		s.placeGang(st, pass.workers)
+		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil
 		return
 	}
 	var placed []*run
@@ -260,7 +270,9 @@
 // withdraw cancels the placement of a task that is neither stored nor ordered yet.
 func (s *Scheduler) withdraw(r *run) {
 	s.detach(r)
-	r.task.step.job.waiting++
+	if r.task.run == nil {
+		r.task.step.job.waiting++
+	}
 }
 
 // racks groups workers by their last label, which names the rack.
@@ -360,14 +372,20 @@
 
 // assign reserves resources for a task on a worker. The start goes out once the placement is stored.
 func (s *Scheduler) assign(t *task, w *worker, number int) *run {
+	r := s.prepare(t, w, number)
+	j := t.step.job
+	j.waiting--
+	placeTime.Observe(s.now - j.acceptedAt)
+	return r
+}
+
+// prepare reserves resources for a run, which waits for the next transaction.
+func (s *Scheduler) prepare(t *task, w *worker, number int) *run {
 	t.number = number
 	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100,
 		checkpoint: t.resumePoint()}
 	s.attach(r)
-	j := t.step.job
-	j.waiting--
-	j.hasNewStarts = true
-	s.markDirty(j)
-	placeTime.Observe(s.now - j.acceptedAt)
+	t.step.job.hasNewStarts = true
+	s.markDirty(t.step.job)
 	return r
 }
--- a/pool/progress.go
+++ b/pool/progress.go
@@ -25,26 +25,12 @@
 	maxPatience = 64
 	// stopTime is how long a stop takes until the task can start elsewhere.
 	stopTime = 500 * clock.Millis(1)
-	// priorMoves is the weight of the assumption that half of the moves help, as a number of moves.
-	priorMoves = 2
 )
 
-// moveRecord counts the moves of a queue's slow tasks: those whose next run has ended, and those of them whose next run took less than half
-// of the time that the slow one would have taken.
-type moveRecord struct{ ended, helped int }
-
-// share returns the part of the moves that help.
-func (m *moveRecord) share() float64 {
-	if m == nil {
-		m = &moveRecord{}
-	}
-	return (float64(m.helped) + priorMoves/2) / (float64(m.ended) + priorMoves)
-}
-
 // movePays reports whether a slow run would end later than a new run elsewhere. A run is slow because of its worker, or by chance, and then
-// a new run takes the expected time; or the task itself is long, and then a new run loses the time for which this one has run.
-func (m *moveRecord) movePays(elapsed, left, expected clock.Millis) bool {
-	share := m.share()
+// a new run takes the expected time; or the task itself is long, and then a new run loses the time for which this one has run. share is the
+// probability of the former.
+func movePays(share float64, elapsed, left, expected clock.Millis) bool {
 	anew := float64(stopTime) + share*float64(expected) + (1-share)*float64(elapsed+left)
 	return float64(left) > anew
 }
@@ -88,13 +74,16 @@
 		return true
 	}
 	elapsed := s.now - r.sent
-	if !known || r.percent <= 0 || r.resumed || elapsed < minSlowTime || t.moves >= maxMoves {
+	if !known || r.percent <= 0 || r.resumed || elapsed < minSlowTime || t.moves >= maxMoves || t.copy != nil {
+		return false
+	}
+	if t.mayCopy() && !r.copyDenied {
 		return false
 	}
 	left := elapsed * clock.Millis(100-r.percent) / clock.Millis(r.percent)
 	// If an earlier run was slow too, the task is likely to be as long as the shorter of them.
 	expected = max(expected, t.slowLength)
-	return left > minSlowTime+slowFactor*max(expected, minSlowTime) && s.moveRecords[t.step.job.def.Queue].movePays(elapsed, left, expected)
+	return left > minSlowTime+slowFactor*max(expected, minSlowTime) && movePays(s.history(t.step.job.def.Queue).moves.share(s.now), elapsed, left, expected)
 }
 
 // recordSlow records that a run of the task is stopped for little or no progress, and how long it would take as a whole at its speed so far.
@@ -115,14 +104,7 @@
 	if t.slowLength == 0 || r.number <= t.slowRun {
 		return
 	}
-	queue := t.step.job.def.Queue
-	if s.moveRecords[queue] == nil {
-		s.moveRecords[queue] = &moveRecord{}
-	}
-	s.moveRecords[queue].ended++
-	if 2*took < t.slowLength {
-		s.moveRecords[queue].helped++
-	}
+	s.history(t.step.job.def.Queue).moves.add(s.now, 2*took < t.slowLength)
 }
 
 // recordRunTime updates the run times of a step, and the slowness of the worker, from a run that ended as done.
@@ -133,6 +115,7 @@
 	st, w, took := r.task.step, r.worker, s.now-r.sent
 	s.recordMove(r, took)
 	expected, known := st.expected()
+	s.recordLength(r, took)
 	st.totalRunTime += took
 	st.timedTasks++
 	if !known {
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -133,15 +133,23 @@
 func (s *Scheduler) remainingTime(st *step, length clock.Millis) clock.Millis {
 	longest := clock.Millis(0)
 	for _, t := range st.tasks {
-		switch r := t.run; {
+		switch {
 		case t.done:
-		case r == nil || r.sent == 0:
+		case t.run == nil || t.run.sent == 0:
 			return length
-		case r.percent >= minPercent:
-			longest = max(longest, (r.reportedAt-r.sent)*clock.Millis(100-r.percent)/clock.Millis(r.percent)-(s.now-r.reportedAt))
+		case t.copy != nil && t.copy.sent != 0:
+			longest = max(longest, min(s.remainingRun(t.run, length), s.remainingRun(t.copy, length)))
 		default:
-			longest = max(longest, length-(s.now-r.sent))
+			longest = max(longest, s.remainingRun(t.run, length))
 		}
 	}
 	return longest
 }
+
+// remainingRun returns how long a run still takes that has been sent, where length is expected for the whole.
+func (s *Scheduler) remainingRun(r *run, length clock.Millis) clock.Millis {
+	if r.percent >= minPercent {
+		return (r.reportedAt-r.sent)*clock.Millis(100-r.percent)/clock.Millis(r.percent) - (s.now - r.reportedAt)
+	}
+	return length - (s.now - r.sent)
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -75,9 +75,10 @@
 	workers           map[string]*worker
 	sorted            []*worker // by ID; out of date if its length differs from that of workers
 	arrivals          arrivals
-	corrections       map[string]*correction     // by queue
-	shares            map[string]*sizeShares     // by queue
-	moveRecords       map[string]*moveRecord     // by queue
+	corrections       map[string]*correction // by queue
+	shares            map[string]*sizeShares // by queue
+	histories         map[string]*history    // by queue
+	nextCopySearch    clock.Millis
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
 	evacuations       map[string]Evacuation      // by machine
 	maintenanceDue    map[string]bool            // machines that are due for maintenance
@@ -106,7 +107,7 @@
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
-		corrections: map[string]*correction{}, shares: map[string]*sizeShares{}, moveRecords: map[string]*moveRecord{},
+		corrections: map[string]*correction{}, shares: map[string]*sizeShares{}, histories: map[string]*history{},
 		customerUse: map[string]batch.Resources{}, refused: map[string]bool{},
 	}
 }
@@ -182,8 +183,10 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if t.run != nil {
-					t.run.stopping = true
+				for _, r := range t.runs() {
+					if r != nil {
+						r.stopping = true
+					}
 				}
 			}
 		}
@@ -215,17 +218,16 @@
 		}
 		st := o.steps[stored.Step]
 		t := st.tasks[stored.Index]
-		t.number, t.failures, t.checkpoint, t.moves = stored.Number, stored.Failures, stored.Checkpoint, stored.Moves
+		t.number, t.failures, t.checkpoint, t.moves = max(t.number, stored.Number), stored.Failures, stored.Checkpoint, stored.Moves
 		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
 		if stored.Checkpoint != "" && st.gang.checkpoint == "" { // earlier versions stored different ones
 			st.gang.checkpoint = stored.Checkpoint
 		}
-		if stored.Done {
+		if stored.Done && !t.done {
 			t.done = true
 			st.done++
-			continue
 		}
-		if stored.Worker == "" || s.machineRestarted(stored) {
+		if stored.Worker == "" || t.copy != nil || s.machineRestarted(stored) {
 			continue
 		}
 		w := s.workers[stored.Worker]
@@ -240,7 +242,11 @@
 		}
 		w.leaseReported = known
 		w.leaseUntil = max(w.leaseUntil, until)
-		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true}
+		if w.runs[t.name] != nil {
+			continue // the row is damaged
+		}
+		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true,
+			copied: t.run != nil, stopping: t.done}
 		s.attach(r)
 	}
 }
@@ -300,12 +306,14 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				switch {
-				case t.run == nil:
-				case t.run.state == planned && !t.run.inTransaction:
-					s.finish(t.run, EndLost, "")
-				default:
-					s.stop(t.run, "job "+state.String())
+				for _, r := range t.runs() {
+					switch {
+					case r == nil:
+					case r.state == planned && !r.inTransaction:
+						s.finish(r, EndLost, "")
+					default:
+						s.stop(r, "job "+state.String())
+					}
 				}
 			}
 		}
@@ -490,9 +498,12 @@
 	r.saveCheckpoint(checkpoint, how == EndStopped)
 	if how == EndDone {
 		w.failures = 0
+	}
+	if how == EndDone && !t.done {
 		s.recordRunTime(r)
 	}
 	s.markDirty(j)
+	s.recordCopy(r, how)
 	if j.state.Final() {
 		return
 	}
@@ -505,6 +516,7 @@
 	case how == EndDone:
 		t.done = true
 		t.step.done++
+		s.stopRuns(t, "task done by another run")
 		if t.step.complete() {
 			s.stepCompleted(t.step)
 		}
@@ -598,7 +610,7 @@
 		}
 	}
 	for _, r := range tx.starts {
-		if r.task.run != r { // the worker has restarted meanwhile
+		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
 		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() {
--- a/pool/state.go
+++ b/pool/state.go
@@ -20,6 +20,8 @@
 	worker             *worker
 	number             int
 	state              runState
+	copied             bool         // started beside another run of the task
+	copyDenied         bool         // it is slow, and there was no room for a copy
 	resumed            bool         // from a checkpoint, so that its run time covers only part of the work
 	checkpoint         string       // from which it starts; the same for all members of a gang
 	inTransaction      bool         // in the transaction in flight, or stored
@@ -47,16 +49,24 @@
 	failures   int
 	done       bool
 	run        *run
+	copy       *run   // second run of a task whose step allows it; run is then set too, and has a lower number
 	checkpoint string // that of a gang is in step.gang
 	retryAt    clock.Millis
 	avoid      *worker // worker on which the last run failed or made no progress
 	avoidUntil clock.Millis
 	restarts   int          // consecutive ends of a long-running task before it was ready
+	copies     int          // number of its runs that were started beside another one
 	moves      int          // stops of its runs for little or no progress
 	slowLength clock.Millis // shortest time that one of these would have taken; 0: not known
 	slowRun    int          // number of the newest of these
 }
 
+// runs returns the runs of the task; each may be nil.
+func (t *task) runs() [2]*run { return [2]*run{t.run, t.copy} }
+
+// attached reports whether the run still holds its resources.
+func (r *run) attached() bool { return r.task.run == r || r.task.copy == r }
+
 // avoidWorker keeps the task off the worker for taskAvoidTime.
 func (t *task) avoidWorker(w *worker, now clock.Millis) {
 	t.avoid, t.avoidUntil = w, now+taskAvoidTime
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -93,7 +93,7 @@
 			if r.task.step.job != j {
 				return false
 			}
-			if r.task.run == r {
+			if r.attached() {
 				s.finish(r, EndLost, "")
 			}
 			return true
@@ -140,14 +140,7 @@
 				if t.key.Index == 0 {
 					stored.FailedRun = st.gang.failedRun
 				}
-				if r := t.run; r != nil {
-					stored.Worker, stored.Incarnation, stored.Machine = r.worker.entry.ID, r.incarnation, r.worker.entry.Machine
-					if r.state == planned && !r.inTransaction {
-						r.inTransaction = true
-						tx.starts = append(tx.starts, r)
-					}
-				}
-				p.Runs = append(p.Runs, stored)
+				p.Runs = appendRuns(p.Runs, t, stored, tx)
 			}
 		}
 	}
@@ -158,6 +151,29 @@
 	return p
 }
 
+// appendRuns appends an entry for each run of a task, or one without a worker if it has none, and adds new starts to the transaction. The last
+// entry has the number of the newest run. Only the first one says that the task is done, as earlier versions count the entries that do.
+func appendRuns(entries []batch.Run, t *task, stored batch.Run, tx *Transaction) []batch.Run {
+	first := stored
+	for _, r := range t.runs() {
+		if r == nil {
+			continue
+		}
+		entry := first
+		entry.Number, entry.Worker, entry.Incarnation, entry.Machine = r.number, r.worker.entry.ID, r.incarnation, r.worker.entry.Machine
+		if r.state == planned && !r.inTransaction {
+			r.inTransaction = true
+			tx.starts = append(tx.starts, r)
+		}
+		entries = append(entries, entry)
+		first.Done = false
+	}
+	if t.run == nil || entries[len(entries)-1].Number < t.number && !t.done {
+		entries = append(entries, first)
+	}
+	return entries
+}
+
 // expireStates adds at most five jobs whose retention has passed to the transaction. They stay registered until RemoveEnded is
 // called, as their rows can outlast the retention.
 func (s *Scheduler) expireStates(tx *Transaction) {
--- a/pool/use.go
+++ b/pool/use.go
@@ -5,7 +5,11 @@
 // attach reserves the resources of a run on its worker.
 func (s *Scheduler) attach(r *run) {
 	t, w := r.task, r.worker
-	t.run = r
+	if t.run == nil {
+		t.run = r
+	} else {
+		t.copy = r
+	}
 	w.runs[t.name] = r
 	w.used = w.used.Add(t.step.def.Reserve())
 	if customer := t.step.job.def.Customer; customer != "" {
@@ -13,10 +17,15 @@
 	}
 }
 
-// detach releases the resources of a run that is certain not to be running.
+// detach releases the resources of a run that is certain not to be running. The other run of the task, if there is one, becomes its only run.
 func (s *Scheduler) detach(r *run) {
 	t, w := r.task, r.worker
-	t.run = nil
+	switch r {
+	case t.run:
+		t.run, t.copy = t.copy, nil
+	case t.copy:
+		t.copy = nil
+	}
 	delete(w.runs, t.name)
 	w.used = w.used.Sub(t.step.def.Reserve())
 	customer := t.step.job.def.Customer
