pool: copies call for no machines

Cause: Load.Running counted copies, so that machines.balance would move machines to a pool for work that is meant to use what is idle. TestCopiesCountForTheCustomer checks it: 1000 thousandths of a core with two runs of a task, the code of before reported 2000.

--- a/pool/copy_random_test.go
+++ b/pool/copy_random_test.go
@@ -90,9 +90,13 @@
 // Guards against the same while owners are killed, frozen, or cut off, and others take over from the stored state, in which a task may have
 // two runs.
 func TestRandomCopyTakeovers(t *testing.T) {
+	before := copiesWon.Value()
 	for seed := *takeoverFirst; seed < *takeoverFirst+*takeoverSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runCopyTakeovers(t, seed) })
 	}
+	if copiesWon.Value() == before {
+		t.Error("copies that ended first got 0, want some")
+	}
 }
 
 func runCopyTakeovers(t *testing.T, seed uint64) {
--- a/pool/copy_test.go
+++ b/pool/copy_test.go
@@ -241,7 +241,8 @@
 	}
 }
 
-// Guards against a customer whose copies are not counted, and against a run that counts after its end.
+// Guards against a customer whose copies are not counted, against a run that counts after its end, and against copies that draw machines into
+// their pool.
 func TestCopiesCountForTheCustomer(t *testing.T) {
 	w := newCopySim(t, 6, "j.0.0.7")
 	w.add(&batch.Job{ID: "j", Queue: "q", Pool: testPool, Spec: "spec", Steps: []batch.Step{copyStep()}, Accepted: w.now, Customer: "c"})
@@ -250,6 +251,9 @@
 			t.Fatal("no copy after 9 s, want one")
 		}
 	}
+	if got, want := w.s.Load().Running.CPU, 1000; got != want {
+		t.Errorf("processor that calls for machines got %d, want %d, without the copy", got, want)
+	}
 	if got, want := w.s.customerUse["c"].CPU, 2000; got != want {
 		t.Errorf("processor of the customer with two runs got %d, want %d", got, want)
 	}
--- a/pool/load.go
+++ b/pool/load.go
@@ -9,7 +9,7 @@
 
 // Load is the report of the owner of a pool on its load. It is stored in the table for the other instances.
 type Load struct {
-	Running       batch.Resources `json:"running"` // reserved on workers
+	Running       batch.Resources `json:"running"` // reserved on workers, without copies: these use what is idle, and call for no machines
 	Waiting       batch.Resources `json:"waiting"` // needed by tasks whose step may run and whose job can meet its objective
 	TotalCapacity batch.Resources `json:"room"`    // capacity of the usable workers
 	// ArrivingCPU is the average processor need of the jobs that arrived recently, in thousandths of a core.
@@ -46,7 +46,9 @@
 			if r.task.step.def.LongRunning {
 				load.LongRunningTasks[w.entry.ID]++
 			}
-			if late[r.task.step.job] {
+			if r == r.task.copy {
+				load.Running = load.Running.Sub(r.task.step.def.Reserve())
+			} else if late[r.task.step.job] {
 				load.LateCPU[w.entry.ID] += r.task.step.def.Reserve().CPU
 			}
 		}
