--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -36,7 +36,9 @@
 	eventReread          = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
 	eventKeysUnconfirmed = event.New(1095, "keys-unconfirmed", slog.LevelWarn,
 		"the newest configuration has not been confirmed at the store for too long; requests with keys are refused until it is")
-	eventKeysConfirmed = event.New(1096, "keys-confirmed", slog.LevelInfo, "the configuration is confirmed at the store; requests with keys are served")
-	eventLateOrder     = event.New(1093, "machine-order-late", slog.LevelWarn,
+	eventKeysConfirmed      = event.New(1096, "keys-confirmed", slog.LevelInfo, "the configuration is confirmed at the store; requests with keys are served")
+	eventTransactionRefused = event.New(1097, "transaction-refused", slog.LevelError, "the store refuses a transaction of a pool for its content; the rows of each job are stored by themselves")
+	eventJobRefused         = event.New(1098, "job-refused", slog.LevelError, "the store refuses the rows of a job for their content; the job fails, because its progress cannot be kept")
+	eventLateOrder          = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 )
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -48,6 +48,10 @@
 // requests.
 const MaxJobRows = 70
 
+// maxProgressBytes is the size of the progress of jobs after which no further job is added to a transaction. The platform accepts 1 MB per
+// transaction, in which values are encoded as base64.
+const maxProgressBytes = 512 << 10
+
 // Scheduler schedules the jobs of one pool. It is not safe for concurrent use. Exported fields must be set before the first
 // call. An incarnation of a worker is the time from one start of its process to the next, identified by its start time in
 // Unix milliseconds. A hold is a long poll of the worker protocol (path /hold): it renews the worker's lease and returns the
@@ -77,7 +81,9 @@
 	corrections       map[string]*correction // by queue
 	shares            map[string]*sizeShares // by queue
 	customerShares    customerShares
-	jobOrder          func(a, b rank) bool       // which of two jobs is placed first
+	jobOrder          func(a, b rank) bool // which of two jobs is placed first
+	histories         map[string]*history  // by queue
+	nextCopySearch    clock.Millis
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
 	evacuations       map[string]Evacuation      // by machine
 	maintenanceDue    map[string]bool            // machines that are due for maintenance
@@ -89,6 +95,7 @@
 
 	dirty              []*job
 	transaction        *Transaction
+	refused            map[string]bool // jobs whose newest progress the store has refused
 	orders             []any
 	inheritedLeaseEnd  clock.Millis            // see SetInheritedLeases
 	inheritedLeaseEnds map[string]clock.Millis // by worker
@@ -105,8 +112,8 @@
 	return &Scheduler{
 		Pool: pool, Logger: logger, Lease: lease, Retention: retention,
 		configuration: &batch.Configuration{}, jobs: map[string]*job{}, ended: map[string]bool{}, workers: map[string]*worker{}, evacuations: map[string]Evacuation{},
-		corrections: map[string]*correction{}, shares: map[string]*sizeShares{},
-		customerUse: map[string]batch.Resources{}, jobOrder: rank.before,
+		corrections: map[string]*correction{}, shares: map[string]*sizeShares{}, histories: map[string]*history{},
+		customerUse: map[string]batch.Resources{}, refused: map[string]bool{}, jobOrder: rank.before,
 	}
 }
 
@@ -182,8 +189,10 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if t.run != nil {
-					t.run.stopping = true
+				for _, r := range t.runs() {
+					if r != nil {
+						r.stopping = true
+					}
 				}
 			}
 		}
@@ -215,13 +224,16 @@
 		}
 		st := o.steps[stored.Step]
 		t := st.tasks[stored.Index]
-		t.number, t.failures, t.checkpoint = stored.Number, stored.Failures, stored.Checkpoint
-		if stored.Done {
+		t.number, t.failures, t.checkpoint, t.moves = max(t.number, stored.Number), stored.Failures, stored.Checkpoint, stored.Moves
+		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
+		if stored.Checkpoint != "" && st.gang.checkpoint == "" { // earlier versions stored different ones
+			st.gang.checkpoint = stored.Checkpoint
+		}
+		if stored.Done && !t.done {
 			t.done = true
 			st.done++
-			continue
 		}
-		if stored.Worker == "" || s.machineRestarted(stored) {
+		if stored.Worker == "" || t.copy != nil || s.machineRestarted(stored) {
 			continue
 		}
 		w := s.workers[stored.Worker]
@@ -236,7 +248,11 @@
 		}
 		w.leaseReported = known
 		w.leaseUntil = max(w.leaseUntil, until)
-		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true}
+		if w.runs[t.name] != nil {
+			continue // the row is damaged
+		}
+		r := &run{task: t, worker: w, number: stored.Number, state: uncertain, incarnation: stored.Incarnation, throttle: 100, throttleUnknown: true,
+			copied: t.run != nil, stopping: t.done}
 		s.attach(r)
 	}
 }
@@ -296,12 +312,14 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				switch {
-				case t.run == nil:
-				case t.run.state == planned && !t.run.inTransaction:
-					s.finish(t.run, EndLost, "")
-				default:
-					s.stop(t.run, "job "+state.String())
+				for _, r := range t.runs() {
+					switch {
+					case r == nil:
+					case r.state == planned && !r.inTransaction:
+						s.finish(r, EndLost, "")
+					default:
+						s.stop(r, "job "+state.String())
+					}
 				}
 			}
 		}
@@ -483,14 +501,15 @@
 			slog.String("how", string(how)), slog.Int64("after-ms", int64(s.now-r.sent)),
 			slog.Int64("declared-ms", int64(t.step.def.Estimate)))
 	}
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
+	r.saveCheckpoint(checkpoint, how == EndStopped)
 	if how == EndDone {
 		w.failures = 0
+	}
+	if how == EndDone && !t.done {
 		s.recordRunTime(r)
 	}
 	s.markDirty(j)
+	s.recordCopy(r, how)
 	if j.state.Final() {
 		return
 	}
@@ -503,6 +522,7 @@
 	case how == EndDone:
 		t.done = true
 		t.step.done++
+		s.stopRuns(t, "task done by another run")
 		if t.step.complete() {
 			s.stepCompleted(t.step)
 		}
@@ -545,13 +565,16 @@
 
 func (s *Scheduler) recordFailure(r *run) {
 	t := r.task
+	t.avoidWorker(r.worker, s.now)
+	s.countFailure(r.worker)
 	counted := t
 	if t.step.def.Gang {
+		if !t.step.gang.countFailure(r.number) {
+			return
+		}
 		counted = t.step.tasks[0]
 	}
 	counted.failures++
-	t.avoidWorker(r.worker, s.now)
-	s.countFailure(r.worker)
 	if counted.failures >= t.step.job.maxAttempts() {
 		s.conclude(t.step.job, batch.Failed)
 	}
@@ -593,7 +616,7 @@
 		}
 	}
 	for _, r := range tx.starts {
-		if r.task.run != r { // the worker has restarted meanwhile
+		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
 		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() {
--- a/pool/transaction.go
+++ b/pool/transaction.go
@@ -45,19 +45,22 @@
 		}
 		return 1
 	})
-	for entries := 0; len(s.dirty) > 0 && entries < MaxJobRows; {
+	size := 0
+	for entries := 0; len(s.dirty) > 0 && entries < MaxJobRows && size < maxProgressBytes; {
 		j := s.dirty[0]
 		s.dirty = s.dirty[1:]
 		j.dirty, j.hasNewStarts = false, false
-		row := JobRow{ID: j.def.ID, Queue: j.def.Queue, Progress: s.progress(j, tx), Finished: j.state.Final() && !j.running()}
+		row := JobRow{ID: j.def.ID, Queue: j.def.Queue, Progress: s.storableProgress(j, tx), Finished: j.state.Final() && !j.running()}
 		entries += rowEntries
+		size += row.Progress.Size()
 		tx.Rows = append(tx.Rows, row)
 		if row.Finished {
+			delete(s.refused, j.def.ID)
 			tx.ended = append(tx.ended, j.def.ID)
 		}
 	}
 	s.expireStates(tx)
-	if len(s.dirty) == 0 {
+	if len(s.dirty) == 0 && len(s.refused) == 0 {
 		for _, w := range s.workers {
 			if w.lastEnd > w.ack {
 				tx.acks[w], tx.incarnations[w] = w.lastEnd, w.incarnation
@@ -71,6 +74,36 @@
 	return tx
 }
 
+// Refuse excludes jobs from the transaction in flight, because the store does not accept their rows and would not accept them later. Such a
+// job fails: its progress cannot be kept, and repeated writes would hold up the pool. No ends of runs are acknowledged until the job has no
+// runs and its final state is stored.
+func (s *Scheduler) Refuse(ids []string) {
+	tx := s.transaction
+	if tx == nil {
+		return
+	}
+	tx.acks = nil
+	for _, id := range ids {
+		j := s.jobs[id]
+		if j == nil || slices.Contains(tx.ended, id) { // its final state alone is refused; no smaller row exists
+			continue
+		}
+		s.refused[id] = true
+		tx.starts = slices.DeleteFunc(tx.starts, func(r *run) bool {
+			if r.task.step.job != j {
+				return false
+			}
+			if r.attached() {
+				s.finish(r, EndLost, "")
+			}
+			return true
+		})
+		if !j.state.Final() {
+			s.conclude(j, batch.Failed)
+		}
+	}
+}
+
 // urgent reports whether a start or a caller waits until the progress of the job is stored.
 func (j *job) urgent() bool { return j.hasNewStarts || j.state.Final() }
 
@@ -99,16 +132,15 @@
 				stored := batch.Run{Occurrence: t.key.Occurrence, Step: t.key.Step, Index: t.key.Index, Number: t.number,
 					Done: t.done, Failures: t.failures}
 				if !t.done {
-					stored.Checkpoint = t.checkpoint
+					stored.Moves = t.moves
 				}
-				if r := t.run; r != nil {
-					stored.Worker, stored.Incarnation, stored.Machine = r.worker.entry.ID, r.incarnation, r.worker.entry.Machine
-					if r.state == planned && !r.inTransaction {
-						r.inTransaction = true
-						tx.starts = append(tx.starts, r)
-					}
+				if !t.done {
+					stored.Checkpoint = t.resumePoint()
+				}
+				if t.key.Index == 0 {
+					stored.FailedRun = st.gang.failedRun
 				}
-				p.Runs = append(p.Runs, stored)
+				p.Runs = appendRuns(p.Runs, t, stored, tx)
 			}
 		}
 	}
@@ -119,6 +151,29 @@
 	return p
 }
 
+// appendRuns appends an entry for each run of a task, or one without a worker if it has none, and adds new starts to the transaction. The last
+// entry has the number of the newest run. Only the first one says that the task is done, as earlier versions count the entries that do.
+func appendRuns(entries []batch.Run, t *task, stored batch.Run, tx *Transaction) []batch.Run {
+	first := stored
+	for _, r := range t.runs() {
+		if r == nil {
+			continue
+		}
+		entry := first
+		entry.Number, entry.Worker, entry.Incarnation, entry.Machine = r.number, r.worker.entry.ID, r.incarnation, r.worker.entry.Machine
+		if r.state == planned && !r.inTransaction {
+			r.inTransaction = true
+			tx.starts = append(tx.starts, r)
+		}
+		entries = append(entries, entry)
+		first.Done = false
+	}
+	if t.run == nil || entries[len(entries)-1].Number < t.number && !t.done {
+		entries = append(entries, first)
+	}
+	return entries
+}
+
 // expireStates adds at most five jobs whose retention has passed to the transaction. They stay registered until RemoveEnded is
 // called, as their rows can outlast the retention.
 func (s *Scheduler) expireStates(tx *Transaction) {
@@ -136,11 +191,11 @@
 func (s *Scheduler) sendStart(r *run) {
 	w, t := r.worker, r.task
 	r.state, r.sent, r.token = starting, s.now, w.token
-	r.resumed = t.checkpoint != ""
+	r.resumed = r.checkpoint != ""
 	deadline := w.clockNow(s.now) + s.Lease
 	w.leaseUntil = max(w.leaseUntil, w.leaseEnd(deadline))
 	s.orders = append(s.orders, Start{Target: w.target(), Task: t.name, Run: r.number, Spec: t.step.job.def.Spec,
-		Deadline: deadline, Token: w.token, Checkpoint: t.checkpoint, Ticket: t.step.ticketFor(w)})
+		Deadline: deadline, Token: w.token, Checkpoint: r.checkpoint, Ticket: t.step.ticketFor(w)})
 }
 
 // stop queues the order to end a run. The order is repeated until the end is listed.
