--- a/store/tables.go
+++ b/store/tables.go
@@ -18,6 +18,9 @@
 	FleetTable = "fleet"
 	// ReportsTable holds the reports of the owners about their pools, under ReportKey; the owner of FleetPart keeps a copy of it.
 	ReportsTable = "reports"
+	// GrantsTable holds, by customer, what each pool may use of the customer's cap (package grant). Its parts are those that GrantPart
+	// returns; owners of pools keep a copy of it while a customer has a cap.
+	GrantsTable = "grants"
 )
 
 // JobsTable returns the name of the table with the jobs of a pool that have not ended and the requests to cancel them; the
@@ -36,6 +39,25 @@
 	return fmt.Sprintf("intake/%d", h.Sum32()%intakePartCount)
 }
 
+// grantPartCount is the number of parts over which the grants are spread. The owners of all pools write to each of them.
+const grantPartCount = 2
+
+// GrantPart returns the part that holds the grants of a customer.
+func GrantPart(customer string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(customer)) // hash.Hash.Write never returns an error
+	return fmt.Sprintf("grants/%d", h.Sum32()%grantPartCount)
+}
+
+// GrantParts returns the parts that hold the grants of all customers.
+func GrantParts() []string {
+	var parts []string
+	for i := range grantPartCount {
+		parts = append(parts, fmt.Sprintf("grants/%d", i))
+	}
+	return parts
+}
+
 // FleetPart is the part whose owner sends the orders for machines; the status rows for operators are in the same part.
 const FleetPart = ""
 
@@ -52,6 +74,7 @@
 	KindCancel     = "cancel" // in JobsTable: request to cancel the job
 	KindWithdrawal = "want"   // in FleetTable, FleetPart: machines.Withdrawal for a machine
 	KindWave       = "wave"   // in FleetTable, FleetPart: machines.WaveState
+	KindGrant      = "grant"  // in GrantsTable: grant.Row of the customer
 	KindCordon     = "cordon" // in FleetTable, part of a pool: machines.Cordon, by which the pool's owner confirms that a worker is empty
 )
 
