pool: a start stays within what its customer may use

Cause: no decision of a pool knew a customer's cap. Change: one check where tasks are placed and one when a stored placement becomes an order; listed runs that the owner did not order count for their customer. The pool reports by customer what its cap alone holds back, as far as workers could take it now. Without Scheduler.Caps, or for jobs without a customer, nothing changes.

--- a/pool/place.go
+++ b/pool/place.go
@@ -61,6 +61,7 @@
 }
 
 func (s *Scheduler) place() {
+	s.beginCapPass()
 	var ranks []rank
 	for _, j := range s.active {
 		if j.waiting > 0 {
@@ -177,7 +178,9 @@
 		return
 	}
 	if st.def.Gang {
-		s.placeGang(st, pass.workers)
+		if s.withinCap(st, pass) {
+			s.placeGang(st, pass.workers)
+		}
 		return
 	}
 	var placed []*run
@@ -185,6 +188,9 @@
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
 		}
+		if !s.withinCap(st, pass) {
+			break
+		}
 		w := s.choose(t, pass.workers, nil)
 		if w == nil {
 			s.requestMissingAdvice(st, pass.workers)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -59,6 +59,8 @@
 	Lease  clock.Millis // granted with a start and with each renewal; at most MaxLease
 	// Retention is how long the rows of a job in a final state are kept.
 	Retention clock.Millis
+	// Caps bounds what the runs of customers use; nil: nothing does.
+	Caps Caps
 
 	now               clock.Millis
 	wall              clock.Millis
@@ -74,8 +76,9 @@
 	corrections       map[string]*correction     // by queue
 	shares            map[string]*sizeShares     // by queue
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
-	evacuations       map[string]Evacuation      // by machine
-	maintenanceDue    map[string]bool            // machines that are due for maintenance
+	capped            cappedWork
+	evacuations       map[string]Evacuation // by machine
+	maintenanceDue    map[string]bool       // machines that are due for maintenance
 	token             int64
 	fenced            bool
 	lastHoldID        int64        // ID of the newest hold
@@ -590,7 +593,7 @@
 		if r.task.run != r { // the worker has restarted meanwhile
 			continue
 		}
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() {
+		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !s.mayStillStart(r) {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
