daemon: the owner of a pool carries the grants of its customers

Cause: caps hold over pools with different owners (docs/design/caps.md). Change: the owner's goroutine plans, then decides on grants; one transaction on them is in flight, at most one in 40 ms, and none where no customer has a cap. It follows the table of grants meanwhile. Two tests that build an owner by hand give it a ledger; what they check is unchanged.

--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -36,4 +36,6 @@
 	eventReread         = event.New(1094, "settings-reread", slog.LevelInfo, "the settings were read again after SIGHUP; changes apply from the next start of the instance")
 	eventLateOrder      = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
+	eventUnreadableGrant = event.New(1095, "grant-unreadable", slog.LevelError,
+		"the stored grants of a customer cannot be decoded; the customer's tasks do not start in the pool until the row is readable")
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,6 +48,7 @@
 
 var (
 	commitTime = metrics.NewHistogram("commit-ms") // of an owner's transaction
+	grantTime  = metrics.NewHistogram("grant-ms")  // of a transaction on the grants of a pool
 	startTime  = metrics.NewHistogram("start-ms")  // from sending a start to the worker's answer
 )
 
@@ -67,8 +68,11 @@
 	stateCache    *store.StateCache
 	stateFeed     *store.Follower
 	workers       *workerList
-	fleet         store.TableCache  // of FleetTable
-	reports       store.TableCache  // of ReportsTable
+	fleet         store.TableCache // of FleetTable
+	reports       store.TableCache // of ReportsTable
+	grants        store.TableCache // of GrantsTable
+	capped        atomic.Bool      // a customer of the configuration has a cap
+	operatorFeed  *store.Follower
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
 	reportsFeed   *store.Follower   // idle while this instance does not own the machines
 	configuration atomic.Pointer[batch.Configuration]
@@ -128,16 +132,17 @@
 	}
 	d.reportsFeed = d.follower(store.ReportsTable, fleetPeriod, feedWait, d.reports.Load, d.reports.Apply)
 	d.reportsFeed.Idle = func() bool { return !d.ownsMachines.Load() }
-	operatorFeed := d.follower(platform.TableOperator, operatorPeriod, operatorWait, nil, nil)
+	grantsFeed := d.followGrants()
+	d.operatorFeed = d.follower(platform.TableOperator, operatorPeriod, operatorWait, nil, nil)
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
 	claimContext, stopClaimers := context.WithCancel(follow)
 	defer stopClaimers()
 	var claimersDone sync.WaitGroup
-	operatorFeed.OnLoad = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
-	operatorFeed.OnRows = operatorFeed.OnLoad
-	operatorFeed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
-	for _, f := range append([]*store.Follower{d.stateFeed, d.reportsFeed, operatorFeed}, d.ownerFeeds...) {
+	d.operatorFeed.OnLoad = func(rows []store.Row) { d.operatorRows(claimContext, &claimersDone, rows) }
+	d.operatorFeed.OnRows = d.operatorFeed.OnLoad
+	d.operatorFeed.NewestOnly = true // each configuration is complete; only older versions of the same row are skipped, so that no wave is lost
+	for _, f := range append([]*store.Follower{d.stateFeed, d.reportsFeed, grantsFeed, d.operatorFeed}, d.ownerFeeds...) {
 		go func() { _ = f.Run(follow) }() // returns only when its context ends
 	}
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
@@ -261,8 +266,9 @@
 			continue
 		}
 		d.configuration.Store(c)
+		d.capped.Store(hasCaps(c))
 		eventConfigInForce.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
-		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.scheduler.Configure(c) }) })
+		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.configure(c) }) })
 		if d.Machines != nil {
 			d.startClaimer(ctx, claimersDone, store.FleetPart, d.runMachineOwner)
 		}
@@ -349,6 +355,9 @@
 	return due
 }
 
+// configurationAge returns the time for which the configuration in force may have missed changes.
+func (d *Daemon) configurationAge() clock.Millis { return d.operatorFeed.Age() }
+
 func (d *Daemon) wakeMachineOwner() {
 	if o := d.machineOwner.Load(); o != nil {
 		o.events.wake()
--- /dev/null
+++ b/daemon/grants.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/joomcode/errorx"
+
+	"magnoliaferry/batch"
+	"magnoliaferry/clock"
+	"magnoliaferry/grant"
+	"magnoliaferry/store"
+)
+
+// Times of the transactions that change the grants of a pool.
+const (
+	grantPeriod     = 40 * clock.Millis(1)  // least time between the starts of two
+	grantRetryDelay = 250 * clock.Millis(1) // after one that the store rejected or did not answer
+)
+
+// hasCaps reports whether a customer of the configuration has a cap.
+func hasCaps(c *batch.Configuration) bool {
+	if c == nil {
+		return false
+	}
+	for _, customer := range c.Customers() {
+		if customer.Cap != (batch.Resources{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// followGrants creates the follower of GrantsTable, which is idle while this instance owns no part or no customer has a cap.
+func (d *Daemon) followGrants() *store.Follower {
+	d.grants.OnRows = func(rows []store.Row) {
+		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.applyGrants(rows) }) })
+	}
+	f := d.follower(store.GrantsTable, fleetPeriod, feedWait, d.grants.Load, d.grants.Apply)
+	f.NewestOnly = true
+	f.Idle = func() bool { return d.owned.Load() == 0 || !d.capped.Load() }
+	return f
+}
+
+// restoreGrants creates the ledger of the pool. What it does not know yet it learns from the copy of the table, or from a transaction
+// that fails.
+func (o *poolOwner) restoreGrants() {
+	d := o.daemon
+	o.ledger = grant.NewLedger(o.pool, o.ownership.Token(), d.Settings.CapOverage)
+	o.ledger.Age = d.configurationAge
+	o.scheduler.Caps = o.ledger
+	o.ledger.Configure(d.configuration.Load())
+	o.reloadGrants()
+}
+
+// reloadGrants passes the copy of GrantsTable to the ledger.
+func (o *poolOwner) reloadGrants() {
+	for _, part := range store.GrantParts() {
+		o.applyGrants(o.daemon.grants.Rows(part, store.KindGrant))
+	}
+}
+
+// applyGrants passes rows of GrantsTable to the ledger.
+func (o *poolOwner) applyGrants(rows []store.Row) {
+	for _, row := range rows {
+		kind, customer := store.SplitKey(row.Key)
+		if row.Deleted || kind != store.KindGrant {
+			continue
+		}
+		decoded, err := grant.DecodeRow(row.Value)
+		if err != nil {
+			o.ledger.LearnUnreadable(customer)
+			eventUnreadableGrant.Log(context.Background(), o.daemon.Logger, slog.String("customer", customer), slog.String("error", err.Error()))
+			continue
+		}
+		o.ledger.Learn(customer, row.Version, decoded)
+	}
+}
+
+// commitGrants starts the transaction on the grants of the pool that is due.
+func (o *poolOwner) commitGrants(ctx context.Context) {
+	d := o.daemon
+	now := d.clock.Now()
+	if o.granting || now < o.nextGrants || !d.capped.Load() {
+		return
+	}
+	writes := o.ledger.Next(now, o.scheduler.CustomerDemands())
+	if len(writes) == 0 {
+		return
+	}
+	tx, err := encodeGrants(writes)
+	if err != nil {
+		o.failure = err
+		return
+	}
+	o.granting, o.nextGrants = true, now+grantPeriod
+	go func() {
+		ctx, cancel := d.clock.WithTimeout(ctx, store.AttemptTimeout)
+		defer cancel()
+		result, err := d.table.Commit(ctx, tx)
+		grantTime.Observe(d.clock.Now() - now)
+		o.events.put(func() {
+			o.granting = false
+			switch {
+			case err == nil && result.Applied:
+				o.ledger.Answered(writes, grant.Applied, result.Version)
+			case err == nil:
+				o.applyGrants(result.Current)
+				o.ledger.Answered(writes, grant.Rejected, 0)
+			case errorx.IsOfType(err, store.ErrRejected):
+				o.ledger.Answered(writes, grant.Rejected, 0)
+				o.nextGrants = d.clock.Now() + grantRetryDelay
+			default:
+				o.ledger.Answered(writes, grant.Unknown, 0)
+				o.nextGrants = d.clock.Now() + grantRetryDelay
+			}
+		})
+	}()
+}
+
+// encodeGrants returns the transaction that applies the writes if none of their rows has changed.
+func encodeGrants(writes []grant.Write) (store.Transaction, error) {
+	var tx store.Transaction
+	for _, w := range writes {
+		value, err := w.Row.Encode()
+		if err != nil {
+			return tx, err
+		}
+		row := store.Row{Table: store.GrantsTable, Part: store.GrantPart(w.Customer), Key: store.Key(store.KindGrant, w.Customer), Value: value}
+		tx.Conditions = append(tx.Conditions, store.Condition{Table: row.Table, Part: row.Part, Key: row.Key, Version: w.Version})
+		tx.Puts = append(tx.Puts, row)
+	}
+	return tx, nil
+}
--- a/daemon/leave_test.go
+++ b/daemon/leave_test.go
@@ -7,6 +7,7 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
+	"magnoliaferry/grant"
 	"magnoliaferry/machines"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
@@ -57,7 +58,7 @@
 	d := &Daemon{clock: c}
 	d.workers = newWorkerList(c, nil, func(batch.Worker, bool) {})
 	d.workers.healthy = func() clock.Millis { return clock.Hour }
-	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil)}
+	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil), ledger: grant.NewLedger("p", 1, 0)}
 	o.scheduler.SetWorker(batch.Worker{ID: "left", Pool: "p", Address: "x"})
 	d.workers.workers["new"] = batch.Worker{ID: "new", Pool: "p", Address: "y"}
 	d.configuration.Store(&batch.Configuration{})
@@ -75,7 +76,8 @@
 	d.workers = newWorkerList(c, nil, func(batch.Worker, bool) {})
 	d.workers.healthy = func() clock.Millis { return clock.Hour }
 	d.configuration.Store(&batch.Configuration{})
-	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil), withdrawals: map[string]machines.Withdrawal{}}
+	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, clock.Minute, nil), withdrawals: map[string]machines.Withdrawal{},
+		ledger: grant.NewLedger("p", 1, 0)}
 	withdrawal := func(machine string) store.Row {
 		value, err := json.Marshal(machines.Withdrawal{ID: "1-" + machine, Machine: machine, Worker: "w-" + machine, Op: machines.Upkeep})
 		if err != nil {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -8,6 +8,7 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
+	"magnoliaferry/grant"
 	"magnoliaferry/machines"
 	"magnoliaferry/pool"
 	"magnoliaferry/store"
@@ -51,6 +52,10 @@
 	cancels map[string]bool        // jobs that have a request to cancel them in the pool's table
 	damaged map[string]bool        // jobs whose progress cannot be decoded
 	cleaner *cleaner
+
+	ledger     *grant.Ledger // of what customers may use in the pool
+	granting   bool          // a transaction on it is in flight
+	nextGrants clock.Millis  // earliest time of the next one
 }
 
 // poolOwnerFunc returns the function that runs the pool as its owner.
@@ -132,6 +137,7 @@
 			s.AddEnded(id)
 		}
 	}
+	o.restoreGrants()
 	o.addJobs(jobs, progress)
 	for _, row := range d.fleet.Rows(store.FleetPart, store.KindWithdrawal) {
 		o.applyWithdrawal(row)
@@ -382,6 +388,7 @@
 			o.sendOrder(ctx, order)
 		}
 		o.deferred = nil
+		o.commitGrants(ctx)
 	}
 	if o.scheduler.Fenced() {
 		// A worker has seen a higher token, so there is a newer owner. The store rejects a transaction if that is so.
@@ -526,10 +533,17 @@
 	})
 }
 
+// configure puts a configuration in force.
+func (o *poolOwner) configure(c *batch.Configuration) {
+	o.scheduler.Configure(c)
+	o.ledger.Configure(c)
+}
+
 // refresh passes the current configuration, workers and withdrawals of machines to the scheduler.
 func (o *poolOwner) refresh() {
 	d := o.daemon
-	o.scheduler.Configure(d.configuration.Load())
+	o.configure(d.configuration.Load())
+	o.reloadGrants()
 	listed := map[string]bool{}
 	for _, w := range d.workers.all(o.pool) {
 		listed[w.ID] = true
