grant, pool, daemon: fewer writes of grants, and pools that share a cap

Cause: a pool gave up all that it held beyond its use as soon as another one asked, and wrote what it lacks at each change; a pool with a backlog took what it freed again before another one could have it; a placed start could be withdrawn because another pool came first; the configuration of an idle operators' table could look 2 s old, as a read waits 1 s for changes. Change: an entry says roughly how much its pool lacks, and others give up only what the limit does not leave; pools are served in the order of the part that they hold; a surplus goes after 1 s, except for the peak of that time; Covers for placed runs; the table is read at 1.5 s of age.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,7 @@
 	grants        store.TableCache // of GrantsTable
 	capped        atomic.Bool      // a customer of the configuration has a cap
 	operatorFeed  *store.Follower
+	confirming    atomic.Bool       // the operators' table is being read to confirm the configuration
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
 	reportsFeed   *store.Follower   // idle while this instance does not own the machines
 	configuration atomic.Pointer[batch.Configuration]
--- a/daemon/grants.go
+++ b/daemon/grants.go
@@ -14,7 +14,9 @@
 
 // Times of the transactions that change the grants of a pool.
 const (
-	grantPeriod     = 40 * clock.Millis(1)  // least time between the starts of two
+	grantPeriod = 40 * clock.Millis(1) // least time between the starts of two
+	// confirmAfter is the age of the configuration in force at which an owner reads the operators' table without waiting for a change.
+	confirmAfter    = 1500 * clock.Millis(1)
 	grantRetryDelay = 250 * clock.Millis(1) // after one that the store rejected or did not answer
 )
 
@@ -84,6 +86,7 @@
 	if o.granting || now < o.nextGrants || !d.capped.Load() {
 		return
 	}
+	d.confirmConfiguration(ctx)
 	writes := o.ledger.Next(now, o.scheduler.CustomerDemands())
 	if len(writes) == 0 {
 		return
@@ -118,6 +121,19 @@
 	}()
 }
 
+// confirmConfiguration has the operators' table read if the configuration in force may soon be too old for starts of customers with a cap.
+func (d *Daemon) confirmConfiguration(ctx context.Context) {
+	if d.operatorFeed.Age() < confirmAfter || !d.confirming.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.confirming.Store(false)
+		ctx, cancel := d.clock.WithTimeout(ctx, confirmAfter)
+		defer cancel()
+		_ = d.operatorFeed.CatchUp(ctx) // without an answer the age grows, and no such task starts
+	}()
+}
+
 // encodeGrants returns the transaction that applies the writes if none of their rows has changed.
 func encodeGrants(writes []grant.Write) (store.Transaction, error) {
 	var tx store.Transaction
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -15,13 +15,17 @@
 	// MaxRows bounds the rows of one transaction: the store accepts 100 entries, and a row is a condition and a put.
 	MaxRows = 45
 
-	// MaxAge bounds the age of the configuration with which a task may start. It leaves a third of the 3 s in which a
-	// configuration has to apply for what was decided with it to take effect.
-	MaxAge = 2 * clock.Second
+	// MaxAge bounds the age of the configuration with which a task may start. A configuration has to apply within 3 s; the rest is for
+	// the start order to arrive.
+	MaxAge = 2700 * clock.Millis(1)
 
-	spareDivisor = 8                     // a pool keeps up to this part of the limit beyond its need
-	freeDivisor  = 4                     // of what is free, a raise takes at most this part beyond the need
-	surplusDelay = 200 * clock.Millis(1) // after which a larger surplus is given up
+	// What an entry says of its needs is rounded up to these parts of the limit, so that it need not be rewritten at each change.
+	wantedSteps  = 32
+	missingSteps = 8
+
+	spareDivisor = 8                // a pool keeps up to this part of the limit beyond its need
+	freeDivisor  = 4                // of what is free, a raise takes at most this part beyond the need
+	surplusDelay = 1 * clock.Second // after which a larger surplus is given up, except for what was needed meanwhile
 	// While pools ask for more than is left, what is wanted first is kept free for reservationTime, and then not for as long: a task that
 	// does not fit beside long ones must not hold back the others.
 	reservationTime = 1 * clock.Second
@@ -84,9 +88,10 @@
 	yields         bool // starts stay within most, as another pool comes first
 	most           batch.Resources
 	unreadable     bool
-	surplusSince   clock.Millis // 0: no surplus
-	contendedSince clock.Millis // since when pools ask; 0: none does
-	allowed        *allowed     // nil: to be computed
+	surplusSince   clock.Millis    // 0: no surplus
+	peak           batch.Resources // largest need since then
+	contendedSince clock.Millis    // since when pools ask; 0: none does
+	allowed        *allowed        // nil: to be computed
 }
 
 // allowed is the part of an account that decides on starts.
@@ -162,6 +167,15 @@
 // Allows reports whether count tasks that need the given amount each may start together while the customer's runs in this pool use
 // the given amount.
 func (l *Ledger) Allows(customer string, use, need batch.Resources, count int) bool {
+	return l.check(customer, use, need, count, true)
+}
+
+// Covers is Allows for tasks that have been placed already: another pool that comes first does not matter.
+func (l *Ledger) Covers(customer string, use, need batch.Resources, count int) bool {
+	return l.check(customer, use, need, count, false)
+}
+
+func (l *Ledger) check(customer string, use, need batch.Resources, count int, yields bool) bool {
 	a := l.accounts[customer]
 	if a == nil {
 		limit, _ := l.ownLimit(customer)
@@ -173,10 +187,14 @@
 	limit := a.allowed.limit
 	use, need = limited(use, limit), limited(need, limit)
 	total := times(need, count)
+	amount := a.allowed.amount
+	if yields && a.yields {
+		amount = lower(amount, a.most)
+	}
 	switch {
 	case limit == batch.Resources{}:
 		return true
-	case l.superseded || a.unreadable || l.Age != nil && l.Age() > MaxAge || !use.Add(total).Fits(a.allowed.amount):
+	case l.superseded || a.unreadable || l.Age != nil && l.Age() > MaxAge || !use.Add(total).Fits(amount):
 		return false
 	case a.allowed.open:
 		return true
@@ -193,9 +211,6 @@
 	for _, amount := range a.open {
 		result.amount = lower(result.amount, amount)
 	}
-	if a.yields {
-		result.amount = lower(result.amount, a.most)
-	}
 	result.amount = limited(result.amount, result.limit)
 	stored := a.version != 0 && (a.row.Configuration >= l.configuration.Version || within(a.row.Limit, result.limit))
 	result.open = stored && limited(a.row.Granted(), result.limit).Fits(result.limit)
@@ -314,16 +329,17 @@
 	others := limited(a.row.Granted().Sub(entry.Amount), limit)
 	over := !others.Add(held).Fits(limit)
 	reserving := l.reserving(a)
-	reserved, asked := l.wantedFirst(a, entry, limit)
+	reserved, lacking := l.wantedFirst(a, entry, limit)
 	if !reserving {
 		reserved = batch.Resources{}
 	}
-	l.yield(a, limit.Sub(others).Sub(reserved), reserved != batch.Resources{})
+	// A pool with much to run would otherwise start as much as ends.
+	a.yields, a.most = reserved != batch.Resources{}, limit.Sub(others).Sub(reserved)
 	// What is held beyond the use counts as free here: another pool that has asked longer comes first.
 	ceiling := higher(use, limit.Sub(others).Sub(reserved))
 	need := use
-	var missing batch.Resources
-	taken := false
+	var missing, first batch.Resources
+	taken, saving := false, false // saving: for the first unit that does not fit
 	for _, unit := range d.Waiting {
 		size, count := limited(unit.Need, limit), unit.Tasks
 		oneTask := size
@@ -337,28 +353,40 @@
 			need, taken = size, true
 			break
 		}
-		n := fitting(size, ceiling.Sub(need), count)
+		n := 0
+		if !saving {
+			n = fitting(size, ceiling.Sub(need), count)
+		}
 		need = need.Add(times(size, n))
 		taken = taken || n > 0
 		if n == count {
 			continue
 		}
-		if missing == (batch.Resources{}) {
-			missing = size
-		}
-		if reserving && size.Fits(limit) {
-			break
+		missing = missing.Add(times(size, count-n))
+		if first == (batch.Resources{}) {
+			first = size
 		}
+		saving = saving || reserving && size.Fits(limit)
 	}
 	next := Entry{Amount: need}
-	if missing != (batch.Resources{}) {
-		next.Wanted, next.Asked = missing, entry.Asked
+	if first != (batch.Resources{}) {
+		next.Wanted, next.Asked = first, entry.Asked
+		if first.Fits(limit) {
+			next.Wanted = coarse(first, limit, wantedSteps)
+		}
+		next.Missing = coarse(missing, limit, missingSteps)
 		if entry.Asked == 0 || taken && !need.Fits(held) {
 			next.Asked = max(a.version, 1)
 		}
 		return next
 	}
-	if asked || over {
+	if over {
+		return next
+	}
+	// What others lack and the limit leaves is theirs to take; only the rest has to be given up.
+	lacking = higher(lacking.Sub(limit.Sub(others).Sub(held)), batch.Resources{})
+	if lacking != (batch.Resources{}) {
+		next.Amount = higher(need, held.Sub(lacking))
 		return next
 	}
 	spare := divide(limit, spareDivisor)
@@ -373,22 +401,16 @@
 	if held.Sub(need).Fits(times(spare, 2)) {
 		a.surplusSince = 0
 	} else if a.surplusSince == 0 {
-		a.surplusSince = max(l.now, 1)
+		a.surplusSince, a.peak = max(l.now, 1), need
 	}
 	next.Amount = held
+	a.peak = higher(a.peak, need)
 	if a.surplusSince != 0 && l.now-a.surplusSince >= surplusDelay {
-		next.Amount, a.surplusSince = lower(held, need.Add(spare)), 0
+		next.Amount, a.surplusSince = lower(held, a.peak.Add(spare)), 0
 	}
 	return next
 }
 
-// yield sets what the pool may use while another one comes first: a pool with much to run would otherwise start as much as ends.
-func (l *Ledger) yield(a *account, most batch.Resources, yields bool) {
-	if a.yields != yields || a.most != most {
-		a.yields, a.most, a.allowed = yields, most, nil
-	}
-}
-
 // reserving reports whether what is wanted first is to be kept free now.
 func (l *Ledger) reserving(a *account) bool {
 	contended := false
@@ -404,22 +426,22 @@
 	return contended && (l.now-a.contendedSince)/reservationTime%2 == 0
 }
 
-// wantedFirst returns what another pool wants that comes before this one, and whether any other pool asks. Pools come in the order of the
+// wantedFirst returns what another pool wants that comes before this one, and what all others lack. Pools come in the order of the
 // part of the limit that they hold, so that none of them starves behind one that has much to run.
-func (l *Ledger) wantedFirst(a *account, entry Entry, limit batch.Resources) (amount batch.Resources, asked bool) {
+func (l *Ledger) wantedFirst(a *account, entry Entry, limit batch.Resources) (amount, lacking batch.Resources) {
 	first := claim{held: share(entry.Amount, limit), asked: entry.Asked, pool: l.pool}
 	for pool, e := range a.row.Pools {
 		wanted := limited(e.Wanted, limit)
 		if pool == l.pool || e.Asked == 0 {
 			continue
 		}
-		asked = true
+		lacking = lacking.Add(limited(e.Missing, limit))
 		other := claim{share(e.Amount, limit), e.Asked, pool}
 		if wanted.Fits(limit) && other.before(first) {
 			first, amount = other, wanted
 		}
 	}
-	return amount, asked
+	return amount, lacking
 }
 
 // claim is the rank of a pool among those that ask for a part of a limit.
--- a/grant/row.go
+++ b/grant/row.go
@@ -16,10 +16,11 @@
 
 // Entry is the grant of one pool, which only the owner of the pool changes.
 type Entry struct {
-	Amount batch.Resources `json:"amount,omitzero"` // bounds what the customer's runs in the pool use
-	Wanted batch.Resources `json:"wanted,omitzero"` // need of the first task or gang that lacks an amount
-	Asked  int64           `json:"asked,omitempty"` // version of the row when Wanted was first stored; breaks ties between pools that hold the same
-	Token  int64           `json:"token"`           // claim of the owner that wrote the entry
+	Amount  batch.Resources `json:"amount,omitzero"`  // bounds what the customer's runs in the pool use
+	Wanted  batch.Resources `json:"wanted,omitzero"`  // need of the first task or gang that lacks an amount
+	Missing batch.Resources `json:"missing,omitzero"` // of all tasks that could start now and lack an amount
+	Asked   int64           `json:"asked,omitempty"`  // version of the row when Wanted was first stored; breaks ties between pools that hold the same
+	Token   int64           `json:"token"`            // claim of the owner that wrote the entry
 }
 
 // Encode returns the value of the row.
@@ -94,3 +95,12 @@
 	part(need.GPUs, room.GPUs)
 	return count
 }
+
+// coarse rounds an amount up to the next of the given number of steps to the limit, at most to the limit.
+func coarse(amount, limit batch.Resources, steps int) batch.Resources {
+	part := func(amount, limit int) int {
+		step := max(limit/steps, 1)
+		return min((amount+step-1)/step*step, limit)
+	}
+	return batch.Resources{CPU: part(amount.CPU, limit.CPU), MemoryMB: part(amount.MemoryMB, limit.MemoryMB), GPUs: part(amount.GPUs, limit.GPUs)}
+}
--- a/pool/cap.go
+++ b/pool/cap.go
@@ -13,6 +13,8 @@
 	// Allows reports whether count tasks that need the given amount each may start together while the customer's runs in this pool use
 	// the given amount.
 	Allows(customer string, use, need batch.Resources, count int) bool
+	// Covers reports the same of tasks that have been placed already.
+	Covers(customer string, use, need batch.Resources, count int) bool
 }
 
 // cappedWork is what a customer's cap holds back in one pass over the waiting jobs.
@@ -134,7 +136,7 @@
 	for range count {
 		use = use.Sub(st.def.Need)
 	}
-	return s.Caps.Allows(customer, use, st.def.Need, count)
+	return s.Caps.Covers(customer, use, st.def.Need, count)
 }
 
 // CustomerDemands returns by customer what runs, or may run, in this pool, and what the newest plan held back because of their caps.
--- a/pool/cap_test.go
+++ b/pool/cap_test.go
@@ -18,6 +18,10 @@
 	return use.Fits(c.amount)
 }
 
+func (c *fixedCap) Covers(customer string, use, need batch.Resources, count int) bool {
+	return c.Allows(customer, use, need, count)
+}
+
 // capSim returns a simulation whose customers may each use the given processor.
 func capSim(t *testing.T, workers, amount int) (*poolSim, *fixedCap) {
 	w := newPoolSim(t, workers, testQueue)
