overview, daemon: what customers use and are granted

Cause: an operator could not see why a customer gets less than its cap. Change: inspect shows by customer what runs, its cap, and by pool what runs, is granted and lacks, for the 20 that use most and the rest; expvar shows the same for the pools of an instance, with the tasks that an amount alone holds back. Nothing is read or shown where no customer has a cap.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -209,6 +209,7 @@
 		return
 	}
 	d.publish()
+	d.publishCustomers()
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/daemon/grants.go
+++ b/daemon/grants.go
@@ -87,7 +87,12 @@
 		return
 	}
 	d.confirmConfiguration(ctx)
-	writes := o.ledger.Next(now, o.scheduler.CustomerDemands())
+	demands := o.scheduler.CustomerDemands()
+	if now >= o.nextCustomers {
+		o.nextCustomers = now + customersPeriod
+		o.customers.Store(newCustomerMetrics(demands, o.ledger.Granted))
+	}
+	writes := o.ledger.Next(now, demands)
 	if len(writes) == 0 {
 		return
 	}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
@@ -56,6 +57,9 @@
 	ledger     *grant.Ledger // of what customers may use in the pool
 	granting   bool          // a transaction on it is in flight
 	nextGrants clock.Millis  // earliest time of the next one
+
+	customers     atomic.Pointer[customerMetrics] // for expvar; nil until the first
+	nextCustomers clock.Millis                    // when it is renewed
 }
 
 // poolOwnerFunc returns the function that runs the pool as its owner.
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -224,6 +224,18 @@
 	return part(a.CPU, b.CPU) && part(a.MemoryMB, b.MemoryMB) && part(a.GPUs, b.GPUs)
 }
 
+// Granted returns what the customer's runs may use in this pool and in all pools, both zero if the customer has no cap.
+func (l *Ledger) Granted(customer string) (amount, limit batch.Resources) {
+	a := l.accounts[customer]
+	if a == nil {
+		return batch.Resources{}, batch.Resources{}
+	}
+	if a.allowed == nil {
+		a.allowed = l.compute(customer, a)
+	}
+	return a.allowed.amount, a.allowed.limit
+}
+
 // Next returns the writes of the next transaction, at most MaxRows of one part, and counts them as sent; nil if nothing is to be changed.
 // demands has all customers that use or need something in the pool. Answered must be called with the outcome.
 func (l *Ledger) Next(now clock.Millis, demands map[string]Demand) []Write {
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -32,6 +32,7 @@
 	Pools         []Pool       `json:"pools"`
 	Withdrawals   []Withdrawal `json:"wants"`
 	Waves         []Wave       `json:"waves"`
+	Customers     []Customer   `json:"customers,omitempty"`  // those with a cap; the one whose runs use most comes first
 	Unreadable    []string     `json:"unreadable,omitempty"` // rows that cannot be read, with the reason
 	States        []string     `json:"-"`                    // names of the states that jobs are counted by, in order
 }
@@ -112,6 +113,9 @@
 	b.addWorkerRows(all[platform.TableWorkers])
 	b.jobStates(all[store.StateTable])
 	b.addFleetRows(all[store.FleetTable], waves)
+	if err := r.addCustomers(ctx, b); err != nil {
+		return nil, err
+	}
 	for _, p := range b.pools {
 		b.fleet.Pools = append(b.fleet.Pools, *p)
 	}
@@ -121,8 +125,9 @@
 
 // builder assembles a Fleet from stored rows.
 type builder struct {
-	fleet *Fleet
-	pools map[string]*Pool
+	fleet         *Fleet
+	pools         map[string]*Pool
+	configuration *batch.Configuration // nil if there is none that can be read
 }
 
 func (b *builder) pool(name string) *Pool {
@@ -146,7 +151,7 @@
 				b.addUnreadable(row, err)
 				continue
 			}
-			b.fleet.Configuration = c.Version
+			b.fleet.Configuration, b.configuration = c.Version, c
 			for _, p := range c.Pools {
 				b.pool(p.Name).Standby = p.Standby
 			}
@@ -329,6 +334,7 @@
 		}
 		w.Flush()
 	}
+	f.writeCustomers(w)
 	for _, row := range f.Unreadable {
 		fmt.Fprintf(&b, "unreadable: %s\n", row)
 	}
