--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -41,4 +41,6 @@
 	eventJobRefused         = event.New(1098, "job-refused", slog.LevelError, "the store refuses the rows of a job for their content; the job fails, because its progress cannot be kept")
 	eventLateOrder          = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
+	eventUnreadableGrant = event.New(1099, "grant-unreadable", slog.LevelError,
+		"the stored grants of a customer cannot be decoded; the customer's tasks do not start in the pool until the row is readable")
 )
--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -132,7 +132,7 @@
 	ended, end := context.WithCancel(context.Background())
 	end() // the instance claims no parts
 	var claimersDone, running sync.WaitGroup
-	feed := d.operatorFeed(func(rows []store.Row) { d.operatorRows(ended, &claimersDone, rows) })
+	feed := d.followOperators(func(rows []store.Row) { d.operatorRows(ended, &claimersDone, rows) })
 	for _, run := range []func(context.Context) error{d.table.Run, d.stateFeed.Run, feed.Run} {
 		running.Go(func() { _ = run(ctx) })
 	}
--- a/pool/copy.go
+++ b/pool/copy.go
@@ -188,6 +188,9 @@
 // startCopy places a copy of the task on another worker, on another rack if possible, and reports whether there is one with room.
 func (s *Scheduler) startCopy(c slowRun, workers []*worker) bool {
 	t, current := c.run.task, c.run.worker
+	if !s.mayCopyWithinCap(t.step) {
+		return false
+	}
 	var others, otherRacks []*worker
 	for _, w := range workers {
 		if w == current {
--- a/pool/place.go
+++ b/pool/place.go
@@ -63,6 +63,7 @@
 // place places waiting tasks. It returns nil if there are none.
 func (s *Scheduler) place() *placement {
 	s.updateShares()
+	s.beginCapPass()
 	var ranks []rank
 	for _, j := range s.active {
 		if j.waiting > 0 {
@@ -188,7 +189,9 @@
 		return
 	}
 	if st.def.Gang {
-		s.placeGang(st, pass)
+		if s.withinCap(st, pass) {
+			s.placeGang(st, pass)
+		}
 		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil
 		return
 	}
@@ -197,6 +200,9 @@
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
 		}
+		if !s.withinCap(st, pass) {
+			break
+		}
 		w := s.choose(t, pass.workers, nil)
 		if w == nil {
 			s.requestMissingAdvice(st, pass.workers)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -66,6 +66,8 @@
 	RemoteFactor float64
 	// Retention is how long the rows of a job in a final state are kept.
 	Retention clock.Millis
+	// Caps bounds what the runs of customers use; nil: nothing does.
+	Caps Caps
 
 	now               clock.Millis
 	wall              clock.Millis
@@ -85,8 +87,9 @@
 	histories         map[string]*history  // by queue
 	nextCopySearch    clock.Millis
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
-	evacuations       map[string]Evacuation      // by machine
-	maintenanceDue    map[string]bool            // machines that are due for maintenance
+	capped            cappedWork
+	evacuations       map[string]Evacuation // by machine
+	maintenanceDue    map[string]bool       // machines that are due for maintenance
 	token             int64
 	fenced            bool
 	lastHoldID        int64        // ID of the newest hold
@@ -619,7 +622,7 @@
 		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() {
+		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !s.mayStillStart(r) {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
--- a/pool/share_test.go
+++ b/pool/share_test.go
@@ -34,10 +34,6 @@
 	return w
 }
 
-func (w *poolSim) submitFor(customer, id string, steps ...batch.Step) {
-	w.add(&batch.Job{ID: id, Queue: "q", Pool: testPool, Spec: "spec", Steps: steps, Accepted: w.now, Customer: customer})
-}
-
 // Guards against criteria that override one which should go first.
 func TestCriteriaOfTheOrder(t *testing.T) {
 	first := rank{class: classOverdue, priority: 1, beyond: true, over: true, work: 9}
