--- a/pool/copy_test.go
+++ b/pool/copy_test.go
@@ -306,3 +306,24 @@
 		}
 	}
 }
+
+// Guards against a single task, without peers to compare it with, that is never copied, or always: it is compared with what the queue's tasks
+// took against their declared times.
+func TestCopyOfSingleTask(t *testing.T) {
+	w := newCopySim(t, 6, "last.0.0.0")
+	step := batch.Step{Count: 1, Need: cpu(1000), Estimate: 400, AllowDuplicates: true}
+	for i := range 30 {
+		w.submit(fmt.Sprintf("j%d", i), step)
+		w.run(300)
+	}
+	w.run(2 * clock.Second)
+	for task, got := range w.starts {
+		if got != 1 {
+			t.Errorf("starts of %s got %d, want 1", task, got)
+		}
+	}
+	w.submit("last", step)
+	if got, limit := w.runUntilState("last", batch.Completed, 8*clock.Second), 4*clock.Second; got > limit {
+		t.Errorf("time of the slow task got %d ms, want at most %d with a copy", got, limit)
+	}
+}
