pool: at most two copies of a task, and only races to the end are learnt from

Cause: a copy that is stopped to make room would be followed by another without bound, and counted as one that does not help.

--- a/pool/copy.go
+++ b/pool/copy.go
@@ -15,6 +15,7 @@
 	copyStartTime = 100 * clock.Millis(1) // from the decision until a copy works
 	// copyShare is the part, one in so many, of the processor time that copies may take of what first runs leave free.
 	copyShare = 2
+	maxCopies = 2 // of one task; each that is stopped to make room has worked in vain
 	// minLengths is the number of ended runs of a queue from which a run is compared with them if too few tasks of its step are done.
 	minLengths = 20
 )
@@ -111,7 +112,7 @@
 
 // mayCopy reports whether the task may have a copy. One that fails counts against the attempts, and must leave the first run one.
 func (t *task) mayCopy() bool {
-	return t.step.mayCopy() && t.failures+2 <= t.step.job.maxAttempts()
+	return t.step.mayCopy() && t.copies < maxCopies && t.failures+2 <= t.step.job.maxAttempts()
 }
 
 // couldFit reports whether one of the needs would fit on an idle worker.
@@ -226,12 +227,12 @@
 		var last *run
 		var lastLeft clock.Millis
 		for _, t := range pairs {
-			if t.run.stopping || t.copy != nil && t.copy.stopping {
+			if t.run.stopping || t.copy.stopping {
 				last = nil
 				break
 			}
 			later, left := s.laterRun(t)
-			if later == nil || later.state == planned || left <= stopTime || !need.Fits(later.worker.free().Add(t.step.def.Reserve())) {
+			if later.state == planned || left <= stopTime || !need.Fits(later.worker.free().Add(t.step.def.Reserve())) {
 				continue
 			}
 			if last == nil || left > lastLeft {
@@ -244,11 +245,9 @@
 	}
 }
 
-// laterRun returns the run of the two that is expected to end later, and its remaining time; nil if the task has one run only.
+// laterRun returns the run of the two that is expected to end later, and its remaining time. A run that an earlier owner started is taken
+// for nearly done.
 func (s *Scheduler) laterRun(t *task) (*run, clock.Millis) {
-	if t.copy == nil || t.run.stopping || t.copy.stopping {
-		return nil, 0
-	}
 	expected := s.runTime(t.step)
 	past := &s.history(t.step.job.def.Queue).amongPeers
 	first, second := clock.Millis(0), s.left(t.copy, past, expected)
@@ -269,7 +268,9 @@
 	}
 	first := how == EndDone && !t.done
 	if first {
-		s.history(t.step.job.def.Queue).copies.add(s.now, r.copied)
+		if other := t.run; other != nil && !other.stopping { // the two were compared to the end
+			s.history(t.step.job.def.Queue).copies.add(s.now, r.copied)
+		}
 		s.log(eventCopyEnded, slog.String("task", t.name), slog.Int("run", r.number), slog.Bool("won", r.copied))
 	}
 	switch {
