pool: the cap over changes of the owner, with random faults

Cause: the checks of a cap had been tested with one owner at a time. Change: TestRandomTakeoversWithinTheCap plays the faults of TestRandomTakeovers with two customers whose caps bind; the simulation checks each start against the cap and one task. Its other checks are unchanged. Without gangs, whose common end the simulated workers do not know.

--- a/pool/takeover_owner_test.go
+++ b/pool/takeover_owner_test.go
@@ -45,6 +45,9 @@
 	lease := MaxLease
 	o.scheduler = NewScheduler(testPool, lease, clock.Hour, nil)
 	s := o.scheduler
+	if sim.customerCap != nil {
+		s.Caps = sim.customerCap
+	}
 	s.SetToken(o.version)
 	s.Tick(sim.now, sim.now)
 	s.Configure(sim.configuration)
--- a/pool/takeover_sim_test.go
+++ b/pool/takeover_sim_test.go
@@ -65,6 +65,7 @@
 	routes     routes
 	// configuration is the one in force.
 	configuration *batch.Configuration
+	customerCap   *fixedCap // of each customer; nil: none
 	trace         []string
 }
 
--- a/pool/takeover_worker_test.go
+++ b/pool/takeover_worker_test.go
@@ -208,6 +208,7 @@
 		s.failf([]string{"owner ", "worker " + h.entry.ID + " ", " on " + h.entry.ID}, "worker %s runs %d thousandths of a core, want at most %d",
 			h.entry.ID, used, h.entry.Capacity.CPU)
 	}
+	s.checkCap(h, order.Task)
 	return h.reply(Accepted)
 }
 
