store, daemon, front: accepted jobs are spread over 64 parts of a new store

Cause: the store carries out the transactions of one part one after another. Change: the number of intake parts is stored (row layout, store.Layout): 64 in a store that is used for the first time, 8 where an earlier version has written rows. No instance serves callers or claims parts before it knows the layout. Loads read ten parts at once.

--- a/daemon/cleanup.go
+++ b/daemon/cleanup.go
@@ -50,7 +50,8 @@
 }
 
 func (c *cleaner) add(table, kind, id, lastOfJob string) {
-	part := store.IntakePart(id)
+	layout, _ := c.daemon.stateCache.Layout()
+	part := layout.IntakePart(id)
 	c.queued[part] = append(c.queued[part], cleanupRow{store.Row{Table: table, Part: part, Key: store.Key(kind, id)}, lastOfJob})
 }
 
--- a/daemon/cleanup_test.go
+++ b/daemon/cleanup_test.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	part := store.IntakePart(id)
+	part := store.Layout{}.IntakePart(id)
 	rows := []store.Row{store.EncodeState(part, id, "q", "p", batch.Pending),
 		{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, id), Value: value},
 		{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindCancel, id), Value: []byte("{}")}}
@@ -99,7 +99,7 @@
 func TestFirstStateIsDeletedBeforeTheFinalState(t *testing.T) {
 	table := standin.NewTable()
 	const id = "0000000000000001"
-	row := store.EncodeState(store.IntakePart(id), id, "q", "p", batch.Pending)
+	row := store.EncodeState(store.Layout{}.IntakePart(id), id, "q", "p", batch.Pending)
 	if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{row}}); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 		return standin.TableWorks
 	}
 	c := clock.NewFake(10000)
-	cleaner := newCleaner(&Daemon{table: &store.Monitor{Table: table, Clock: c}, clock: c}, "p")
+	cleaner := newCleaner(&Daemon{table: &store.Monitor{Table: table, Clock: c}, clock: c, stateCache: store.NewStateCache(c, nil)}, "p")
 	cleaner.state(id)
 	step := func() {
 		outcomes := make(chan func(), 1)
--- a/daemon/configuration_test.go
+++ b/daemon/configuration_test.go
@@ -40,6 +40,7 @@
 	if err := d.stateFeed.CatchUp(ctx); err != nil {
 		t.Fatal(err)
 	}
+	d.settleLayout(ctx)
 	cancel()
 	if err := <-stopped; err != nil {
 		t.Fatal(err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -125,7 +125,7 @@
 // service returns the service for callers.
 func (d *Daemon) service() *front.Service {
 	s := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
-		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
+		Configuration: d.configurationForCallers, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
 	if d.Settings.RevocationLimit > 0 {
 		s.KeysConfirmed = d.keysConfirmed
 	}
@@ -166,6 +166,7 @@
 		go func() { _ = f.Run(follow) }() // returns only when its context ends
 	}
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
+	go d.settleLayout(follow)
 	callers := &http.Server{Handler: &platform.Front{Service: d.service()}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
@@ -255,7 +256,7 @@
 }
 
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.configuration.Load() == nil || d.stateFeed.Age() > readyAge || d.table.SinceLastAnswer() > readySilence {
+	if d.stopping.Load() || d.configurationForCallers() == nil || d.stateFeed.Age() > readyAge || d.table.SinceLastAnswer() > readySilence {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -324,7 +325,11 @@
 		return
 	}
 	claimer := &partClaimer{daemon: d, part: part, runOwner: runOwner, owned: &d.owned}
-	claimersDone.Go(func() { claimer.run(ctx) })
+	claimersDone.Go(func() {
+		if d.awaitLayout(ctx) {
+			claimer.run(ctx)
+		}
+	})
 }
 
 // workerChanged passes a change of a worker to the owner of its pool, if that is this instance.
--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -142,6 +142,7 @@
 	for _, run := range []func(context.Context) error{d.table.Run, d.stateFeed.Run, feed.Run} {
 		running.Go(func() { _ = run(ctx) })
 	}
+	running.Go(func() { d.settleLayout(ctx) })
 	i.callers = &platform.Front{Service: d.service()}
 	i.stop = func() { cancel(); running.Wait() }
 	return i
--- a/daemon/owner_bench_test.go
+++ b/daemon/owner_bench_test.go
@@ -124,7 +124,7 @@
 				if err != nil {
 					panic(err)
 				}
-				part := store.IntakePart(job.ID)
+				part := store.Layout{}.IntakePart(job.ID)
 				_, _ = table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeState(part, job.ID, "q", benchPool, batch.Pending),
 					{Table: store.JobsTable(benchPool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value}}})
 			}
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rows = append(rows, store.Row{Table: store.JobsTable("p"), Part: store.IntakePart(job.ID), Key: store.Key(store.KindJob, job.ID), Value: value})
+		rows = append(rows, store.Row{Table: store.JobsTable("p"), Part: store.Layout{}.IntakePart(job.ID), Key: store.Key(store.KindJob, job.ID), Value: value})
 		state := store.EncodeState("p", job.ID, "q", "p", batch.Completed)
 		if _, err := table.Commit(ctx, store.Transaction{Puts: []store.Row{state}}); err != nil {
 			t.Fatal(err)
--- a/daemon/takeover_test.go
+++ b/daemon/takeover_test.go
@@ -84,13 +84,13 @@
 		t.Fatal(err)
 	}
 	const retention = 1 * clock.Second
-	d := &Daemon{clock: clock.NewFake(10000)}
+	d := &Daemon{clock: clock.NewFake(10000), stateCache: store.NewStateCache(clock.NewFake(10000), nil)}
 	o := &poolOwner{daemon: d, pool: "p", scheduler: pool.NewScheduler("p", pool.MaxLease, retention, nil),
 		states: map[string]batch.State{}, stored: map[string]bool{}, cancels: map[string]bool{}, damaged: map[string]bool{},
 		cleaner: newCleaner(d, "p")}
 	o.scheduler.Tick(10000, 10000)
 	o.scheduler.AddEnded(id)
-	part := store.IntakePart(id)
+	part := store.Layout{}.IntakePart(id)
 	row := store.Row{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, id), Value: value, Version: 1}
 	o.addJobs([]store.Row{row}, nil)
 	commit := func(tx *pool.Transaction) (deletes []store.Row) {
--- a/daemon/tombstone_test.go
+++ b/daemon/tombstone_test.go
@@ -26,8 +26,8 @@
 			states: map[string]batch.State{}, stored: map[string]bool{}, cancels: map[string]bool{}, damaged: map[string]bool{},
 			cleaner: newCleaner(d, "p")}
 		o.scheduler.Tick(c.Now(), c.Now())
-		cancel := store.EncodeCancel("p", id, true)
-		if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone(id, "p"), cancel}}); err != nil {
+		cancel := store.EncodeCancel(store.Layout{}.IntakePart(id), "p", id, true)
+		if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone(store.Layout{}.IntakePart(id), id, "p"), cancel}}); err != nil {
 			t.Fatal(err)
 		}
 		d.stateCache.Load(table.Rows(store.StateTable))
--- a/front/access_test.go
+++ b/front/access_test.go
@@ -230,7 +230,7 @@
 	site := keyedSite()
 	s.Configuration = func() *batch.Configuration { return site }
 	for id, customer := range map[string]string{"1": "", "2": "a"} {
-		rows := []store.Row{store.EncodeState(store.IntakePart(id), id, "q", "p", batch.Pending), store.EncodeAddress(id, testQueue.Address(), customer)}
+		rows := []store.Row{store.EncodeState(store.Layout{}.IntakePart(id), id, "q", "p", batch.Pending), store.EncodeAddress(store.Layout{}.IntakePart(id), id, testQueue.Address(), customer)}
 		s.States.Apply(withVersion(rows, 1))
 	}
 	waiting := func(key string) int {
@@ -249,7 +249,7 @@
 		t.Errorf("jobs at the queue that is public now got %d, want %d", got, want)
 	}
 	// The address arrives after the state: until then it is not known whose job it is.
-	s.States.Apply(withVersion([]store.Row{store.EncodeState(store.IntakePart("3"), "3", "q", "p", batch.Pending)}, 1))
+	s.States.Apply(withVersion([]store.Row{store.EncodeState(store.Layout{}.IntakePart("3"), "3", "q", "p", batch.Pending)}, 1))
 	site = keyedSite()
 	if got, want := waiting("kb"), 1; got != want {
 		t.Errorf("jobs that b sees beside one of an unknown customer got %d, want %d", got, want)
--- a/front/cancel_test.go
+++ b/front/cancel_test.go
@@ -181,7 +181,7 @@
 			t.Fatalf("result of the cancelling got %v, want %s", got, want.Name())
 		}
 		f.table.Fault = nil
-		part := store.IntakePart("a")
+		part := store.Layout{}.IntakePart("a")
 		remove := store.Transaction{Deletes: []store.Row{{Table: store.StateTable, Part: part, Key: store.Key(store.KindJob, "a")},
 			{Table: store.JobsTable(testQueue.Pool), Part: part, Key: store.Key(store.KindJob, "a")}}}
 		if _, err := f.table.Commit(context.Background(), remove); err != nil {
--- a/front/rename_test.go
+++ b/front/rename_test.go
@@ -96,7 +96,7 @@
 		{"renamed, a route of another pool", []batch.Queue{{Name: "other", Host: "h", Prefix: "/other/", Pool: "elsewhere"}}, "/other/", false},
 	} {
 		s, c := newService(&scriptedTable{})
-		row := store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending)
+		row := store.EncodeState(store.Layout{}.IntakePart("a"), "a", "q", "p", batch.Pending)
 		s.States.Apply(withVersion([]store.Row{row}, 1))
 		s.Configuration = func() *batch.Configuration { return &batch.Configuration{Version: 2, Queues: test.queues} }
 		checkJob(t, test.name, s, c, test.path, test.want)
--- a/front/service.go
+++ b/front/service.go
@@ -85,9 +85,9 @@
 	if !s.breaker.allow(s.Clock.Now()) || !s.Reachable(ctx) {
 		return s.refuse(ctx, CodeNotStored, job.ID, store.ErrRejected.New("the store does not answer; nothing was sent to it"), retryAfter)
 	}
-	part := store.IntakePart(job.ID)
+	part := s.intakePart(job.ID)
 	row := store.EncodeState(part, job.ID, queue.Name, job.Pool, batch.Pending)
-	address := store.EncodeAddress(job.ID, queue.Address(), access.customer)
+	address := store.EncodeAddress(part, job.ID, queue.Address(), access.customer)
 	tx := store.Transaction{Conditions: unusedID(access, part, job.ID),
 		Puts: []store.Row{row, {Table: store.JobsTable(job.Pool), Part: part, Key: store.Key(store.KindJob, job.ID), Value: value}, address}}
 	if refusal := s.recheck(ctx, access, job.ID); refusal != nil {
@@ -119,6 +119,12 @@
 	return s.refuse(ctx, CodeUnknown, job.ID, err, retryPause)
 }
 
+// intakePart returns the part of the store for a job. Daemons accept no requests before the layout is known.
+func (s *Service) intakePart(id string) string {
+	layout, _ := s.States.Layout()
+	return layout.IntakePart(id)
+}
+
 // answerRepeat answers a request to store a job whose id is in use.
 func (s *Service) answerRepeat(ctx context.Context, known store.JobEntry, id, source string) *result.Refusal {
 	if known.Tombstone {
@@ -218,7 +224,7 @@
 	case known.State.Final():
 		return s.refuse(ctx, CodeNoJob, id, batch.ErrInvalid.New("the job is %s", known.State), 0)
 	}
-	row := store.EncodeCancel(known.Pool, id, false)
+	row := store.EncodeCancel(s.intakePart(id), known.Pool, id, false)
 	tx := store.Transaction{Puts: []store.Row{row}}
 	if known.IntakeVersion != 0 {
 		// A request that the store carries out late must not outlast the job and cancel a later one with the same id.
@@ -244,9 +250,10 @@
 // a job, which does not affect that job.
 func (s *Service) storeTombstone(ctx context.Context, access *Access, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
 	pool, tombstoneID := access.queue.Pool, access.tombstone(id)
-	tombstone := store.EncodeTombstone(tombstoneID, pool)
-	cancel := store.EncodeCancel(pool, tombstoneID, true) // from this row the owner of the pool learns of the tombstone
-	const attempts = 2                                    // the first one can show that the id has another customer's job
+	part := s.intakePart(id)
+	tombstone := store.EncodeTombstone(part, tombstoneID, pool)
+	cancel := store.EncodeCancel(part, pool, tombstoneID, true) // from this row the owner of the pool learns of the tombstone
+	const attempts = 2                                          // the first one can show that the id has another customer's job
 	for range attempts {
 		conditions := unusedID(access, tombstone.Part, id)
 		if s.isForeign(access, id) {
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -267,7 +267,8 @@
 		return nil, ErrNoJob.New("no job %q is stored; the id was cancelled before a job with it was stored", id)
 	}
 	job := &Job{ID: id, Queue: known.Queue, Pool: known.Pool, State: known.State.String()}
-	page, err := r.Table.Range(ctx, store.JobsTable(known.Pool), store.IntakePart(id), store.Key(store.KindJob, id))
+	layout, _ := states.Layout()
+	page, err := r.Table.Range(ctx, store.JobsTable(known.Pool), layout.IntakePart(id), store.Key(store.KindJob, id))
 	if err != nil {
 		return nil, err
 	}
--- a/overview/overview_test.go
+++ b/overview/overview_test.go
@@ -41,14 +41,14 @@
 	put(store.Row{Table: "servers", Key: "i-3", Value: []byte("?")}, nil)
 	put(store.Row{Table: store.StateTable, Part: "p", Key: store.OwnerKey}, store.Owner{Node: "entry-1", WriteID: "entry-1/x/1"})
 	put(store.Row{Table: store.StateTable, Part: store.FleetPart, Key: store.OwnerKey}, store.Owner{Node: "entry-2", WriteID: "entry-2/x/1"})
-	put(store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending), nil)
+	put(store.EncodeState(store.Layout{}.IntakePart("a"), "a", "q", "p", batch.Pending), nil)
 	put(store.EncodeState("p", "a", "q", "p", batch.Running), nil)
-	put(store.EncodeState(store.IntakePart("b"), "b", "q", "p", batch.Pending), nil)
+	put(store.EncodeState(store.Layout{}.IntakePart("b"), "b", "q", "p", batch.Pending), nil)
 	job, err := (&batch.Job{ID: "a", Queue: "q", Pool: "p", Steps: []batch.Step{{Count: 2, Need: batch.Resources{CPU: 500}}}}).Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	put(store.Row{Table: store.JobsTable("p"), Part: store.IntakePart("a"), Key: store.Key(store.KindJob, "a"), Value: job}, nil)
+	put(store.Row{Table: store.JobsTable("p"), Part: store.Layout{}.IntakePart("a"), Key: store.Key(store.KindJob, "a"), Value: job}, nil)
 	progress, err := (&batch.Progress{State: batch.Running, Runs: []batch.Run{{Index: 1, Number: 2, Worker: "i-1", Failures: 1}}}).Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -142,7 +142,7 @@
 // Guards against an id that was cancelled before a job with it was stored, and that operators see as a cancelled job.
 func TestTombstoneIsNoJob(t *testing.T) {
 	r, table := newFilledReader(t)
-	if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone("d", "p")}}); err != nil {
+	if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeTombstone(store.Layout{}.IntakePart("d"), "d", "p")}}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := r.Job(context.Background(), "d"); !errorx.IsOfType(err, overview.ErrNoJob) {
--- a/store/cancel.go
+++ b/store/cancel.go
@@ -14,14 +14,14 @@
 	cancelTombstone = `{"tombstone":true}`
 )
 
-// EncodeCancel returns the row with the request to cancel a job of the pool. With tombstone set, there is no such job, and EncodeTombstone
+// EncodeCancel returns the row with the request to cancel a job of the pool, in the intake part of the job. With tombstone set, there is no such job, and EncodeTombstone
 // keeps it from being stored.
-func EncodeCancel(pool, id string, tombstone bool) Row {
+func EncodeCancel(part, pool, id string, tombstone bool) Row {
 	value := cancelJob
 	if tombstone {
 		value = cancelTombstone
 	}
-	return Row{Table: JobsTable(pool), Part: IntakePart(id), Key: Key(KindCancel, id), Value: []byte(value)}
+	return Row{Table: JobsTable(pool), Part: part, Key: Key(KindCancel, id), Value: []byte(value)}
 }
 
 // IsTombstoneCancel reports whether the row is one that EncodeCancel returns for a tombstone.
@@ -32,11 +32,11 @@
 	return json.Unmarshal(row.Value, &decoded) == nil && decoded.Tombstone // any other value requests to cancel a job
 }
 
-// EncodeTombstone returns the row of StateTable for an id that was cancelled while no job with it was stored. A write that stores such a job
+// EncodeTombstone returns the row of StateTable, in the intake part, for an id that was cancelled while no job with it was stored. A write that stores such a job
 // requires that the row does not exist, so that it fails even if the store carries it out later. The value is that of a cancelled job
 // without a queue: instances of earlier versions remove it like that of any ended job.
-func EncodeTombstone(id, pool string) Row {
-	return EncodeState(IntakePart(id), id, "", pool, batch.Cancelled)
+func EncodeTombstone(part, id, pool string) Row {
+	return EncodeState(part, id, "", pool, batch.Cancelled)
 }
 
 // TombstoneID returns the id under which the tombstones of a customer are stored for the id of a job, so that they rule out the jobs of this
--- a/store/follower.go
+++ b/store/follower.go
@@ -31,7 +31,7 @@
 	// maxLoadReads is how many parts a load reads at once. Work that depends on the load, such as the jobs of a pool without an
 	// owner, then waits for one answer of a slow store rather than for ten. It is half of the connections that an instance has
 	// to the store.
-	maxLoadReads = 6
+	maxLoadReads = 10
 	// largeAnswerBytes is the size of an answer, in bytes, from which on a follower with NewestOnly reads the table instead of the
 	// feed. The feed contains all versions of a row that were written while an answer was in transit; over a slow link the
 	// follower would fall further and further behind.
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -48,15 +48,15 @@
 	customer string
 }
 
-// EncodeAddress returns the row with the address of the queue that accepted a job, and the customer of the job, which may be empty. Its value is
+// EncodeAddress returns the row, in the intake part, with the address of the queue that accepted a job, and the customer of the job, which may be empty. Its value is
 // the host, a newline and the path prefix, and for a customer another newline and the name. It is a row of its own, as instances of
 // earlier versions read the row of EncodeState. Those that do not know customers find the job by the name of its queue.
-func EncodeAddress(id string, address batch.Address, customer string) Row {
+func EncodeAddress(part, id string, address batch.Address, customer string) Row {
 	value := address.Host + "\n" + address.Prefix
 	if customer != "" {
 		value += "\n" + customer
 	}
-	return Row{Table: StateTable, Part: IntakePart(id), Key: Key(KindAddress, id), Value: []byte(value)}
+	return Row{Table: StateTable, Part: part, Key: Key(KindAddress, id), Value: []byte(value)}
 }
 
 // OwnerEntry is the owner row of a part, with the time at which the copy received its newest version.
@@ -85,6 +85,8 @@
 	jobs      map[string]*JobEntry
 	addresses map[string]accepted // by job; the row can arrive before or after that of the job
 	owners    map[string]OwnerEntry
+	layout    Layout
+	hasLayout bool
 }
 
 // NewStateCache returns an empty copy.
@@ -128,6 +130,8 @@
 	switch {
 	case row.Key == OwnerKey:
 		s.applyOwner(row, now)
+	case row.Key == LayoutKey && row.Part == FleetPart:
+		s.applyLayout(row)
 	case kind == KindAddress:
 		s.applyAddress(id, row)
 	case kind != KindJob:
@@ -145,7 +149,7 @@
 			known = &JobEntry{}
 			s.jobs[id] = known
 		}
-		if row.Part == IntakePart(id) {
+		if strings.HasPrefix(row.Part, intakePrefix) {
 			known.IntakeVersion, known.Tombstone = row.Version, queue == ""
 		}
 		// Rows can arrive out of order: the feed after a load can bring versions older than the loaded ones, and a load can return
@@ -170,6 +174,32 @@
 	s.addresses[id] = accepted{batch.Address{Host: host, Prefix: prefix}, customer}
 }
 
+func (s *StateCache) applyLayout(row Row) {
+	if row.Deleted || s.hasLayout {
+		return
+	}
+	layout, err := DecodeLayout(row.Value)
+	if err != nil {
+		s.logUnreadable(row, err)
+		return
+	}
+	s.layout, s.hasLayout = layout, true
+}
+
+// HasRows reports whether the copy has a row other than the layout.
+func (s *StateCache) HasRows() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.jobs)+len(s.addresses)+len(s.owners) > 0
+}
+
+// Layout returns the layout of the store, and false if it is not known yet.
+func (s *StateCache) Layout() (Layout, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.layout, s.hasLayout
+}
+
 func (s *StateCache) applyOwner(row Row, now clock.Millis) {
 	before, known := s.owners[row.Part]
 	if row.Deleted || before.Version >= row.Version {
--- a/store/state_cache_test.go
+++ b/store/state_cache_test.go
@@ -12,7 +12,7 @@
 // after the row of the owner.
 func TestOwnerStateOverridesInitialState(t *testing.T) {
 	const id = "0000000000000001"
-	first := store.EncodeState(store.IntakePart(id), id, "q", "p", batch.Pending)
+	first := store.EncodeState(store.Layout{}.IntakePart(id), id, "q", "p", batch.Pending)
 	last := store.EncodeState("p", id, "q", "p", batch.Completed)
 	first.Version, last.Version = 3, 8
 	for _, rows := range [][]store.Row{{first, last}, {last, first}} {
--- a/store/tables.go
+++ b/store/tables.go
@@ -1,12 +1,10 @@
 package store
 
 import (
-	"fmt"
-	"hash/fnv"
 	"strings"
 )
 
-// The tables of the product. Their parts are the names of pools, FleetPart, and the parts that IntakePart returns.
+// The tables of the product. Their parts are the names of pools, FleetPart, and the parts that Layout.IntakePart returns.
 const (
 	// StateTable holds the owner of each part and the state of each job; every instance keeps a copy of it. The instance that
 	// accepts a job writes its initial state into the intake part of the job; the owner of the pool writes later states into
@@ -21,28 +19,15 @@
 )
 
 // JobsTable returns the name of the table with the jobs of a pool that have not ended and the requests to cancel them; the
-// owner of the pool keeps a copy of it. Its parts are those that IntakePart returns.
+// owner of the pool keeps a copy of it. Its parts are those that Layout.IntakePart returns.
 func JobsTable(pool string) string { return "jobs." + pool }
 
-// intakePartCount is the number of parts over which accepted jobs are spread. The platform executes the transactions of one
-// part sequentially, 150 per second; a burst of jobs for one pool exceeds this rate.
-const intakePartCount = 8
-
-// IntakePart returns the part in which instances store a new job and requests to cancel it. It differs from the part of the
-// pool, so that writes for callers and writes of the owner do not queue behind each other. The id of a customer's tombstone, see
-// TombstoneID, is in the part of its job.
-func IntakePart(job string) string {
-	job, _, _ = strings.Cut(job, "/")
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(job)) // hash.Hash.Write never returns an error
-	return fmt.Sprintf("intake/%d", h.Sum32()%intakePartCount)
-}
-
 // FleetPart is the part whose owner sends the orders for machines; the status rows for operators are in the same part.
 const FleetPart = ""
 
 // Keys without an id.
 const (
+	LayoutKey = "layout" // in StateTable, FleetPart: the Layout
 	OwnerKey  = "owner"  // in StateTable: the owner of the part, see Owner
 	ReportKey = "report" // in ReportsTable: the owner's report about the pool
 )
