--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -37,7 +37,7 @@
 	eventKeysUnconfirmed = event.New(1095, "keys-unconfirmed", slog.LevelWarn,
 		"the newest configuration has not been confirmed at the store for too long; requests with keys are refused until it is")
 	eventKeysConfirmed = event.New(1096, "keys-confirmed", slog.LevelInfo, "the configuration is confirmed at the store; requests with keys are served")
-	eventNoLayout      = event.New(1097, "layout-not-stored", slog.LevelWarn, "the layout of the store is not known and could not be stored; this instance serves nothing until it is")
+	eventNoLayout      = event.New(1069, "layout-not-stored", slog.LevelWarn, "the layout of the store is not known and could not be stored; this instance serves nothing until it is")
 	eventLateOrder     = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 )
