--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -39,6 +39,7 @@
 	eventKeysConfirmed      = event.New(1096, "keys-confirmed", slog.LevelInfo, "the configuration is confirmed at the store; requests with keys are served")
 	eventTransactionRefused = event.New(1097, "transaction-refused", slog.LevelError, "the store refuses a transaction of a pool for its content; the rows of each job are stored by themselves")
 	eventJobRefused         = event.New(1098, "job-refused", slog.LevelError, "the store refuses the rows of a job for their content; the job fails, because its progress cannot be kept")
+	eventNoLayout           = event.New(1069, "layout-not-stored", slog.LevelWarn, "the layout of the store is not known and could not be stored; this instance serves nothing until it is")
 	eventLateOrder          = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 	eventUnreadableGrant = event.New(1099, "grant-unreadable", slog.LevelError,
--- a/daemon/grants_test.go
+++ b/daemon/grants_test.go
@@ -137,7 +137,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		part := store.IntakePart(id)
+		part := store.Layout{}.IntakePart(id)
 		if _, err := table.Commit(context.Background(), store.Transaction{Puts: []store.Row{store.EncodeState(part, id, "q", "p", batch.Pending),
 			{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, id), Value: value}}}); err != nil {
 			t.Fatal(err)
--- a/daemon/refused_rows_test.go
+++ b/daemon/refused_rows_test.go
@@ -28,7 +28,7 @@
 		}
 		return standin.TableWorks
 	}
-	d := &Daemon{clock: c, table: &store.Monitor{Table: table, Clock: c}}
+	d := &Daemon{clock: c, stateCache: store.NewStateCache(c, nil), table: &store.Monitor{Table: table, Clock: c}}
 	ownership := &store.Ownership{Store: table, Clock: c, Part: "p", Node: "n", Incarnation: "i", SinceBoot: c.Now}
 	if err := ownership.Claim(context.Background(), 0); err != nil {
 		t.Fatal(err)
--- a/front/rename_test.go
+++ b/front/rename_test.go
@@ -96,7 +96,7 @@
 		{"renamed, a route of another pool", []batch.Queue{{Name: "other", Host: "h", Prefix: "/other/", Pool: "elsewhere"}}, "/other/", false},
 	} {
 		s, c := newService(&scriptedTable{})
-		row := store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending)
+		row := store.EncodeState(store.Layout{}.IntakePart("a"), "a", "q", "p", batch.Pending)
 		s.States.Apply(withVersion([]store.Row{row}, 1))
 		s.Configuration = func() *batch.Configuration { return &batch.Configuration{Version: 2, Queues: test.queues} }
 		checkJob(t, test.name, s, c, test.path, test.want)
@@ -107,7 +107,7 @@
 // the path prefix.
 func TestEarlierVersionsFindJobsOfCustomers(t *testing.T) {
 	s, _ := newService(&scriptedTable{})
-	row := store.EncodeState(store.IntakePart("a"), "a", "q", "p", batch.Pending)
+	row := store.EncodeState(store.Layout{}.IntakePart("a"), "a", "q", "p", batch.Pending)
 	misread := batch.Address{Host: "h", Prefix: "/q/\ncustomer"}
 	s.States.Apply(withVersion([]store.Row{row}, 1))
 	if known, ok := s.States.Find("a"); !ok || !s.belongs(store.JobEntry{Queue: known.Queue, Pool: known.Pool, Address: misread}, testQueue) {
--- a/overview/customers_test.go
+++ b/overview/customers_test.go
@@ -40,7 +40,7 @@
 	put(store.Row{Table: store.GrantsTable, Part: store.GrantPart("c08"), Key: store.Key(store.KindGrant, "c08")}, []byte("?"), nil)
 	job := &batch.Job{ID: "a", Queue: "q", Pool: "p", Customer: "c07", Steps: []batch.Step{{Count: 3, Need: batch.Resources{CPU: 500, MemoryMB: 10}}}}
 	value, err = job.Encode()
-	put(store.Row{Table: store.JobsTable("p"), Part: store.IntakePart("a"), Key: store.Key(store.KindJob, "a")}, value, err)
+	put(store.Row{Table: store.JobsTable("p"), Part: store.Layout{}.IntakePart("a"), Key: store.Key(store.KindJob, "a")}, value, err)
 	value, err = (&batch.Progress{State: batch.Running, Runs: []batch.Run{{Index: 0, Number: 1, Done: true}, {Index: 1, Number: 2, Worker: "i-1"},
 		{Index: 2, Number: 1, Worker: "i-2"}}}).Encode()
 	put(store.Row{Table: store.RunsTable, Part: "p", Key: "a"}, value, err)
