front: a bound on the writes for cancels of ids without a stored job

Cause: a DELETE of an id without a row stores a tombstone, so a crowd of them takes the rate of the store from jobs. Above it the answer is 503 with the time until the next token, and outcome unknown, since an earlier request may still store the job. Without the bound each cancel is a write.

--- a/front/codes.go
+++ b/front/codes.go
@@ -18,9 +18,12 @@
 	CodeInvalid   = result.New(2512, "job-invalid", 400, result.NotRun, "the job cannot be carried out as it is described")
 	CodeWithdrawn = result.New(2513, "job-cancelled-before", 503, result.NotRun, "the id was cancelled before a job with it was stored; the job will not run")
 	CodeNotFound  = result.New(2514, "job-not-found", 410, result.Unknown, "no such job is stored now; an earlier request that got no answer may still store it, unless the job is cancelled")
+	CodeTooLarge  = result.New(2515, "body-too-large", 413, result.NotRun, "the body is over the limit for the body of a request; it was not read")
 	CodeNotReady  = result.New(2520, "not-ready", 503, result.Unknown, "this instance has no configuration or no copy of the jobs yet")
 	CodeNotStored = result.New(2521, "job-not-stored", 504, result.Unknown, "the platform's store did not take the job from this request, but may still carry out an earlier one; repeat the request with the same id, or cancel the job")
 	CodeUnknown   = result.New(2522, "job-outcome-unknown", 504, result.Unknown, "the platform's store did not tell in time whether it has the job; repeat the request with the same id")
+	CodeNoMemory  = result.New(2524, "no-memory-for-body", 504, result.Unknown, "this instance has no memory for the body; this request was not run, but an earlier one with the id may have stored the job; repeat the request with the same id")
+	CodeDeferred  = result.New(2525, "cancel-deferred", 503, result.Unknown, "too many ids without a stored job are being cancelled at this instance; nothing was cancelled, and an earlier request may still store the job")
 	CodeStale     = result.New(2523, "state-unknown", 503, result.Unknown, "this instance is cut off from the platform's store and cannot tell")
 )
 
--- a/front/service.go
+++ b/front/service.go
@@ -48,8 +48,11 @@
 	CopyAge func() clock.Millis
 	// WallClock returns the milliseconds since 1970.
 	WallClock func() clock.Millis
+	// TombstoneRate is the number of ids without a stored job that callers may cancel in a second, because each costs a write; 0: no limit.
+	TombstoneRate float64
 
-	breaker breaker
+	breaker    breaker
+	tombstones bucket
 }
 
 // Match returns the queue for the host and path of a request and the rest of the path after the queue's prefix, or a refusal.
@@ -229,6 +232,10 @@
 // storeTombstone stores a tombstone for an id that is missing from the local copy, and returns the entry that the store has then. This is
 // the entry of a job if another instance has stored it meanwhile.
 func (s *Service) storeTombstone(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
+	if after := s.tombstones.take(s.TombstoneRate, s.Clock.Now()); after > 0 {
+		tombstonesDeferred.Add(1)
+		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after) // not logged: a crowd can cause any number
+	}
 	tombstone := store.EncodeTombstone(id, queue.Pool)
 	cancel := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
 	outcome, err := s.write(ctx, store.Transaction{
