daemon, platform: doors in front of callers, the ready path and metrics

Cause: 16 of the 24 crowds of package crowd broke a bound: bodies without a common bound, decoded before they were checked, and connections without one. Change: the three servers stand behind doors; bodies are read into the memory that Room gives, refused with 413 over the limit (Content-Length: before reading), and checked for steps, values and levels before decoding. A body that did not arrive whole gets no answer: it was called invalid. The limits of the configuration are decoded and go first. A body that finds no memory is refused with 504, not 503: 503 says that the job never runs, and an earlier attempt may have stored it. Settings doors, counters doors and cancels-deferred, a log line connections-closed at most every 10 s for each address. GOMEMLIMIT of the environment goes before memory-mb. Result: go test ./crowd -count=1, crowds and bounds unchanged: 24 of 24 pass in two runs (27 to 31 s, before 120 s); the highest memory of the second run is 55 MB (bound 96; bodies/queue 48 MB, before 165; many short fields/queue 39 MB, before 683), the most descriptors 197 (bound 300, before 418). go test ./platform ./front ./daemon ./command ./batch passes.

--- a/batch/configuration.go
+++ b/batch/configuration.go
@@ -49,11 +49,20 @@
 	Standby bool // the machines are off and cost nothing until they are moved to another pool
 }
 
+// Limits are the limits of the callers' requests; 0: not given.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout clock.Millis // until the headers are complete
+	IdleTimeout   clock.Millis // of a connection between two requests
+}
+
 // Configuration is one version of the operators' configuration. It must not be changed after it has been built.
 type Configuration struct {
 	Version int64
 	Queues  []Queue
 	Pools   []Pool
+	Limits  Limits
 
 	customers []Customer
 	byName    map[string]*Customer
--- a/command/run.go
+++ b/command/run.go
@@ -48,7 +48,7 @@
 		signal.Stop(hangups)
 		close(hangups)
 	}()
-	if o.Settings.MemoryMB > 0 {
+	if o.Settings.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(int64(o.Settings.MemoryMB) << 20 * memoryLimitPercent / 100)
 	}
 	sink := event.NewSink(os.Stdout)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"expvar"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,6 +17,7 @@
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
+	"magnoliaferry/door"
 	"magnoliaferry/front"
 	"magnoliaferry/machines"
 	"magnoliaferry/metrics"
@@ -39,11 +39,9 @@
 	// An instance reports that it is not ready while its copy of StateTable is older than readyAge or the store has not
 	// answered for readySilence: other instances serve callers better then. The balancer polls once a second and takes the
 	// instance out after two failed polls.
-	readyAge      = 2500 * clock.Millis(1)
-	readySilence  = 1 * clock.Second
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 120 * time.Second
-	drainTime     = 3 * clock.Second // from SIGTERM to the end of listening; the balancer stops sending requests meanwhile
+	readyAge     = 2500 * clock.Millis(1)
+	readySilence = 1 * clock.Second
+	drainTime    = 3 * clock.Second // from SIGTERM to the end of listening; the balancer stops sending requests meanwhile
 )
 
 var (
@@ -143,21 +141,18 @@
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
 	service := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
 		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
-	callers := &http.Server{Handler: &platform.Front{Service: service}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	service.TombstoneRate = or(d.Settings.Doors.CancelsPerS, defaultCancelsPerS)
+	callersDoor, callers := d.callersServer(&platform.Front{Service: service})
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
-	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	readyDoor, ready := d.newDoor("ready", readyPlaces, door.WithoutBodies(mux))
 	failed := make(chan error, 3)
-	d.serveMetrics(failed)
-	for _, server := range []struct {
-		server  *http.Server
-		address string
-	}{{callers, d.Settings.Listen.Callers}, {ready, d.Settings.Listen.Ready}} {
-		listener, err := net.Listen("tcp", server.address)
-		if err != nil {
-			return err
-		}
-		go func() { failed <- server.server.Serve(listener) }()
+	d.serveMetrics(follow, failed)
+	if err := serve(follow, callersDoor, callers, d.Settings.Listen.Callers, failed); err != nil {
+		return err
+	}
+	if err := serve(follow, readyDoor, ready, d.Settings.Listen.Ready, failed); err != nil {
+		return err
 	}
 	eventStarted.Log(ctx, d.Logger, slog.String("node", d.Settings.Node), slog.String("zone", d.Settings.Zone),
 		slog.String("incarnation", d.incarnation))
@@ -193,20 +188,18 @@
 }
 
 // serveMetrics serves expvar if the settings have an address for it. If it cannot listen, it logs this and the instance runs on.
-func (d *Daemon) serveMetrics(failed chan<- error) {
+func (d *Daemon) serveMetrics(ctx context.Context, failed chan<- error) {
 	if d.Settings.Metrics == "" {
 		return
 	}
-	listener, err := net.Listen("tcp", d.Settings.Metrics)
-	if err != nil {
-		eventListenFailed.Log(context.Background(), d.Logger, slog.String("error", err.Error()))
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	guard, server := d.newDoor("metrics", metricsPlaces, door.WithoutBodies(mux))
+	if err := serve(ctx, guard, server, d.Settings.Metrics, failed); err != nil {
+		eventListenFailed.Log(ctx, d.Logger, slog.String("error", err.Error()))
 		return
 	}
 	d.publish()
-	mux := http.NewServeMux()
-	mux.Handle("/debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { failed <- server.Serve(listener) }()
 }
 
 // publish adds the gauges of the instance to expvar.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -59,6 +59,8 @@
 	RemoteFactor    float64      `json:"remote-factor"` // factor for the run time of a task away from its data or its group; 0 if not known
 	MaxFiles        int          `json:"max-files"`     // descriptors that the process may have open; 0 if not known
 
+	Doors DoorSettings `json:"doors"` // limits for clients
+
 	StopGrace      Seconds `json:"stop-grace-s"`      // from SIGTERM to the end of the process
 	StateRetention Seconds `json:"state-retention-s"` // for which callers can read the state of an ended job
 }
@@ -116,6 +118,7 @@
 			faults.Add(diag.New(DiagAddress, path, 0, field, fmt.Sprintf("%q is not an address and a port: %v", value, err)))
 		}
 	}
+	s.Doors.check(path, &faults)
 	if s.MachineOrderRate < 0 {
 		faults.Add(diag.New(DiagRange, path, 0, "/machine-orders-per-s", fmt.Sprintf("%g is not a rate of at least 0", s.MachineOrderRate)))
 	}
