door, daemon, batch: bounds for unread bytes and for jobs that no row can hold

Cause: trials on a scratch copy of package crowd with memory-mb 284 and other crowds. 100 clients that open 50 connections each and send bodies that stop short took the process to 727 MB, of which 703 MB were received and not read: connections that wait to be accepted have buffers too. 600 jobs with a label of 255 KB on a slow store took 212 MB: each was held while the store, which can never hold it, was asked again. Change: smaller socket buffers, a backlog of 256 connections, a quarter of the memory for connections. Job.Encode refuses a job over the 64 KiB of a row, with 400.

--- a/batch/job.go
+++ b/batch/job.go
@@ -23,6 +23,8 @@
 	MaxSteps     = 64
 	// MaxTasks bounds the tasks of all steps and occurrences: their stored progress has to fit into one row of 64 KiB.
 	MaxTasks = 650
+	// MaxEncodedBytes bounds the stored form of a job: it is one row, of 64 KiB at most.
+	MaxEncodedBytes = 64 << 10
 )
 
 // Resources is an amount of processor, memory and accelerators.
@@ -140,8 +142,14 @@
 	return nil
 }
 
-// Encode returns the stored form of the job.
-func (j *Job) Encode() ([]byte, error) { return json.Marshal(j) }
+// Encode returns the stored form of the job. It returns an ErrInvalid if that is too large for the store.
+func (j *Job) Encode() ([]byte, error) {
+	value, err := json.Marshal(j)
+	if err == nil && len(value) > MaxEncodedBytes {
+		return nil, ErrInvalid.New("job takes %d bytes in the store, at most %d are allowed", len(value), MaxEncodedBytes)
+	}
+	return value, err
+}
 
 // DecodeJob decodes the stored form of a job. Its errors are of type ErrInvalid.
 func DecodeJob(value []byte) (*Job, error) {
--- a/batch/job_test.go
+++ b/batch/job_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"github.com/joomcode/errorx"
 )
 
 // Guards against accepting jobs that can never be completed, or whose progress does not fit into a row of the store.
@@ -61,3 +63,16 @@
 		}
 	}
 }
+
+// Guards against a job whose stored form no row can hold: writing it would be repeated, with its memory held, until its caller's time is over.
+func TestJobTooLargeForARow(t *testing.T) {
+	for _, test := range []struct {
+		bytes int
+		want  bool
+	}{{1000, true}, {MaxEncodedBytes, false}} {
+		job := Job{ID: "j", Steps: []Step{{Count: 1, Label: strings.Repeat("x", test.bytes)}}}
+		if _, err := job.Encode(); (err == nil) != test.want || err != nil && !errorx.IsOfType(err, ErrInvalid) {
+			t.Errorf("label of %d bytes got error %v, want success %t", test.bytes, err, test.want)
+		}
+	}
+}
--- a/daemon/doors.go
+++ b/daemon/doors.go
@@ -44,7 +44,7 @@
 // Sizes from which the defaults are derived.
 const (
 	connectionBytes    = 96 << 10 // a connection with its goroutine, its buffers and what its client has sent ahead
-	connectionsPart    = 3        // one part in this many of the memory is for connections
+	connectionsPart    = 4        // one part in this many of the memory is for connections
 	bodiesPart         = 8        // and one in this many for bodies, as decoding and storing a body takes several times its size
 	filesShare         = 200      // descriptors that the platform keeps for files
 	headerMargin       = 4 << 10  // bytes of the first line of a request, above the limit of its headers
@@ -120,7 +120,7 @@
 	return limits
 }
 
-// newDoor returns a door and a server behind it, which has no time limits of its own.
+// newDoor returns a door and a server behind it, which has no timeouts of its own.
 func (d *Daemon) newDoor(name string, places int, handler http.Handler) (*door.Door, *http.Server) {
 	guard := &door.Door{Name: name, Clock: d.clock, Logger: d.Logger, Places: places, PerClient: d.Settings.Doors.PerClient, Limits: d.doorLimits}
 	return guard, &http.Server{Handler: handler, ConnState: guard.ConnState, ConnContext: door.Context}
--- a/door/door.go
+++ b/door/door.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"magnoliaferry/clock"
 )
@@ -40,6 +41,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if socket, ok := inner.(syscall.Conn); ok {
+		raw, err := socket.SyscallConn()
+		if err == nil {
+			err = boundBacklog(raw)
+		}
+		if err != nil {
+			_ = inner.Close() // the first error counts
+			return nil, err
+		}
+	}
 	return &listener{inner, d}, nil
 }
 
--- a/door/socket_linux.go
+++ b/door/socket_linux.go
@@ -6,8 +6,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// socketBuffer is the size of the receive and send buffers of a connection in bytes; the kernel grows those without a size to megabytes.
-const socketBuffer = 64 << 10
+const (
+	// socketBuffer is the size of the receive and send buffers of a connection in bytes; the kernel takes twice as much, and grows
+	// buffers without a size to megabytes.
+	socketBuffer = 32 << 10
+	// backlog is the number of connections that wait to be accepted. They hold unread bytes, too.
+	backlog = 256
+)
 
 // boundBuffers sets the sizes of the buffers of a listening socket, which its connections inherit. It ignores failures: the door works without.
 func boundBuffers(_, _ string, socket syscall.RawConn) error {
@@ -16,3 +21,8 @@
 		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
 	})
 }
+
+// boundBacklog bounds the backlog of a listening socket. It ignores failures, as boundBuffers does.
+func boundBacklog(socket syscall.RawConn) error {
+	return socket.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+}
--- a/door/socket_other.go
+++ b/door/socket_other.go
@@ -6,3 +6,6 @@
 
 // boundBuffers leaves the buffers as they are: instances run on Linux.
 func boundBuffers(_, _ string, _ syscall.RawConn) error { return nil }
+
+// boundBacklog leaves the backlog as it is.
+func boundBacklog(_ syscall.RawConn) error { return nil }
