--- a/door/choose.go
+++ b/door/choose.go
@@ -15,7 +15,7 @@
 
 // Times of the decisions about connections and bodies.
 const (
-	// minStay is the age from which a connection or a body can lose its place to a newcomer. Most requests have arrived whole by then.
+	// minStay is the age from which a body can lose its memory to a newcomer. Most bodies have arrived whole by then.
 	minStay = 500 * clock.Millis(1)
 	// slowAge is the age from which an incomplete request or a blocked answer is closed before an idle connection.
 	slowAge = 1 * clock.Second
@@ -85,7 +85,7 @@
 }
 
 // preference returns how soon a connection is closed when a newcomer needs its place: 0 first; ok is false if it keeps its place. It answers crowds
-// that open more connections than there are places.
+// that open more connections than there are places. A newcomer that sends its request at once is served before as many others have come as there are places.
 func (l *Limits) preference(c connection, now clock.Millis) (class int, ok bool) {
 	age := now - c.since
 	switch {
@@ -98,7 +98,7 @@
 	case age >= slowAge && (c.phase == Headers || c.received < int64(age)*l.MinimumRate/int64(clock.Second)):
 		return 0, true
 	}
-	return 2, age >= minStay
+	return 2, true
 }
 
 // chooser finds the connection that is closed for a newcomer: of those with the lowest preference, the one whose phase has lasted longest.
