--- a/front/service.go
+++ b/front/service.go
@@ -51,8 +51,11 @@
 	KeysConfirmed func() bool
 	// WallClock returns the milliseconds since 1970.
 	WallClock func() clock.Millis
+	// TombstoneRate is the number of ids without a stored job that callers may cancel in a second, because each costs a write; 0: no limit.
+	TombstoneRate float64
 
-	breaker breaker
+	breaker    breaker
+	tombstones bucket
 }
 
 // Submit stores a job in the queue, and waits for the store at most wait and at most maxStoreWait. It sets the fields of the job
@@ -249,6 +252,10 @@
 // entry of a job if another instance has stored it meanwhile. The id of a job that the caller may not see gets a tombstone like an id without
 // a job, which does not affect that job.
 func (s *Service) storeTombstone(ctx context.Context, access *Access, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
+	if after := s.tombstones.take(s.TombstoneRate, s.Clock.Now()); after > 0 {
+		tombstonesDeferred.Add(1)
+		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after) // not logged: a crowd can cause any number
+	}
 	pool, tombstoneID := access.queue.Pool, access.tombstone(id)
 	part := s.intakePart(id)
 	tombstone := store.EncodeTombstone(part, tombstoneID, pool)
