store, daemon: the timeout of a claim follows the duration of reads

Cause: while the store takes a hundred times as long, a claim takes longer than the 0.9 s after which it was repeated, and each repeat waits behind the claims of other instances in the same part. No instance learns that its claim was applied: the part has an owner row and no owner. Change: the first attempt waits for six times the duration of the read that precedes the claim, at most 2.7 s. Giving up claims that the store rejects was tried and made no difference there; it is not kept.

--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -38,6 +38,9 @@
 	slowReadFactor = 12
 	maxClaimJitter = 120 * clock.Millis(1) // spreads the claims of the instances
 	claimTimeout   = 3 * clock.Second
+	// claimReads is the timeout of the first attempt at a claim, as a multiple of the duration of a read. A transaction takes about twice as
+	// long as a read and may wait for others in its part; repeating it before its answer adds to that wait.
+	claimReads = 6
 	// An instance delays its claim by claimDelayPerPart * (parts/cores - 1/strongest), where parts is the number of parts that it
 	// would own, cores its processor and strongest that of the strongest instance, both in cores. Strong instances and those
 	// that own nothing claim first. The copies of StateTable on two instances can be statePeriod apart; with a shorter delay, a
@@ -68,6 +71,7 @@
 	// No claim that replaces this version of the owner's row is made before deferredUntil, as the store was slow.
 	deferredVersion int64
 	deferredUntil   clock.Millis
+	lastRead        clock.Millis // duration of the newest read of the owner's row
 	vacantSince     clock.Millis // when this instance found that the part has no owner; 0 while it has one
 }
 
@@ -151,6 +155,7 @@
 		version = page.Rows[0].Version
 	}
 	took := d.clock.Now() - started
+	c.lastRead = took
 	wait := min(slowReadFactor*took, takeoverMax)
 	if silent := d.clock.Now() - seen.FirstSeen; version == seen.Version && silent < wait && !seen.Owner.Released {
 		c.deferredVersion, c.deferredUntil = seen.Version, seen.FirstSeen+wait
@@ -196,7 +201,8 @@
 		slog.Int64("interval-ms", int64(interval)), slog.Int64("healthy-ms", int64(d.stateFeed.HealthyFor())),
 		slog.Int64("version", seen.Version))
 	ownership := &store.Ownership{Store: d.table, Clock: d.clock, Logger: d.Logger, Part: c.part,
-		Node: d.Settings.Node, Cores: d.Settings.Cores(), Incarnation: d.incarnation, SinceBoot: d.sinceBoot}
+		Node: d.Settings.Node, Cores: d.Settings.Cores(), Incarnation: d.incarnation, SinceBoot: d.sinceBoot,
+		FirstTimeout: claimReads * c.lastRead}
 	claimContext, cancel := d.clock.WithTimeout(ctx, claimTimeout)
 	err := ownership.Claim(claimContext, seen.Version)
 	cancel()
--- a/front/slow_store_test.go
+++ b/front/slow_store_test.go
@@ -12,41 +12,12 @@
 	"magnoliaferry/store"
 )
 
-// slowTable carries out the transactions of each part one after another, each in txTime, and rejects them while more than a second of them
-// waits in the part.
-type slowTable struct {
-	*standin.Table
-	clock  *clock.Clock
-	txTime clock.Millis
-
-	mu   sync.Mutex
-	busy map[string]clock.Millis // until when, by part
-}
-
-func (t *slowTable) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
-	part := tx.Puts[0].Part
-	t.mu.Lock()
-	now := t.clock.Now()
-	if t.busy[part] > now+clock.Second {
-		t.mu.Unlock()
-		return store.Result{}, store.ErrRejected.New("too many transactions wait")
-	}
-	t.busy[part] = max(t.busy[part], now) + t.txTime
-	wait := t.busy[part] - now
-	t.mu.Unlock()
-	if t.clock.Sleep(ctx, wait) != nil {
-		_, _ = t.Table.Commit(context.Background(), tx) // the caller is told nothing of the outcome
-		return store.Result{}, store.ErrUnknown.New("no answer in time")
-	}
-	return t.Table.Commit(ctx, tx)
-}
-
 // playSlowStore lets callers submit 100 jobs a second for five seconds, four attempts each, and returns the part of the jobs that they were told
 // to be accepted.
 func playSlowStore(t *testing.T, layout store.Layout) float64 {
 	const instances, perSecond, seconds, attempts = 10, 100, 5, 4
 	c := clock.NewFake(1000)
-	table := &slowTable{Table: standin.NewTable(), clock: c, txTime: 400, busy: map[string]clock.Millis{}}
+	table := &standin.SlowTable{Table: standin.NewTable(), Clock: c, Transaction: 400}
 	f := &fleetOfServices{table: table.Table, clock: c, instances: make([]*Service, instances)}
 	row, err := store.EncodeLayout(layout)
 	if err != nil {
--- a/store/ownership.go
+++ b/store/ownership.go
@@ -74,6 +74,8 @@
 	Node        string
 	Cores       float64 // processor cores of the node
 	Incarnation string  // unique for this process
+	// FirstTimeout is the timeout of the first attempt of Claim; smaller values than AttemptTimeout stand for it.
+	FirstTimeout clock.Millis
 	// SinceBoot returns the time since the machine was booted, including time during which it was suspended.
 	SinceBoot func() clock.Millis
 
@@ -105,6 +107,7 @@
 func (c *Ownership) Claim(ctx context.Context, seen int64) error {
 	c.mu.Lock()
 	c.version, c.claimSent = seen, c.SinceBoot()
+	c.timeout = min(c.FirstTimeout, maxAttemptTimeout)
 	c.mu.Unlock()
 	if err := c.Commit(ctx, nil, nil); err != nil {
 		return err
