daemon: the doors keep to the process's own limit of descriptors where max-files is not set

Cause: an instance without max-files and with a low limit of descriptors had places for more connections than it can open. Change: places takes the smaller of what memory and descriptors allow, the latter from max-files or else from RLIMIT_NOFILE.

--- a/daemon/doors.go
+++ b/daemon/doors.go
@@ -75,14 +75,14 @@
 	return setting
 }
 
-// places returns the number of connections of callers that the instance holds at once.
-func (s *Settings) places() int {
+// places returns the number of connections of callers that the instance holds at once. The process may have openFiles descriptors; 0 if not known.
+func (s *Settings) places(openFiles int) int {
 	places := defaultConnections
 	if s.MemoryMB > 0 {
 		places = (s.MemoryMB << 20) / connectionsPart / connectionBytes
 	}
-	if s.MaxFiles > 0 {
-		places = min(places, (s.MaxFiles-filesShare)*callersNumerator/callersDenominator-readyPlaces-metricsPlaces)
+	if files := or(s.MaxFiles, openFiles); files > 0 {
+		places = min(places, (files-filesShare)*callersNumerator/callersDenominator-readyPlaces-metricsPlaces)
 	}
 	return or(s.Doors.Connections, max(places, minimumPlaces))
 }
@@ -139,7 +139,7 @@
 
 // callersServer returns the server for callers and its door.
 func (d *Daemon) callersServer(handler *platform.Front) (*door.Door, *http.Server) {
-	guard, server := d.newDoor("callers", d.Settings.places(), door.Handler(handler))
+	guard, server := d.newDoor("callers", d.Settings.places(door.OpenFiles()), door.Handler(handler))
 	handler.Bodies = &door.Room{Bytes: d.Settings.bodyMemory(), Clock: d.clock, Door: guard}
 	return guard, server
 }
--- a/daemon/doors_test.go
+++ b/daemon/doors_test.go
@@ -11,18 +11,20 @@
 // Guards against doors that take all memory or descriptors of an instance, and against settings that have no effect.
 func TestDoorDefaults(t *testing.T) {
 	for _, test := range []struct {
-		settings Settings
-		places   int
-		bodies   int64
+		settings  Settings
+		openFiles int
+		places    int
+		bodies    int64
 	}{
-		{Settings{}, defaultConnections, defaultBodyMemory},
-		{Settings{MemoryMB: 284}, 757, 284 << 20 / 8},
-		{Settings{MemoryMB: 184, MaxFiles: 4100}, 490, 23 << 20},
-		{Settings{MemoryMB: 8000, MaxFiles: 4100}, 2877, 1000 << 20},
-		{Settings{MemoryMB: 8000, MaxFiles: 100}, minimumPlaces, 1000 << 20},
-		{Settings{MemoryMB: 284, Doors: DoorSettings{Connections: 7, BodyMemoryMB: 3}}, 7, 3 << 20},
+		{Settings{}, 0, defaultConnections, defaultBodyMemory},
+		{Settings{MemoryMB: 284}, 0, 757, 284 << 20 / 8},
+		{Settings{MemoryMB: 184, MaxFiles: 4100}, 0, 490, 23 << 20},
+		{Settings{MemoryMB: 8000, MaxFiles: 4100}, 1000, 2877, 1000 << 20},
+		{Settings{MemoryMB: 8000}, 1000, 552, 1000 << 20},
+		{Settings{MemoryMB: 8000, MaxFiles: 100}, 0, minimumPlaces, 1000 << 20},
+		{Settings{MemoryMB: 284, Doors: DoorSettings{Connections: 7, BodyMemoryMB: 3}}, 0, 7, 3 << 20},
 	} {
-		if got, want := test.settings.places(), test.places; got != want {
+		if got, want := test.settings.places(test.openFiles), test.places; got != want {
 			t.Errorf("%d MB, %d descriptors: got %d places, want %d", test.settings.MemoryMB, test.settings.MaxFiles, got, want)
 		}
 		if got, want := test.settings.bodyMemory(), test.bodies; got != want {
--- a/door/socket_linux.go
+++ b/door/socket_linux.go
@@ -12,6 +12,8 @@
 	socketBuffer = 32 << 10
 	// backlog is the number of connections that wait to be accepted. They hold unread bytes, too.
 	backlog = 256
+	// maxOpenFiles is the largest limit of descriptors that is taken for one.
+	maxOpenFiles = 1 << 20
 )
 
 // boundBuffers sets the sizes of the buffers of a listening socket, which its connections inherit. It ignores failures: the door works without.
@@ -26,3 +28,12 @@
 func boundBacklog(socket syscall.RawConn) error {
 	return socket.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
 }
+
+// OpenFiles returns the number of descriptors that the process may have open; 0 if there is no limit or it is not known.
+func OpenFiles() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxOpenFiles {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- a/door/socket_other.go
+++ b/door/socket_other.go
@@ -9,3 +9,6 @@
 
 // boundBacklog leaves the backlog as it is.
 func boundBacklog(_ syscall.RawConn) error { return nil }
+
+// OpenFiles returns 0, as the limit is not known.
+func OpenFiles() int { return 0 }
