--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -141,7 +142,7 @@
 	go func() { _ = d.table.Run(follow) }() // returns only when its context ends
 	service := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
 		Configuration: d.configuration.Load, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
-	service.TombstoneRate = or(d.Settings.Doors.CancelsPerS, defaultCancelsPerS)
+	service.TombstoneRate = cmp.Or(d.Settings.Doors.CancelsPerS, defaultCancelsPerS)
 	callersDoor, callers := d.callersServer(&platform.Front{Service: service})
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, d.ready)
--- a/daemon/doors.go
+++ b/daemon/doors.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -67,24 +68,16 @@
 	}
 }
 
-// or returns the setting, or the default if it is 0.
-func or[T int | int64 | float64 | clock.Millis](setting, byDefault T) T {
-	if setting == 0 {
-		return byDefault
-	}
-	return setting
-}
-
 // places returns the number of connections of callers that the instance holds at once. The process may have openFiles descriptors; 0 if not known.
 func (s *Settings) places(openFiles int) int {
 	places := defaultConnections
 	if s.MemoryMB > 0 {
 		places = (s.MemoryMB << 20) / connectionsPart / connectionBytes
 	}
-	if files := or(s.MaxFiles, openFiles); files > 0 {
+	if files := cmp.Or(s.MaxFiles, openFiles); files > 0 {
 		places = min(places, (files-filesShare)*callersNumerator/callersDenominator-readyPlaces-metricsPlaces)
 	}
-	return or(s.Doors.Connections, max(places, minimumPlaces))
+	return cmp.Or(s.Doors.Connections, max(places, minimumPlaces))
 }
 
 // bodyMemory returns the memory for bodies in bytes.
@@ -93,16 +86,16 @@
 	if s.MemoryMB > 0 {
 		memory = int64(s.MemoryMB) << 20 / bodiesPart
 	}
-	return or(int64(s.Doors.BodyMemoryMB)<<20, memory)
+	return cmp.Or(int64(s.Doors.BodyMemoryMB)<<20, memory)
 }
 
 // doorLimits returns the limits in force: those of the settings, and where the configuration allows callers more, its own.
 func (d *Daemon) doorLimits() door.Limits {
 	s := &d.Settings.Doors
-	limits := door.Limits{HeaderBytes: or(s.HeaderBytes, defaultHeaderBytes) + headerMargin, HeaderLines: or(s.HeaderLines, defaultHeaderLines),
-		HeaderTimeout: or(s.HeaderTimeout, defaultHeaderTimeout), IdleTimeout: or(s.IdleTimeout, defaultIdleTimeout),
-		SlowGrace: or(s.SlowGrace, defaultSlowGrace), MinimumRate: or(s.MinimumRate, defaultMinimumRate),
-		WriteTimeout: or(s.WriteTimeout, defaultWriteTimeout)}
+	limits := door.Limits{HeaderBytes: cmp.Or(s.HeaderBytes, defaultHeaderBytes) + headerMargin, HeaderLines: cmp.Or(s.HeaderLines, defaultHeaderLines),
+		HeaderTimeout: cmp.Or(s.HeaderTimeout, defaultHeaderTimeout), IdleTimeout: cmp.Or(s.IdleTimeout, defaultIdleTimeout),
+		SlowGrace: cmp.Or(s.SlowGrace, defaultSlowGrace), MinimumRate: cmp.Or(s.MinimumRate, defaultMinimumRate),
+		WriteTimeout: cmp.Or(s.WriteTimeout, defaultWriteTimeout)}
 	limits.BusyHeaderTimeout, limits.BusyIdleTimeout = limits.HeaderTimeout, limits.IdleTimeout
 	c := d.configuration.Load()
 	if c == nil {
--- a/front/bucket_test.go
+++ b/front/bucket_test.go
@@ -1,8 +1,11 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 
 	"magnoliaferry/clock"
@@ -14,6 +17,8 @@
 	table := &scriptedTable{}
 	s, fake := newService(table)
 	s.TombstoneRate = rate
+	var lines bytes.Buffer
+	s.Logger = slog.New(slog.NewTextHandler(&lines, nil))
 	cancel := func(i int) (code int, after clock.Millis) {
 		refusal := s.Cancel(context.Background(), testQueue, fmt.Sprintf("absent%d", i), 2900)
 		return refusal.Code().Number(), refusal.RetryAfter()
@@ -28,6 +33,9 @@
 			t.Fatalf("cancel %d got code %d, Retry-After %d ms, want %d", i, code, after, want.Number())
 		}
 	}
+	if got, want := strings.Count(lines.String(), "cancels-deferred"), 1; got != want {
+		t.Errorf("got %d log lines about refused cancels, want %d", got, want)
+	}
 	if got, want := table.calls, burst; got != want {
 		t.Errorf("the store got %d writes, want %d", got, want)
 	}
--- a/front/codes.go
+++ b/front/codes.go
@@ -32,6 +32,7 @@
 	eventRepeated  = event.New(2551, "job-repeated", slog.LevelInfo, "a job that is already stored was submitted again")
 	eventRefused   = event.New(2552, "request-refused", slog.LevelWarn, "a request about a job was refused")
 	eventTombstone = event.New(2554, "job-id-withdrawn", slog.LevelInfo, "an id without a stored job was cancelled; a job with this id can no longer be stored")
+	eventDeferred  = event.New(2555, "cancels-deferred", slog.LevelWarn, "cancels of ids without a stored job were refused because there were too many; the count is that since the last such line")
 	eventCancelled = event.New(2553, "job-cancel-stored", slog.LevelInfo, "a request to cancel a job has been stored")
 )
 
--- a/front/service.go
+++ b/front/service.go
@@ -234,7 +234,10 @@
 func (s *Service) storeTombstone(ctx context.Context, queue *batch.Queue, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
 	if after := s.tombstones.take(s.TombstoneRate, s.Clock.Now()); after > 0 {
 		tombstonesDeferred.Add(1)
-		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after) // not logged: a crowd can cause any number
+		if n := s.tombstones.report(s.Clock.Now()); n > 0 {
+			eventDeferred.Log(ctx, s.Logger, slog.Int64("count", n))
+		}
+		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after)
 	}
 	tombstone := store.EncodeTombstone(id, queue.Pool)
 	cancel := store.EncodeCancel(queue.Pool, id, true) // from this row the owner of the pool learns of the tombstone
