--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -131,7 +132,7 @@
 func (d *Daemon) service() *front.Service {
 	s := &front.Service{Table: d.table, States: d.stateCache, Clock: d.clock, Logger: d.Logger,
 		Configuration: d.configurationForCallers, Reachable: d.table.Reachable, CopyAge: d.stateFeed.Age, WallClock: d.wall}
-	s.TombstoneRate = or(d.Settings.Doors.CancelsPerS, defaultCancelsPerS)
+	s.TombstoneRate = cmp.Or(d.Settings.Doors.CancelsPerS, defaultCancelsPerS)
 	if d.Settings.RevocationLimit > 0 {
 		s.KeysConfirmed = d.keysConfirmed
 	}
--- a/front/service.go
+++ b/front/service.go
@@ -254,7 +254,10 @@
 func (s *Service) storeTombstone(ctx context.Context, access *Access, id string, wait clock.Millis) (store.JobEntry, *result.Refusal) {
 	if after := s.tombstones.take(s.TombstoneRate, s.Clock.Now()); after > 0 {
 		tombstonesDeferred.Add(1)
-		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after) // not logged: a crowd can cause any number
+		if n := s.tombstones.report(s.Clock.Now()); n > 0 {
+			eventDeferred.Log(ctx, s.Logger, slog.Int64("count", n))
+		}
+		return store.JobEntry{}, result.Refuse(CodeDeferred, "", after)
 	}
 	pool, tombstoneID := access.queue.Pool, access.tombstone(id)
 	part := s.intakePart(id)
