precheck: check an operators' configuration and compare two

Cause: instances take the first of two queues with one address and the last of two customers with one key, and ignore a version that is not higher. Change: platform.ReadDraft reads the configuration with the place of each value, along the types that DecodeConfiguration decodes; precheck finds faults and warnings and says when each difference takes effect. No key leaves ReadDraft. Diagnostics 1070 to 1093. What instances decode is unchanged. Result: go test ./precheck ./platform ./daemon ./cmd/doctables passes, -race for the first two.

--- a/cmd/doctables/main_test.go
+++ b/cmd/doctables/main_test.go
@@ -12,6 +12,7 @@
 	"magnoliaferry/config"
 	"magnoliaferry/daemon"
 	"magnoliaferry/diag"
+	"magnoliaferry/precheck"
 	"magnoliaferry/settings"
 )
 
@@ -43,6 +44,7 @@
 	declared := config.Codes()
 	maps.Copy(declared, settings.Codes())
 	maps.Copy(declared, daemon.Codes())
+	maps.Copy(declared, precheck.Codes())
 	if got, want := fmt.Sprint(documented), fmt.Sprint(declared); got != want {
 		t.Errorf("diagnostics in docs/diagnostics.md: got %s, want %s", got, want)
 	}
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -20,6 +20,10 @@
 // confirmation can be two polls old, as the answer to the last one is lost; keys that hold are then accepted for the rest of the limit.
 const confirmationsPerLimit = 10
 
+// MinRevocationLimit is the shortest Settings.RevocationLimit with which keys are accepted until the store counts as unresponsive (0.7 s): of
+// the limit, 0.9 hold after a confirmation, and the newest one can be 0.2 old.
+const MinRevocationLimit = 1 * clock.Second
+
 // confirmation is what an instance knows about how recent its configuration is. Keys are withdrawn by a newer configuration, also while
 // an instance is cut off, suspended or slow; a key is accepted only while the newest confirmation is recent.
 type confirmation struct {
--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -26,6 +26,8 @@
 	// takeoverMax bounds the wait for a renewal, and applies while no interval is known. An owner that may still send orders has renewed
 	// within ownershipTimeout, and a copy from which parts are claimed shows that maxCopyAge later.
 	takeoverMax = ownershipTimeout + maxCopyAge
+	// MinLeaseLimit is the shortest Settings.LeaseLimit with which the leases of workers outlast the loss of the owner that renews them.
+	MinLeaseLimit = takeoverMax
 	// takeoverMinMachines replaces takeoverMin for the part of the machines: a new owner there has to wait before its first
 	// order, so an unnecessary takeover costs more time than an early one saves.
 	takeoverMinMachines = 2 * clock.Second
