--- a/command/command.go
+++ b/command/command.go
@@ -145,6 +145,9 @@
 // errDifferent makes diff --exit-code exit with ExitDifferent.
 var errDifferent = errors.New("the configurations differ")
 
+// errFaulty makes check exit with ExitFaults after it has printed the faults.
+var errFaulty = errors.New("the configuration has faults")
+
 // reportError writes an error and returns its exit code; nil gives ExitOK.
 func (e *Environment) reportError(err error) int {
 	if err == nil {
@@ -153,6 +156,9 @@
 	if errors.Is(err, errDifferent) {
 		return ExitDifferent // the difference is printed already
 	}
+	if errors.Is(err, errFaulty) {
+		return ExitFaults
+	}
 	var faults diag.List
 	var problem *operator.Problem
 	switch {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -24,6 +24,10 @@
 	kervanEtki = "../examples/kervan-etki/fleet.json"
 	loneStar   = "../examples/lone-star/fleet.json"
 	faulty     = "../config/testdata/eight-faults.json"
+
+	operators       = "testdata/operators.json"
+	nextOperators   = "testdata/next-operators.json"
+	faultyOperators = "testdata/faulty-operators.json"
 )
 
 func run(arguments ...string) (code int, out, errs string) {
@@ -48,6 +52,20 @@
 		{"check --settings testdata/settings.json", ExitOK, "no faults; instance entry-0 in zone z0", ""},
 		{"check --settings testdata/faulty-settings.json", ExitFaults, "", "faulty-settings.json: MF1061 /node: is missing or empty"},
 		{"check --settings testdata/faulty-settings.json", ExitFaults, "", "MF1062 /store: "},
+		{"check --operators " + operators, ExitOK, "operators.json version 7: 0 faults, 0 warnings\n", ""},
+		{"check --operators --json " + operators, ExitOK, `"diagnostics": []`, ""},
+		{"check --operators --json " + faultyOperators, ExitFaults, `"path": "/routes/1/service"`, ""},
+		{"check --operators " + faultyOperators, ExitFaults, "3 faults, 0 warnings", "faulty-operators.json:5:59: MF1077 /routes/1/prefix: "},
+		{"check --operators --against " + operators + " " + nextOperators, ExitOK, "against version 7:\n~ queue/reports priority: 1 -> 0 [at-once]\n",
+			"warning: testdata/next-operators.json:9:86: MF1087 /tenants/0/cap/cpu: "},
+		{"check --operators --against " + nextOperators + " " + operators, ExitFaults, "1 faults", "operators.json:2:14: MF1074 /version: "},
+		{"check --operators --against " + operators + " " + operators, ExitOK, "no difference\n", ""},
+		{"check --operators --with-settings testdata/settings.json " + operators, ExitOK, "0 faults, 1 warnings", "MF1091 /services/1: "},
+		{"check --operators --with-settings testdata/faulty-settings.json " + operators, ExitFaults, "", "MF1061 /node: "},
+		{"check --operators " + kervanEtki, ExitFaults, "1 faults", "fleet.json:1:1: MF1073 : "},
+		{"check --operators --against missing.json " + operators, ExitUsage, "", "missing.json"},
+		{"check --operators --settings " + operators, ExitUsage, "", "exclude each other"},
+		{"check --against " + operators + " " + operators, ExitUsage, "", "need --operators"},
 		{"inspect", ExitUsage, "", "not an address and a port"},
 		{"inspect --store 127.0.0.1", ExitUsage, "", "not an address and a port"},
 		{"", ExitUsage, "Commands:", ""},
@@ -84,6 +102,20 @@
 	}
 }
 
+// Guards against a key of a customer in what check prints.
+func TestCheckPrintsNoKey(t *testing.T) {
+	for _, file := range []string{operators, nextOperators, faultyOperators} {
+		for _, other := range []string{operators, nextOperators, faultyOperators} {
+			for _, flags := range []string{"", "--json "} {
+				arguments := "check --operators " + flags + "--against " + other + " " + file
+				if _, out, errs := run(strings.Fields(arguments)...); strings.Contains(out+errs, "secret") {
+					t.Errorf("%s: output got %q and %q, want no key", arguments, out, errs)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an inspect command that prints nothing, or that fails without the reason.
 func TestInspect(t *testing.T) {
 	table := standin.NewTable()
