command: counts of faults and warnings read the same for any number; daemon: test of MinRevocationLimit

Cause: "1 warnings"; nothing checked the shortest revocation limit against the polls; Compare said that nobody sees the jobs of a customer although callers without keys see all. Change: text, a test, and the clause is left out where no customer remains.

--- a/command/check.go
+++ b/command/check.go
@@ -131,7 +131,7 @@
 
 func (f checkFields) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s version %d: %d faults, %d warnings\n", f.File, f.Version, len(f.Diagnostics), len(f.Warnings))
+	fmt.Fprintf(&b, "%s version %d; faults: %d, warnings: %d\n", f.File, f.Version, len(f.Diagnostics), len(f.Warnings))
 	if f.Against == nil {
 		return b.String()
 	}
--- a/daemon/keys_test.go
+++ b/daemon/keys_test.go
@@ -435,3 +435,12 @@
 		t.Error("keys are confirmed without a confirmation")
 	}
 }
+
+// Guards against a shortest revocation limit with which instances refuse keys before the store counts as unresponsive, after 0.7 s.
+func TestMinRevocationLimit(t *testing.T) {
+	const unresponsive = 700 * clock.Millis(1)
+	d := &Daemon{Settings: Settings{RevocationLimit: MinRevocationLimit}}
+	if got, want := d.confirmationLimit(), 2*d.operatorFeedWait()+unresponsive; got < want {
+		t.Errorf("confirmations hold for %d ms, want at least %d ms", got, want)
+	}
+}
--- a/precheck/compare.go
+++ b/precheck/compare.go
@@ -168,9 +168,13 @@
 		changed(c, section, AtOnce, "cap of MB", capText(old.Cap.MemoryMB), capText(customer.Cap.MemoryMB))
 		changed(c, section, AtOnce, "cap of accelerators", capText(old.Cap.GPUs), capText(customer.Cap.GPUs))
 	}
+	jobs := "accepted jobs run on, and no caller sees them"
+	if len(after.all) == 0 {
+		jobs = "accepted jobs run on" // callers without keys see all jobs
+	}
 	for _, customer := range before.all {
 		if after.named[customer.Name] == nil {
-			c.add(Removed, "customer/"+customer.Name, OnRevocation, "keys: %d withdrawn; accepted jobs run on, and no caller sees them", len(keySet(customer)))
+			c.add(Removed, "customer/"+customer.Name, OnRevocation, "keys: %d withdrawn; %s", len(keySet(customer)), jobs)
 		}
 	}
 }
