front, pool, store: tests of three faults found in review

A gang of three is started in part (2000 instead of 0) once the cap was lowered between its placement and the confirmation. A customer's own job counts as another's while the address row has not arrived: the repeat got job-id-in-use, the cancel no-job. With answers that take 2 s, a follower whose copy others wait for every 1.5 s interrupts each call before its answer, so that the copy is never current again.

--- a/front/access_test.go
+++ b/front/access_test.go
@@ -353,3 +353,34 @@
 	}
 	return false
 }
+
+// Guards against a customer whose own job counts as another's while the row with its customer has not arrived: a repeat that is refused for
+// good, and a cancel that is answered as if there was no job.
+func TestOwnJobBeforeItsCustomerIsKnown(t *testing.T) {
+	for _, cancels := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newKeyedFleet(2)
+			ctx := context.Background()
+			owner := f.access(t, 0, "ka")
+			if refusal := f.call(func() *result.Refusal { return f.instances[0].Submit(ctx, owner, testJob("1"), 2900) }); refusal != nil {
+				t.Fatalf("job of a got %v", refusal)
+			}
+			s := f.instances[1]
+			for _, row := range f.table.Rows(store.StateTable) {
+				if kind, _ := store.SplitKey(row.Key); kind == store.KindJob {
+					s.States.Apply([]store.Row{row})
+				}
+			}
+			owner = f.access(t, 1, "ka")
+			if !cancels {
+				if got := f.call(func() *result.Refusal { return s.Submit(ctx, owner, testJob("1"), 2900) }); got != nil {
+					t.Errorf("repeat got %v, want success", got)
+				}
+				return
+			}
+			if got := f.call(func() *result.Refusal { return s.Cancel(ctx, owner, "1", 2900) }); got != nil || f.runs("1") {
+				t.Errorf("cancel got %v, want the job cancelled", got)
+			}
+		})
+	}
+}
--- a/pool/cap_test.go
+++ b/pool/cap_test.go
@@ -176,3 +176,21 @@
 		t.Errorf("demand got %+v, want none: no worker has room", got)
 	}
 }
+
+// Guards against a gang that starts in part because its customer's cap was lowered before the placement was stored.
+func TestGangIsCheckedAsAWholeOnceItsPlacementIsStored(t *testing.T) {
+	w, limit := capSim(t, 3, 3000)
+	w.run(100)
+	w.storeBlocked = true
+	w.submitFor("a", "j", batch.Step{Count: 3, Need: cpu(1000), Gang: true})
+	w.run(100)
+	limit.amount.CPU = 2000
+	w.storeBlocked = false
+	if got := w.runWithin("a", 3*clock.Second); got != 0 {
+		t.Errorf("runs use %d, want 0: the gang no longer fits", got)
+	}
+	limit.amount.CPU = 3000
+	if got := w.runWithin("a", 500); got != 3000 {
+		t.Errorf("runs use %d, want 3000 once the cap is raised", got)
+	}
+}
--- a/store/follower_current_test.go
+++ b/store/follower_current_test.go
@@ -82,3 +82,55 @@
 		})
 	}
 }
+
+// slowTable answers each poll after a delay.
+type slowTable struct {
+	pagesTable
+	delay clock.Millis
+}
+
+func (s *slowTable) Feed(ctx context.Context, _ string, _ int64, _ clock.Millis) (store.Page, error) {
+	if s.clock.Sleep(ctx, s.delay) != nil {
+		return store.Page{}, store.ErrRejected.New("no answer")
+	}
+	return store.Page{Version: s.version}, nil
+}
+
+// Guards against callers of CatchUp who interrupt again and again the call that a slow store is about to answer, so that the copy is never
+// current.
+func TestCatchUpDoesNotInterruptACallThatDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay, patience = 2 * clock.Second, 1500 * clock.Millis(1)
+		c := clock.NewFake(1000)
+		table := &slowTable{pagesTable{clock: c, version: 10}, delay}
+		var current clock.Millis
+		f := &store.Follower{Store: table, Clock: c, Table: "t", Wait: 500, Period: func() clock.Millis { return 0 }, NewestOnly: true,
+			SinceBoot: c.Now, OnLoad: func([]store.Row) {}, OnRows: func([]store.Row) {}, OnCurrent: func(sent clock.Millis) { current = sent }}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{}, 2)
+		go func() { _ = f.Run(ctx); done <- struct{}{} }()
+		go func() {
+			for ctx.Err() == nil {
+				if f.Age() < patience {
+					_ = c.Sleep(ctx, 50) // fails only at the end, which the loop checks
+					continue
+				}
+				attempt, end := c.WithTimeout(ctx, patience)
+				_ = f.CatchUp(attempt)
+				end()
+			}
+			done <- struct{}{}
+		}()
+		for range 1000 {
+			synctest.Wait()
+			c.Advance(10)
+		}
+		synctest.Wait()
+		if got, most := c.Now()-current, 2*delay+delay/2; got > most {
+			t.Errorf("age of the copy got %d, want at most %d", got, most)
+		}
+		cancel()
+		<-done
+		<-done
+	})
+}
