store: those who catch up do not interrupt calls that a slow store is about to answer

Cause: with OnCurrent, CatchUp interrupted also calls that do not wait for a change. The owner of a pool with caps catches up with the operators' table whenever its copy is 1.5 s old; with answers that take longer, each call was interrupted before its answer, so that neither keys nor the configuration were confirmed until the store was faster. Change: CatchUp interrupts only calls that wait for a change; Hurry, after an outage, still interrupts any.

--- a/store/follower.go
+++ b/store/follower.go
@@ -75,6 +75,7 @@
 	advanced      chan struct{}      // closed when the copy has been updated; nil if nobody waits
 	skipWait      bool               // the next call does not wait for a change
 	interrupt     context.CancelFunc // cancels the call in flight, or the pause after it
+	waiting       bool               // that call may wait for a change
 	newestVersion int64              // version of the newest row received
 	reload        bool               // the next call reads the whole table, as newer versions may exist after a large answer
 	current       clock.Millis       // the newest time that OnCurrent received
@@ -117,20 +118,23 @@
 }
 
 // CatchUp waits until the copy includes all changes made before CatchUp was called. It returns the error of the context if that
-// ends first. It interrupts a poll that waits for a change.
+// ends first. It interrupts a poll that waits for a change, but no other call: those who catch up again and again would otherwise keep a slow
+// store from ever answering one.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	now := f.Clock.Now()
-	f.Hurry()
+	f.hurry(false)
 	return f.wait(ctx, func() bool { return f.asOf >= now })
 }
 
 // Hurry makes the next poll not wait for a change. It interrupts a poll that waits for one; with OnCurrent also any other call in flight,
 // which may be one that gets no answer, and the pause after a failed one.
-func (f *Follower) Hurry() {
+func (f *Follower) Hurry() { f.hurry(true) }
+
+func (f *Follower) hurry(interruptAny bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.skipWait = true
-	if f.interrupt != nil {
+	if f.interrupt != nil && (f.waiting || interruptAny) {
 		f.interrupt()
 	}
 }
@@ -206,14 +210,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.OnCurrent != nil && (f.skipWait || f.SinceBoot()-f.current > f.Period()+f.Wait+maxAnswerDelay) {
-		f.skipWait, f.interrupt = false, end
+		f.skipWait, f.interrupt, f.waiting = false, end, false
 		return 0
 	}
 	if f.skipWait {
 		f.skipWait, f.interrupt = false, nil
 		return 0
 	}
-	f.interrupt = end
+	f.interrupt, f.waiting = end, true
 	return f.Wait
 }
 
