front: the store tells whose job it is while the local copy lacks the address

Cause: the rows of a job's state and address can reach the copy one after the other. In between, its own customer was answered job-id-in-use to a repeat and no-such-job to a cancel, and the job ran on. Change: only a job whose address is known counts as another's before the store was asked. Result: repeat and cancel succeed in the test; both failed before.

--- a/front/access.go
+++ b/front/access.go
@@ -125,6 +125,13 @@
 	return ok && !known.Tombstone && !s.sees(access, known)
 }
 
+// isKnownForeign is isForeign for an entry of which the local copy may not have all rows yet: without its address it is not known whose job it
+// is, and the store has to tell.
+func (s *Service) isKnownForeign(access *Access, id string) bool {
+	known, _ := s.States.Find(id)
+	return known.Address != (batch.Address{}) && s.isForeign(access, id)
+}
+
 // unusedID returns the conditions that no job has the id, and that the customer has not cancelled it. If they do not hold, the result of the
 // transaction shows the rows, including whose job it is.
 func unusedID(access *Access, part, id string) []store.Condition {
--- a/front/service.go
+++ b/front/service.go
@@ -70,7 +70,7 @@
 	if known, ok := s.find(access, job.ID); ok {
 		return s.answerRepeat(ctx, known, job.ID, "copy")
 	}
-	if s.isForeign(access, job.ID) {
+	if s.isKnownForeign(access, job.ID) {
 		return s.refuse(ctx, CodeIDInUse, job.ID, nil, 0)
 	}
 	queue := access.queue
@@ -247,9 +247,9 @@
 	tombstone := store.EncodeTombstone(tombstoneID, pool)
 	cancel := store.EncodeCancel(pool, tombstoneID, true) // from this row the owner of the pool learns of the tombstone
 	const attempts = 2                                    // the first one can show that the id has another customer's job
-	for range attempts {
+	for attempt := range attempts {
 		conditions := unusedID(access, tombstone.Part, id)
-		if s.isForeign(access, id) {
+		if s.isKnownForeign(access, id) || attempt > 0 && s.isForeign(access, id) {
 			conditions = conditions[len(conditions)-1:]
 		}
 		if refusal := s.recheck(ctx, access, id); refusal != nil {
