pool: a gang is withdrawn as a whole when its customer's cap has shrunk

Cause: when a placement is confirmed, each member of a gang is checked with the members that are left; once the first was withdrawn, the others could fit and were started without it. Change: the members of a gang of which one was withdrawn are withdrawn too.

--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -618,11 +618,15 @@
 			}
 		}
 	}
+	withdrawn := map[*step]bool{} // gangs that no longer fit; the rest of one might, as its members are withdrawn one by one
 	for _, r := range tx.starts {
 		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !s.mayStillStart(r) {
+		st := r.task.step
+		mayStart := !withdrawn[st] && s.mayStillStart(r)
+		withdrawn[st] = st.def.Gang && !mayStart
+		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !mayStart {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
