grant: a repaired or deleted row of grants counts

Cause: LearnUnreadable did not look at versions, so that a damaged version which the feed brought after a failed transaction had returned the repaired row held the customer back until the row changed again, which its own pool could not bring about. Deletions were ignored, though docs/OPERATIONS.md names them as the repair, and writes went on naming the version of the deleted row. Change: the ledger keeps the newest version that it has seen in any form, and learns of deletions. Result: TestRepairedRowCounts passes; without the change, with the call of LearnDeleted left out, the task of the repaired row was not allowed and the deleted row was not stored again.

--- a/daemon/grants.go
+++ b/daemon/grants.go
@@ -66,12 +66,16 @@
 func (o *poolOwner) applyGrants(rows []store.Row) {
 	for _, row := range rows {
 		kind, customer := store.SplitKey(row.Key)
-		if row.Deleted || kind != store.KindGrant {
+		if kind != store.KindGrant {
+			continue
+		}
+		if row.Deleted {
+			o.ledger.LearnDeleted(customer, row.Version)
 			continue
 		}
 		decoded, err := grant.DecodeRow(row.Value)
 		if err != nil {
-			o.ledger.LearnUnreadable(customer)
+			o.ledger.LearnUnreadable(customer, row.Version)
 			eventUnreadableGrant.Log(context.Background(), o.daemon.Logger, slog.String("customer", customer), slog.String("error", err.Error()))
 			continue
 		}
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -80,7 +80,8 @@
 // account is what the ledger knows of one customer.
 type account struct {
 	row     Row
-	version int64
+	version int64 // of row; 0: there is none
+	seen    int64 // newest version that was read, also of a deletion or of a row that cannot be decoded
 	// open holds the amounts of the writes without a known outcome, all of which are conditioned on version or an older one: a row with a
 	// newer version settles them.
 	open           []batch.Resources
@@ -152,17 +153,31 @@
 // Learn takes in a row that was read from the store. Older versions than the known one are ignored.
 func (l *Ledger) Learn(customer string, version int64, row Row) {
 	a := l.account(customer)
-	if version <= a.version {
+	if version <= a.seen {
 		return
 	}
-	a.row, a.version, a.open, a.allowed, a.unreadable = row, version, nil, nil, false
+	a.row, a.version, a.seen, a.open, a.allowed, a.unreadable = row, version, version, nil, nil, false
 	if row.Pools[l.pool].Token > l.token {
 		l.superseded = true
 	}
 }
 
-// LearnUnreadable takes in that the row of a customer cannot be decoded. Until it can, none of the customer's tasks starts.
-func (l *Ledger) LearnUnreadable(customer string) { l.account(customer).unreadable = true }
+// LearnUnreadable takes in that a version of a customer's row cannot be decoded. Until a newer one can, or the row is deleted, none of the
+// customer's tasks starts.
+func (l *Ledger) LearnUnreadable(customer string, version int64) {
+	if a := l.account(customer); version > a.seen {
+		a.seen, a.unreadable = version, true
+	}
+}
+
+// LearnDeleted takes in that the row of a customer was deleted, by a change of the given version or after that. It then starts anew.
+func (l *Ledger) LearnDeleted(customer string, version int64) {
+	a := l.account(customer)
+	if version < a.seen {
+		return
+	}
+	a.row, a.version, a.seen, a.open, a.allowed, a.unreadable = Row{}, 0, version, nil, nil, false
+}
 
 // Allows reports whether count tasks that need the given amount each may start together while the customer's runs in this pool use
 // the given amount.
--- a/grant/ledger_test.go
+++ b/grant/ledger_test.go
@@ -344,7 +344,7 @@
 // Guards against starts of a customer whose row cannot be read.
 func TestUnreadableRowAllowsNothing(t *testing.T) {
 	f, l := &fakeTable{}, newTestLedger("a", 7, cpu(100))
-	l.LearnUnreadable(testCustomer)
+	l.LearnUnreadable(testCustomer, 4)
 	f.settle(t, l, 0, Demand{Waiting: waiting(50, 1)})
 	checkAllows(t, l, "unreadable", 0, 50, false)
 	l.Learn(testCustomer, 5, Row{Configuration: 1, Limit: cpu(100)})
@@ -368,3 +368,25 @@
 		t.Error("a damaged row is decoded without an error")
 	}
 }
+
+// Guards against a customer that stays held back after its row was repaired or deleted, since changes of the row arrive late, and against a
+// deleted row whose former content counts.
+func TestRepairedRowCounts(t *testing.T) {
+	f, l := &fakeTable{}, newTestLedger("a", 7, cpu(100))
+	l.Learn(testCustomer, 6, Row{Configuration: 1, Limit: cpu(100)}) // returned by a failed transaction
+	l.LearnUnreadable(testCustomer, 5)                               // then the feed brings what was before
+	f.row, f.version = l.accounts[testCustomer].row, 6
+	f.settle(t, l, 0, Demand{Waiting: waiting(50, 1)})
+	checkAllows(t, l, "repaired", 0, 50, true)
+
+	l.LearnUnreadable(testCustomer, 91)
+	l.LearnDeleted(testCustomer, 92)
+	l.Learn(testCustomer, 6, Row{Configuration: 1, Limit: cpu(100), Pools: map[string]Entry{"a": {Amount: cpu(100), Token: 7}}}) // late
+	checkAllows(t, l, "deleted", 0, 50, false)
+	writes := next(t, l, 100, Demand{Waiting: waiting(50, 1)})
+	if got := writes[0].Version; got != 0 {
+		t.Errorf("version of the row that is replaced got %d, want 0: there is none", got)
+	}
+	l.Answered(writes, Applied, 93)
+	checkAllows(t, l, "stored anew", 0, 50, true)
+}
