--- a/daemon/grants_test.go
+++ b/daemon/grants_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 
 	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 	"magnoliaferry/grant"
+	"magnoliaferry/platform"
 	"magnoliaferry/pool"
 	"magnoliaferry/standin"
 	"magnoliaferry/store"
@@ -160,3 +162,28 @@
 		t.Errorf("cap %d: rows of grants got %d, want %d", limit, got, want)
 	}
 }
+
+// Guards against jobs of a customer that never start because the configuration has removed the last customer with a cap.
+func TestJobsOfARemovedCustomerRun(t *testing.T) {
+	c := clock.NewFake(10000)
+	table := standin.NewTable()
+	d := &Daemon{clock: c, owners: map[*poolOwner]bool{}, claimers: map[string]bool{}, waves: map[int64]batch.Wave{}, table: &store.Monitor{Table: table, Clock: c}, stateCache: store.NewStateCache(c, nil)}
+	d.operatorFeed = &store.Follower{Clock: c}
+	ended, end := context.WithCancel(context.Background())
+	end() // the instance claims no parts
+	var claimersDone sync.WaitGroup
+	put := func(version int64, tenants string) {
+		value := fmt.Sprintf(`{"version":%d,"services":[{"name":"p"}],"routes":[],"tenants":[%s]}`, version, tenants)
+		d.operatorRows(ended, &claimersDone, []store.Row{{Table: platform.TableOperator, Key: platform.KeyConfiguration, Value: []byte(value), Version: version}})
+	}
+	put(3, fmt.Sprintf(`{"name":%q,"cap":{"cpu":1000}}`, capped))
+	commitGrant(newGrantOwner(t, d, "p", 700), c)
+	d.grants.Load(table.Rows(store.GrantsTable))
+	d.stateCache.Apply(table.Rows(store.StateTable))
+	put(4, "")
+	successor := newGrantOwner(t, d, "p", 700)
+	commitGrant(successor, c)
+	if got, want := grantRow(t, table).Pools["p"].Token, successor.ownership.Token(); got != want {
+		t.Errorf("token got %d, want %d: the successor does not use the amount", got, want)
+	}
+}
