daemon: jobs of removed customers still run when no customer has a cap any more

Cause: without a cap in the configuration grants were neither read nor written, but an owner that knows the row of a removed customer still obeys it. Its amounts were fixed then, and those of a former owner of the pool count for nothing, so accepted jobs never started until the instance was restarted. Change: an instance that has seen a cap keeps reading and writing grants. Result: TestJobsOfARemovedCustomerRun passes (failed before).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,7 +72,7 @@
 	fleet         store.TableCache // of FleetTable
 	reports       store.TableCache // of ReportsTable
 	grants        store.TableCache // of GrantsTable
-	capped        atomic.Bool      // a customer of the configuration has a cap
+	capped        atomic.Bool      // a customer of this configuration, or of one before, has a cap
 	operatorFeed  *store.Follower
 	confirming    atomic.Bool       // the operators' table is being read to confirm the configuration
 	ownerFeeds    []*store.Follower // idle while this instance owns no part
@@ -311,7 +311,9 @@
 			continue
 		}
 		d.configuration.Store(c)
-		d.capped.Store(hasCaps(c))
+		if hasCaps(c) {
+			d.capped.Store(true) // for good: jobs of a customer that is removed still obey its row of grants
+		}
 		d.confirmation.putInForce(row)
 		eventConfigInForce.Log(ctx, d.Logger, slog.Int64("version", c.Version), slog.Int("queues", len(c.Queues)))
 		d.eachOwner(func(o *poolOwner) { o.events.put(func() { o.configure(c) }) })
