pool: a job with nothing running waits at most 2 s for a rack

Cause: the wait for a rack was bounded only by what running elsewhere costs and by the slack of the job. A task of 4 s whose rack was full left its job without any run for 5.5 s while three of four racks were idle, and so did a tightly coupled gang. The platform counts a job as lost that is idle for 3 s while there is capacity for it twice over.

Change: waitBudget is at most 2 s (maxIdleWait) for a job with nothing running.

--- a/pool/wait.go
+++ b/pool/wait.go
@@ -15,6 +15,9 @@
 	minTimeLeft = 100 * clock.Millis(1)
 	// never is the remaining time of a long-running task.
 	never = clock.Day
+	// maxIdleWait is how long a job with nothing running waits for a rack. Callers rely on a job not being idle for 3 s while the pool has
+	// room for it.
+	maxIdleWait = 2 * clock.Second
 )
 
 var (
@@ -89,7 +92,7 @@
 }
 
 // waitBudget returns how much longer the next task of a step may wait for its rack: what running elsewhere costs and what its job can
-// spare, less what it has waited.
+// spare, less what it has waited. A job with nothing running waits for at most maxIdleWait.
 func (s *Scheduler) waitBudget(st *step, w *placeWait) clock.Millis {
 	length := s.runTime(st)
 	cost := clock.Millis((s.RemoteFactor - 1) * float64(length))
@@ -103,6 +106,9 @@
 			budget = min(budget, left-length)
 		}
 	}
+	if budget > maxIdleWait && !st.job.running() {
+		budget = maxIdleWait
+	}
 	if w.began != 0 {
 		budget -= s.now - w.began
 	}
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -257,3 +257,37 @@
 		}
 	}
 }
+
+// Guards against a job that has nothing running for seconds while most of the pool is idle, because its next task waits for a rack. Callers
+// are promised that such a job runs within 3 s.
+func TestIdleJobWaitsBriefly(t *testing.T) {
+	gang := batch.Step{Count: 12, Need: cpu(1000), Estimate: 4000, Gang: true, TightlyCoupled: true}
+	for _, test := range []struct {
+		name string
+		step batch.Step
+		fill batch.Step // of a job for each rack that is not idle
+		full int        // number of these
+	}{
+		{"task with data", batch.Step{Count: 1, Need: cpu(1000), Estimate: 4000, Rack: "r0"}, batch.Step{Count: 16}, 1},
+		{"gang", gang, batch.Step{Count: 5, MaxPerWorker: 2}, 4},
+	} {
+		r := newRackSim(t, testRemoteFactor)
+		r.length = func(name string) clock.Millis {
+			job, key, _ := batch.ParseTask(name)
+			return r.defs[job].Steps[key.Step].Estimate
+		}
+		for i := range test.full {
+			test.fill.Need, test.fill.Estimate, test.fill.Rack = cpu(1000), 6000, fmt.Sprintf("r%d", i)
+			r.submit(fmt.Sprintf("full%d", i), test.fill)
+		}
+		r.run(500)
+		submitted := r.now
+		r.submit("j", test.step)
+		for r.starts["j.0.0.0"] == 0 && r.now-submitted < 10*clock.Second {
+			r.run(10)
+		}
+		if got, limit := r.now-submitted, 2500*clock.Millis(1); got > limit {
+			t.Errorf("%s: nothing of the job ran for %d ms, want at most %d", test.name, got, limit)
+		}
+	}
+}
