pool: a run that an earlier owner started is not stopped as slow

Cause: an owner does not know since when an inherited run has worked, and stalled took it for as old as its own process. A run that was well on its way seemed hundreds of times too slow and was stopped, once two tasks of its step had ended under the new owner.

Change: without a start time of its own, stalled looks only at whether the progress changes.

Result: TestInheritedRunIsNotSlow fails before (2 starts, want 1) and passes.

--- a/pool/progress.go
+++ b/pool/progress.go
@@ -63,6 +63,8 @@
 	return st.totalRunTime / clock.Millis(max(st.timedTasks, 1)), st.timedTasks >= minPeers
 }
 
+// stalled reports whether a run makes no progress, or so little that it is moved. An owner that did not start the run does not know since
+// when it runs, so that its speed is unknown.
 func (s *Scheduler) stalled(r *run) bool {
 	if r.task.step.def.LongRunning {
 		return r.percent < 100 && s.now-r.progressedAt > 2*stallTime
@@ -74,7 +76,7 @@
 		return true
 	}
 	elapsed := s.now - r.sent
-	if !known || r.percent <= 0 || r.resumed || elapsed < minSlowTime || t.moves >= maxMoves || t.copy != nil {
+	if !known || r.sent == 0 || r.percent <= 0 || r.resumed || elapsed < minSlowTime || t.moves >= maxMoves || t.copy != nil {
 		return false
 	}
 	if t.mayCopy() && !r.copyDenied {
--- a/pool/progress_test.go
+++ b/pool/progress_test.go
@@ -59,3 +59,22 @@
 		t.Errorf("state got %v, want completed after a move off %s", got, slow)
 	}
 }
+
+// Guards against a run that is stopped as slow because its owner does not know since when it runs: an earlier one started it.
+func TestInheritedRunIsNotSlow(t *testing.T) {
+	w := newPoolSim(t, 2, testQueue)
+	w.length = func(task string) clock.Millis {
+		if task == "j.0.0.0" {
+			return 5500
+		}
+		return 1 * clock.Second
+	}
+	w.run(100 * clock.Second)
+	w.submit("j", batch.Step{Count: 16, Need: cpu(1000), Estimate: 1000})
+	w.run(300)
+	w.replaceOwner(w.defs["j"], w.progress["j"])
+	w.run(15 * clock.Second)
+	if got := w.starts["j.0.0.0"]; got != 1 || w.state("j") != batch.Completed {
+		t.Errorf("starts got %d, state %v, want 1 and completed: the run was on its way", got, w.state("j"))
+	}
+}
