pool: the starts of a gang are sent as a whole or not at all

Cause: after a placement is stored, each start was checked by itself: whether its worker still answers, and whether the amount of its customer still covers it. Once the first member was withdrawn, the others were covered and started, waited for it in vain and ended alone.

Change: Committed withdraws all members of a gang of which one can no longer be started.

Result: TestGangStartsWholeAsItsCapShrinks fails before (3 of 4 members started, want none) and passes.

--- a/pool/cap_test.go
+++ b/pool/cap_test.go
@@ -176,3 +176,24 @@
 		t.Errorf("demand got %+v, want none: no worker has room", got)
 	}
 }
+
+// shrinkingCap lets each customer use less once tasks have been placed.
+type shrinkingCap struct{ fixedCap }
+
+func (c *shrinkingCap) Covers(_ string, use, need batch.Resources, count int) bool {
+	return c.Allows("", use.Add(need), need, count)
+}
+
+// Guards against a gang of which only a part starts, because the amount of its customer has shrunk since it was placed: the members would
+// wait for the others in vain.
+func TestGangStartsWholeAsItsCapShrinks(t *testing.T) {
+	w, limit := capSim(t, 2, 4000)
+	w.s.Caps = &shrinkingCap{*limit}
+	w.submitFor("a", "j", batch.Step{Count: 4, Need: cpu(1000), Gang: true})
+	w.run(500)
+	for i := range 4 {
+		if got := w.starts[batch.TaskKey{Index: i}.Name("j")]; got != 0 {
+			t.Errorf("starts of member %d got %d, want 0: the gang as a whole is beyond the amount", i, got)
+		}
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -618,11 +618,12 @@
 			}
 		}
 	}
+	partial := s.partialGangs(tx.starts)
 	for _, r := range tx.starts {
 		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !s.mayStillStart(r) {
+		if partial[r.task.step] || !s.canSend(r) {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
@@ -635,6 +636,26 @@
 	}
 }
 
+// canSend reports whether the start of a placed run may still be sent.
+func (s *Scheduler) canSend(r *run) bool {
+	w := r.worker
+	return !r.task.step.job.state.Final() && w.confirmed && w.clockAt != 0 && !w.leaseFixed() && s.mayStillStart(r)
+}
+
+// partialGangs returns the gangs of which a part of the starts can no longer be sent. The other members would wait for it in vain.
+func (s *Scheduler) partialGangs(starts []*run) map[*step]bool {
+	var partial map[*step]bool
+	for _, r := range starts {
+		if st := r.task.step; st.def.Gang && !partial[st] && (!r.attached() || !s.canSend(r)) {
+			if partial == nil {
+				partial = map[*step]bool{}
+			}
+			partial[st] = true
+		}
+	}
+	return partial
+}
+
 // Orders returns the orders queued since the last call: values of type Start, Stop, Throttle, Hold and Advise.
 func (s *Scheduler) Orders() []any {
 	orders := s.orders
