pool: damaged entries in the progress of a job are ignored

Cause: restore checked only the upper bounds of step and index. A negative one ended the process, on each instance that took the pool over in turn; an occurrence that the job does not have was restored as one that never runs, so that the job never ended.

Change: Job.HasTask checks all three parts of the key, in restore and for late ends.

Result: TestDamagedProgress fails before (index out of range [-1] in restore) and passes.

--- a/batch/job.go
+++ b/batch/job.go
@@ -96,6 +96,12 @@
 // Runs returns how many times the steps run: once for each occurrence.
 func (j *Job) Runs() int { return max(j.Occurrences, 1) }
 
+// HasTask reports whether the key names a task of the job.
+func (j *Job) HasTask(key TaskKey) bool {
+	return 0 <= key.Occurrence && key.Occurrence < j.Runs() && 0 <= key.Step && key.Step < len(j.Steps) &&
+		0 <= key.Index && key.Index < j.Steps[key.Step].Count
+}
+
 // Due returns the Unix time at which an occurrence may start; 0 for a job without due times.
 func (j *Job) Due(occurrence int) clock.Millis {
 	if j.Occurrences == 0 {
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	o := j.occurrences[key.Occurrence]
-	if o == nil || key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+	if o == nil || !j.def.HasTask(key) {
 		return false
 	}
 	st := o.steps[key.Step]
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -221,11 +221,10 @@
 func (s *Scheduler) restore(j *job, progress *batch.Progress) {
 	for i := range progress.Runs {
 		stored := &progress.Runs[i]
-		o := s.occurrence(j, stored.Occurrence)
-		if stored.Step >= len(o.steps) || stored.Index >= len(o.steps[stored.Step].tasks) {
+		if !j.def.HasTask(stored.Key()) {
 			continue // jobs are immutable, so the row is damaged; the task starts from the beginning
 		}
-		st := o.steps[stored.Step]
+		st := s.occurrence(j, stored.Occurrence).steps[stored.Step]
 		t := st.tasks[stored.Index]
 		t.number, t.failures, t.checkpoint, t.moves = max(t.number, stored.Number), stored.Failures, stored.Checkpoint, stored.Moves
 		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -105,3 +105,17 @@
 	s.startIncarnation(target, "m-"+target, s.now)
 	s.run(5 * clock.Second)
 }
+
+// Guards against a damaged row of a job's progress that ends the process, or keeps the job from its end.
+func TestDamagedProgress(t *testing.T) {
+	for _, damage := range []batch.Run{{Step: -1}, {Index: -1}, {Index: 7}, {Step: 7}, {Occurrence: -1}, {Occurrence: 7}} {
+		damage.Number, damage.Worker = 3, "w0"
+		w := newPoolSim(t, 2, testQueue)
+		w.submit("j", batch.Step{Count: 2, Need: cpu(1000)})
+		w.replaceOwner(w.defs["j"], &batch.Progress{State: batch.Running, Runs: []batch.Run{damage}})
+		w.run(3 * clock.Second)
+		if got := w.state("j"); got != batch.Completed {
+			t.Errorf("entry %+v: state got %v, want completed", damage, got)
+		}
+	}
+}
