pool: copies leave a customer's amount to first runs

Cause: a copy started whenever the amount of its customer covered it, also while a larger first run of the same customer waited for that amount; and a copy under way kept it. The first run began only after the slow task had ended.

Change: no copy starts while a step of its customer waits for the amount, and of a task with two runs the one that would end later is stopped where that lets a first run in time start.

Result: TestCopiesLeaveTheCapToFirstRuns fails before, whichever comes first (the first run has not started 8 s later), and passes.

--- a/pool/cap.go
+++ b/pool/cap.go
@@ -68,10 +68,14 @@
 	return false
 }
 
-// mayCopyWithinCap reports whether a copy of a task of the step may start within its customer's amount. Copies add no demand.
+// mayCopyWithinCap reports whether a copy of a task of the step may start within its customer's amount, of which it leaves all to first runs
+// while one waits for it. Copies add no demand.
 func (s *Scheduler) mayCopyWithinCap(st *step) bool {
 	customer := st.job.def.Customer
-	return s.Caps == nil || customer == "" || s.Caps.Allows(customer, s.usedBy(customer), st.def.Need, 1)
+	if s.Caps == nil || customer == "" {
+		return true
+	}
+	return len(s.capped.units[customer]) == 0 && s.Caps.Allows(customer, s.usedBy(customer), st.def.Need, 1)
 }
 
 // recordCapped adds the waiting tasks of a step to the demand of its customer, as many as the pool has room for.
@@ -107,6 +111,9 @@
 		pass.recordTooBig(size)
 		return
 	}
+	if pass.inTime {
+		pass.capped = append(pass.capped, st)
+	}
 	s.capped.room[customer] = room
 	s.capped.units[customer] = append(s.capped.units[customer], grant.Unit{Need: st.def.Need, Tasks: fitting, Gang: st.def.Gang})
 }
--- a/pool/copy.go
+++ b/pool/copy.go
@@ -51,6 +51,9 @@
 	for _, c := range slow {
 		c.run.copyDenied = true // until it has one
 	}
+	if pass != nil && len(pairs) > 0 {
+		s.yieldCapped(pairs, pass.capped)
+	}
 	if pass != nil && (pass.gangs || s.couldFit(pass.lacking)) {
 		s.yieldCopies(pairs, pass.lacking)
 		return
@@ -227,24 +230,49 @@
 // expected to end later. One stop at a time is under way for each need.
 func (s *Scheduler) yieldCopies(pairs []*task, lacking []batch.Resources) {
 	for _, need := range lacking {
-		var last *run
-		var lastLeft clock.Millis
+		s.stopLatest(pairs, "room for a first run", func(r *run) bool {
+			return need.Fits(r.worker.free().Add(r.task.step.def.Reserve()))
+		})
+	}
+}
+
+// yieldCapped does the same for first runs that wait for their customer's amount.
+func (s *Scheduler) yieldCapped(pairs []*task, capped []*step) {
+	for _, st := range capped {
+		customer, count := st.job.def.Customer, 1
+		if st.def.Gang {
+			count = len(st.tasks)
+		}
+		var own []*task
 		for _, t := range pairs {
-			if t.run.stopping || t.copy.stopping {
-				last = nil
-				break
-			}
-			later, left := s.laterRun(t)
-			if later.state == planned || left <= stopTime || !need.Fits(later.worker.free().Add(t.step.def.Reserve())) {
-				continue
-			}
-			if last == nil || left > lastLeft {
-				last, lastLeft = later, left
+			if t.step.job.def.Customer == customer {
+				own = append(own, t)
 			}
 		}
-		if last != nil {
-			s.stop(last, "room for a first run")
+		s.stopLatest(own, "customer's amount for a first run", func(r *run) bool {
+			return s.Caps.Allows(customer, s.usedBy(customer).Sub(r.task.step.def.Need), st.def.Need, count)
+		})
+	}
+}
+
+// stopLatest stops the later run of the pair that ends last among those whose stop helps. It does nothing while another stop is under way.
+func (s *Scheduler) stopLatest(pairs []*task, reason string, helps func(*run) bool) {
+	var last *run
+	var lastLeft clock.Millis
+	for _, t := range pairs {
+		if t.run.stopping || t.copy.stopping {
+			return
 		}
+		later, left := s.laterRun(t)
+		if later.state == planned || left <= stopTime || !helps(later) {
+			continue
+		}
+		if last == nil || left > lastLeft {
+			last, lastLeft = later, left
+		}
+	}
+	if last != nil {
+		s.stop(last, reason)
 	}
 }
 
--- a/pool/copy_cap_test.go
+++ b/pool/copy_cap_test.go
@@ -30,3 +30,33 @@
 		}
 	}
 }
+
+// Guards against a copy that uses the amount of a customer for which the first run of another of its tasks waits, whichever comes first.
+func TestCopiesLeaveTheCapToFirstRuns(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		w, _ := capSim(t, 8, 2500)
+		w.length = func(task string) clock.Millis {
+			switch job, key, _ := batch.ParseTask(task); {
+			case job == "j" && key.Index == 4:
+				return 30 * clock.Second
+			case job == "other":
+				return 4 * clock.Second
+			}
+			return 1 * clock.Second
+		}
+		w.submitFor("c", "j", batch.Step{Count: 5, Need: cpu(500), Estimate: 1000, AllowDuplicates: true})
+		if early {
+			w.run(600)
+		} else {
+			for w.starts["j.0.0.4"] < 2 && w.now < 20*clock.Second {
+				w.run(10)
+			}
+		}
+		w.submitFor("c", "other", batch.Step{Count: 1, Need: cpu(1000), Estimate: 4000})
+		w.submitFor("c", "first", batch.Step{Count: 1, Need: cpu(2000), Estimate: 10000})
+		w.run(8 * clock.Second)
+		if got := w.starts["first.0.0.0"]; got != 1 {
+			t.Errorf("waits before the copy %v: starts of the first run got %d, want 1 once the other job is done", early, got)
+		}
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -96,6 +96,7 @@
 	inTime  bool                     // the job that is being placed can meet its objective
 	lacking []batch.Resources        // those of tooBig of jobs that can
 	gangs   bool                     // a gang of such a job waits
+	capped  []*step                  // those of such jobs that wait for nothing but the amount of their customer
 }
 
 // fits reports whether it is still possible that a worker has the resources free.
