pool: cheaper plans while tasks and gangs wait for racks

Cause: each task that waits for its rack was compared with all workers, and each booking searched the forecasts of all workers of the rack; each waiting gang grouped the workers by rack, tried to place itself on each of them and made new forecasts, with a search over all workers for each end of a run.

Change: the tasks of a step that wait share the choice of the worker elsewhere; a booking looks at the workers in the order of the times before which they are known to have no room; racks and forecasts for gangs are made once in a pass, gangs of one kind share the result, and a rack is tried only if its free room suffices. The decisions are the same.

--- a/pool/place.go
+++ b/pool/place.go
@@ -92,11 +92,15 @@
 type placement struct {
 	workers []*worker
 	tooBig  []batch.Resources
-	racks   map[string]*rackForecast // see forecast
-	inTime  bool                     // the job that is being placed can meet its objective
-	lacking []batch.Resources        // those of tooBig of jobs that can
-	gangs   bool                     // a gang of such a job waits
-	capped  []*step                  // those of such jobs that wait for nothing but the amount of their customer
+	inTime  bool              // the job that is being placed can meet its objective
+	lacking []batch.Resources // those of tooBig of jobs that can
+	gangs   bool              // a gang of such a job waits
+	capped  []*step           // those of such jobs that wait for nothing but the amount of their customer
+
+	byRack        [][]*worker              // see racks
+	forecasts     map[string]*rackForecast // see forecast
+	rackForecasts []*rackForecast          // for gangs, in the order of byRack
+	gangRooms     map[gangNeed]roomTime    // see gangRoom
 }
 
 // fits reports whether it is still possible that a worker has the resources free.
@@ -197,6 +201,7 @@
 		return
 	}
 	var placed []*run
+	var remote *worker // chosen for the last task, which waits for its rack
 	for _, t := range st.tasks {
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
@@ -204,18 +209,26 @@
 		if !s.withinCap(st, pass) {
 			break
 		}
-		w := s.choose(t, pass.workers, nil)
+		avoids := t.avoid != nil && s.now < t.avoidUntil
+		w := remote
+		if w == nil || avoids {
+			w = s.choose(t, pass.workers, nil)
+		}
 		if w == nil {
 			s.requestMissingAdvice(st, pass.workers)
 			pass.recordTooBig(st.def.Reserve())
-			if t.avoid != nil && s.now < t.avoidUntil {
+			if avoids {
 				continue // the others may run on the worker that this one avoids
 			}
 			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
 		if s.waitsForRack(t, w, pass) {
+			if !avoids {
+				remote = w
+			}
 			continue
 		}
+		remote = nil
 		t.wait.end(s.now, s.RemoteFactor > 1 && st.def.Rack != "" && !w.entry.HasLabel(st.def.Rack))
 		placed = append(placed, s.assign(t, w, t.number+1))
 	}
@@ -253,8 +266,8 @@
 		number = max(number, t.number)
 	}
 	if st.def.TightlyCoupled {
-		for _, rack := range racks(workers) {
-			if s.placeGangOn(st, rack, number+1) {
+		for _, rack := range pass.racks() {
+			if fitsNow(st, rack) && s.placeGangOn(st, rack, number+1) {
 				st.wait.end(s.now, false)
 				return
 			}
@@ -294,26 +307,25 @@
 	}
 }
 
-// racks groups workers by their last label, which names the rack.
-func racks(workers []*worker) [][]*worker {
+// racks returns the workers of the pass by their last label, which names the rack.
+func (p *placement) racks() [][]*worker {
+	if p.byRack != nil {
+		return p.byRack
+	}
 	byRack := map[string][]*worker{}
 	var names []string
-	for _, w := range workers {
-		name := ""
-		if n := len(w.entry.Labels); n > 0 {
-			name = w.entry.Labels[n-1]
-		}
+	for _, w := range p.workers {
+		name := w.rack()
 		if byRack[name] == nil {
 			names = append(names, name)
 		}
 		byRack[name] = append(byRack[name], w)
 	}
 	sort.Strings(names)
-	var groups [][]*worker
 	for _, name := range names {
-		groups = append(groups, byRack[name])
+		p.byRack = append(p.byRack, byRack[name])
 	}
-	return groups
+	return p.byRack
 }
 
 // hasRoomElsewhere reports whether the task fits on one of the workers other than the one on which it runs. It asks the advisor about
--- a/pool/wait.go
+++ b/pool/wait.go
@@ -62,20 +62,56 @@
 		return false
 	}
 	budget := s.waitBudget(st, &st.wait)
-	best := budget + 1
-	for _, rack := range racks(pass.workers) {
-		if wait, ok := newRackForecast(s, rack).room(st, budget); ok {
-			best = min(best, wait)
+	if budget < 0 {
+		return false
+	}
+	wait, ok := pass.gangRoom(s, st, budget)
+	return ok && s.continueWait(&st.wait, st.name(), st, wait)
+}
+
+// gangNeed is what decides when a gang fits on a rack.
+type gangNeed struct {
+	task                batch.Resources
+	tasks, maxPerWorker int
+	label               string
+}
+
+// gangRoom returns the time after which the gang fits on one rack, and false if that is not within the given time. Gangs of one kind are
+// compared with the racks once in a pass.
+func (p *placement) gangRoom(s *Scheduler, st *step, within clock.Millis) (clock.Millis, bool) {
+	need := gangNeed{st.def.Reserve(), len(st.tasks), st.def.MaxPerWorker, st.def.Label}
+	if known, ok := p.gangRooms[need]; ok && (known.found || within <= known.in) {
+		return known.in, known.found && known.in <= within
+	}
+	if p.rackForecasts == nil {
+		for _, rack := range p.racks() {
+			p.rackForecasts = append(p.rackForecasts, newRackForecast(s, rack))
+		}
+	}
+	earliest := roomTime{in: within}
+	for _, f := range p.rackForecasts {
+		if in, ok := f.room(st, earliest.in); ok {
+			earliest = roomTime{in, true}
 		}
 	}
-	return best <= budget && s.continueWait(&st.wait, st.name(), st, best)
+	if p.gangRooms == nil {
+		p.gangRooms = map[gangNeed]roomTime{}
+	}
+	p.gangRooms[need] = earliest
+	return earliest.in, earliest.found
+}
+
+// roomTime is the time after which there is room, or until which there is none.
+type roomTime struct {
+	in    clock.Millis
+	found bool
 }
 
 // fitsNow reports whether all tasks of a gang fit on the workers.
 func fitsNow(st *step, workers []*worker) bool {
 	tasks := 0
 	for _, w := range workers {
-		if tasks += (&workerForecast{worker: w}).count(st, 0); tasks >= len(st.tasks) {
+		if tasks += st.countIn(w.free()); tasks >= len(st.tasks) {
 			return true
 		}
 	}
@@ -141,8 +177,15 @@
 
 // rackForecast predicts when the workers of a rack have room. Tasks that wait book their places, so that each sees those before it.
 type rackForecast struct {
-	workers []*workerForecast
-	failed  []failedBooking
+	workers  []*workerForecast
+	failed   []failedBooking
+	earliest map[booking][]clock.Millis // no worker has room before, by place in workers: bookings only take room
+}
+
+// booking is what a task takes of a worker.
+type booking struct {
+	need   batch.Resources
+	length clock.Millis
 }
 
 // failedBooking is a need for which no place is free within a time.
@@ -164,7 +207,7 @@
 
 // forecast returns the forecast of a rack for this pass.
 func (p *placement) forecast(s *Scheduler, rack string) *rackForecast {
-	if f := p.racks[rack]; f != nil {
+	if f := p.forecasts[rack]; f != nil {
 		return f
 	}
 	var workers []*worker
@@ -173,11 +216,11 @@
 			workers = append(workers, w)
 		}
 	}
-	if p.racks == nil {
-		p.racks = map[string]*rackForecast{}
+	if p.forecasts == nil {
+		p.forecasts = map[string]*rackForecast{}
 	}
-	p.racks[rack] = newRackForecast(s, workers)
-	return p.racks[rack]
+	p.forecasts[rack] = newRackForecast(s, workers)
+	return p.forecasts[rack]
 }
 
 func newRackForecast(s *Scheduler, workers []*worker) *rackForecast {
@@ -225,26 +268,52 @@
 		}
 	}
 	length := s.runTime(t.step)
+	earliest := f.earliestFor(booking{need, length})
 	var best *workerForecast
-	wait := within + 1
-	for _, w := range f.workers {
-		if def.Label != "" && !w.worker.entry.HasLabel(def.Label) || w.worker == t.avoid && s.now < t.avoidUntil ||
-			t.step.advised() && !t.step.hasTicket(w.worker, s.now) {
-			continue
+	wait := clock.Millis(0)
+	for best == nil {
+		first := -1
+		for i, w := range f.workers {
+			if earliest[i] <= within && (first < 0 || earliest[i] < earliest[first]) && s.mayBook(t, w.worker) {
+				first = i
+			}
+		}
+		if first < 0 {
+			f.failed = append(f.failed, failedBooking{need, within})
+			return 0, false
 		}
-		if in, ok := w.room(need, length, wait-1); ok {
-			best, wait = w, in
+		switch in, ok := f.workers[first].room(need, length, within); {
+		case !ok:
+			earliest[first] = within + 1
+		case in > earliest[first]:
+			earliest[first] = in
+		default:
+			best, wait = f.workers[first], in
 		}
 	}
-	if best == nil {
-		f.failed = append(f.failed, failedBooking{need, within})
-		return 0, false
-	}
 	best.changes = append(best.changes, roomChange{wait, batch.Resources{}.Sub(need)}, roomChange{wait + length, need})
 	best.sort()
 	return wait, true
 }
 
+// earliestFor returns the times before which no worker has room for a booking.
+func (f *rackForecast) earliestFor(b booking) []clock.Millis {
+	if f.earliest[b] == nil {
+		if f.earliest == nil {
+			f.earliest = map[booking][]clock.Millis{}
+		}
+		f.earliest[b] = make([]clock.Millis, len(f.workers))
+	}
+	return f.earliest[b]
+}
+
+// mayBook reports whether a task may be placed on a worker once that has room.
+func (s *Scheduler) mayBook(t *task, w *worker) bool {
+	def := t.step.def
+	return (def.Label == "" || w.entry.HasLabel(def.Label)) && (w != t.avoid || s.now >= t.avoidUntil) &&
+		(!t.step.advised() || t.step.hasTicket(w, s.now))
+}
+
 // room returns the time after which the need is free on the worker for the given length, and false if it is not within the given time.
 func (w *workerForecast) room(need batch.Resources, length, within clock.Millis) (clock.Millis, bool) {
 	free := w.worker.free()
@@ -272,37 +341,42 @@
 
 // room returns the time after which all tasks of a gang fit on the rack, and false if that is not within the given time.
 func (f *rackForecast) room(st *step, within clock.Millis) (clock.Millis, bool) {
-	times := []clock.Millis{0}
-	for _, w := range f.workers {
+	type change struct {
+		roomChange
+		worker int
+	}
+	free, counts, tasks := make([]batch.Resources, len(f.workers)), make([]int, len(f.workers)), 0
+	var changes []change
+	for i, w := range f.workers {
+		if st.def.Label != "" && !w.worker.entry.HasLabel(st.def.Label) {
+			continue
+		}
+		free[i] = w.worker.free()
+		counts[i] = st.countIn(free[i])
+		tasks += counts[i]
 		for _, c := range w.changes {
 			if c.in <= within {
-				times = append(times, c.in)
+				changes = append(changes, change{c, i})
 			}
 		}
 	}
-	slices.Sort(times)
-	for _, in := range slices.Compact(times) {
-		tasks := 0
-		for _, w := range f.workers {
-			if st.def.Label == "" || w.worker.entry.HasLabel(st.def.Label) {
-				tasks += w.count(st, in)
-			}
-		}
-		if tasks >= len(st.tasks) {
-			return in, true
+	if tasks >= len(st.tasks) {
+		return 0, true
+	}
+	slices.SortFunc(changes, func(a, b change) int { return int(a.in - b.in) })
+	for _, c := range changes {
+		free[c.worker] = free[c.worker].Add(c.amount)
+		tasks -= counts[c.worker]
+		counts[c.worker] = st.countIn(free[c.worker])
+		if tasks += counts[c.worker]; tasks >= len(st.tasks) {
+			return c.in, true
 		}
 	}
 	return 0, false
 }
 
-// count returns how many tasks of the step fit on the worker after a time.
-func (w *workerForecast) count(st *step, in clock.Millis) int {
-	free := w.worker.free()
-	for _, c := range w.changes {
-		if c.in <= in {
-			free = free.Add(c.amount)
-		}
-	}
+// countIn returns how many tasks of the step fit into the free resources of a worker, at most all.
+func (st *step) countIn(free batch.Resources) int {
 	most := len(st.tasks)
 	if st.def.MaxPerWorker > 0 {
 		most = min(most, st.def.MaxPerWorker)
