pool: a gang that waits for room leaves no trace in its job

Cause: placeGangOn placed the members one by one and withdrew them when one did not fit. Each try, every 10 ms, raised the numbers of their runs and marked the job for storage: its row was written with each transaction, the job was shown as running and counted as begun although none of its tasks had started, and so was its rank. The code before copies does the same.

Change: the members only reserve room until all are placed (reserve, recordPlaced); a try that fails restores the run numbers. Waiting gangs lose the better rank that they had by mistake.

--- a/pool/copy.go
+++ b/pool/copy.go
@@ -216,8 +216,9 @@
 		s.requestMissingAdvice(t.step, others)
 		return false
 	}
-	r := s.prepare(t, w, t.number+1)
+	r := s.reserve(t, w, t.number+1)
 	r.copied = true
+	s.storeStart(r)
 	t.copies++
 	copiesStarted.Add(1)
 	s.log(eventCopyStarted, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -124,3 +124,27 @@
 		}
 	}
 }
+
+// Guards against a gang that waits for room and whose progress is stored again and again although nothing of it has changed.
+func TestWaitingGangIsNotStored(t *testing.T) {
+	for _, tight := range []bool{false, true} {
+		w := newPoolSim(t, 2, testQueue)
+		w.length = func(string) clock.Millis { return 0 }
+		w.submit("full", batch.Step{Count: 1, Need: cpu(4000), LongRunning: true})
+		w.run(500)
+		w.submit("gang", batch.Step{Count: 4, Need: cpu(2000), Gang: true, TightlyCoupled: tight})
+		stored := 0
+		for range 100 {
+			w.progress["gang"] = nil
+			if w.run(10); w.progress["gang"] != nil {
+				stored++
+			}
+		}
+		if got, most := stored, 1; got > most {
+			t.Errorf("tightly coupled %v: the progress of the waiting gang was stored %d times in 1 s, want at most %d", tight, got, most)
+		}
+		if got, want := w.state("gang"), batch.Pending; got != want {
+			t.Errorf("tightly coupled %v: state got %v, want %v", tight, got, want)
+		}
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -285,15 +285,21 @@
 
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
 	var runs []*run
-	for i, t := range st.tasks {
+	var before []int // numbers of the newest runs
+	for _, t := range st.tasks {
 		w := s.choose(t, workers, nil)
 		if w == nil {
-			for _, placed := range st.tasks[:i] {
-				s.withdraw(placed.run)
+			for i, r := range runs {
+				s.detach(r)
+				r.task.number = before[i]
 			}
 			return false
 		}
-		runs = append(runs, s.assign(t, w, number))
+		before = append(before, t.number)
+		runs = append(runs, s.reserve(t, w, number))
+	}
+	for _, r := range runs {
+		s.recordPlaced(r)
 	}
 	s.logPlaced(st, runs)
 	return true
@@ -403,20 +409,31 @@
 
 // assign reserves resources for a task on a worker. The start goes out once the placement is stored.
 func (s *Scheduler) assign(t *task, w *worker, number int) *run {
-	r := s.prepare(t, w, number)
-	j := t.step.job
+	r := s.reserve(t, w, number)
+	s.recordPlaced(r)
+	return r
+}
+
+// recordPlaced records that a task which has waited has a run, to be stored.
+func (s *Scheduler) recordPlaced(r *run) {
+	j := r.task.step.job
 	j.waiting--
 	placeTime.Observe(s.now - j.acceptedAt)
-	return r
+	s.storeStart(r)
+}
+
+// storeStart has the start of a run stored with the next transaction.
+func (s *Scheduler) storeStart(r *run) {
+	j := r.task.step.job
+	j.hasNewStarts = true
+	s.markDirty(j)
 }
 
-// prepare reserves resources for a run, which waits for the next transaction.
-func (s *Scheduler) prepare(t *task, w *worker, number int) *run {
+// reserve reserves resources for a run that is not to be stored yet.
+func (s *Scheduler) reserve(t *task, w *worker, number int) *run {
 	t.number = number
 	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100,
 		checkpoint: t.resumePoint()}
 	s.attach(r)
-	t.step.job.hasNewStarts = true
-	s.markDirty(t.step.job)
 	return r
 }
