pool: a gang that is larger than the pool does not prevent copies

Cause: no copy starts while a gang in time waits. One that can never be placed, and is long-running and so never late, kept all steps of the pool without copies for ever.

Change: only a gang that an idle pool has room for counts, as for single tasks.

Result: TestImpossibleGangDoesNotPreventCopies fails before (1 run of the slow task at once, want 2) and passes.

--- a/pool/copy.go
+++ b/pool/copy.go
@@ -130,6 +130,17 @@
 	return false
 }
 
+// couldFitGang reports whether all tasks of a gang would fit on idle workers.
+func (s *Scheduler) couldFitGang(st *step) bool {
+	tasks := 0
+	for _, w := range s.workers {
+		if w.listed {
+			tasks += st.countIn(w.entry.Capacity)
+		}
+	}
+	return tasks >= len(st.tasks)
+}
+
 // slowRuns returns the runs of a step whose tasks deserve a copy. A step with waiting tasks does not end sooner with one.
 func (s *Scheduler) slowRuns(st *step) []slowRun {
 	for _, t := range st.tasks {
--- a/pool/copy_test.go
+++ b/pool/copy_test.go
@@ -327,3 +327,18 @@
 		t.Errorf("time of the slow task got %d ms, want at most %d with a copy", got, limit)
 	}
 }
+
+// Guards against a pool without copies because a gang waits that is larger than the pool.
+func TestImpossibleGangDoesNotPreventCopies(t *testing.T) {
+	w := newCopySim(t, 6, "j.0.0.7")
+	w.submit("gang", batch.Step{Count: 100, Need: cpu(4000), Gang: true, LongRunning: true})
+	w.submit("j", copyStep())
+	most := 0
+	for range 600 {
+		w.run(10)
+		most = max(most, len(w.workersOf("j.0.0.7")))
+	}
+	if got, want := most, 2; got != want {
+		t.Errorf("runs of the slow task at once got %d, want %d", got, want)
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -94,7 +94,7 @@
 	tooBig  []batch.Resources
 	inTime  bool              // the job that is being placed can meet its objective
 	lacking []batch.Resources // those of tooBig of jobs that can
-	gangs   bool              // a gang of such a job waits
+	gangs   bool              // a gang of such a job waits that an idle pool has room for
 	capped  []*step           // those of such jobs that wait for nothing but the amount of their customer
 
 	byRack        [][]*worker              // see racks
@@ -197,7 +197,7 @@
 		if s.withinCap(st, pass) {
 			s.placeGang(st, pass)
 		}
-		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil
+		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil && s.couldFitGang(st)
 		return
 	}
 	var placed []*run
