--- a/pool/copy_random_test.go
+++ b/pool/copy_random_test.go
@@ -123,3 +123,72 @@
 		}
 	}
 }
+
+// Guards against a task that starts again after it has failed as often as its queue allows, or over a second after its end was acknowledged,
+// and against a job that fails although none of its tasks has failed so often, while tasks have copies, starts get no answer, and workers
+// become unreachable and restart.
+func TestRandomCopiesThatFail(t *testing.T) {
+	failedJobs, before := 0, copiesStarted.Value()
+	for seed := *firstSeed; seed < *firstSeed+*randomSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { failedJobs += runCopiesThatFail(t, seed) })
+	}
+	if copies := copiesStarted.Value() - before; failedJobs == 0 || copies == 0 {
+		t.Errorf("failed jobs and copies got %d and %d, want some", failedJobs, copies)
+	}
+}
+
+func runCopiesThatFail(t *testing.T, seed uint64) (failedJobs int) {
+	const maxAttempts = 3
+	random := rand.New(rand.NewPCG(seed, 9))
+	w := newPoolSim(t, 5, batch.Queue{Name: "q", MaxAttempts: maxAttempts, Stretch: 1.6, Objective: 600})
+	w.s.Retention = clock.Hour // the final states are read at the end
+	w.dropsOnRestart, w.maxAttempts, w.leaseBoundFailures = true, maxAttempts, true
+	lengths := heavyTail(random)
+	w.length = func(task string) clock.Millis {
+		for _, end := range w.endHistory.byTask[task] {
+			if end.acked && w.now-end.at > 1500 {
+				t.Errorf("%d ms: a start long after the end: %v", w.now, end)
+			}
+		}
+		return lengths(task)
+	}
+	failures := map[string]int{} // most of one task, by job
+	ofTask := map[string]int{}
+	w.fails = func(task, _ string) bool {
+		if random.IntN(4) > 0 {
+			return false
+		}
+		job, _, _ := batch.ParseTask(task)
+		ofTask[task]++
+		failures[job] = max(failures[job], ofTask[task])
+		return true
+	}
+	w.lose = func(order any) (bool, clock.Millis) {
+		_, isHold := order.(Hold)
+		return !isHold && random.IntN(8) == 0, 0
+	}
+	const jobs = 30
+	for i := range jobs {
+		w.add(withAccepted(randomCopyJob(fmt.Sprintf("j%d", i), random, i%2 == 0), w.now))
+		injectFault(w, random)
+		w.publish()
+		w.run(clock.Millis(random.IntN(2500)))
+	}
+	for _, f := range w.workers {
+		f.unreachable = false
+	}
+	w.storeBlocked, w.lose = false, nil
+	w.run(60 * clock.Second)
+	for i := range jobs {
+		id := fmt.Sprintf("j%d", i)
+		switch got := w.state(id); {
+		case got == batch.Failed && failures[id] < maxAttempts:
+			t.Errorf("%s is shown as failed, and its tasks have failed at most %d times, want %d", id, failures[id], maxAttempts)
+		case got == batch.Failed:
+			failedJobs++
+		case !got.Final(): // injectFault cancels some
+			t.Errorf("state of %s got %v, want a final one", id, got)
+		}
+	}
+	return failedJobs
+}
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -21,6 +21,7 @@
 	runs        map[string]*fakeRun
 	ended       []Ended
 	ends        int64
+	lapsed      int64 // number of the newest end when its lease had last expired
 	stopTime    clock.Millis
 }
 
@@ -63,6 +64,8 @@
 	// failures counts the failed ends of each task that were acknowledged; a start beyond maxAttempts fails the test. 0: no limit.
 	failures    map[string]int
 	maxAttempts int
+	// leaseBoundFailures is set if failed ends that were acknowledged after the lease of their worker had expired are not counted.
+	leaseBoundFailures bool
 	// dropsOnRestart is set if orders in transit are lost when their worker restarts.
 	dropsOnRestart bool
 }
@@ -242,6 +245,7 @@
 		f := w.workers[id]
 		if w.now > f.lease {
 			w.endHistory.expire(f.incarnation())
+			f.lapsed = f.ends
 		}
 		for _, name := range sortedNames(f.runs) {
 			r := f.runs[name]
@@ -401,7 +405,7 @@
 		switch {
 		case e.Number > o.Ack:
 			kept = append(kept, e)
-		case e.Reason == EndFailed:
+		case e.Reason == EndFailed && (e.Number > f.lapsed || !w.leaseBoundFailures):
 			w.failures[e.Task]++
 		}
 	}
@@ -422,7 +426,7 @@
 
 // restart gives the worker a new incarnation under the same ID.
 func (f *fakeWorker) restart(w *poolSim) {
-	f.runs, f.ended, f.ends, f.token, f.lease = map[string]*fakeRun{}, nil, 0, 0, 0
+	f.runs, f.ended, f.ends, f.lapsed, f.token, f.lease = map[string]*fakeRun{}, nil, 0, 0, 0, 0
 	f.entry.Incarnation = int64(w.now)
 }
 
