--- a/pool/copy.go
+++ b/pool/copy.go
@@ -239,7 +239,7 @@
 }
 
 // yieldCopies stops one of two runs where that makes room for the first run of a task that waits for it: of each task the one that is
-// expected to end later. One stop at a time is under way for each need.
+// expected to end later.
 func (s *Scheduler) yieldCopies(pairs []*task, lacking []batch.Resources) {
 	for _, need := range lacking {
 		s.stopLatest(pairs, "room for a first run", func(r *run) bool {
--- a/pool/place.go
+++ b/pool/place.go
@@ -98,8 +98,8 @@
 	capped  []*step           // those of such jobs that wait for nothing but the amount of their customer
 
 	byRack        [][]*worker              // see racks
-	forecasts     map[string]*rackForecast // see forecast
-	rackForecasts []*rackForecast          // for gangs, in the order of byRack
+	forecasts     map[string]*rackForecast // by rack, see rackForecast
+	gangForecasts []*rackForecast          // for gangs, in the order of byRack
 	gangRooms     map[gangNeed]roomTime    // see gangRoom
 }
 
@@ -201,7 +201,7 @@
 		return
 	}
 	var placed []*run
-	var remote *worker // chosen for the last task, which waits for its rack
+	var remote *worker // the choice for the last task, which waits for its rack instead
 	for _, t := range st.tasks {
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
--- a/pool/wait.go
+++ b/pool/wait.go
@@ -52,7 +52,7 @@
 	if budget <= 0 {
 		return false
 	}
-	wait, ok := pass.forecast(s, st.def.Rack).book(s, t, budget)
+	wait, ok := pass.rackForecast(s, st.def.Rack).book(s, t, budget)
 	return ok && s.continueWait(&t.wait, t.name, st, wait)
 }
 
@@ -69,44 +69,6 @@
 	return ok && s.continueWait(&st.wait, st.name(), st, wait)
 }
 
-// gangNeed is what decides when a gang fits on a rack.
-type gangNeed struct {
-	task                batch.Resources
-	tasks, maxPerWorker int
-	label               string
-}
-
-// gangRoom returns the time after which the gang fits on one rack, and false if that is not within the given time. Gangs of one kind are
-// compared with the racks once in a pass.
-func (p *placement) gangRoom(s *Scheduler, st *step, within clock.Millis) (clock.Millis, bool) {
-	need := gangNeed{st.def.Reserve(), len(st.tasks), st.def.MaxPerWorker, st.def.Label}
-	if known, ok := p.gangRooms[need]; ok && (known.found || within <= known.in) {
-		return known.in, known.found && known.in <= within
-	}
-	if p.rackForecasts == nil {
-		for _, rack := range p.racks() {
-			p.rackForecasts = append(p.rackForecasts, newRackForecast(s, rack))
-		}
-	}
-	earliest := roomTime{in: within}
-	for _, f := range p.rackForecasts {
-		if in, ok := f.room(st, earliest.in); ok {
-			earliest = roomTime{in, true}
-		}
-	}
-	if p.gangRooms == nil {
-		p.gangRooms = map[gangNeed]roomTime{}
-	}
-	p.gangRooms[need] = earliest
-	return earliest.in, earliest.found
-}
-
-// roomTime is the time after which there is room, or until which there is none.
-type roomTime struct {
-	in    clock.Millis
-	found bool
-}
-
 // fitsNow reports whether all tasks of a gang fit on the workers.
 func fitsNow(st *step, workers []*worker) bool {
 	tasks := 0
@@ -205,8 +167,8 @@
 	amount batch.Resources // negative parts are taken
 }
 
-// forecast returns the forecast of a rack for this pass.
-func (p *placement) forecast(s *Scheduler, rack string) *rackForecast {
+// rackForecast returns the forecast of a rack for this pass.
+func (p *placement) rackForecast(s *Scheduler, rack string) *rackForecast {
 	if f := p.forecasts[rack]; f != nil {
 		return f
 	}
@@ -339,6 +301,44 @@
 	return start, found && start <= within
 }
 
+// gangNeed is what decides when a gang fits on a rack.
+type gangNeed struct {
+	task                batch.Resources
+	tasks, maxPerWorker int
+	label               string
+}
+
+// roomTime is the time after which there is room, or until which there is none.
+type roomTime struct {
+	in    clock.Millis
+	found bool
+}
+
+// gangRoom returns the time after which the gang fits on one rack, and false if that is not within the given time. Gangs of one kind are
+// compared with the racks once in a pass.
+func (p *placement) gangRoom(s *Scheduler, st *step, within clock.Millis) (clock.Millis, bool) {
+	need := gangNeed{st.def.Reserve(), len(st.tasks), st.def.MaxPerWorker, st.def.Label}
+	if known, ok := p.gangRooms[need]; ok && (known.found || within <= known.in) {
+		return known.in, known.found && known.in <= within
+	}
+	if p.gangForecasts == nil {
+		for _, rack := range p.racks() {
+			p.gangForecasts = append(p.gangForecasts, newRackForecast(s, rack))
+		}
+	}
+	earliest := roomTime{in: within}
+	for _, f := range p.gangForecasts {
+		if in, ok := f.room(st, earliest.in); ok {
+			earliest = roomTime{in, true}
+		}
+	}
+	if p.gangRooms == nil {
+		p.gangRooms = map[gangNeed]roomTime{}
+	}
+	p.gangRooms[need] = earliest
+	return earliest.in, earliest.found
+}
+
 // room returns the time after which all tasks of a gang fit on the rack, and false if that is not within the given time.
 func (f *rackForecast) room(st *step, within clock.Millis) (clock.Millis, bool) {
 	type change struct {
