pool: a worker that one task avoids is still awaited by others

Cause: a booking that failed for a task was taken for one that fails for all with the same need, also where the task itself must avoid the worker on which a place is free soon, or has no ticket for it. The other tasks left their rack at once.

Change: a failed booking is remembered only if no worker was left out for the task.

Result: TestAvoidedWorkerIsAwaitedByOthers fails before (2 starts elsewhere, want 1) and passes.

--- a/pool/wait.go
+++ b/pool/wait.go
@@ -234,14 +234,20 @@
 	var best *workerForecast
 	wait := clock.Millis(0)
 	for best == nil {
-		first := -1
+		first, excluded := -1, false
 		for i, w := range f.workers {
-			if earliest[i] <= within && (first < 0 || earliest[i] < earliest[first]) && s.mayBook(t, w.worker) {
+			switch {
+			case earliest[i] > within || first >= 0 && earliest[i] >= earliest[first]:
+			case !s.mayBook(t, w.worker):
+				excluded = true
+			default:
 				first = i
 			}
 		}
 		if first < 0 {
-			f.failed = append(f.failed, failedBooking{need, within})
+			if !excluded {
+				f.failed = append(f.failed, failedBooking{need, within})
+			}
 			return 0, false
 		}
 		switch in, ok := f.workers[first].room(need, length, within); {
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -291,3 +291,22 @@
 		}
 	}
 }
+
+// Guards against tasks that do not wait for their rack because another task must avoid the only worker on which a place is free soon.
+func TestAvoidedWorkerIsAwaitedByOthers(t *testing.T) {
+	r := newRackSim(t, testRemoteFactor)
+	r.length = func(name string) clock.Millis {
+		job, key, _ := batch.ParseTask(name)
+		return r.defs[job].Steps[key.Step].Estimate
+	}
+	r.submit("full", batch.Step{Count: 3, Need: cpu(4000), Estimate: 20000, Rack: "r0"}, batch.Step{Count: 1, Need: cpu(4000), Estimate: 1000, Rack: "r0"})
+	r.run(300)
+	r.remote, r.local = 0, 0
+	soonFree := r.s.workers[r.runner("full.0.1.0")]
+	r.submit("j", batch.Step{Count: 2, Need: cpu(1000), Estimate: 1000, Rack: "r0"})
+	r.s.jobs["j"].occurrences[0].steps[0].tasks[0].avoidWorker(soonFree, r.now)
+	r.run(1500)
+	if r.remote != 1 || r.local != 1 {
+		t.Errorf("starts elsewhere and on the rack got %d and %d, want 1 and 1", r.remote, r.local)
+	}
+}
