pool: a gang that waits for room ranks as begun

Cause: until the gang's failed tries no longer raised its run numbers, a waiting gang counted as begun by accident and came before jobs that have not begun. Without that, gangs starve behind small jobs in a surge.

Change: the job remembers in memory that a gang of it has not found room, and then ranks as begun. It is not stored or shown as such.

Result: TestWaitingGangRanksAsBegun fails without the rank and passes.

--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -148,3 +148,18 @@
 		}
 	}
 }
+
+// Guards against gangs that starve in a surge behind jobs whose tasks start one by one: one that has not found room ranks as begun.
+func TestWaitingGangRanksAsBegun(t *testing.T) {
+	w := newPoolSim(t, 2, testQueue)
+	w.length = func(string) clock.Millis { return 0 }
+	w.submit("full", batch.Step{Count: 3, Need: cpu(2000), LongRunning: true})
+	w.run(500)
+	w.submit("gang", batch.Step{Count: 3, Need: cpu(1000), Gang: true, Estimate: 1000})
+	w.run(20)
+	w.submit("single", batch.Step{Count: 3, Need: cpu(2500), Estimate: 100})
+	gang, single := w.s.rank(w.s.jobs["gang"]), w.s.rank(w.s.jobs["single"])
+	if !gang.before(single) {
+		t.Errorf("ranks got %+v and %+v, want the waiting gang first", gang, single)
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -273,16 +273,25 @@
 			}
 		}
 		if s.gangWaits(st, pass) {
+			st.job.recordTriedGang()
 			return
 		}
 	}
 	if !s.placeGangOn(st, workers, number+1) {
+		st.job.recordTriedGang()
 		s.requestMissingAdvice(st, workers)
 		return
 	}
 	st.wait.end(s.now, s.RemoteFactor > 1 && st.def.TightlyCoupled)
 }
 
+// recordTriedGang records that a gang of the job waits for room.
+func (j *job) recordTriedGang() {
+	if !j.gangTried {
+		j.gangTried, j.ranked.job = true, nil // the rank changes
+	}
+}
+
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
 	var runs []*run
 	var before []int // numbers of the newest runs
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -13,7 +13,7 @@
 	job      *job
 	class    int
 	priority int
-	begun    bool // tasks of it have run or are running, or it has no objective
+	begun    bool // tasks of it have run or are running, a gang of it waits for room, or it has no objective
 	beyond   bool // beyond the entitlement of its customer, see customerShares
 	over     bool // its customer uses more than its share
 	behind   bool // too few jobs of its size meet their objective, see sizeShares
@@ -76,7 +76,8 @@
 	if r.class != classOnTime {
 		s.recordOutcome(j, false)
 	}
-	r.begun = j.begun()
+	// A gang needs room for all of its tasks at once, which it rarely finds behind jobs with single tasks.
+	r.begun = j.gangTried || j.begun()
 	if j.share != nil {
 		r.beyond, r.over = j.beyond, j.share.over
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -122,6 +122,7 @@
 	cancelled    bool
 	waiting      int  // number of tasks without a run whose step may run
 	exhausted    bool // one of these has failed as often as the terms allow; an earlier owner may have known other terms
+	gangTried    bool // a gang of it did not fit as a whole, and waits for room
 	ranked       rank
 	rankedAt     clock.Millis
 	size         int            // see sizeShares
