--- a/pool/cap.go
+++ b/pool/cap.go
@@ -26,6 +26,7 @@
 	room      map[string]batch.Resources
 	free      *batch.Resources // on all usable workers; nil until it is needed
 	collected bool             // the next pass, or this one, records units
+	searched  bool             // this pass records units, as copies of slow tasks are looked for after it
 }
 
 // beginCapPass discards what the last pass found.
@@ -33,7 +34,7 @@
 	if s.Caps == nil {
 		return
 	}
-	s.capped = cappedWork{collected: s.capped.collected, strays: map[string]batch.Resources{}, units: map[string][]grant.Unit{}, room: map[string]batch.Resources{}}
+	s.capped = cappedWork{collected: s.capped.collected, searched: s.now >= s.nextCopySearch, strays: map[string]batch.Resources{}, units: map[string][]grant.Unit{}, room: map[string]batch.Resources{}}
 	for _, w := range s.workers {
 		for name := range w.strays {
 			id, key, ok := batch.ParseTask(name)
@@ -63,16 +64,20 @@
 	if s.Caps.Allows(customer, s.usedBy(customer), st.def.Need, count) {
 		return true
 	}
-	if s.capped.collected && len(s.capped.units[customer]) < maxCappedUnits {
+	if (s.capped.collected || s.capped.searched) && len(s.capped.units[customer]) < maxCappedUnits {
 		s.recordCapped(st, pass)
 	}
 	return false
 }
 
-// mayCopyWithinCap reports whether a copy of a task of the step may start within its customer's amount. Copies add no demand.
+// mayCopyWithinCap reports whether a copy of a task of the step may start within its customer's amount, of which it leaves all to first runs
+// while one waits for it. Copies add no demand.
 func (s *Scheduler) mayCopyWithinCap(st *step) bool {
 	customer := st.job.def.Customer
-	return s.Caps == nil || customer == "" || s.Caps.Allows(customer, s.usedBy(customer), st.def.Need, 1)
+	if s.Caps == nil || customer == "" {
+		return true
+	}
+	return len(s.capped.units[customer]) == 0 && s.Caps.Allows(customer, s.usedBy(customer), st.def.Need, 1)
 }
 
 // recordCapped adds the waiting tasks of a step to the demand of its customer, as many as the pool has room for.
@@ -108,6 +113,9 @@
 		pass.recordTooBig(size)
 		return
 	}
+	if pass.inTime {
+		pass.capped = append(pass.capped, st)
+	}
 	s.capped.room[customer] = room
 	s.capped.units[customer] = append(s.capped.units[customer], grant.Unit{Need: st.def.Need, Tasks: fitting, Gang: st.def.Gang})
 }
--- a/pool/copy.go
+++ b/pool/copy.go
@@ -51,6 +51,9 @@
 	for _, c := range slow {
 		c.run.copyDenied = true // until it has one
 	}
+	if pass != nil && len(pairs) > 0 {
+		s.yieldCapped(pairs, pass.capped)
+	}
 	if pass != nil && (pass.gangs || s.couldFit(pass.lacking)) {
 		s.yieldCopies(pairs, pass.lacking)
 		return
@@ -127,6 +130,17 @@
 	return false
 }
 
+// couldFitGang reports whether all tasks of a gang would fit on idle workers.
+func (s *Scheduler) couldFitGang(st *step) bool {
+	tasks := 0
+	for _, w := range s.workers {
+		if w.listed {
+			tasks += st.countIn(w.entry.Capacity)
+		}
+	}
+	return tasks >= len(st.tasks)
+}
+
 // slowRuns returns the runs of a step whose tasks deserve a copy. A step with waiting tasks does not end sooner with one.
 func (s *Scheduler) slowRuns(st *step) []slowRun {
 	for _, t := range st.tasks {
@@ -213,8 +227,9 @@
 		s.requestMissingAdvice(t.step, others)
 		return false
 	}
-	r := s.prepare(t, w, t.number+1)
+	r := s.reserve(t, w, t.number+1)
 	r.copied = true
+	s.storeStart(r)
 	t.copies++
 	copiesStarted.Add(1)
 	s.log(eventCopyStarted, slog.String("task", t.name), slog.Int("run", r.number), slog.String("worker", w.entry.ID),
@@ -224,27 +239,52 @@
 }
 
 // yieldCopies stops one of two runs where that makes room for the first run of a task that waits for it: of each task the one that is
-// expected to end later. One stop at a time is under way for each need.
+// expected to end later.
 func (s *Scheduler) yieldCopies(pairs []*task, lacking []batch.Resources) {
 	for _, need := range lacking {
-		var last *run
-		var lastLeft clock.Millis
+		s.stopLatest(pairs, "room for a first run", func(r *run) bool {
+			return need.Fits(r.worker.free().Add(r.task.step.def.Reserve()))
+		})
+	}
+}
+
+// yieldCapped does the same for first runs that wait for their customer's amount.
+func (s *Scheduler) yieldCapped(pairs []*task, capped []*step) {
+	for _, st := range capped {
+		customer, count := st.job.def.Customer, 1
+		if st.def.Gang {
+			count = len(st.tasks)
+		}
+		var own []*task
 		for _, t := range pairs {
-			if t.run.stopping || t.copy.stopping {
-				last = nil
-				break
-			}
-			later, left := s.laterRun(t)
-			if later.state == planned || left <= stopTime || !need.Fits(later.worker.free().Add(t.step.def.Reserve())) {
-				continue
-			}
-			if last == nil || left > lastLeft {
-				last, lastLeft = later, left
+			if t.step.job.def.Customer == customer {
+				own = append(own, t)
 			}
 		}
-		if last != nil {
-			s.stop(last, "room for a first run")
+		s.stopLatest(own, "customer's amount for a first run", func(r *run) bool {
+			return s.Caps.Allows(customer, s.usedBy(customer).Sub(r.task.step.def.Need), st.def.Need, count)
+		})
+	}
+}
+
+// stopLatest stops the later run of the pair that ends last among those whose stop helps. It does nothing while another stop is under way.
+func (s *Scheduler) stopLatest(pairs []*task, reason string, helps func(*run) bool) {
+	var last *run
+	var lastLeft clock.Millis
+	for _, t := range pairs {
+		if t.run.stopping || t.copy.stopping {
+			return
 		}
+		later, left := s.laterRun(t)
+		if later.state == planned || left <= stopTime || !helps(later) {
+			continue
+		}
+		if last == nil || left > lastLeft {
+			last, lastLeft = later, left
+		}
+	}
+	if last != nil {
+		s.stop(last, reason)
 	}
 }
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -92,10 +92,15 @@
 type placement struct {
 	workers []*worker
 	tooBig  []batch.Resources
-	racks   map[string]*rackForecast // see forecast
-	inTime  bool                     // the job that is being placed can meet its objective
-	lacking []batch.Resources        // those of tooBig of jobs that can
-	gangs   bool                     // a gang of such a job waits
+	inTime  bool              // the job that is being placed can meet its objective
+	lacking []batch.Resources // those of tooBig of jobs that can
+	gangs   bool              // a gang of such a job waits that an idle pool has room for
+	capped  []*step           // those of such jobs that wait for nothing but the amount of their customer
+
+	byRack        [][]*worker              // see racks
+	forecasts     map[string]*rackForecast // by rack, see rackForecast
+	gangForecasts []*rackForecast          // for gangs, in the order of byRack
+	gangRooms     map[gangNeed]roomTime    // see gangRoom
 }
 
 // fits reports whether it is still possible that a worker has the resources free.
@@ -192,10 +197,11 @@
 		if s.withinCap(st, pass) {
 			s.placeGang(st, pass)
 		}
-		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil
+		pass.gangs = pass.gangs || pass.inTime && st.tasks[0].run == nil && s.couldFitGang(st)
 		return
 	}
 	var placed []*run
+	var remote *worker // the choice for the last task, which waits for its rack instead
 	for _, t := range st.tasks {
 		if t.done || t.run != nil || t.retryAt > s.now {
 			continue
@@ -203,18 +209,26 @@
 		if !s.withinCap(st, pass) {
 			break
 		}
-		w := s.choose(t, pass.workers, nil)
+		avoids := t.avoid != nil && s.now < t.avoidUntil
+		w := remote
+		if w == nil || avoids {
+			w = s.choose(t, pass.workers, nil)
+		}
 		if w == nil {
 			s.requestMissingAdvice(st, pass.workers)
 			pass.recordTooBig(st.def.Reserve())
-			if t.avoid != nil && s.now < t.avoidUntil {
+			if avoids {
 				continue // the others may run on the worker that this one avoids
 			}
 			break // tasks of a step are equal: if one does not fit, the next does not either
 		}
 		if s.waitsForRack(t, w, pass) {
+			if !avoids {
+				remote = w
+			}
 			continue
 		}
+		remote = nil
 		t.wait.end(s.now, s.RemoteFactor > 1 && st.def.Rack != "" && !w.entry.HasLabel(st.def.Rack))
 		placed = append(placed, s.assign(t, w, t.number+1))
 	}
@@ -252,34 +266,49 @@
 		number = max(number, t.number)
 	}
 	if st.def.TightlyCoupled {
-		for _, rack := range racks(workers) {
-			if s.placeGangOn(st, rack, number+1) {
+		for _, rack := range pass.racks() {
+			if fitsNow(st, rack) && s.placeGangOn(st, rack, number+1) {
 				st.wait.end(s.now, false)
 				return
 			}
 		}
 		if s.gangWaits(st, pass) {
+			st.job.recordTriedGang()
 			return
 		}
 	}
 	if !s.placeGangOn(st, workers, number+1) {
+		st.job.recordTriedGang()
 		s.requestMissingAdvice(st, workers)
 		return
 	}
 	st.wait.end(s.now, s.RemoteFactor > 1 && st.def.TightlyCoupled)
 }
 
+// recordTriedGang records that a gang of the job waits for room.
+func (j *job) recordTriedGang() {
+	if !j.gangTried {
+		j.gangTried, j.ranked.job = true, nil // the rank changes
+	}
+}
+
 func (s *Scheduler) placeGangOn(st *step, workers []*worker, number int) bool {
 	var runs []*run
-	for i, t := range st.tasks {
+	var before []int // numbers of the newest runs
+	for _, t := range st.tasks {
 		w := s.choose(t, workers, nil)
 		if w == nil {
-			for _, placed := range st.tasks[:i] {
-				s.withdraw(placed.run)
+			for i, r := range runs {
+				s.detach(r)
+				r.task.number = before[i]
 			}
 			return false
 		}
-		runs = append(runs, s.assign(t, w, number))
+		before = append(before, t.number)
+		runs = append(runs, s.reserve(t, w, number))
+	}
+	for _, r := range runs {
+		s.recordPlaced(r)
 	}
 	s.logPlaced(st, runs)
 	return true
@@ -293,26 +322,25 @@
 	}
 }
 
-// racks groups workers by their last label, which names the rack.
-func racks(workers []*worker) [][]*worker {
+// racks returns the workers of the pass by their last label, which names the rack.
+func (p *placement) racks() [][]*worker {
+	if p.byRack != nil {
+		return p.byRack
+	}
 	byRack := map[string][]*worker{}
 	var names []string
-	for _, w := range workers {
-		name := ""
-		if n := len(w.entry.Labels); n > 0 {
-			name = w.entry.Labels[n-1]
-		}
+	for _, w := range p.workers {
+		name := w.rack()
 		if byRack[name] == nil {
 			names = append(names, name)
 		}
 		byRack[name] = append(byRack[name], w)
 	}
 	sort.Strings(names)
-	var groups [][]*worker
 	for _, name := range names {
-		groups = append(groups, byRack[name])
+		p.byRack = append(p.byRack, byRack[name])
 	}
-	return groups
+	return p.byRack
 }
 
 // hasRoomElsewhere reports whether the task fits on one of the workers other than the one on which it runs. It asks the advisor about
@@ -390,20 +418,31 @@
 
 // assign reserves resources for a task on a worker. The start goes out once the placement is stored.
 func (s *Scheduler) assign(t *task, w *worker, number int) *run {
-	r := s.prepare(t, w, number)
-	j := t.step.job
+	r := s.reserve(t, w, number)
+	s.recordPlaced(r)
+	return r
+}
+
+// recordPlaced records that a task which has waited has a run, to be stored.
+func (s *Scheduler) recordPlaced(r *run) {
+	j := r.task.step.job
 	j.waiting--
 	placeTime.Observe(s.now - j.acceptedAt)
-	return r
+	s.storeStart(r)
+}
+
+// storeStart has the start of a run stored with the next transaction.
+func (s *Scheduler) storeStart(r *run) {
+	j := r.task.step.job
+	j.hasNewStarts = true
+	s.markDirty(j)
 }
 
-// prepare reserves resources for a run, which waits for the next transaction.
-func (s *Scheduler) prepare(t *task, w *worker, number int) *run {
+// reserve reserves resources for a run that is not to be stored yet.
+func (s *Scheduler) reserve(t *task, w *worker, number int) *run {
 	t.number = number
 	r := &run{task: t, worker: w, number: number, state: planned, incarnation: w.incarnation, throttle: 100,
 		checkpoint: t.resumePoint()}
 	s.attach(r)
-	t.step.job.hasNewStarts = true
-	s.markDirty(t.step.job)
 	return r
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -221,11 +221,10 @@
 func (s *Scheduler) restore(j *job, progress *batch.Progress) {
 	for i := range progress.Runs {
 		stored := &progress.Runs[i]
-		o := s.occurrence(j, stored.Occurrence)
-		if stored.Step >= len(o.steps) || stored.Index >= len(o.steps[stored.Step].tasks) {
+		if !j.def.HasTask(stored.Key()) {
 			continue // jobs are immutable, so the row is damaged; the task starts from the beginning
 		}
-		st := o.steps[stored.Step]
+		st := s.occurrence(j, stored.Occurrence).steps[stored.Step]
 		t := st.tasks[stored.Index]
 		t.number, t.failures, t.checkpoint, t.moves = max(t.number, stored.Number), stored.Failures, stored.Checkpoint, stored.Moves
 		st.gang.failedRun = max(st.gang.failedRun, stored.FailedRun)
@@ -618,15 +617,12 @@
 			}
 		}
 	}
-	withdrawn := map[*step]bool{} // gangs that no longer fit; the rest of one might, as its members are withdrawn one by one
+	partial := s.partialGangs(tx.starts)
 	for _, r := range tx.starts {
 		if !r.attached() { // the worker has restarted, or the task was done meanwhile
 			continue
 		}
-		st := r.task.step
-		mayStart := !withdrawn[st] && s.mayStillStart(r)
-		withdrawn[st] = st.def.Gang && !mayStart
-		if r.task.step.job.state.Final() || !r.worker.confirmed || r.worker.clockAt == 0 || r.worker.leaseFixed() || !mayStart {
+		if partial[r.task.step] || !s.canSend(r) {
 			s.log(eventNotSent, slog.String("task", r.task.name), slog.Int("run", r.number), slog.String("worker", r.worker.entry.ID))
 			s.finish(r, EndLost, "")
 			continue
@@ -639,6 +635,26 @@
 	}
 }
 
+// canSend reports whether the start of a placed run may still be sent.
+func (s *Scheduler) canSend(r *run) bool {
+	w := r.worker
+	return !r.task.step.job.state.Final() && w.confirmed && w.clockAt != 0 && !w.leaseFixed() && s.mayStillStart(r)
+}
+
+// partialGangs returns the gangs of which a part of the starts can no longer be sent. The other members would wait for it in vain.
+func (s *Scheduler) partialGangs(starts []*run) map[*step]bool {
+	var partial map[*step]bool
+	for _, r := range starts {
+		if st := r.task.step; st.def.Gang && !partial[st] && (!r.attached() || !s.canSend(r)) {
+			if partial == nil {
+				partial = map[*step]bool{}
+			}
+			partial[st] = true
+		}
+	}
+	return partial
+}
+
 // Orders returns the orders queued since the last call: values of type Start, Stop, Throttle, Hold and Advise.
 func (s *Scheduler) Orders() []any {
 	orders := s.orders
--- a/pool/wait_test.go
+++ b/pool/wait_test.go
@@ -257,3 +257,56 @@
 		}
 	}
 }
+
+// Guards against a job that has nothing running for seconds while most of the pool is idle, because its next task waits for a rack. Callers
+// are promised that such a job runs within 3 s.
+func TestIdleJobWaitsBriefly(t *testing.T) {
+	gang := batch.Step{Count: 12, Need: cpu(1000), Estimate: 4000, Gang: true, TightlyCoupled: true}
+	for _, test := range []struct {
+		name string
+		step batch.Step
+		fill batch.Step // of a job for each rack that is not idle
+		full int        // number of these
+	}{
+		{"task with data", batch.Step{Count: 1, Need: cpu(1000), Estimate: 4000, Rack: "r0"}, batch.Step{Count: 16}, 1},
+		{"gang", gang, batch.Step{Count: 5, MaxPerWorker: 2}, 4},
+	} {
+		r := newRackSim(t, testRemoteFactor)
+		r.length = func(name string) clock.Millis {
+			job, key, _ := batch.ParseTask(name)
+			return r.defs[job].Steps[key.Step].Estimate
+		}
+		for i := range test.full {
+			test.fill.Need, test.fill.Estimate, test.fill.Rack = cpu(1000), 6000, fmt.Sprintf("r%d", i)
+			r.submit(fmt.Sprintf("full%d", i), test.fill)
+		}
+		r.run(500)
+		submitted := r.now
+		r.submit("j", test.step)
+		for r.starts["j.0.0.0"] == 0 && r.now-submitted < 10*clock.Second {
+			r.run(10)
+		}
+		if got, limit := r.now-submitted, 2500*clock.Millis(1); got > limit {
+			t.Errorf("%s: nothing of the job ran for %d ms, want at most %d", test.name, got, limit)
+		}
+	}
+}
+
+// Guards against tasks that do not wait for their rack because another task must avoid the only worker on which a place is free soon.
+func TestAvoidedWorkerIsAwaitedByOthers(t *testing.T) {
+	r := newRackSim(t, testRemoteFactor)
+	r.length = func(name string) clock.Millis {
+		job, key, _ := batch.ParseTask(name)
+		return r.defs[job].Steps[key.Step].Estimate
+	}
+	r.submit("full", batch.Step{Count: 3, Need: cpu(4000), Estimate: 20000, Rack: "r0"}, batch.Step{Count: 1, Need: cpu(4000), Estimate: 1000, Rack: "r0"})
+	r.run(300)
+	r.remote, r.local = 0, 0
+	soonFree := r.s.workers[r.runner("full.0.1.0")]
+	r.submit("j", batch.Step{Count: 2, Need: cpu(1000), Estimate: 1000, Rack: "r0"})
+	r.s.jobs["j"].occurrences[0].steps[0].tasks[0].avoidWorker(soonFree, r.now)
+	r.run(1500)
+	if r.remote != 1 || r.local != 1 {
+		t.Errorf("starts elsewhere and on the rack got %d and %d, want 1 and 1", r.remote, r.local)
+	}
+}
