front: tests of repeats and of public queues

Two changes of the code went unnoticed by the tests: a repeat without a second look at its key, and a public queue that shows the jobs without a customer of another queue. Both new tests pass, and fail with the respective change.

--- a/front/access_test.go
+++ b/front/access_test.go
@@ -384,3 +384,46 @@
 		})
 	}
 }
+
+// Guards against a repeat that is answered with success although its key was withdrawn while the body was read.
+func TestKeyWithdrawnBeforeARepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newKeyedFleet(1)
+		s := f.instances[0]
+		access := f.access(t, 0, "ka")
+		submit := func() *result.Refusal {
+			return f.call(func() *result.Refusal { return s.Submit(context.Background(), access, testJob("1"), 2900) })
+		}
+		if got := submit(); got != nil {
+			t.Fatalf("first request got %v, want success", got)
+		}
+		next := &batch.Configuration{Version: 2, Queues: keyedSite().Queues}
+		next.SetCustomers([]batch.Customer{{Name: "a", Keys: []batch.KeyHash{batch.HashKey("k2")}}})
+		s.Configuration = func() *batch.Configuration { return next }
+		if got := submit(); code(got) != CodeNoKey {
+			t.Errorf("repeat got %v, want %s", got, CodeNoKey.Name())
+		}
+	})
+}
+
+// Guards against a caller without a key that gets success for the id of a job in a queue which needs one, as the job has no customer.
+func TestPublicQueueDoesNotShowJobsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newKeyedFleet(1)
+		s := f.instances[0]
+		part := store.IntakePart("1")
+		rows := []store.Row{store.EncodeState(part, "1", "q", "p", batch.Pending), store.EncodeAddress("1", testQueue.Address(), ""),
+			{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, "1")}}
+		if _, err := f.table.Commit(context.Background(), store.Transaction{Puts: rows}); err != nil {
+			t.Fatal(err)
+		}
+		f.reload(0)
+		access := f.access(t, 0, "")
+		if got := f.call(func() *result.Refusal { return s.Submit(context.Background(), access, testJob("1"), 2900) }); code(got) != CodeIDInUse {
+			t.Errorf("request with the id got %v, want %s", got, CodeIDInUse.Name())
+		}
+		if got := f.call(func() *result.Refusal { return s.Cancel(context.Background(), access, "1", 2900) }); code(got) != CodeNoJob || !f.runs("1") {
+			t.Errorf("cancel got %v, want %s and no effect", got, CodeNoJob.Name())
+		}
+	})
+}
