--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -99,7 +99,7 @@
 type allowed struct {
 	limit  batch.Resources
 	amount batch.Resources
-	open   bool // the amounts of all pools are within the limit
+	within bool // the amounts of all pools are within the limit, and the row has a limit at least as tight
 	alone  bool // no other pool has an amount
 }
 
@@ -211,7 +211,7 @@
 		return true
 	case l.superseded || a.unreadable || l.Age != nil && l.Age() > MaxAge || !use.Add(total).Fits(amount):
 		return false
-	case a.allowed.open:
+	case a.allowed.within:
 		return true
 	}
 	return a.allowed.alone && use == batch.Resources{} && total.Sub(need).Fits(limit)
@@ -228,7 +228,7 @@
 	}
 	result.amount = limited(result.amount, result.limit)
 	stored := a.version != 0 && (a.row.Configuration >= l.configuration.Version || within(a.row.Limit, result.limit))
-	result.open = stored && limited(a.row.Granted(), result.limit).Fits(result.limit)
+	result.within = stored && limited(a.row.Granted(), result.limit).Fits(result.limit)
 	result.alone = stored && limited(a.row.Granted().Sub(entry.Amount), result.limit) == batch.Resources{}
 	return result
 }
--- a/grant/row.go
+++ b/grant/row.go
@@ -44,7 +44,7 @@
 	return sum
 }
 
-// Limit returns what a customer with the cap may use when it may exceed the cap by the given part of it.
+// Limit returns what a customer may use whose cap may be exceeded by the given part of it.
 func Limit(limit batch.Resources, overage float64) batch.Resources {
 	scale := func(amount int) int { return int(float64(amount)*(1+overage) + rounding) }
 	return batch.Resources{CPU: scale(limit.CPU), MemoryMB: scale(limit.MemoryMB), GPUs: scale(limit.GPUs)}
