--- a/front/access_test.go
+++ b/front/access_test.go
@@ -411,8 +411,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newKeyedFleet(1)
 		s := f.instances[0]
-		part := store.IntakePart("1")
-		rows := []store.Row{store.EncodeState(part, "1", "q", "p", batch.Pending), store.EncodeAddress("1", testQueue.Address(), ""),
+		part := store.Layout{}.IntakePart("1")
+		rows := []store.Row{store.EncodeState(part, "1", "q", "p", batch.Pending), store.EncodeAddress(store.Layout{}.IntakePart("1"), "1", testQueue.Address(), ""),
 			{Table: store.JobsTable("p"), Part: part, Key: store.Key(store.KindJob, "1")}}
 		if _, err := f.table.Commit(context.Background(), store.Transaction{Puts: rows}); err != nil {
 			t.Fatal(err)
