--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -66,6 +66,9 @@
 	// LateForNextIncarnation makes late orders also reach a later incarnation of the worker with the same id. Otherwise they are
 	// dropped when the incarnation that they were sent to ends.
 	LateForNextIncarnation bool
+	// OnStart, if set, is called when a worker has started a run. running holds the thousandths of a core that the running tasks of each job use on
+	// all machines, including those of the new run, of which cpu is the part. A result that is not empty is a violation.
+	OnStart func(job string, cpu int, running map[string]int) string
 
 	mu           sync.Mutex
 	machines     []*fleetMachine
--- a/standin/fleet_worker.go
+++ b/standin/fleet_worker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"magnoliaferry/batch"
 	"magnoliaferry/clock"
 )
 
@@ -260,6 +261,44 @@
 		f.recordViolation("start of task %s has the invalid spec %q", order.Task, order.Spec)
 		return "old"
 	}
+	f.checkStart(m, order)
+	f.events++
+	f.latestStarts[order.Task] = fleetStart{order.Run, m.id, f.events}
+	incarnation.runs[key] = &fleetRun{work: work, began: now}
+	f.started++
+	used := 0
+	for _, run := range incarnation.runs {
+		used += run.work.CPU
+	}
+	if used > m.capacity.CPU {
+		f.recordViolation("%s runs %d thousandths of a core, at most %d fit", m.id, used, m.capacity.CPU)
+	}
+	if f.OnStart != nil {
+		job, _, _ := batch.ParseTask(order.Task)
+		if violation := f.OnStart(job, work.CPU, f.usedByJob()); violation != "" {
+			f.recordViolation("task %s, run %d, starts on %s: %s", order.Task, order.Run, m.id, violation)
+		}
+	}
+	return ""
+}
+
+// usedByJob returns the thousandths of a core that the running tasks of each job use. f.mu is held.
+func (f *Fleet) usedByJob() map[string]int {
+	used := map[string]int{}
+	for _, m := range f.machines {
+		if m.incarnation == nil {
+			continue
+		}
+		for key, run := range m.incarnation.runs {
+			job, _, _ := batch.ParseTask(key.task)
+			used[job] += run.work.CPU
+		}
+	}
+	return used
+}
+
+// checkStart records a violation if the task already runs, or if its end was acknowledged. It ends the runs that are due. f.mu is held.
+func (f *Fleet) checkStart(m *fleetMachine, order *orderFields) {
 	for _, other := range f.machines {
 		if other.incarnation == nil {
 			continue
@@ -276,18 +315,6 @@
 	if f.completed[order.Task] {
 		f.recordViolation("task %s, run %d, starts on %s after its end was acknowledged", order.Task, order.Run, m.id)
 	}
-	f.events++
-	f.latestStarts[order.Task] = fleetStart{order.Run, m.id, f.events}
-	incarnation.runs[key] = &fleetRun{work: work, began: now}
-	f.started++
-	used := 0
-	for _, run := range incarnation.runs {
-		used += run.work.CPU
-	}
-	if used > m.capacity.CPU {
-		f.recordViolation("%s runs %d thousandths of a core, at most %d fit", m.id, used, m.capacity.CPU)
-	}
-	return ""
 }
 
 // acknowledge removes the ends up to number ack. When an end with the reason done is acknowledged, its task is completed: each run of
--- a/standin/site_test.go
+++ b/standin/site_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -206,6 +207,34 @@
 	}
 }
 
+// Guards against checks of starts that miss runs on other machines, or count runs that have ended or were lost with their worker.
+func TestFleetReportsStarts(t *testing.T) {
+	f := newFleetOfTwo(t)
+	var used []map[string]int
+	f.fleet.OnStart = func(job string, cpu int, running map[string]int) string {
+		used = append(used, running)
+		if job == "k" {
+			return "not allowed"
+		}
+		return ""
+	}
+	f.start(0, "j.0.0.0", 1, 5, standin.Work{Length: 500, CPU: 300})
+	f.start(1, "j.0.0.1", 1, 5, standin.Work{CPU: 200})
+	f.start(1, "j.0.0.1", 1, 5, standin.Work{CPU: 200}) // a repeat starts nothing
+	f.start(1, "k.0.0.0", 1, 5, standin.Work{CPU: 100})
+	f.clock.Advance(500)
+	f.start(1, "l.0.0.0", 1, 5, standin.Work{CPU: 50})
+	f.fleet.Crash("m2", 500, false)
+	f.start(0, "l.0.0.1", 1, 5, standin.Work{CPU: 60})
+	want := []map[string]int{{"j": 300}, {"j": 500}, {"j": 500, "k": 100}, {"j": 200, "k": 100, "l": 50}, {"l": 60}}
+	if !slices.EqualFunc(used, want, maps.Equal[map[string]int, map[string]int]) {
+		t.Errorf("use by job at each start got %v, want %v", used, want)
+	}
+	if got := f.fleet.Violations(); len(got) != 1 || !strings.Contains(got[0], "task k.0.0.0, run 1, starts on m2: not allowed") {
+		t.Errorf("violations got %v, want the one that the check returned", got)
+	}
+}
+
 // Guards against simulated workers that accept runs and leases which the platform's workers refuse, which would hide tasks that run
 // twice, and against a false violation for a task that may run again because the lease expired before its end was acknowledged.
 func TestFleetLeasesAndRuns(t *testing.T) {
