soak: keys, caps, a public queue and jobs of others

Change: three customers, two with a cap, share both pools with a public queue; keys are added and withdrawn at random times and at the begin of faults that make instances learn of it late. Others call with withdrawn, unknown and no keys, and ask for jobs that are not theirs. Checked as docs/design/soak-customers.md says.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 
 	"magnoliaferry/batch"
@@ -27,10 +29,18 @@
 	propagationTime   = 3 * clock.Second      // until all instances report a state that one has reported; the users' documentation states this time
 	completionTimeout = 45 * clock.Second     // for the remaining work after the last fault
 	retryInterval     = 100 * clock.Millis(1) // between attempts to submit a job
+	intruderInterval  = 25 * clock.Millis(1)  // between two calls with keys that do not hold
+	pryOneIn          = 10                    // before one in this many polls of a job another customer asks for it
+	cancelPryOneIn    = 4                     // one in this many of those requests is to cancel it
 )
 
 const taskMemory = 100 // megabytes
 
+// Jobs come from one customer at a time, so that its load exceeds its cap in its turn. Over a cycle no load does.
+var turns = []string{"amber", uncappedCustomer, "birch", noCustomer, "amber", uncappedCustomer, noCustomer, uncappedCustomer}
+
+const jobsPerTurn = 8
+
 // jobCounts counts the jobs of the callers by outcome.
 type jobCounts struct {
 	mu        sync.Mutex
@@ -40,8 +50,20 @@
 	refused   int
 }
 
-// send sends one request to an instance and returns the answer; status 0 means that there was none.
-func (s *site) send(ctx context.Context, in *instance, method, path string, body []byte) (status int, content []byte) {
+// send sends one request to an instance, with the key unless it is empty, and returns the answer; status 0 means that there was none. It records a violation
+// if the answer is wrong for the key.
+func (s *site) send(ctx context.Context, in *instance, method, path, key string, body []byte) (status int, content []byte) {
+	readable, sent := s.canReadSince(in), clock.System().Now()
+	status, content = s.exchange(ctx, in, method, path, key, body)
+	readable = max(readable, s.canReadSince(in))
+	if violation := s.operator.checkAnswer(strings.HasPrefix(path, publicPrefix), key, status, sent, readable); violation != "" {
+		s.options.recordViolation("%s, %s %s: %s", in.name, method, path, violation)
+	}
+	return status, content
+}
+
+// exchange carries out send without the check.
+func (s *site) exchange(ctx context.Context, in *instance, method, path, key string, body []byte) (status int, content []byte) {
 	ctx, cancel := clock.System().WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+in.callers+path, bytes.NewReader(body))
@@ -51,6 +73,9 @@
 	}
 	request.Host = hostName
 	request.Header.Set(standin.HeaderDeadline, fmt.Sprint(int64(callTimeout)))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := s.client.Do(request)
 	if err != nil {
 		return 0, nil
@@ -79,18 +104,54 @@
 			steps = append(steps, batch.Step{Count: 1 + random.IntN(4), Need: batch.Resources{MemoryMB: taskMemory}, After: []int{0}})
 		}
 		j := &followedJob{site: s, jobCounts: counts, id: fmt.Sprintf("%08x%08d", uint32(s.options.Seed), n),
-			pool: pools[random.IntN(len(pools))], body: standin.JobBody(work, steps...), cancel: random.IntN(cancelOneIn) == 0, abandon: n%abandonOneIn == 0,
+			prefix: "/" + pools[random.IntN(len(pools))] + "/", body: standin.JobBody(work, steps...), cancel: random.IntN(cancelOneIn) == 0, abandon: n%abandonOneIn == 0,
 			random: rand.New(rand.NewPCG(s.options.Seed, uint64(n+10)))}
+		if j.customer = turns[n/jobsPerTurn%len(turns)]; j.customer == noCustomer {
+			j.prefix = publicPrefix
+		}
+		s.customerByJob.Store(j.id, j.customer)
 		followed.Go(func() { j.follow(ctx, until+completionTimeout) })
 	}
 }
 
+// runIntruders calls random instances with withdrawn keys, with keys that no configuration has held and without a key, until the given time.
+func (s *site) runIntruders(ctx context.Context, until clock.Millis) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 5))
+	c := clock.System()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for n := 0; c.Now() < until && c.Sleep(ctx, intruderInterval) == nil; n++ {
+		k, ok := s.operator.withdrawnKey(random)
+		switch random.IntN(8) {
+		case 0:
+			k = customerKey{key: fmt.Sprintf("unknown-%d", n)}
+		case 1:
+			k = customerKey{}
+		default:
+			if !ok {
+				continue
+			}
+		}
+		// The number of waiting jobs has no effect on them. A withdrawn key may still submit a job, which then counts for its customer.
+		in, method, path := s.instances[random.IntN(len(s.instances))], http.MethodGet, "/"+pools[random.IntN(len(pools))]+"/"
+		var body []byte
+		if random.IntN(4) == 0 {
+			id := fmt.Sprintf("intruder%08x%08d", uint32(s.options.Seed), n)
+			s.customerByJob.Store(id, k.customer)
+			method, path = http.MethodPost, path+id
+			body = standin.JobBody(standin.Work{Length: 50, CPU: 250}, batch.Step{Count: 1, Need: batch.Resources{MemoryMB: taskMemory}})
+		}
+		calls.Go(func() { s.send(ctx, in, method, path, k.key, body) })
+	}
+}
+
 // followedJob is a submitted job and its state as its caller knows it.
 type followedJob struct {
 	site      *site
 	jobCounts *jobCounts
 	id        string
-	pool      string
+	prefix    string // path of its queue
+	customer  string
 	body      []byte
 	cancel    bool
 	abandon   bool // the caller gives the job up if its submission has an unknown outcome
@@ -105,7 +166,32 @@
 	return j.site.instances[j.random.IntN(len(j.site.instances))]
 }
 
-func (j *followedJob) path() string { return "/" + j.pool + "/" + j.id }
+func (j *followedJob) path() string { return j.prefix + j.id }
+
+// send sends a request for the job to an instance, with a key of its customer.
+func (j *followedJob) send(ctx context.Context, in *instance, method string, body []byte) (status int, content []byte) {
+	return j.site.send(ctx, in, method, j.path(), j.site.operator.key(j.random, j.customer), body)
+}
+
+// pry requests or cancels the job as another customer does, or through the public queue, and records a violation if that succeeds.
+func (j *followedJob) pry(ctx context.Context) {
+	others := slices.DeleteFunc(slices.Clone(customers), func(c standin.Customer) bool { return c.Name == j.customer })
+	customer, prefix := others[j.random.IntN(len(others))].Name, j.prefix
+	switch {
+	case j.customer == noCustomer:
+		prefix = "/" + pools[0] + "/" // the public queue's pool has another queue too
+	case j.random.IntN(len(customers)) == 0:
+		customer, prefix = noCustomer, publicPrefix
+	}
+	method := http.MethodGet
+	if j.random.IntN(cancelPryOneIn) == 0 {
+		method = http.MethodDelete
+	}
+	in := j.any()
+	if status, _ := j.site.send(ctx, in, method, prefix+j.id, j.site.operator.key(j.random, customer), nil); status == http.StatusOK {
+		j.site.options.recordViolation("%s answers %s %s%s of customer %q, to whom the job does not belong, with success", in.name, method, prefix, j.id, customer)
+	}
+}
 
 // follow submits the job at random instances until one accepts it, and polls its state until it has ended.
 func (j *followedJob) follow(ctx context.Context, until clock.Millis) {
@@ -122,8 +208,11 @@
 	c := clock.System()
 	cancelled := false
 	for polls := 0; c.Sleep(ctx, pollInterval) == nil; polls++ {
+		if j.random.IntN(pryOneIn) == 0 {
+			j.pry(ctx)
+		}
 		if j.cancel && !cancelled && j.final == "" {
-			status, _ := j.site.send(ctx, j.any(), http.MethodDelete, j.path(), nil)
+			status, _ := j.send(ctx, j.any(), http.MethodDelete, nil)
 			cancelled = status == http.StatusOK
 		}
 		j.poll(ctx)
@@ -131,7 +220,7 @@
 			break // polls of other instances have confirmed it
 		}
 		if c.Now() > until && j.final == "" {
-			j.site.options.recordViolation("job %s in pool %s was accepted and has not ended %d ms after the last fault", j.id, j.pool, completionTimeout)
+			j.site.options.recordViolation("job %s of customer %q was accepted and has not ended %d ms after the last fault", j.path(), j.customer, completionTimeout)
 			return
 		}
 	}
@@ -155,7 +244,7 @@
 func (j *followedJob) submit(ctx context.Context) bool {
 	c := clock.System()
 	for until := c.Now() + submitTimeout; c.Now() < until; {
-		switch status, content := j.site.send(ctx, j.any(), http.MethodPost, j.path(), j.body); status {
+		switch status, content := j.send(ctx, j.any(), http.MethodPost, j.body); status {
 		case http.StatusOK:
 			return true
 		case 0, http.StatusGatewayTimeout:
@@ -163,7 +252,7 @@
 				j.giveUp(ctx)
 				return false
 			}
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized: // send checks whether the key holds
 		default:
 			j.site.options.recordViolation("job %s was refused with status %d: %s", j.id, status, content)
 			return false
@@ -179,7 +268,7 @@
 func (j *followedJob) giveUp(ctx context.Context) {
 	c := clock.System()
 	for until := c.Now() + submitTimeout; c.Now() < until; {
-		switch status, _ := j.site.send(ctx, j.any(), http.MethodDelete, j.path(), nil); status {
+		switch status, _ := j.send(ctx, j.any(), http.MethodDelete, nil); status {
 		case http.StatusOK:
 			return
 		case http.StatusGone:
@@ -199,7 +288,7 @@
 func (j *followedJob) poll(ctx context.Context) {
 	in := j.any()
 	asked := clock.System().Now()
-	status, content := j.site.send(ctx, in, http.MethodGet, j.path(), nil)
+	status, content := j.send(ctx, in, http.MethodGet, nil)
 	switch status {
 	case http.StatusOK:
 	case http.StatusGone:
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"magnoliaferry/clock"
+	"magnoliaferry/standin"
 )
 
 // Guards against a soak that misses an instance which contradicts another or reports an accepted job as unknown, and against one
@@ -45,13 +46,14 @@
 		}))
 		now := clock.System().Now()
 		in := &instance{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}
-		s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, instances: []*instance{in}}
+		s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, instances: []*instance{in},
+			operator: newOperator(Options{}, standin.NewTable(), nil)}
 		s.reachableSince.Store(int64(now - 10*propagationTime))
 		in.reachableSince.Store(int64(now - 10*propagationTime))
 		if test.cutOff {
 			in.reachableSince.Store(unreachable)
 		}
-		j := &followedJob{site: s, jobCounts: &jobCounts{}, id: "a", pool: "north", random: rand.New(rand.NewPCG(1, 1)),
+		j := &followedJob{site: s, jobCounts: &jobCounts{}, id: "a", prefix: publicPrefix, random: rand.New(rand.NewPCG(1, 1)),
 			acceptedAt: now - test.ago, final: test.final, finalAt: now - test.ago}
 		j.poll(context.Background())
 		server.Close()
@@ -78,8 +80,8 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
 		begun := 0
 		s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, begun: func(string) int { return begun },
-			instances: []*instance{{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}}}
-		j := &followedJob{site: s, id: id, pool: "north", random: rand.New(rand.NewPCG(1, 1))}
+			instances: []*instance{{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}}, operator: newOperator(Options{}, standin.NewTable(), nil)}
+		j := &followedJob{site: s, id: id, prefix: publicPrefix, random: rand.New(rand.NewPCG(1, 1))}
 		if test.startedBefore {
 			begun = 1
 		}
@@ -92,3 +94,29 @@
 		}
 	}
 }
+
+// Guards against a soak that misses a job which is shown to another customer, or cancelled by one.
+func TestPryReportsJobsOfOthers(t *testing.T) {
+	for _, customer := range []string{noCustomer, "amber"} {
+		for status, want := range map[int]bool{http.StatusOK: true, http.StatusGone: false, http.StatusServiceUnavailable: false} {
+			keys := map[string]bool{}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				keys[r.Header.Get("Authorization")] = true
+				w.WriteHeader(status)
+			}))
+			s := &site{client: server.Client(), options: Options{Log: &bytes.Buffer{}, state: &state{}}, operator: newOperator(Options{}, standin.NewTable(), nil),
+				instances: []*instance{{name: "entry-0", callers: strings.TrimPrefix(server.URL, "http://")}}}
+			j := &followedJob{site: s, id: "a", prefix: "/north/", customer: customer, random: rand.New(rand.NewPCG(1, 1))}
+			j.pry(context.Background())
+			server.Close()
+			if got := len(s.options.state.violations) > 0; got != want {
+				t.Errorf("customer %q, status %d: violations got %v, want some: %t", customer, status, s.options.state.violations, want)
+			}
+			for _, own := range s.operator.valid(customer) {
+				if keys["Bearer "+own.key] {
+					t.Errorf("customer %q: the request of another customer has the own key %s", customer, own.key)
+				}
+			}
+		}
+	}
+}
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"syscall"
@@ -45,10 +46,10 @@
 	s.options.logf("%s, the owner of %s, is removed for good", lost.name, pool)
 	const id = "afterloss"
 	body := standin.JobBody(standin.Work{Length: clock.Second, CPU: 250}, batch.Step{Count: 1, Need: batch.Resources{MemoryMB: taskMemory}})
-	accepted := false
+	random, accepted := rand.New(rand.NewPCG(s.options.Seed, 6)), false
 	for c.Now() < at+lossBound && s.begun(id) == 0 {
 		if !accepted {
-			status, _ := s.send(ctx, s.instances[0], http.MethodPost, "/"+pool+"/"+id, body)
+			status, _ := s.send(ctx, s.instances[0], http.MethodPost, "/"+pool+"/"+id, s.operator.key(random, uncappedCustomer), body)
 			accepted = status == http.StatusOK
 		}
 		if c.Sleep(ctx, retryInterval) != nil {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -22,7 +22,6 @@
 	longestDelay        = 5 * clock.Second       // longest delay of data through a proxy; the platform's documentation states seconds
 	minLateDelay        = 2 * clock.Second       // limits of the delay of late orders, which get no answer
 	maxLateDelay        = 12 * clock.Second
-	renameInterval      = 5 * clock.Second       // mean interval between two configurations
 	longestTx           = 1500 * clock.Millis(1) // longest duration of a transaction during store-slow
 	writeTimeout        = clock.Second           // longest wait for a conditional write; an owner renews its ownership every half second
 	longestRollGap      = 1500 * clock.Millis(1) // longest interval between the signals to consecutive instances
@@ -258,22 +257,6 @@
 	}
 }
 
-// renameRoutes renames the routes of all pools and gives them their names back, by turns, until the context ends. Callers use the same paths
-// throughout. It draws from a sequence of its own, so that a seed draws the same faults as without it.
-func (s *site) renameRoutes(ctx context.Context) {
-	random := rand.New(rand.NewPCG(s.options.Seed, 7))
-	for version := int64(2); clock.System().Sleep(ctx, clock.Millis(float64(renameInterval)*random.ExpFloat64())) == nil; version++ {
-		queues := slices.Clone(s.queues)
-		if version%2 == 0 {
-			for i := range queues {
-				queues[i].Name += "-renamed"
-			}
-		}
-		s.table.Configure(version, pools, standbyPool, queues)
-		s.options.logf("configuration %d, first route %s", version, queues[0].Name)
-	}
-}
-
 // injectFaults injects faults drawn from the seed for Options.Length, at most maxConcurrentFaults at once. It returns their number
 // after all of them have ended.
 func (s *site) injectFaults(ctx context.Context) int {
@@ -294,6 +277,9 @@
 			continue
 		}
 		what, end := f.begin(s, random)
+		if slices.Contains(configuredAt, f.name) {
+			s.operator.changeKeys() // while the fault lasts, instances miss it
+		}
 		duration := shortFault + clock.Millis(random.IntN(int(longFault-shortFault)))
 		s.options.logf("%s %s, for %d ms", f.name, what, duration)
 		n++
@@ -306,6 +292,9 @@
 	return n
 }
 
+// configuredAt lists the faults at whose begin keys are added and withdrawn: those that make instances learn of a configuration late.
+var configuredAt = []string{"kill", "kill-all", "terminate", "roll", "freeze", "store-path", "store-outage"}
+
 func signalsProcess(name string) bool {
 	return slices.Contains([]string{"kill", "kill-all", "terminate", "roll", "freeze"}, name)
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -42,7 +42,8 @@
 type site struct {
 	options        Options
 	table          *standin.Table
-	queues         []batch.Queue // of the first configuration
+	operator       *operator
+	customerByJob  sync.Map // name of the customer by id of the job
 	fleet          *standin.Fleet
 	begun          func(job string) int // number of tasks of a job that have started, which is Begun of fleet
 	fault          atomic.Int64         // standin.TableFault for transactions
@@ -88,11 +89,17 @@
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(s.fault.Load()) }
 	table.Down = s.down.Load
+	queue := batch.Queue{Host: hostName, Priority: 1, MaxAttempts: 20, Stretch: 1.6, Objective: 600}
+	var queues []batch.Queue
 	for _, pool := range pools {
-		s.queues = append(s.queues, batch.Queue{Name: "q-" + pool, Host: hostName, Prefix: "/" + pool + "/", Pool: pool, Priority: 1,
-			MaxAttempts: 20, Stretch: 1.6, Objective: 600})
+		queue.Name, queue.Prefix, queue.Pool = "q-"+pool, "/"+pool+"/", pool
+		queues = append(queues, queue)
+	}
+	queue.Name, queue.Prefix, queue.Public = "q-open", publicPrefix, true
+	s.operator = newOperator(o, table, append(queues, queue))
+	s.fleet.OnStart = func(job string, cpu int, running map[string]int) string {
+		return checkCap(s.customerOf, job, cpu, running)
 	}
-	table.Configure(1, pools, standbyPool, s.queues)
 	s.fleet.SetStandby(standbyPool)
 	if err := s.addMachines(ctx); err != nil {
 		return nil, err
@@ -189,6 +196,7 @@
 	settings.Listen.Callers, settings.Listen.Ready = in.callers, ready
 	settings.Store, settings.Machines = storeAddress, machines
 	settings.CPUShare, settings.CPUSpeed = 0.4, 1
+	settings.RevocationLimit, settings.CapOverage = revocationLimit, capOverage
 	settings.LeaseLimit, settings.MachineLease = standin.MaxLease, machineLease
 	settings.StopGrace, settings.StateRetention = stopGrace, stateRetention
 	encoded, err := json.Marshal(settings)
@@ -206,6 +214,14 @@
 	return nil
 }
 
+// customerOf returns the customer of a job, or noCustomer.
+func (s *site) customerOf(job string) string {
+	if customer, ok := s.customerByJob.Load(job); ok {
+		return customer.(string)
+	}
+	return noCustomer
+}
+
 // unreachable is a time far in the future, for a store that cannot be reached now.
 const unreachable = int64(clock.Day) << 20
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -76,7 +77,7 @@
 		return Report{}, err
 	}
 	go s.advance(ctx)
-	go s.renameRoutes(ctx)
+	go s.operator.run(ctx)
 	paths, err := s.submitLongRunning(ctx)
 	if err != nil {
 		return Report{}, err
@@ -87,6 +88,7 @@
 	until := clock.System().Now() + o.Length
 	var calling sync.WaitGroup
 	calling.Go(func() { s.runCallers(ctx, until, counts) })
+	calling.Go(func() { s.runIntruders(ctx, until) })
 	report := Report{Faults: s.injectFaults(ctx)}
 	calling.Wait()
 	for _, path := range paths {
@@ -120,12 +122,13 @@
 // submitLongRunning submits a long-running job for each pool and returns their paths.
 func (s *site) submitLongRunning(ctx context.Context) ([]string, error) {
 	var paths []string
+	random := rand.New(rand.NewPCG(s.options.Seed, 6))
 	for i, pool := range pools {
 		path := fmt.Sprintf("/%s/lasting%d", pool, i)
 		body := standin.JobBody(standin.Work{CPU: 500}, batch.Step{Count: longRunningTasks, Need: batch.Resources{MemoryMB: taskMemory}, MayMiss: 1})
 		c := clock.System()
 		for until := c.Now() + submitTimeout; ; {
-			status, content := s.send(ctx, s.instances[0], http.MethodPost, path, body)
+			status, content := s.send(ctx, s.instances[0], http.MethodPost, path, s.operator.key(random, uncappedCustomer), body)
 			if status == http.StatusOK {
 				break
 			}
