--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -24,6 +24,7 @@
 		{"valid", customerKey{key: "k", added: 0, withdrawn: never}, at, 0, false, 200, false},
 		{"not added yet, accepted early", customerKey{key: "k", added: never, withdrawn: never}, at, 0, false, 200, false},
 		{"unknown, accepted", customerKey{key: "other"}, at, 0, false, 200, true},
+		{"no key, accepted", customerKey{}, at, 0, false, 200, true},
 		{"unknown, refused", customerKey{key: "other"}, at, 0, false, 401, false},
 		{"unknown, no such job", customerKey{key: "other"}, at, 0, false, 410, false},
 		{"unknown, public queue", customerKey{key: "other"}, at, 0, true, 200, false},
