daemon, store: a weak owner that cannot keep up hands its pool to a stronger instance

Cause: an owner with 0.192 of a core that took a pool over while the strong instances were cut off keeps it, also after its own restart. Change: an owner measures which part of the time it works. After two seconds over 60%, a weak one (under half of the strongest) releases the pool if another part's owner that is strong has renewed within the last second, and not before its ownership is older than the leases of the owner before.

--- a/daemon/codes.go
+++ b/daemon/codes.go
@@ -40,6 +40,7 @@
 	eventTransactionRefused = event.New(1097, "transaction-refused", slog.LevelError, "the store refuses a transaction of a pool for its content; the rows of each job are stored by themselves")
 	eventJobRefused         = event.New(1098, "job-refused", slog.LevelError, "the store refuses the rows of a job for their content; the job fails, because its progress cannot be kept")
 	eventNoLayout           = event.New(1069, "layout-not-stored", slog.LevelWarn, "the layout of the store is not known and could not be stored; this instance serves nothing until it is")
+	eventHandedOver         = event.New(1068, "pool-handed-over", slog.LevelInfo, "the owner of a pool has too little processor for it and releases it, as a stronger instance is alive")
 	eventLateOrder          = event.New(1093, "machine-order-late", slog.LevelWarn,
 		"an order for a machine was not sent because the last renewal of the ownership is too old; the order is retried")
 	eventUnreadableGrant = event.New(1099, "grant-unreadable", slog.LevelError,
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -40,10 +40,11 @@
 	scheduler *pool.Scheduler
 	events    *workQueue[func()]
 
-	committing  bool                           // a transaction is in flight
-	lastCommit  clock.Millis                   // when the newest transaction was sent
-	lastReport  clock.Millis                   // when the newest report was sent
-	failure     error                          // ends the ownership
+	committing  bool         // a transaction is in flight
+	lastCommit  clock.Millis // when the newest transaction was sent
+	lastReport  clock.Millis // when the newest report was sent
+	failure     error        // ends the ownership
+	work        workMeter
 	deferred    []any                          // orders that wait until the ownership is renewed
 	unrenewed   bool                           // the last renewal is older than ownershipTimeout
 	withdrawals map[string]machines.Withdrawal // withdrawals of machines that have a worker, by machine
@@ -352,7 +353,9 @@
 	// The context of transactions outlives ctx, so that the outcome of the one in flight when the ownership ends is known.
 	commits, stopCommits := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopCommits()
+	owned := d.clock.Now()
 	for ctx.Err() == nil && o.failure == nil {
+		started := d.clock.Now()
 		for _, handle := range o.events.takeAll() {
 			handle()
 		}
@@ -363,6 +366,13 @@
 		if d.clock.Sleep(ctx, planPeriod) != nil {
 			break
 		}
+		now := d.clock.Now()
+		o.work.add(now, max(now-started-planPeriod, 0)) // a late timer shows a busy processor, too
+		if d.handsOver(&o.work, now-owned) {
+			eventHandedOver.Log(ctx, d.Logger, slog.String("pool", o.pool), slog.Int64("owned-ms", int64(now-owned)))
+			o.failure = errHandedOver
+			break
+		}
 		select {
 		case <-ctx.Done():
 		case <-o.events.signal:
--- a/daemon/ownership.go
+++ b/daemon/ownership.go
@@ -215,10 +215,10 @@
 	ownerContext, cancel := context.WithCancel(ctx)
 	err = c.runOwner(ownerContext, ownership, seen, existed)
 	cancel()
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, errHandedOver) {
 		eventClaimFailed.Log(ctx, d.Logger, slog.String("part", c.part), slog.String("error", err.Error()))
 	}
-	if ctx.Err() != nil && !errorx.IsOfType(err, store.ErrLost) {
+	if (ctx.Err() != nil || errors.Is(err, errHandedOver)) && !errorx.IsOfType(err, store.ErrLost) {
 		c.release(ownership)
 	}
 }
--- a/store/state_cache.go
+++ b/store/state_cache.go
@@ -301,6 +301,20 @@
 	return most
 }
 
+// MostLiveCores returns the largest number of processor cores among the owners of parts that have renewed their ownership within the given time; 0 if
+// there is none.
+func (s *StateCache) MostLiveCores(within clock.Millis) float64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	most := 0.0
+	for _, seen := range s.owners {
+		if !seen.Owner.Released && s.Clock.Now()-seen.FirstSeen <= within {
+			most = max(most, seen.Owner.Cores)
+		}
+	}
+	return most
+}
+
 // Owner returns the owner row of a part, and false if the copy contains none.
 func (s *StateCache) Owner(part string) (OwnerEntry, bool) {
 	s.mu.RLock()
