--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -8,7 +8,7 @@
 
 const (
 	// A weak owner whose work has taken overloadPercent of the time in each of the last overloadWindows windows of overloadWindow cannot keep
-	// up with its pool.
+	// up with its pool. The time in which it is slower than its workers counts as work.
 	overloadPercent = 60
 	overloadWindow  = 500 * clock.Millis(1)
 	overloadWindows = 4
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -367,7 +367,11 @@
 			break
 		}
 		now := d.clock.Now()
-		o.work.add(now, max(now-started-planPeriod, 0)) // a late timer shows a busy processor, too
+		worked := max(now-started-planPeriod, 0) // a late timer shows a busy processor, too
+		if o.scheduler.Slow() {
+			worked = now - started
+		}
+		o.work.add(now, worked)
 		if d.handsOver(&o.work, now-owned) {
 			eventHandedOver.Log(ctx, d.Logger, slog.String("pool", o.pool), slog.Int64("owned-ms", int64(now-owned)))
 			o.failure = errHandedOver
--- a/pool/unresponsive.go
+++ b/pool/unresponsive.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// Slow reports whether this owner, or its network link, has lately been slower than its workers.
+func (s *Scheduler) Slow() bool { return s.now < s.evictionResumesAt }
+
 // suspendEviction prevents the eviction of workers for missing answers for the duration of evictionPause.
 func (s *Scheduler) suspendEviction(reason slog.Attr) {
 	if s.now >= s.evictionResumesAt {
