store: comment on what CatchUp may not interrupt

What can, and was interrupted, is a read of the whole table (several calls, after a large answer or once the history is gone), and an answer with a large body over a slow link. Not shown with real processes.

--- a/store/follower.go
+++ b/store/follower.go
@@ -118,8 +118,8 @@
 }
 
 // CatchUp waits until the copy includes all changes made before CatchUp was called. It returns the error of the context if that
-// ends first. It interrupts a poll that waits for a change, but no other call: those who catch up again and again would otherwise keep a slow
-// store from ever answering one.
+// ends first. It interrupts a poll that waits for a change, but no other call: callers that catch up again and again would otherwise keep a
+// slow read of the whole table from ever ending.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	now := f.Clock.Now()
 	f.hurry(false)
