grant: tests of two faults that are not mended

Both fail on this code: an owner whose configuration is out of date starts tasks of a customer that it does not know without a cap, and a cap that is added while the owner of a pool is paused does not count what runs in that pool. The first contradicts the last check of TestOldConfigurationAllowsNothing, whose customer the configuration does not have either; the second needs a rule for when a row is complete.

--- a/grant/ledger_test.go
+++ b/grant/ledger_test.go
@@ -444,3 +444,33 @@
 	l.Answered(writes, Applied, 93)
 	checkAllows(t, l, "stored anew", 0, 50, true)
 }
+
+// Guards against a customer that a configuration adds with a cap, and whose tasks start without one in pools whose owners are late.
+func TestOldConfigurationAllowsNoUnknownCustomer(t *testing.T) {
+	l := newTestLedger("a", 7, cpu(1000))
+	age := MaxAge
+	l.Age = func() clock.Millis { return age }
+	if !l.Allows("new", cpu(0), cpu(100), 1) {
+		t.Error("a customer that the configuration does not have is held back, want it allowed while the configuration is recent")
+	}
+	age = MaxAge + 1
+	if l.Allows("new", cpu(0), cpu(100), 1) {
+		t.Error("a customer that a newer configuration may have with a cap is allowed")
+	}
+}
+
+// Guards against a cap that is passed because it was added while the owner of a pool is paused or lost: what runs in that pool is not in the
+// customer's row yet.
+func TestNewCapCountsWhatRunsInAPoolWithoutAnOwner(t *testing.T) {
+	f, a, b := &fakeTable{}, newTestLedger("a", 7, cpu(0)), newTestLedger("b", 8, cpu(0))
+	running := cpu(900)
+	for _, l := range []*Ledger{a, b} {
+		for _, w := range l.Next(0, map[string]Demand{testCustomer: {Use: running}}) {
+			t.Errorf("write got %+v, want none without a cap", w)
+		}
+	}
+	b.Configure(configuration(2, cpu(1000))) // the owner of a does not run
+	f.settle(t, b, 100, Demand{Waiting: waiting(500, 2)})
+	checkAllows(t, b, "beside 900 that run in a", 0, 500, true) // within the cap and one task
+	checkAllows(t, b, "beside 900 and 500", 500, 500, false)
+}
