grant: an owner with an old configuration starts no tasks of customers that it does not know

Change: a customer without a cap needs to be in the configuration, or the configuration to be recent. The last check of TestOldConfigurationAllowsNothing used a customer that no configuration had for one without a cap; it uses one that the configuration has without a cap now, which is what the check is named for.

--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -195,9 +195,9 @@
 
 func (l *Ledger) check(customer string, use, need batch.Resources, count int, yields bool) bool {
 	a := l.accounts[customer]
+	own, known := l.ownLimit(customer)
 	if a == nil {
-		limit, _ := l.ownLimit(customer)
-		return limit == batch.Resources{}
+		return own == batch.Resources{} && (known || l.recent())
 	}
 	if a.allowed == nil {
 		a.allowed = l.compute(customer, a)
@@ -211,8 +211,8 @@
 	}
 	switch {
 	case limit == batch.Resources{}:
-		return true
-	case l.superseded || a.unreadable || l.Age != nil && l.Age() > MaxAge || !use.Add(total).Fits(amount):
+		return known || l.recent()
+	case l.superseded || a.unreadable || !l.recent() || !use.Add(total).Fits(amount):
 		return false
 	case a.allowed.within:
 		return true
@@ -220,6 +220,9 @@
 	return a.allowed.alone && use == batch.Resources{} && total.Sub(need).Fits(limit)
 }
 
+// recent reports whether tasks may start with the configuration of this instance; a newer one may have customers that it does not know.
+func (l *Ledger) recent() bool { return l.Age == nil || l.Age() <= MaxAge }
+
 func (l *Ledger) compute(customer string, a *account) *allowed {
 	result := &allowed{limit: l.limit(customer, a)}
 	entry := a.row.Pools[l.pool]
--- a/grant/ledger_test.go
+++ b/grant/ledger_test.go
@@ -233,7 +233,10 @@
 
 // Guards against starts with a configuration that is out of date, as of an instance that was suspended.
 func TestOldConfigurationAllowsNothing(t *testing.T) {
-	f, l := &fakeTable{}, newTestLedger("a", 7, cpu(1000))
+	f, l := &fakeTable{}, NewLedger("a", 7, 0)
+	c := &batch.Configuration{Version: 1}
+	c.SetCustomers([]batch.Customer{{Name: testCustomer, Cap: cpu(1000)}, {Name: "without a cap"}})
+	l.Configure(c)
 	age := clock.Millis(0)
 	l.Age = func() clock.Millis { return age }
 	f.settle(t, l, 0, Demand{Waiting: waiting(100, 1)})
