daemon: the test of the layout draws its faults under a lock

Since a fault was added to the stand-in, the test also drew by number which faults it plays. Change: draws are made under a lock, from a list of faults.

--- a/daemon/layout_test.go
+++ b/daemon/layout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -27,7 +28,14 @@
 					t.Fatal(err)
 				}
 			}
-			table.Fault = func(store.Transaction) standin.TableFault { return standin.TableFault(random.IntN(5)) }
+			var mu sync.Mutex // instances write at the same time
+			draw := func(n int) int {
+				mu.Lock()
+				defer mu.Unlock()
+				return random.IntN(n)
+			}
+			faults := []standin.TableFault{standin.TableWorks, standin.TableRejects, standin.TableLosesCall, standin.TableLosesReply, standin.TableDelays}
+			table.Fault = func(store.Transaction) standin.TableFault { return faults[draw(len(faults))] }
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			var instances []*Daemon
@@ -41,7 +49,7 @@
 			for range 400 {
 				synctest.Wait()
 				c.Advance(10)
-				if random.IntN(20) == 0 {
+				if draw(20) == 0 {
 					table.ApplyDelayed()
 				}
 			}
