--- a/front/access.go
+++ b/front/access.go
@@ -126,7 +126,7 @@
 }
 
 // isKnownForeign is isForeign for an entry of which the local copy may not have all rows yet: without its address it is not known whose job it
-// is, and the store has to tell.
+// is, and only the store shows it.
 func (s *Service) isKnownForeign(access *Access, id string) bool {
 	known, _ := s.States.Find(id)
 	return known.Address != (batch.Address{}) && s.isForeign(access, id)
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -471,7 +471,7 @@
 	return contended && (l.now-a.contendedSince)/reservationTime%2 == 0
 }
 
-// wantedFirst returns what another pool wants that comes before this one, and what all others lack. Pools come in the order of the
+// wantedFirst returns what another pool that comes before this one asks for first, and what all others lack. Pools come in the order of the
 // part of the limit that they hold, so that none of them starves behind one that has much to run.
 func (l *Ledger) wantedFirst(a *account, entry Entry, limit batch.Resources) (amount, lacking batch.Resources) {
 	first := claim{held: share(entry.Amount, limit), asked: entry.Asked, pool: l.pool}
--- a/grant/row.go
+++ b/grant/row.go
@@ -50,7 +50,7 @@
 	return batch.Resources{CPU: scale(limit.CPU), MemoryMB: scale(limit.MemoryMB), GPUs: scale(limit.GPUs)}
 }
 
-// rounding keeps a product such as 1500 * 1.1 from falling below the whole number that it stands for.
+// rounding keeps a product such as 1500 * 1.1 from falling below the whole number that it equals.
 const rounding = 1e-6
 
 // limited returns the amount without the parts that have no limit.
--- a/pool/copy.go
+++ b/pool/copy.go
@@ -13,7 +13,7 @@
 const (
 	copyPeriod    = 100 * clock.Millis(1) // between two searches for slow tasks
 	copyStartTime = 100 * clock.Millis(1) // from the decision until a copy works
-	// copyShare is the part, one in so many, of the processor time that copies may take of what first runs leave free.
+	// copyShare divides the processor time that first runs leave free: copies may take the quotient.
 	copyShare = 2
 	maxCopies = 2 // of one task; each that is stopped to make room has worked in vain
 	// minLengths is the number of ended runs of a queue from which a run is compared with them if too few tasks of its step are done.
--- a/pool/copy_random_test.go
+++ b/pool/copy_random_test.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// randomCopyJob returns a job of which one of two steps allows copies; first tells which.
+// randomCopyJob returns a job of which one of two steps allows copies, the first one if first is set.
 func randomCopyJob(id string, random *rand.Rand, first bool) *batch.Job {
 	return &batch.Job{ID: id, Queue: "q", Pool: testPool, Spec: "spec", Steps: []batch.Step{
 		{Count: 2 + random.IntN(5), Need: cpu(200 + random.IntN(900)), Estimate: 800, MaxPerWorker: random.IntN(4), AllowDuplicates: first},
--- a/pool/lengths.go
+++ b/pool/lengths.go
@@ -18,7 +18,7 @@
 )
 
 // lengths is a distribution of run times as multiples of the expected ones, in bins of equal width on a logarithmic scale. The zero value
-// knows nothing but that runs take the expected time.
+// assumes that runs take the expected time.
 type lengths struct {
 	counts [lengthBins]float64
 	total  float64
--- a/pool/trials.go
+++ b/pool/trials.go
@@ -9,7 +9,7 @@
 const (
 	// priorTrials is the weight of the assumption that half of the trials help, as a number of trials.
 	priorTrials = 2
-	// trialHalfLife is the time after which a trial counts half, so that a queue whose trials did not help is tried again.
+	// trialHalfLife is the time after which a trial counts half, so that copies are started again in a queue in which they did not help.
 	trialHalfLife = 30 * clock.Second
 )
 
--- a/store/layout.go
+++ b/store/layout.go
@@ -18,7 +18,7 @@
 	maxIntakeParts = 1024
 )
 
-// Layout tells how accepted jobs are spread over the parts of the store. All instances use the stored one, which never changes. The zero
+// Layout describes how accepted jobs are spread over the parts of the store. All instances use the stored one, which never changes. The zero
 // value is that of earlier versions.
 type Layout struct {
 	IntakeParts int `json:"intake-parts"`
--- a/store/ownership.go
+++ b/store/ownership.go
@@ -74,7 +74,7 @@
 	Node        string
 	Cores       float64 // processor cores of the node
 	Incarnation string  // unique for this process
-	// FirstTimeout is the timeout of the first attempt of Claim; smaller values than AttemptTimeout stand for it.
+	// FirstTimeout is the timeout of the first attempt of Claim; values below AttemptTimeout mean AttemptTimeout.
 	FirstTimeout clock.Millis
 	// SinceBoot returns the time since the machine was booted, including time during which it was suspended.
 	SinceBoot func() clock.Millis
