--- a/cmd/doctables/matrix_test.go
+++ b/cmd/doctables/matrix_test.go
@@ -34,7 +34,10 @@
 var platformFaults = []string{"orders without an answer are carried out late", "workers are cut off and run on",
 	"an address goes to another service", "a machine is removed and another comes at a new address", "the store turns some instances away",
 	"power is lost right after a configuration change", "the store forgets its history", "many processes are killed at once",
-	"the settings file changes", "an odd entry among those of the workers", "a surge beyond what a pool can run"}
+	"the settings file changes", "an odd entry among those of the workers", "a surge beyond what a pool can run",
+	"an instance is cut off, frozen or restarted while a key is withdrawn", "an owner is paused, killed or replaced while a customer's cap is divided",
+	"a customer sends many times its usual", "a task is slow", "a rack is full, or its runs take longer than predicted", "the store is slow in a surge",
+	"a weak instance owns a pool in a surge", "clients outside the limits"}
 
 // testNames returns the test functions of the module as package.TestName, each with all string literals of its file, among
 // which are the names of its subtests.
