--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -12,12 +12,15 @@
 const (
 	stabilityMillis   = 3000
 	configApplyMillis = 2000
+	finishMillis      = 14000
+	idleMillis        = 3000 // for which a job may have nothing running
 )
 
 func init() {
 	plays["waiting-count"] = playWaitingCount
 	plays["reborn-label"] = playRebornLabel
 	plays["silent-channels"] = playSilentChannels
+	plays["silent-advisor"] = playSilentAdvisor
 }
 
 // onlyOneB are the kinds of twelve workers, of which one has the label that the jobs of a play require.
@@ -205,3 +208,59 @@
 	}
 	return ctx.Err()
 }
+
+// playSilentAdvisor has all open connections of the instances go silent, while new ones work, and hands in a job for which the advisor is asked.
+func playSilentAdvisor(ctx context.Context, s *site, trouble bool) error {
+	const warm = 16 // jobs before the silence
+	q := &queue{Name: "r-puxa400", Prefix: "/puxa400/", Service: "huvo11a", MaxAttempts: 3, Advised: true}
+	if err := startSite(ctx, s, q, 4, onlyOneB...); err != nil {
+		return err
+	}
+	newJob := func(n int) *job {
+		return &job{ID: newID(n), queue: q, Spec: spec(500, 0), Steps: []step{{Count: 2, CPU: 2000, Memory: 256, Estimated: 500}}}
+	}
+	var wait sync.WaitGroup
+	for n := range warm {
+		wait.Go(func() { s.submit(newJob(n), n) })
+	}
+	wait.Wait()
+	pause(ctx, 5*time.Second)
+	if trouble {
+		s.silenceAll()
+	}
+	silentAt := s.record.now()
+	pause(ctx, (stabilityMillis+50)*time.Millisecond)
+	j := newJob(warm)
+	for !s.submit(j, warm) {
+		if s.record.now()-silentAt > 20000 {
+			return fmt.Errorf("the job was not accepted")
+		}
+	}
+	accepted := s.record.now()
+	for s.record.now()-accepted < finishMillis+idleMillis && ctx.Err() == nil {
+		s.mu.Lock()
+		begun := j.begun
+		s.mu.Unlock()
+		if begun {
+			s.record.line("job %s has begun %d ms after its acceptance", j.ID, s.record.now()-accepted)
+			break
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+	s.mu.Lock()
+	begun := j.begun
+	s.mu.Unlock()
+	if !begun {
+		_, state := s.state(j, warm)
+		s.record.breach("LOST", "%s is shown as %q and has had nothing running for %d ms after the end of the traffic, while all workers are idle; the connections went silent %d ms ago",
+			j.ID, state, s.record.now()-accepted, s.record.now()-silentAt)
+	}
+	for s.record.now()-accepted < 35000 && ctx.Err() == nil {
+		if _, state := s.state(j, warm); state == "completed" {
+			break
+		}
+		pause(ctx, time.Second)
+	}
+	s.record.line("job %s was followed for %d ms", j.ID, s.record.now()-accepted)
+	return ctx.Err()
+}
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -97,6 +97,7 @@
 	tickets   map[string]ticket
 	instances []*instance
 	advisor   string
+	toAdvisor path
 	cloud     string
 	version   int
 	spare     bool // there is a pool of machines that are off
@@ -142,11 +143,13 @@
 	for _, kind := range kinds {
 		n := len(s.workers)
 		w := &worker{site: s, id: fmt.Sprintf("i-%05x", 0x7f000+n*37), machine: fmt.Sprintf("m-%05x", 0x1a000+n*41), rack: fmt.Sprintf("r1-%d", n/4), pool: pool, cpu: cpu}
-		address, err := serve(ctx, w)
-		if err != nil {
+		var err error
+		if w.path.target, err = serve(ctx, w); err != nil {
+			return err
+		}
+		if w.address, err = w.path.listen(ctx); err != nil {
 			return err
 		}
-		w.address = address
 		s.mu.Lock()
 		s.workers = append(s.workers, w)
 		if w.kind = kind; pool != standbyPool {
@@ -163,7 +166,10 @@
 	if s.cloud, err = serve(ctx, http.HandlerFunc(s.serveMachines)); err != nil {
 		return err
 	}
-	if s.advisor, err = serve(ctx, &advisor{site: s}); err != nil {
+	if s.toAdvisor.target, err = serve(ctx, &advisor{site: s}); err != nil {
+		return err
+	}
+	if s.advisor, err = s.toAdvisor.listen(ctx); err != nil {
 		return err
 	}
 	go func() {
@@ -316,6 +322,17 @@
 	return http.StatusOK, ""
 }
 
+// silenceAll makes all open connections of the instances to the store, the workers and the advisor go silent.
+func (s *site) silenceAll() {
+	for _, in := range s.instances {
+		s.record.line("%d open connections of %s to the store go silent", in.open.silence(), in.name)
+	}
+	for _, w := range s.workers {
+		s.record.line("%d open connections to worker %s go silent", w.path.silence(), w.id)
+	}
+	s.record.line("%d open connections to the advisor go silent", s.toAdvisor.silence())
+}
+
 // startWave asks for the upkeep of machines.
 func (s *site) startWave(wave int64, limit int, machines ...string) {
 	s.mu.Lock()
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -82,7 +82,8 @@
 	rack    string
 	kind    string // label; may change with a boot
 	pool    string
-	address string
+	address string // of the path to it
+	path    path
 	cpu     int
 
 	// Of the present boot; the site's lock guards all.
