--- a/review/stand-3/checks.go
+++ b/review/stand-3/checks.go
@@ -67,8 +67,10 @@
 func (s *site) checkNeighbours(w *worker, r *run, st *step) {
 	for _, other := range s.workers {
 		other.tickRuns(w)
-		if running := other.runs[r.task.name]; other.up && running != nil && !st.AllowDuplicates {
-			s.record.breach("TWICE", "%s run %d is started on %s while run %d runs on %s", r.task.name, r.number, w.id, running.number, other.id)
+		for _, key := range sortedKeys(other.runs) {
+			if running := other.runs[key]; other.up && running.task.name == r.task.name && !st.AllowDuplicates {
+				s.record.breach("TWICE", "%s run %d is started on %s while run %d runs on %s", r.task.name, r.number, w.id, running.number, other.id)
+			}
 		}
 	}
 	cpu, peers := st.CPU, 1
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -39,6 +39,8 @@
 	work      work
 }
 
+func runKey(task string, number int) string { return fmt.Sprintf("%s#%d", task, number) }
+
 // taskName is the name ID.K.STEP.INDEX, parsed.
 type taskName struct {
 	job         string
@@ -91,8 +93,8 @@
 	born     int64
 	start    int64
 	token    int64
-	leaseEnd int64 // on the worker's clock
-	runs     map[string]*run
+	leaseEnd int64           // on the worker's clock
+	runs     map[string]*run // by runKey, as a worker takes a higher run beside a lower one of the task
 	blocked  map[string]int
 	ends     []end
 	endCount int64
@@ -206,10 +208,11 @@
 
 // finish ends a run. The site's lock is held.
 func (w *worker) finish(r *run, how string) {
-	if w.runs[r.task.name] != r {
+	key := runKey(r.task.name, r.number)
+	if w.runs[key] != r {
 		return
 	}
-	delete(w.runs, r.task.name)
+	delete(w.runs, key)
 	w.blocked[r.task.name] = max(w.blocked[r.task.name], r.number)
 	w.endCount++
 	saved := ""
@@ -327,7 +330,7 @@
 		return w.startRun(o)
 	case "/run-stop":
 		w.blocked[o.Task] = max(w.blocked[o.Task], o.Run)
-		if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.stopAt == 0 {
+		if r := w.runs[runKey(o.Task, o.Run)]; r != nil && r.stopAt == 0 {
 			r.stopAt = w.site.record.now()
 		}
 	case "/hold":
@@ -352,7 +355,7 @@
 		return http.StatusConflict, "ticket"
 	}
 	w.extend(o.Deadline)
-	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
+	if w.runs[runKey(o.Task, o.Run)] != nil {
 		return http.StatusOK, ""
 	}
 	if o.Run <= w.blocked[o.Task] {
@@ -367,7 +370,7 @@
 	if i := strings.LastIndex(o.Checkpoint, "/"); i >= 0 {
 		r.savedWork, _ = strconv.ParseInt(o.Checkpoint[i+1:], 10, 64) // the stand-in wrote it
 	}
-	w.runs[o.Task] = r
+	w.runs[runKey(o.Task, o.Run)] = r
 	if !w.site.stepOf(t).Gang {
 		r.working = r.began
 	} else {
@@ -420,8 +423,8 @@
 		}
 	}
 	now := w.site.record.now()
-	for _, name := range sortedKeys(w.runs) {
-		r := w.runs[name]
+	for _, key := range sortedKeys(w.runs) {
+		r := w.runs[key]
 		percent, saved := int64(0), r.saved
 		if r.working != 0 {
 			done := now - r.working
@@ -434,7 +437,7 @@
 				saved = fmt.Sprintf("%s/%d", w.site.savedBy(r.task), r.savedWork+done/checkpointMillis*checkpointMillis)
 			}
 		}
-		running = append(running, []any{name, r.number, saved, percent, 100})
+		running = append(running, []any{r.task.name, r.number, saved, percent, 100})
 	}
 	return running, ended
 }
