--- a/review/stand-3/explore.go
+++ b/review/stand-3/explore.go
@@ -194,7 +194,7 @@
 			pool = ""
 		}
 		if k == "" || k == "mix" {
-			k = []string{"kill", "stop", "cut", "late", "crash", "term", "mute", "wcut", "wmute", "wcut2", "shed"}[random.IntN(11)]
+			k = []string{"kill", "stop", "cut", "late", "crash", "term", "mute", "wcut", "wmute", "wcut2", "shed", "silent"}[random.IntN(12)]
 		}
 		in := s.owner(pool)
 		if in == nil {
@@ -226,6 +226,8 @@
 			pause(ctx, time.Duration(1000+random.IntN(3500))*time.Millisecond)
 			in.store.SetMode(standin.ProxyReset, 0)
 			in.store.SetMode(standin.ProxyOpen, 0)
+		case "silent":
+			s.silenceAll()
 		case "late":
 			s.mu.Lock()
 			s.lateShare = 0.2
