pool: a refused token does not cripple an owner for good

Callers see that starts of a pool stay without effect at a worker, until the owner changes. Cause: an entry that names a worker of pool A in pool B makes the owner of B ask that worker, under a token that can be higher than that of A's owner. When A's next order is refused, the scheduler took itself for replaced (Fenced) and never left that state, although the store accepted its transactions, which shows that the pool has no newer owner; its token was not raised either. Change: a committed transaction ends the state, and the worker that refused gets the new token. pool.TestOwnerOutlivesTheTokenOfAnotherPool failed before: fenced stays true, and the token of the next hold is still the one that was refused.

--- a/pool/holds.go
+++ b/pool/holds.go
@@ -163,6 +163,7 @@
 		w.nextHold = s.now
 		return
 	}
+	w.outranked = true
 	if !s.fenced {
 		s.log(eventFenced, slog.String("worker", w.entry.ID), slog.Int64("token", token))
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -127,8 +127,8 @@
 // Tick sets the current monotonic time and Unix time, both in milliseconds.
 func (s *Scheduler) Tick(now, wall clock.Millis) { s.now, s.wall = now, wall }
 
-// Fenced reports whether a worker has refused an order because it has seen a higher token, which only another owner can have
-// issued.
+// Fenced reports whether a worker has refused an order because it has seen a higher token, and no transaction has been committed since. The
+// token is that of a newer owner of the pool, or of an owner of another pool that a false entry led to the worker.
 func (s *Scheduler) Fenced() bool { return s.fenced }
 
 // SetToken sets the fencing token of the first orders.
@@ -599,7 +599,12 @@
 	for _, w := range s.workers {
 		w.leaseReported = w.leaseInReport
 	}
+	// The commit shows that this instance still owns the pool, whatever a worker has seen.
+	s.fenced = false
 	for _, w := range s.workers {
+		if w.outranked {
+			w.outranked, w.token, w.nextHold = false, token, s.now
+		}
 		if w.needToken && w.holdID == 0 {
 			w.needToken = false
 			w.token = token
--- a/pool/state.go
+++ b/pool/state.go
@@ -135,6 +135,7 @@
 	entry               batch.Worker
 	listed              bool // in the platform's store
 	incarnation         int64
+	outranked           bool // it has refused the newest token of this owner
 	token               int64
 	needToken           bool         // no order until a token above all that the worker may have seen is available
 	confirmed           bool         // this incarnation has answered under this token
