--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -127,7 +127,7 @@
 	}
 	lease := min(pool.MaxLease, d.Settings.LeaseLimit)
 	o.scheduler = pool.NewScheduler(o.pool, lease, d.Settings.StateRetention.Millis(), d.Logger)
-	o.scheduler.RemoteFactor = d.Settings.RemoteFactor
+	o.scheduler.RemoteFactor, o.scheduler.ListsMachines = d.Settings.RemoteFactor, d.Machines != nil
 	s := o.scheduler
 	s.SetToken(o.ownership.Token())
 	s.Tick(d.clock.Now(), d.wall())
@@ -551,10 +551,27 @@
 				eventNoAdvice.Log(ctx, d.Logger, slog.String("step", order.Step), slog.String("error", err.Error()))
 			}
 			o.handleReply(func() { o.scheduler.AdviseAnswered(order, advice, err == nil) })
+		case pool.ListMachines:
+			workers := o.listMachines(ctx)
+			o.handleReply(func() { o.scheduler.MachinesListed(workers) })
 		}
 	}()
 }
 
+// listMachines returns the ids of the workers by machine as the platform lists them, or nil without an answer.
+func (o *poolOwner) listMachines(ctx context.Context) map[string]string {
+	list, err := o.daemon.Machines.List(ctx)
+	if err != nil {
+		eventListFailed.Log(ctx, o.daemon.Logger, slog.String("error", err.Error()))
+		return nil
+	}
+	workers := make(map[string]string, len(list))
+	for i := range list {
+		workers[list[i].ID] = list[i].Worker
+	}
+	return workers
+}
+
 // handleReply runs handle on the owner's goroutine, after it has updated the scheduler's time.
 func (o *poolOwner) handleReply(handle func()) {
 	o.events.put(func() {
--- a/pool/copy.go
+++ b/pool/copy.go
@@ -122,7 +122,7 @@
 func (s *Scheduler) couldFit(needs []batch.Resources) bool {
 	for _, need := range needs {
 		for _, w := range s.workers {
-			if w.listed && need.Fits(w.entry.Capacity) {
+			if w.exists() && need.Fits(w.entry.Capacity) {
 				return true
 			}
 		}
@@ -134,7 +134,7 @@
 func (s *Scheduler) couldFitGang(st *step) bool {
 	tasks := 0
 	for _, w := range s.workers {
-		if w.listed {
+		if w.exists() {
 			tasks += st.countIn(w.entry.Capacity)
 		}
 	}
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -11,6 +11,9 @@
 		if end.Number <= w.lastEnd {
 			continue
 		}
+		if s.mayBeOthers(w, end.Task) {
+			return // an acknowledgement would hide the end from the owner of that pool
+		}
 		w.lastEnd = end.Number
 		r := w.runs[end.Task]
 		if r == nil || r.number != end.Run || r.state == planned {
--- a/pool/evacuate.go
+++ b/pool/evacuate.go
@@ -76,7 +76,9 @@
 			continue
 		}
 		requested := s.workers[e.Worker]
-		if requested != nil && w.entry.Incarnation > requested.entry.Incarnation && !w.isEmpty() {
+		// A worker that does not answer at first may not exist.
+		mayHaveRuns := len(w.runs) > 0 || (w.lastAnswer != 0 || s.now-w.addressKnownAt < unresponsiveAfter) && !w.isEmpty()
+		if requested != nil && w.entry.Incarnation > requested.entry.Incarnation && mayHaveRuns {
 			busy[e.ID] = true
 		}
 	}
--- a/pool/holds.go
+++ b/pool/holds.go
@@ -20,24 +20,35 @@
 		}
 		switch unsettled := s.hasUncertain(w); {
 		case w.holdID == 0 && s.now >= w.nextHold:
-			if w.listed || len(w.runs) > 0 || w.lastEnd != w.ack {
+			if w.listed && !w.isImpostor() || len(w.runs) > 0 || w.lastEnd != w.ack {
 				s.hold(w, unsettled)
 			}
-		case unsettled && w.holdID != 0 && w.urgentHoldID == 0 && s.now >= w.nextUrgentHold:
-			// The regular hold in flight waits for an end, and its token may be no higher than that of the start.
-			s.raiseToken(w)
-			s.lastHoldID++
-			w.urgentHoldID, w.urgentHoldDue = s.lastHoldID, s.now
-			s.orders = append(s.orders, Hold{Target: w.target(), Token: w.token, Ack: w.ackToSend(), Urgent: true, ID: s.lastHoldID})
+		case (unsettled && w.holdID != 0 || w.claim != nil || w.suspected) && w.urgentHoldID == 0 && s.now >= w.nextUrgentHold:
+			// The regular hold in flight waits for an end, and its token may be no higher than that of the start. It shows neither that the
+			// worker still runs nor that it has restarted.
+			s.urgentHold(w)
 		}
 	}
 }
 
+// urgentHold queues a hold that is answered at once. If a claim says that the worker has restarted, it goes to the address of the claim.
+func (s *Scheduler) urgentHold(w *worker) {
+	s.raiseToken(w)
+	s.lastHoldID++
+	order := Hold{Target: w.target(), Token: w.token, Ack: w.ackToSend(), Urgent: true, ID: s.lastHoldID}
+	if w.claim != nil {
+		order.Target.Address, order.Ack = w.claim.Address, 0
+	}
+	w.suspected = false
+	w.urgentHoldID, w.urgentHoldDue, w.urgentHoldAddress = s.lastHoldID, s.now, order.Target.Address
+	s.orders = append(s.orders, order)
+}
+
 // ackToSend returns the number of the newest end that a hold acknowledges. It is 0 if nothing new is to be acknowledged, or
 // if the hold may reach a new incarnation: that one numbers its ends from the start again, and would drop ends that were
 // never processed.
 func (w *worker) ackToSend() int64 {
-	if w.unresponsive || w.ack == w.acked {
+	if w.unresponsive || w.ack == w.acked || w.claim != nil {
 		return 0
 	}
 	return w.ack
@@ -47,7 +58,7 @@
 	s.raiseToken(w)
 	s.lastHoldID++
 	order := Hold{Target: w.target(), Token: w.token, Ack: w.ackToSend(), Wait: idleHoldWait, ID: s.lastHoldID}
-	if !w.confirmed {
+	if !w.confirmed || w.claim != nil {
 		order.Wait = 0
 	}
 	if len(w.runs) > 0 {
@@ -101,9 +112,13 @@
 	default:
 		awaited = false
 	}
-	switch listing.Outcome {
-	case Accepted:
-	case Fenced:
+	elsewhere := order.Target.Address != w.entry.Address // the address of a claim
+	switch {
+	case listing.Outcome == Accepted:
+	case elsewhere:
+		w.nextUrgentHold = s.now + holdRetryDelay // it shows nothing about the worker at its own address
+		return
+	case listing.Outcome == Fenced:
 		s.refusedByToken(w, order.Token)
 		return
 	default:
@@ -113,13 +128,16 @@
 		}
 		return
 	}
-	if listing.Incarnation != 0 && listing.Incarnation != w.incarnation {
-		if listing.Incarnation < w.incarnation {
-			return // a delayed answer of an earlier incarnation
+	before := w.incarnation
+	if same := s.answeredAs(w, listing.Incarnation); w.isImpostor() || !same {
+		if !w.isImpostor() && w.incarnation != before {
+			s.processEnds(w, listing.Ended) // a start may have reached the new incarnation, and the link can break before its next answer
 		}
-		s.workerRestarted(w, listing.Incarnation)
 		return
 	}
+	if w.claim != nil && sent >= w.claimedAt {
+		s.refuteClaim(w)
+	}
 	if !awaited {
 		s.recordLateAnswer(w)
 	}
@@ -230,6 +248,9 @@
 		s.log(eventStray, slog.String("task", entry.Task), slog.Int("run", entry.Run), slog.String("worker", w.entry.ID))
 	}
 	strays[entry.Task] = need
+	if s.mayBeOthers(w, entry.Task) {
+		return
+	}
 	s.orders = append(s.orders, Stop{Target: w.target(), Task: entry.Task, Run: entry.Run, Token: w.token})
 }
 
@@ -246,7 +267,7 @@
 	late := r.state == uncertain
 	switch {
 	case reply.Incarnation > w.incarnation:
-		s.workerRestarted(w, reply.Incarnation)
+		s.answeredAs(w, reply.Incarnation)
 	case r.state != starting && !late, late && reply.Outcome == Unanswered, reply.Incarnation != 0 && reply.Incarnation < w.incarnation:
 		return // the run was listed, a hold has settled it, or the answer is from an earlier incarnation
 	}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -59,6 +59,9 @@
 	Workers []string
 }
 
+// ListMachines asks the platform which worker runs on each machine.
+type ListMachines struct{}
+
 // Outcome is the result of an order.
 type Outcome int
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -23,6 +23,8 @@
 func (s *Scheduler) Plan() {
 	s.detectStall()
 	s.expireCalls()
+	s.settleContradictions()
+	s.loseReplaced()
 	s.expireRuns()
 	s.updateJobs()
 	s.repeatStops()
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -23,8 +23,13 @@
 	ends        int64
 	lapsed      int64 // number of the newest end when its lease had last expired
 	stopTime    clock.Millis
+	entryDue    clock.Millis // when it writes its entry after a restart; 0: it has written it
+	storeCut    bool         // it does not reach the store
 }
 
+// entryDelay is the time from the restart of a worker to its entry.
+const entryDelay = 50 * clock.Millis(1)
+
 type fakeRun struct {
 	start       Start
 	began       clock.Millis
@@ -161,8 +166,21 @@
 	}
 }
 
+// at returns the worker with the id of the target if it can be reached at the target's address, and nil otherwise.
+func (w *poolSim) at(target Target) *fakeWorker {
+	f := w.workers[target.ID]
+	if f == nil || f.entry.Address != target.Address {
+		return nil
+	}
+	return f
+}
+
 func (w *poolSim) dispatch() {
 	for _, order := range w.s.Orders() {
+		if hold, ok := order.(Hold); ok && w.at(hold.Target) == nil {
+			w.s.HoldAnswered(hold, Listing{Reply: Reply{Outcome: NotSent}}, w.now)
+			continue
+		}
 		lost, late := false, clock.Millis(0)
 		if w.lose != nil {
 			lost, late = w.lose(order)
@@ -214,7 +232,7 @@
 	for _, h := range w.holds {
 		f := w.workers[h.order.Target.ID]
 		switch {
-		case w.dropsOnRestart && f.entry.Incarnation != h.incarnation:
+		case w.at(h.order.Target) == nil, w.dropsOnRestart && f.entry.Incarnation != h.incarnation:
 			w.s.HoldAnswered(h.order, Listing{}, h.sent)
 		case f.unreachable && w.now < h.due+600:
 			waiting = append(waiting, h)
@@ -243,6 +261,10 @@
 func (w *poolSim) advanceWorkers() {
 	for _, id := range sortedKeys(w.workers) {
 		f := w.workers[id]
+		if f.entryDue != 0 && w.now >= f.entryDue {
+			f.entryDue = 0
+			w.s.SetWorker(f.entry)
+		}
 		if w.now > f.lease {
 			w.endHistory.expire(f.incarnation())
 			f.lapsed = f.ends
@@ -424,10 +446,13 @@
 	return listing
 }
 
-// restart gives the worker a new incarnation under the same ID.
+// restart gives the worker a new incarnation under the same ID, which writes its entry unless it does not reach the store.
 func (f *fakeWorker) restart(w *poolSim) {
 	f.runs, f.ended, f.ends, f.lapsed, f.token, f.lease = map[string]*fakeRun{}, nil, 0, 0, 0, 0
 	f.entry.Incarnation = int64(w.now)
+	if !f.storeCut {
+		f.entryDue = w.now + entryDelay
+	}
 }
 
 // state returns the state of a job as reported to callers.
--- a/pool/route_test.go
+++ b/pool/route_test.go
@@ -175,7 +175,7 @@
 // Runs the checks of TestRandomRoutes under the faults of TestRandomTakeovers.
 func TestRandomRouteTakeovers(t *testing.T) {
 	for seed := *takeoverFirst; seed < *takeoverFirst+*takeoverSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeovers(t, seed, true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeovers(t, seed, true, false) })
 	}
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -68,6 +68,9 @@
 	Retention clock.Millis
 	// Caps bounds what the runs of customers use; nil: nothing does.
 	Caps Caps
+	// ListsMachines is set if ListMachines is answered. Otherwise a worker that does not answer counts as replaced by a later one on its machine
+	// without the word of the platform.
+	ListsMachines bool
 
 	now               clock.Millis
 	wall              clock.Millis
@@ -86,6 +89,8 @@
 	jobOrder          func(a, b rank) bool // which of two jobs is placed first
 	histories         map[string]*history  // by queue
 	nextCopySearch    clock.Millis
+	listingMachines   bool                       // ListMachines has no answer yet
+	nextMachineList   clock.Millis               // earliest time of the next one
 	customerUse       map[string]batch.Resources // of the runs in this pool, by customer
 	capped            cappedWork
 	evacuations       map[string]Evacuation // by machine
@@ -235,7 +240,7 @@
 			t.done = true
 			st.done++
 		}
-		if stored.Worker == "" || t.copy != nil || s.machineRestarted(stored) {
+		if stored.Worker == "" || t.copy != nil {
 			continue
 		}
 		w := s.workers[stored.Worker]
@@ -259,16 +264,6 @@
 	}
 }
 
-// machineRestarted reports whether the machine of a stored run has a newer incarnation, which means that the run is gone.
-func (s *Scheduler) machineRestarted(stored *batch.Run) bool {
-	for _, w := range s.workers {
-		if w.listed && stored.Machine != "" && w.entry.Machine == stored.Machine && w.entry.ID != stored.Worker && w.entry.Incarnation > stored.Incarnation {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Scheduler) occurrence(j *job, number int) *occurrence {
 	if o := j.occurrences[number]; o != nil {
 		return o
@@ -392,95 +387,6 @@
 	return true
 }
 
-// SetWorker adds or updates a worker from its entry in the platform's store.
-func (s *Scheduler) SetWorker(entry batch.Worker) {
-	w := s.workers[entry.ID]
-	if w == nil {
-		w = &worker{runs: map[string]*run{}, strays: map[string]batch.Resources{}, token: s.token, incarnation: entry.Incarnation}
-		_, w.leaseReported = s.inheritedLeaseEnds[entry.ID]
-		s.workers[entry.ID] = w
-		s.loseEarlierIncarnations(entry)
-	}
-	if w.entry.Address == "" {
-		w.addressKnownAt = s.now
-	}
-	if !w.listed || w.entry.Draining != entry.Draining {
-		s.log(eventWorker, slog.String("worker", entry.ID), slog.String("machine", entry.Machine),
-			slog.Bool("draining", entry.Draining), slog.Int64("born", entry.Incarnation))
-	}
-	w.entry, w.listed = entry, true
-	_, w.evacuating = s.evacuationOf(w)
-	if entry.Incarnation > w.incarnation {
-		s.workerRestarted(w, entry.Incarnation)
-	}
-}
-
-// loseEarlierIncarnations ends the runs of earlier incarnations on the same machine as lost: the new one has replaced them.
-func (s *Scheduler) loseEarlierIncarnations(entry batch.Worker) {
-	if entry.Machine == "" {
-		return
-	}
-	for _, old := range s.workers {
-		if old.entry.Machine != entry.Machine || old.entry.ID == entry.ID || old.entry.Incarnation >= entry.Incarnation {
-			continue
-		}
-		s.log(eventRestarted, slog.String("worker", old.entry.ID), slog.String("successor", entry.ID),
-			slog.Int("runs", len(old.runs)))
-		s.loseRuns(old)
-	}
-}
-
-// RemoveWorker marks a worker as no longer listed in the platform's store. Its runs stay reserved until its lease has
-// expired.
-func (s *Scheduler) RemoveWorker(id string) {
-	if w := s.workers[id]; w != nil && w.listed {
-		w.listed = false
-		s.log(eventWorker, slog.String("worker", id), slog.Bool("left", true), slog.Int("runs", len(w.runs)))
-	}
-}
-
-// Workers returns the IDs of the workers that the platform's store lists.
-func (s *Scheduler) Workers() []string {
-	var ids []string
-	for id, w := range s.workers {
-		if w.listed {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
-
-func (s *Scheduler) workerRestarted(w *worker, incarnation int64) {
-	if len(w.runs) > 0 || w.incarnation != 0 {
-		s.log(eventRestarted, slog.String("worker", w.entry.ID), slog.Int64("born", incarnation), slog.Int64("before", w.incarnation),
-			slog.Int("runs", len(w.runs)))
-	}
-	for _, r := range sortedRuns(w) {
-		if r.runningIncarnation != 0 && r.runningIncarnation < incarnation || r.state == planned && !r.inTransaction {
-			s.finish(r, EndLost, "")
-			continue
-		}
-		// The start may still be on its way, or may have reached the new incarnation, which has the same ID. The run is kept
-		// until that incarnation has answered under a higher token.
-		if r.state != planned && r.runningIncarnation != incarnation {
-			r.state, r.answered = uncertain, s.now
-		}
-	}
-	w.incarnation, w.lastEnd, w.ack, w.acked, w.clockAt, w.confirmed, w.firstAnswer, w.listClock = incarnation, 0, 0, 0, 0, false, 0, 0
-	w.setStrays(map[string]batch.Resources{})
-	// The new incarnation has seen no token. It refuses a delayed order to the old one only after it has seen a token above
-	// that of the order.
-	w.needToken = true
-	w.nextHold = s.now
-}
-
-func (s *Scheduler) loseRuns(w *worker) {
-	for _, r := range sortedRuns(w) {
-		s.finish(r, EndLost, "")
-	}
-}
-
 func sortedRuns(w *worker) []*run {
 	all := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
@@ -660,7 +566,8 @@
 	return partial
 }
 
-// Orders returns the orders queued since the last call: values of type Start, Stop, Throttle, Hold and Advise.
+// Orders returns the orders queued since the last call: values of type Start, Stop, Throttle,
+// Hold, Advise and ListMachines.
 func (s *Scheduler) Orders() []any {
 	orders := s.orders
 	s.orders = nil
--- a/pool/share.go
+++ b/pool/share.go
@@ -136,7 +136,7 @@
 	}
 	var capacity batch.Resources
 	for _, w := range s.workers {
-		if w.listed {
+		if w.exists() {
 			capacity = capacity.Add(w.entry.Capacity)
 		}
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -135,7 +135,15 @@
 	entry               batch.Worker
 	listed              bool // in the platform's store
 	incarnation         int64
-	outranked           bool // it has refused the newest token of this owner
+	incarnationKnown    bool          // it has answered as incarnation; otherwise its entry or a stored run says so
+	vouched             bool          // an entry of an incarnation that has answered has been in force
+	claim               *batch.Worker // entry of a later incarnation, as which it has not answered
+	claimedAt           clock.Millis  // when that entry was first seen
+	contradiction       *batch.Worker // newest entry, if it contradicts the one in force
+	contradictedAt      clock.Millis  // when entries began to do so
+	machineDisputed     bool          // entries of this incarnation name several machines
+	suspected           bool          // another entry claims its machine; it is asked whether it still runs
+	outranked           bool          // it has refused the newest token of this owner
 	token               int64
 	needToken           bool         // no order until a token above all that the worker may have seen is available
 	confirmed           bool         // this incarnation has answered under this token
@@ -155,6 +163,7 @@
 	holdDue             clock.Millis               // when it should be answered at the latest
 	urgentHoldID        int64                      // urgent hold whose answer is awaited; 0: none
 	urgentHoldDue       clock.Millis
+	urgentHoldAddress   string
 	nextUrgentHold      clock.Millis
 	lastUnanswered      clock.Millis // when the newest hold that got no answer at all was sent
 	lastLateAnswer      clock.Millis // when an answer last arrived after the soft timeout
--- a/pool/takeover_owner_test.go
+++ b/pool/takeover_owner_test.go
@@ -45,6 +45,7 @@
 	lease := MaxLease
 	o.scheduler = NewScheduler(testPool, lease, clock.Hour, nil)
 	s := o.scheduler
+	s.ListsMachines = true
 	if sim.customerCap != nil {
 		s.Caps = sim.customerCap
 	}
@@ -271,16 +272,16 @@
 }
 
 // targetOf returns the worker that an order is sent to, and the timeout for its answer.
-func targetOf(order any) (id string, timeout clock.Millis) {
+func targetOf(order any) (target Target, timeout clock.Millis) {
 	switch order := order.(type) {
 	case Start:
-		return order.Target.ID, modelStartTimeout
+		return order.Target, modelStartTimeout
 	case Stop:
-		return order.Target.ID, modelOrderTimeout
+		return order.Target, modelOrderTimeout
 	case Throttle:
-		return order.Target.ID, modelOrderTimeout
+		return order.Target, modelOrderTimeout
 	case Hold:
-		return order.Target.ID, order.Wait + modelHoldSlack
+		return order.Target, order.Wait + modelHoldSlack
 	}
 	panic(fmt.Sprintf("order of kind %T", order))
 }
@@ -288,7 +289,12 @@
 // send delivers an order to its worker. The answer, if there is one, is put into the inbox later.
 func (o *owner) send(order any) {
 	s := o.sim
-	id, timeout := targetOf(order)
+	if _, ok := order.(ListMachines); ok {
+		o.listMachines()
+		return
+	}
+	target, timeout := targetOf(order)
+	id := target.ID
 	sent, answered := s.now, false
 	finish := func(wait clock.Millis, answer Listing) {
 		s.after(wait, func() {
@@ -312,7 +318,7 @@
 		arrive := func(late bool, respond func(Listing), broken func()) {
 			h := s.workers[id]
 			switch {
-			case h == nil || !h.up:
+			case h == nil || !h.up || h.entry.Address != target.Address:
 				if !late && s.oneIn(2) {
 					finish(back, Listing{Reply: Reply{Outcome: NotSent}}) // the connection is refused
 				}
@@ -341,7 +347,7 @@
 			}
 			s.after(out, func() {
 				arrive(false, respond, func() {
-					if h := s.workers[id]; (h == nil || !h.up) && s.oneIn(2) {
+					if h := s.workers[id]; (h == nil || !h.up || h.entry.Address != target.Address) && s.oneIn(2) {
 						finish(back, Listing{}) // the connection is reset; otherwise the order times out
 					}
 				})
@@ -360,6 +366,26 @@
 	})
 }
 
+// listMachines answers a request for the platform's list of machines.
+func (o *owner) listMachines() {
+	s := o.sim
+	workers := map[string]string{}
+	for _, id := range s.workerIDs {
+		if h := s.workers[id]; h.up {
+			workers[h.entry.Machine] = id
+		}
+	}
+	if !s.noFaults && s.oneIn(10) {
+		workers = nil
+	}
+	s.after(s.latency(), func() {
+		o.inbox = append(o.inbox, func() {
+			o.scheduler.Tick(s.now, s.now)
+			o.scheduler.MachinesListed(workers)
+		})
+	})
+}
+
 func describe(order any) string {
 	switch o := order.(type) {
 	case Start:
--- a/pool/takeover_random_test.go
+++ b/pool/takeover_random_test.go
@@ -26,15 +26,25 @@
 // owners are killed, frozen, or cut off from the store or from workers, and others take over from the stored state.
 func TestRandomTakeovers(t *testing.T) {
 	for seed := *takeoverFirst; seed < *takeoverFirst+*takeoverSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeovers(t, seed, false) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeovers(t, seed, false, false) })
 	}
 }
 
-// runTakeovers runs one seed. If routed is set, it adds labels and configuration changes.
-func runTakeovers(t *testing.T, seed uint64, routed bool) {
+// Guards against the same while another writer leaves odd entries among those of the workers, also in the place of their own.
+func TestRandomOddEntries(t *testing.T) {
+	for seed := *takeoverFirst; seed < *takeoverFirst+*takeoverSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeovers(t, seed, false, true) })
+	}
+}
+
+// runTakeovers runs one seed. If routed is set, it adds labels and configuration changes; if odd is set, odd entries.
+func runTakeovers(t *testing.T, seed uint64, routed, odd bool) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	s := newSim(t, random, 4, simOptions{lateToNewIncarnation: *lateToNewIncarnation, inTransitToNewIncarnation: *inTransitToNewIncarnation, sameID: *sameID,
 		incarnationInReplies: seed%2 == 0, earlyRelease: *earlyRelease, labels: routed})
+	if odd {
+		s.leaveOddEntries(rand.New(rand.NewPCG(seed, 3)))
+	}
 	s.length = func(string) clock.Millis {
 		if random.IntN(3) == 0 {
 			return s.randomMillis(10, 100)
@@ -71,6 +81,29 @@
 	}
 }
 
+// leaveOddEntries begins a series of odd entries, about one a second. A worker whose entry one of them replaces soon writes its own again; one
+// under another id stays. The series draws from a sequence of its own.
+func (s *sim) leaveOddEntries(random *rand.Rand) {
+	s.after(clock.Millis(random.IntN(2000)), func() {
+		if s.noFaults {
+			return
+		}
+		s.leaveOddEntries(random)
+		h, other := s.workers[s.workerIDs[random.IntN(len(s.workerIDs))]], s.workers[s.workerIDs[random.IntN(len(s.workerIDs))]]
+		odd := oddEntries[random.IntN(len(oddEntries))]
+		if !h.up || !other.up || h == other {
+			return
+		}
+		entry := odd.entry(h.entry, other.entry)
+		entry.Incarnation += int64(random.IntN(2)) * 20000
+		s.tracef("worker %s (other worker %s ): another writer leaves an entry %s: %+v", h.entry.ID, other.entry.ID, odd.name, entry)
+		s.deliverEntry(entry.ID, entry, true)
+		if s.workers[entry.ID] != nil {
+			s.after(clock.Millis(10+random.IntN(1500)), func() { s.publish(entry.ID) })
+		}
+	})
+}
+
 // injectFault begins one random fault, which ends by itself.
 func (s *sim) injectFault() {
 	o := s.owners[len(s.owners)-1]
--- a/pool/takeover_sim_test.go
+++ b/pool/takeover_sim_test.go
@@ -251,6 +251,11 @@
 	if h != nil && h.up {
 		entry, there = h.entry, true
 	}
+	s.deliverEntry(id, entry, there)
+}
+
+// deliverEntry writes or removes an entry, and delivers it to the instances.
+func (s *sim) deliverEntry(id string, entry batch.Worker, there bool) {
 	if there {
 		s.listed[id] = entry
 	} else {
--- a/pool/unresponsive.go
+++ b/pool/unresponsive.go
@@ -34,7 +34,9 @@
 		}
 		if w.urgentHoldID != 0 && s.now >= w.urgentHoldDue+holdSoftTimeout {
 			w.urgentHoldID, w.nextUrgentHold = 0, s.now+holdInterval
-			s.markUnresponsive(w)
+			if w.urgentHoldAddress == w.entry.Address {
+				s.markUnresponsive(w)
+			}
 		}
 		if w.holdID != 0 && s.now >= w.holdDue+holdSoftTimeout {
 			w.holdID, w.nextHold = 0, s.now+holdRetryDelay
