--- a/pool/odd_entry_test.go
+++ b/pool/odd_entry_test.go
@@ -217,3 +217,24 @@
 		t.Errorf("starts got %d, want 1", got)
 	}
 }
+
+// Guards against tasks on a worker that has restarted as another kind, whose entry is not renewed (review/12).
+func TestEntryOfAnEarlierIncarnationDescribesNoWorker(t *testing.T) {
+	w := newPoolSim(t, 1, testQueue)
+	w.run(300)
+	genuine := w.workers["w0"].entry
+	w.dropsOnRestart, w.workers["w0"].storeCut = true, true
+	w.workers["w0"].restart(w)
+	w.run(300)
+	w.submit("j", batch.Step{Count: 1, Need: cpu(1000), Label: "a"})
+	w.s.SetWorker(genuine)
+	w.run(2 * clock.Second)
+	if got := w.starts["j.0.0.0"]; got != 0 {
+		t.Errorf("starts got %d, want 0: the labels of the new incarnation are not known", got)
+	}
+	w.s.SetWorker(w.workers["w0"].entry)
+	w.run(700) // leases are reported every 500 ms
+	if got := w.starts["j.0.0.0"]; got != 1 {
+		t.Errorf("starts got %d, want 1 once the worker has an entry", got)
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -147,6 +147,7 @@
 	for _, w := range s.sortedWorkers() {
 		switch {
 		case !w.listed || w.entry.Draining || w.evacuating || w.entry.Pool != s.Pool:
+		case w.incarnationKnown && !w.isDescribed():
 		case !w.confirmed || w.unresponsive || w.leaseFixed() || w.needToken || w.clockAt == 0 || s.now-w.lastAnswer > unresponsiveAfter:
 		case s.overdue(w):
 		case w.avoidUntil > s.now:
