soak: another writer leaves odd entries among those of the workers

About every 1.5 s an entry claims the machine, the id or both of a worker, or cannot be read; a worker whose entry is replaced has its own again within 1.5 s.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -78,6 +78,7 @@
 	}
 	go s.advance(ctx)
 	go s.operator.run(ctx)
+	go s.leaveOddEntries(ctx)
 	paths, err := s.submitLongRunning(ctx)
 	if err != nil {
 		return Report{}, err
@@ -117,6 +118,25 @@
 	}
 }
 
+// Times of odd entries.
+const (
+	oddEntryInterval = 1500 * clock.Millis(1) // mean interval
+	longestOddEntry  = 1500 * clock.Millis(1) // a worker writes its entry again within a heartbeat
+)
+
+// leaveOddEntries leaves odd entries among those of the workers until the context ends. It draws from a sequence of its own, so that a seed draws
+// the same faults.
+func (s *site) leaveOddEntries(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 1000))
+	for clock.System().Sleep(ctx, clock.Millis(float64(oddEntryInterval)*random.ExpFloat64())) == nil {
+		what, end := s.fleet.LeaveOddEntry(random)
+		if what != "" {
+			s.options.logf("odd entry %s", what)
+			clock.System().AfterFunc(clock.Millis(random.Int64N(int64(longestOddEntry))), end)
+		}
+	}
+}
+
 const longRunningTasks = 2 // per job
 
 // submitLongRunning submits a long-running job for each pool and returns their paths.
