--- a/daemon/machines_test.go
+++ b/daemon/machines_test.go
@@ -110,3 +110,25 @@
 		})
 	}
 }
+
+// listedPlatform answers requests for the list of machines.
+type listedPlatform struct {
+	machines.Platform
+	list []batch.Machine
+	err  error
+}
+
+func (p *listedPlatform) List(context.Context) ([]batch.Machine, error) { return p.list, p.err }
+
+// Guards against a list of machines that could not be read and is taken for one without the worker of a pool, whose runs would be started again.
+func TestUnreadableListNamesNoWorkers(t *testing.T) {
+	platform := &listedPlatform{list: []batch.Machine{{ID: "m", Worker: "w"}}}
+	o := &poolOwner{daemon: &Daemon{Machines: platform}}
+	if got := o.listMachines(context.Background()); len(got) != 1 || got["m"] != "w" {
+		t.Errorf("workers got %v, want w on m", got)
+	}
+	platform.err = context.DeadlineExceeded
+	if got := o.listMachines(context.Background()); got != nil {
+		t.Errorf("workers got %v, want nil without an answer", got)
+	}
+}
--- a/pool/odd_entry_test.go
+++ b/pool/odd_entry_test.go
@@ -182,6 +182,40 @@
 	}
 }
 
+// Guards against tasks that are started again because a worker is silent while the entry of another one, which answers, names its machine.
+func TestPlatformTellsWhetherAWorkerIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		machines map[string]string
+		starts   int // of each task
+	}{
+		{"the list names the successor", map[string]string{"m-w0": "w0-2", "m-w1": "w1"}, 2},
+		{"the list names the worker", map[string]string{"m-w0": "w0", "m-w9": "w0-2", "m-w1": "w1"}, 1},
+		{"the list names the worker on another machine", map[string]string{"m-w0": "w0-2", "m-w7": "w0", "m-w1": "w1"}, 1},
+		{"the list names neither", map[string]string{"m-w1": "w1"}, 1},
+		{"no answer", nil, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newOddEntrySim(t)
+			w.s.ListsMachines, w.machines = true, test.machines
+			w.workers["w0"].unreachable = true
+			w.addWorkerOn("w0-2", "m-w0")
+			if test.starts > 1 {
+				w.workers["w0"].runs = nil
+			}
+			w.run(1500)
+			for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
+				if got := w.starts[task]; got != test.starts {
+					t.Errorf("starts of %s got %d, want %d", task, got, test.starts)
+				}
+			}
+			if got, most := w.listRequests, int(1500/machineListPeriod)+1; got < 1 || got > most {
+				t.Errorf("requests for the list got %d, want 1 to %d", got, most)
+			}
+		})
+	}
+}
+
 // Guards against an entry that places a worker of another pool in this one, whose owner then stops the runs of that pool and acknowledges their
 // ends: the worker answers as another incarnation than the entry says, or the entry says none.
 func TestRunsOfAWorkerThatAnEntryMisplacesAreKept(t *testing.T) {
--- a/pool/pool_sim_test.go
+++ b/pool/pool_sim_test.go
@@ -71,6 +71,8 @@
 	maxAttempts int
 	// leaseBoundFailures is set if failed ends that were acknowledged after the lease of their worker had expired are not counted.
 	leaseBoundFailures bool
+	machines           map[string]string // the platform's list: the worker on each machine; nil: the platform does not answer
+	listRequests       int
 	// dropsOnRestart is set if orders in transit are lost when their worker restarts.
 	dropsOnRestart bool
 }
@@ -211,6 +213,9 @@
 			w.holds = append(w.holds, pendingHold{o, w.now, w.now + o.Wait, w.incarnationOf(o)})
 		case Advise:
 			w.advisor.ask(o, w.now)
+		case ListMachines:
+			w.listRequests++
+			w.s.MachinesListed(w.machines)
 		}
 	}
 }
