--- a/pool/belief.go
+++ b/pool/belief.go
@@ -172,10 +172,10 @@
 		machines[id] = machine
 	}
 	for w, successor := range s.replaced() {
-		switch machine, runs := machines[w.entry.ID]; {
-		case runs && machine == w.entry.Machine:
+		switch machine, exists := machines[w.entry.ID]; {
+		case exists && machine == w.entry.Machine:
 			successor.machineDisputed = true
-		case runs:
+		case exists:
 			w.machineDisputed = true
 		case workers[w.entry.Machine] == successor.entry.ID:
 			s.loseTo(w, successor)
