--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -22,7 +22,8 @@
 )
 
 // Proxy forwards TCP connections on loopback to a target and injects network faults. After it has dropped data in one direction
-// of a connection it drops all later data in that direction too, also when the mode changes.
+// of a connection it drops all later data in that direction too, also when the mode changes. Connections that are open when ProxyDropAll
+// begins stay silent for good, idle ones too.
 type Proxy struct {
 	Target string // IP address and port; set before the first connection
 
@@ -30,7 +31,7 @@
 	mu       sync.Mutex
 	mode     ProxyMode
 	delay    clock.Millis
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]bool // open ones; true: silent for good
 }
 
 // proxyBuffer is the size of a copy buffer in bytes.
@@ -64,9 +65,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode, p.delay = mode, delay
-	if mode == ProxyReset {
-		for conn := range p.conns {
+	for conn := range p.conns {
+		switch mode {
+		case ProxyReset:
 			reset(conn)
+		case ProxyDropAll:
+			p.conns[conn] = true
 		}
 	}
 }
@@ -77,11 +81,17 @@
 	return p.mode, p.delay
 }
 
+func (p *Proxy) isSilent(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[conn]
+}
+
 func (p *Proxy) trackConn(conn net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if open {
-		p.conns[conn] = true
+		p.conns[conn] = false
 	} else {
 		delete(p.conns, conn)
 	}
@@ -125,7 +135,7 @@
 		n, err := from.Read(buffer)
 		mode, delay := p.current()
 		switch {
-		case mode == ProxyDropAll, mode == ProxyDropAnswers && !request, mode == ProxyDropRequests && request:
+		case mode == ProxyDropAll, p.isSilent(from), mode == ProxyDropAnswers && !request, mode == ProxyDropRequests && request:
 			lost = lost || n > 0
 		case mode == ProxyDelayed && n > 0:
 			_ = clock.System().Sleep(context.Background(), delay) // a background context is never cancelled
